--- /dev/null
+++ b/pkg/kv/etcd.go
@@ -0,0 +1,245 @@
+package kv
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Paths of the etcd v3 API in its published HTTP/JSON form.
+const (
+	PathRange  = "/v3/kv/range"
+	PathTxn    = "/v3/kv/txn"
+	PathGrant  = "/v3/lease/grant"
+	PathRenew  = "/v3/lease/keepalive"
+	PathRevoke = "/v3/lease/revoke"
+	PathWatch  = "/v3/watch"
+)
+
+// maxAnswerBytes bounds an answer: a list of full values in base64, at most.
+const maxAnswerBytes = 64 << 20
+
+// EtcdConfig says where the service is and how to reach it.
+type EtcdConfig struct {
+	// URL is the service's base, such as http://127.0.0.1:2379.
+	URL string
+	// Client makes the calls; nil takes http.DefaultClient.
+	Client *http.Client
+	// CallTimeout bounds each call but a watch; 0 takes 2 s.
+	CallTimeout time.Duration
+}
+
+const defaultCallTimeout = 2 * time.Second
+
+// NewEtcd returns a Store that speaks the etcd v3 API over HTTP and JSON.
+func NewEtcd(config EtcdConfig) Store {
+	if config.Client == nil {
+		config.Client = http.DefaultClient
+	}
+	if config.CallTimeout == 0 {
+		config.CallTimeout = defaultCallTimeout
+	}
+	e := &etcd{EtcdConfig: config}
+	return Store{
+		Get:    e.get,
+		List:   e.list,
+		Swap:   e.swap,
+		Delete: e.remove,
+		Grant:  e.grant,
+		Renew:  e.renew,
+		Revoke: e.revoke,
+		Watch:  e.watch,
+	}
+}
+
+type etcd struct{ EtcdConfig }
+
+func (e *etcd) get(ctx context.Context, key string) (Record, error) {
+	var answer RangeResponse
+	if err := e.read(ctx, PathRange, RangeRequest{Key: []byte(key)}, &answer); err != nil {
+		return Record{}, err
+	}
+	if len(answer.KVs) == 0 {
+		return Record{}, errors.WithType(errors.Errorf("get %s", key), ErrNotFound)
+	}
+	return answer.KVs[0].record(), nil
+}
+
+func (e *etcd) list(ctx context.Context, prefix string) ([]Record, error) {
+	var answer RangeResponse
+	request := RangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)}
+	if err := e.read(ctx, PathRange, request, &answer); err != nil {
+		return nil, err
+	}
+	records := make([]Record, 0, len(answer.KVs))
+	for _, kv := range answer.KVs {
+		records = append(records, kv.record())
+	}
+	return records, nil
+}
+
+func (e *etcd) swap(ctx context.Context, swap Swap) (Record, error) {
+	if len(swap.Value) > MaxValueBytes {
+		return Record{}, errors.WithType(errors.Errorf("swap %s: %d bytes", swap.Key, len(swap.Value)), ErrTooLarge)
+	}
+	put := Op{Put: &PutRequest{Key: []byte(swap.Key), Value: swap.Value, Lease: int64(swap.Lease)}}
+	answer, err := e.txn(ctx, swap.Key, swap.Revision, put)
+	if err != nil {
+		return Record{}, err
+	}
+	return Record{Key: swap.Key, Value: swap.Value, Revision: answer.Header.Revision}, nil
+}
+
+func (e *etcd) remove(ctx context.Context, key string, revision int64) error {
+	_, err := e.txn(ctx, key, revision, Op{DeleteRange: &DeleteRangeRequest{Key: []byte(key)}})
+	return err
+}
+
+// txn does op if key is at revision.
+func (e *etcd) txn(ctx context.Context, key string, revision int64, op Op) (TxnResponse, error) {
+	request := TxnRequest{
+		Compare: []Compare{{Target: "MOD", Result: "EQUAL", Key: []byte(key), ModRevision: revision}},
+		Success: []Op{op},
+	}
+	var answer TxnResponse
+	if err := e.change(ctx, PathTxn, request, &answer); err != nil {
+		return answer, errors.Annotatef(err, "change %s", key)
+	}
+	if !answer.Succeeded {
+		return answer, errors.WithType(errors.Errorf("change %s from revision %d", key, revision), ErrConflict)
+	}
+	return answer, nil
+}
+
+func (e *etcd) grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	var answer LeaseResponse
+	seconds := int64((ttl + time.Second - 1) / time.Second)
+	err := e.change(ctx, PathGrant, LeaseRequest{TTL: seconds}, &answer)
+	return LeaseID(answer.ID), err
+}
+
+func (e *etcd) renew(ctx context.Context, id LeaseID) error {
+	var answer struct {
+		Result LeaseResponse `json:"result"`
+	}
+	if err := e.change(ctx, PathRenew, LeaseRequest{ID: int64(id)}, &answer); err != nil {
+		return err
+	}
+	if answer.Result.TTL <= 0 {
+		return errors.WithType(errors.Errorf("renew lease %d", id), ErrLeaseLost)
+	}
+	return nil
+}
+
+func (e *etcd) revoke(ctx context.Context, id LeaseID) error {
+	var answer LeaseResponse
+	return e.change(ctx, PathRevoke, LeaseRequest{ID: int64(id)}, &answer)
+}
+
+func (e *etcd) watch(ctx context.Context, prefix string, from int64) (<-chan Event, error) {
+	create := WatchCreate{Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: from}
+	response, err := e.post(ctx, PathWatch, WatchRequest{Create: create})
+	if err != nil {
+		return nil, errors.WithType(errors.Annotatef(err, "watch %s", prefix), ErrUnavailable)
+	}
+	if response.StatusCode != http.StatusOK {
+		_ = response.Body.Close()
+		return nil, errors.WithType(errors.Errorf("watch %s: %s", prefix, response.Status), ErrUnavailable)
+	}
+	events := make(chan Event)
+	go readWatch(ctx, response.Body, events)
+	return events, nil
+}
+
+// readWatch turns a watch's stream of JSON messages into events until either side ends it.
+func readWatch(ctx context.Context, body io.ReadCloser, events chan<- Event) {
+	defer close(events)
+	defer func() { _ = body.Close() }()
+	decoder := json.NewDecoder(body)
+	for {
+		var message WatchResponse
+		if decoder.Decode(&message) != nil || message.Result.Canceled {
+			return
+		}
+		for _, e := range message.Result.Events {
+			select {
+			case events <- Event{Record: e.KV.record(), Deleted: e.Type == "DELETE"}:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}
+}
+
+// read makes a call that changes nothing: whatever goes wrong, the service was unavailable.
+func (e *etcd) read(ctx context.Context, path string, request, answer any) error {
+	if _, err := e.call(ctx, path, request, answer); err != nil {
+		return errors.WithType(errors.Annotatef(err, "calling %s", path), ErrUnavailable)
+	}
+	return nil
+}
+
+// change makes a call that changes something: once it may have been sent, a failure is unknown.
+func (e *etcd) change(ctx context.Context, path string, request, answer any) error {
+	refused, err := e.call(ctx, path, request, answer)
+	if err == nil {
+		return nil
+	}
+	kind := ErrUnknown
+	if refused {
+		kind = ErrUnavailable
+	}
+	return errors.WithType(errors.Annotatef(err, "calling %s", path), kind)
+}
+
+// call tells beside the error whether the service refused the call outright.
+func (e *etcd) call(ctx context.Context, path string, request, answer any) (refused bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, e.CallTimeout)
+	defer cancel()
+	response, err := e.post(ctx, path, request)
+	if err != nil {
+		return isDialError(err), err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode == http.StatusTooManyRequests {
+		return true, errors.Errorf("status %s", response.Status)
+	}
+	if response.StatusCode != http.StatusOK {
+		return false, errors.Errorf("status %s", response.Status)
+	}
+	return false, json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(answer)
+}
+
+func (e *etcd) post(ctx context.Context, path string, request any) (*http.Response, error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	url := strings.TrimSuffix(e.URL, "/") + path
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	r.Header.Set("Content-Type", "application/json")
+	// A change must never be sent twice behind our back by the transport.
+	r.GetBody = nil
+	return e.Client.Do(r)
+}
+
+// prefixEnd is the first key after all that begin with prefix.
+func prefixEnd(prefix string) []byte {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0}
+}
--- /dev/null
+++ b/pkg/kv/memory.go
@@ -0,0 +1,241 @@
+package kv
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Memory is the service's state machine in this process, for tests and stand-ins.
+type Memory struct {
+	mu       sync.Mutex
+	revision int64
+	keys     map[string]memoryKey
+	leases   map[LeaseID]*memoryLease
+	lastID   LeaseID
+	history  []Event
+	changed  chan struct{}
+}
+
+type memoryKey struct {
+	record Record
+	lease  LeaseID
+}
+
+type memoryLease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// NewMemory returns an empty service at revision 1.
+func NewMemory() *Memory {
+	return &Memory{
+		revision: 1,
+		keys:     map[string]memoryKey{},
+		leases:   map[LeaseID]*memoryLease{},
+		changed:  make(chan struct{}),
+	}
+}
+
+// Store returns the functions of the service.
+func (m *Memory) Store() Store {
+	return Store{
+		Get:    m.get,
+		List:   m.list,
+		Swap:   m.swap,
+		Delete: m.remove,
+		Grant:  m.grant,
+		Renew:  m.renew,
+		Revoke: m.revoke,
+		Watch:  m.watch,
+	}
+}
+
+// RefreshLeases gives each lease its full time again, as the service does when it comes back.
+func (m *Memory) RefreshLeases() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, lease := range m.leases {
+		lease.expires = time.Now().Add(lease.ttl)
+	}
+}
+
+// Revision is that of the last change.
+func (m *Memory) Revision() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision
+}
+
+func (m *Memory) get(_ context.Context, key string) (Record, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expire()
+	k, ok := m.keys[key]
+	if !ok {
+		return Record{}, errors.WithType(errors.Errorf("get %s", key), ErrNotFound)
+	}
+	return k.record, nil
+}
+
+func (m *Memory) list(_ context.Context, prefix string) ([]Record, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expire()
+	var records []Record
+	for key, k := range m.keys {
+		if strings.HasPrefix(key, prefix) {
+			records = append(records, k.record)
+		}
+	}
+	sort.Slice(records, func(i, j int) bool { return records[i].Key < records[j].Key })
+	return records, nil
+}
+
+func (m *Memory) swap(_ context.Context, swap Swap) (Record, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expire()
+	if len(swap.Value) > MaxValueBytes {
+		return Record{}, errors.WithType(errors.Errorf("swap %s: %d bytes", swap.Key, len(swap.Value)), ErrTooLarge)
+	}
+	old := m.keys[swap.Key].record
+	if old.Revision != swap.Revision {
+		return Record{}, errors.WithType(errors.Errorf("swap %s from revision %d", swap.Key, swap.Revision), ErrConflict)
+	}
+	if _, ok := m.leases[swap.Lease]; swap.Lease != 0 && !ok {
+		return Record{}, errors.WithType(errors.Errorf("swap %s", swap.Key), ErrLeaseLost)
+	}
+	m.revision++
+	record := Record{
+		Key:      swap.Key,
+		Value:    append([]byte(nil), swap.Value...),
+		Revision: m.revision,
+		Version:  old.Version + 1,
+	}
+	m.keys[swap.Key] = memoryKey{record: record, lease: swap.Lease}
+	m.publish(Event{Record: record})
+	return record, nil
+}
+
+func (m *Memory) remove(_ context.Context, key string, revision int64) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expire()
+	if m.keys[key].record.Revision != revision {
+		return errors.WithType(errors.Errorf("delete %s from revision %d", key, revision), ErrConflict)
+	}
+	m.drop(key)
+	return nil
+}
+
+func (m *Memory) grant(_ context.Context, ttl time.Duration) (LeaseID, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lastID++
+	m.leases[m.lastID] = &memoryLease{ttl: ttl, expires: time.Now().Add(ttl)}
+	return m.lastID, nil
+}
+
+func (m *Memory) renew(_ context.Context, id LeaseID) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expire()
+	lease, ok := m.leases[id]
+	if !ok {
+		return errors.WithType(errors.Errorf("renew lease %d", id), ErrLeaseLost)
+	}
+	lease.expires = time.Now().Add(lease.ttl)
+	return nil
+}
+
+func (m *Memory) revoke(_ context.Context, id LeaseID) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.endLease(id)
+	return nil
+}
+
+func (m *Memory) watch(ctx context.Context, prefix string, from int64) (<-chan Event, error) {
+	events := make(chan Event)
+	m.mu.Lock()
+	next := len(m.history)
+	if from > 0 {
+		next = sort.Search(len(m.history), func(i int) bool { return m.history[i].Record.Revision >= from })
+	}
+	m.mu.Unlock()
+	go m.follow(ctx, prefix, next, events)
+	return events, nil
+}
+
+// follow sends the history's events from index next on, waiting for more.
+func (m *Memory) follow(ctx context.Context, prefix string, next int, events chan<- Event) {
+	defer close(events)
+	for {
+		m.mu.Lock()
+		m.expire()
+		news, changed := m.history[next:], m.changed
+		m.mu.Unlock()
+		next += len(news)
+		for _, event := range news {
+			if !strings.HasPrefix(event.Record.Key, prefix) {
+				continue
+			}
+			select {
+			case events <- event:
+			case <-ctx.Done():
+				return
+			}
+		}
+		select {
+		case <-changed:
+		case <-time.After(expiryCheckInterval):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// expiryCheckInterval bounds how late a watch sees that a lease has run out.
+const expiryCheckInterval = 250 * time.Millisecond
+
+// expire ends the leases whose time is over. The caller holds the lock.
+func (m *Memory) expire() {
+	now := time.Now()
+	for id, lease := range m.leases {
+		if !now.Before(lease.expires) {
+			m.endLease(id)
+		}
+	}
+}
+
+func (m *Memory) endLease(id LeaseID) {
+	delete(m.leases, id)
+	if id == 0 {
+		return
+	}
+	for key, k := range m.keys {
+		if k.lease == id {
+			m.drop(key)
+		}
+	}
+}
+
+func (m *Memory) drop(key string) {
+	if _, ok := m.keys[key]; !ok {
+		return
+	}
+	delete(m.keys, key)
+	m.revision++
+	m.publish(Event{Record: Record{Key: key, Revision: m.revision}, Deleted: true})
+}
+
+func (m *Memory) publish(event Event) {
+	m.history = append(m.history, event)
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
