--- /dev/null
+++ b/pkg/membership/ranking.go
@@ -0,0 +1,44 @@
+package membership
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Rank orders ids by a hash with a purpose, so that all boxes agree on who goes first
+// for it without talking, and a lost box changes nobody else's rank (rendezvous hashing).
+func Rank(purpose string, ids []string) []string {
+	type scored struct {
+		id    string
+		score uint64
+	}
+	scores := make([]scored, len(ids))
+	for i, id := range ids {
+		scores[i] = scored{id: id, score: xxhash.Sum64String(purpose + "\x00" + id)}
+	}
+	sort.Slice(scores, func(i, j int) bool {
+		if scores[i].score != scores[j].score {
+			return scores[i].score > scores[j].score
+		}
+		return scores[i].id < scores[j].id
+	})
+	ranked := make([]string, len(ids))
+	for i, s := range scores {
+		ranked[i] = s.id
+	}
+	return ranked
+}
+
+// Among tells whether id is one of the first n of a ranking.
+func Among(purpose string, ids []string, id string, n int) bool {
+	for i, ranked := range Rank(purpose, ids) {
+		if i >= n {
+			return false
+		}
+		if ranked == id {
+			return true
+		}
+	}
+	return false
+}
