--- /dev/null
+++ b/internal/box/beats.go
@@ -0,0 +1,243 @@
+package box
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"ospreymoor.example/ospreymoor/internal/peer"
+	"ospreymoor.example/ospreymoor/pkg/bundle"
+	"ospreymoor.example/ospreymoor/pkg/membership"
+	"ospreymoor.example/ospreymoor/pkg/records"
+)
+
+const (
+	// peerCallTime bounds one call to another box.
+	peerCallTime = 2 * time.Second
+	// beatsPerSecond bounds the heartbeats that a box sends, so that a large hall beats slower.
+	beatsPerSecond = 32
+	// bridges is how many boxes of each other hall a box beats to.
+	bridges = 2
+	// farLoadsAge is how old another hall's loads get before they are fetched anew.
+	farLoadsAge = 5 * time.Second
+)
+
+// beat sends heartbeats: to all boxes of the hall, and to a few of each other hall.
+func (b *Box) beat(ctx context.Context) {
+	last := map[string]int64{}
+	for {
+		targets := b.beatTargets()
+		message := b.newBeat(last)
+		for _, address := range targets {
+			go b.beatTo(ctx, address, message)
+		}
+		interval := max(b.config.BeatInterval, time.Duration(len(targets))*time.Second/beatsPerSecond)
+		select {
+		case <-b.beatNow:
+			// News goes out at once, but no more often than a quarter of the interval.
+			pause(ctx, jitter(interval/4))
+		case <-time.After(jitter(interval)):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// beatTargets lists the peer addresses to beat to.
+func (b *Box) beatTargets() []string {
+	entries := b.view.Entries()
+	if len(entries) == 0 {
+		return b.config.Peers
+	}
+	var targets []string
+	far := map[string][]string{}
+	addresses := map[string]string{}
+	for _, box := range entries {
+		if box.Hall == b.config.Hall {
+			targets = append(targets, box.Address)
+			continue
+		}
+		far[box.Hall] = append(far[box.Hall], box.ID)
+		addresses[box.ID] = box.Address
+	}
+	for _, ids := range far {
+		ranked := membership.Rank(b.config.ID, ids)
+		for _, id := range ranked[:min(bridges, len(ranked))] {
+			targets = append(targets, addresses[id])
+		}
+	}
+	return targets
+}
+
+// newBeat describes this box; last holds the totals that went out before.
+func (b *Box) newBeat(last map[string]int64) peer.Beat {
+	changed := map[string]int64{}
+	for id, total := range b.router.Totals() {
+		if last[id] != total {
+			changed[id] = total
+			last[id] = total
+		}
+	}
+	return peer.Beat{
+		Peer:        b.self(),
+		Generations: b.cache.Generations(shared),
+		Sent:        changed,
+		Leaving:     b.view.MarkedLeaving(),
+	}
+}
+
+// self describes this box to its peers.
+func (b *Box) self() membership.Peer {
+	return membership.Peer{
+		ID:          b.config.ID,
+		Incarnation: b.incarnation,
+		Hall:        b.config.Hall,
+		Address:     b.config.PeerAddress,
+		Leaving:     b.draining.Load(),
+		Ready:       b.Ready(),
+		Store:       b.storeOK.Load(),
+	}
+}
+
+func (b *Box) beatTo(ctx context.Context, address string, message peer.Beat) {
+	ctx, cancel := context.WithTimeout(ctx, peerCallTime)
+	defer cancel()
+	// Each side learns of the other from one exchange, also when only one has the other's address.
+	answer, err := peer.Call[peer.Beat](ctx, b.peers, address, peer.MethodBeat, message)
+	if err != nil {
+		b.set.GetOrCreateCounter("ospreymoor_beat_failures_total").Inc()
+		return
+	}
+	b.hear(answer)
+}
+
+// hear takes a beat in, and fetches what its sender has newer.
+func (b *Box) hear(beat peer.Beat) {
+	b.view.Hear(beat.Peer)
+	b.sent.hear(beat.Peer.Incarnation, beat.Sent)
+	for _, id := range beat.Leaving {
+		b.view.MarkLeaving(id)
+	}
+	var names []string
+	for _, name := range b.cache.Behind(beat.Generations) {
+		if !b.wantsFrom(name) {
+			continue
+		}
+		if _, busy := b.fetching.LoadOrStore(name, true); !busy {
+			names = append(names, name)
+		}
+	}
+	if len(names) > 0 {
+		go b.fetchNews(beat.Peer.Address, names)
+	}
+}
+
+func (b *Box) fetchNews(address string, names []string) {
+	defer func() {
+		for _, name := range names {
+			b.fetching.Delete(name)
+		}
+	}()
+	b.fetchRecords(context.Background(), address, names)
+}
+
+// wantsFrom tells whether a newer record should be fetched now: loads of other halls,
+// which change all the time, only now and then.
+func (b *Box) wantsFrom(name string) bool {
+	hall, isLoads := strings.CutPrefix(name, loadsPrefix)
+	if !isLoads || hall == b.config.Hall {
+		return true
+	}
+	return b.loads.age(name) > farLoadsAge
+}
+
+// shared tells which records' generations go into heartbeats; bundle texts are fetched by need.
+func shared(name string) bool {
+	return name == bundle.TableKey || name == planKey || name == boxesRecord ||
+		strings.HasPrefix(name, holdingsPrefix) || strings.HasPrefix(name, loadsPrefix)
+}
+
+// handlePeers answers the calls of other boxes.
+func (b *Box) handlePeers() {
+	peer.Handle(b.server, peer.MethodBeat, b.answerBeat)
+	peer.Handle(b.server, peer.MethodRecords, func(_ context.Context, q peer.RecordsRequest) (peer.RecordsResponse, error) {
+		var answer peer.RecordsResponse
+		for _, name := range q.Names {
+			if record, ok := b.cache.Get(name); ok {
+				answer.Records = append(answer.Records, record)
+			}
+		}
+		return answer, nil
+	})
+	peer.Handle(b.server, peer.MethodAnswer, func(ctx context.Context, q peer.AnswerRequest) (peer.AnswerResponse, error) {
+		return b.fates.wait(ctx, q.RequestID, q.Wait), nil
+	})
+	peer.Handle(b.server, peer.MethodDemand, func(_ context.Context, d peer.Demand) (peer.Empty, error) {
+		b.demand.hear(d)
+		return peer.Empty{}, nil
+	})
+	peer.Handle(b.server, peer.MethodKeep, func(_ context.Context, q peer.KeepRequest) (peer.Empty, error) {
+		b.keeper.Keep(q.Snapshot)
+		return peer.Empty{}, nil
+	})
+	peer.Handle(b.server, peer.MethodBurn, func(context.Context, peer.Empty) (peer.BurnResponse, error) {
+		return peer.BurnResponse{Snapshots: append(b.keeper.Snapshots(), b.burn.Snapshot())}, nil
+	})
+}
+
+// answerBeat takes a beat in and replies with this box's own, in short to a box of the
+// same hall: that one gets our beats anyway.
+func (b *Box) answerBeat(_ context.Context, beat peer.Beat) (peer.Beat, error) {
+	b.hear(beat)
+	reply := peer.Beat{Peer: b.self()}
+	if beat.Peer.Hall != b.config.Hall || startingUp(beat) {
+		reply.Generations = b.cache.Generations(shared)
+		reply.Leaving = b.view.MarkedLeaving()
+	}
+	return reply, nil
+}
+
+// startingUp tells whether a beat comes from a box that has nothing to serve by yet.
+func startingUp(beat peer.Beat) bool {
+	_, ok := beat.Generations[bundle.TableKey]
+	return !ok
+}
+
+// hallBoxes lists the boxes of this hall that reach the store, this one included; when no
+// other is heard, this box is alone.
+func (b *Box) hallBoxes() []string {
+	ids := []string{b.config.ID}
+	for _, p := range b.view.Live() {
+		if p.Hall == b.config.Hall && p.Store {
+			ids = append(ids, p.ID)
+		}
+	}
+	return ids
+}
+
+// fleetBoxes lists all boxes that reach the store, this one included.
+func (b *Box) fleetBoxes() []string {
+	ids := []string{b.config.ID}
+	for _, p := range b.view.Live() {
+		if p.Store {
+			ids = append(ids, p.ID)
+		}
+	}
+	return ids
+}
+
+// age is how long ago a hall's loads were last taken in.
+func (t *loadTable) age(name string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, ok := t.takenAt[name]
+	if !ok {
+		return time.Hour
+	}
+	return time.Since(at)
+}
+
+// recordOf wraps a value as a record of a hall's controller.
+func recordOf(name string, term, sequence int64, value []byte) records.Record {
+	return records.Record{Name: name, Generation: records.Generation{Term: term, Sequence: sequence}, Value: value}
+}
--- /dev/null
+++ b/internal/box/box.go
@@ -0,0 +1,263 @@
+// Package box wires one entry box together: its listeners, what it knows of the fleet,
+// the requests it serves and the control it takes part in.
+package box
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"ospreymoor.example/ospreymoor/internal/engine"
+	"ospreymoor.example/ospreymoor/internal/peer"
+	"ospreymoor.example/ospreymoor/pkg/admission"
+	"ospreymoor.example/ospreymoor/pkg/bundle"
+	"ospreymoor.example/ospreymoor/pkg/burn"
+	"ospreymoor.example/ospreymoor/pkg/claims"
+	"ospreymoor.example/ospreymoor/pkg/kv"
+	"ospreymoor.example/ospreymoor/pkg/membership"
+	"ospreymoor.example/ospreymoor/pkg/placement"
+	"ospreymoor.example/ospreymoor/pkg/records"
+	"ospreymoor.example/ospreymoor/pkg/routing"
+)
+
+// Config is all that a box is told from outside.
+type Config struct {
+	// ID is the box's name in the platform's box list.
+	ID   string
+	Hall string
+	// Listen is where callers, operators and pages are served.
+	Listen string
+	// PeerListen is where other boxes are served, and PeerAddress how they reach it.
+	PeerListen  string
+	PeerAddress string
+	PeerSecret  string
+	// Peers are addresses to ask when the platform can't be reached at the start.
+	Peers []string
+	// PlatformURL is the base of the key-value service and the box list.
+	PlatformURL string
+	// Operators holds the SHA-256 of each operator's token, in hex, by customer.
+	Operators map[string]string
+	// DrainNotice is how long a stopping box goes on taking requests, until the balancer
+	// has noticed; DrainLimit is how long it then waits for those in flight, 0 for ever.
+	DrainNotice time.Duration
+	DrainLimit  time.Duration
+	// Reads and Writes are the box's share of the key-value service, a second.
+	Reads  float64
+	Writes float64
+	// ClaimWindow is how long keys of requests that may not be repeated are remembered.
+	ClaimWindow time.Duration
+	// LeaseTTL is how long a lease lasts without a renewal.
+	LeaseTTL time.Duration
+	// OrderLife is the longest time in which an order to an unfenced engine takes effect.
+	OrderLife time.Duration
+	// HallDistance is the extra time to reach another hall's engines.
+	HallDistance time.Duration
+	// BeatInterval is the time between two heartbeats in a small fleet.
+	BeatInterval time.Duration
+	// Placement weighs attainment against moves.
+	Placement placement.Settings
+	// MaxBody bounds a request's body in bytes.
+	MaxBody int64
+	Log     *zap.Logger
+}
+
+// Box is one entry box.
+type Box struct {
+	config      Config
+	log         *zap.Logger
+	set         *metrics.Set
+	incarnation string
+
+	store     kv.Store
+	storeOK   atomic.Bool
+	registry  *bundle.Registry
+	claims    *claims.Claims
+	cache     *records.Cache
+	view      *membership.View
+	router    *routing.Router
+	retries   *routing.RetryBudget
+	admission *admission.Controller
+	burn      *burn.Recorder
+	keeper    *burn.Keeper
+	fates     *fates
+	demand    *demand
+	peers     *peer.Client
+	server    *peer.Server
+	engines   *engineClients
+	plain     *http.Client
+	plainOnce *http.Client
+
+	inForce  atomic.Pointer[inForce]
+	fleet    atomic.Pointer[fleet]
+	loads    *loadTable
+	sent     *sentTable
+	control  *control
+	draining atomic.Bool
+	// beatNow wakes the heartbeats, and recordNews the one that takes records in.
+	beatNow    chan struct{}
+	recordNews chan struct{}
+	fetching   sync.Map
+}
+
+// New returns a box that does nothing until Run.
+func New(config Config) *Box {
+	b := &Box{
+		config:      config,
+		log:         config.Log.With(zap.String("box", config.ID)),
+		set:         metrics.NewSet(),
+		incarnation: uuid.NewString(),
+		cache:       records.NewCache(),
+		view:        membership.NewView(config.ID, 0),
+		router:      routing.New(routing.Config{}),
+		retries:     routing.NewRetryBudget(retryShare),
+		keeper:      burn.NewKeeper(),
+		fates:       newFates(),
+		loads:       newLoadTable(),
+		sent:        newSentTable(),
+		beatNow:     make(chan struct{}, 1),
+		recordNews:  make(chan struct{}, 1),
+		plain:       &http.Client{Transport: plainTransport(false), CheckRedirect: noRedirect},
+		plainOnce:   &http.Client{Transport: plainTransport(true), CheckRedirect: noRedirect},
+	}
+	b.burn = burn.NewRecorder(config.ID, b.incarnation)
+	b.store = b.watched(kv.WithBudget(
+		kv.NewEtcd(kv.EtcdConfig{URL: config.PlatformURL, Client: &http.Client{}}),
+		kv.Budget{ReadsPerSecond: config.Reads, WritesPerSecond: config.Writes, Set: b.set},
+	))
+	b.registry = &bundle.Registry{Store: b.store, Fits: b.fits}
+	b.claims = claims.New(claims.Config{Store: b.store, Window: config.ClaimWindow})
+	b.admission = admission.New(b.view.FleetSize)
+	b.demand = newDemand()
+	b.peers = peer.NewClient(config.PeerSecret, b.set)
+	b.server = peer.NewServer(config.PeerSecret, b.set)
+	b.engines = newEngineClients(engine.NewHTTPClient())
+	b.fleet.Store(&fleet{})
+	b.cache.Subscribe(func(records.Record) { wake(b.recordNews) })
+	b.control = newControl(b)
+	b.handlePeers()
+	b.gauges()
+	return b
+}
+
+// Run serves until ctx ends, then stops without cutting off what is in flight.
+func (b *Box) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", b.config.Listen)
+	if err != nil {
+		return errors.Annotatef(err, "listening for callers: choose another --listen")
+	}
+	peerListener, err := net.Listen("tcp", b.config.PeerListen)
+	if err != nil {
+		_ = listener.Close()
+		return errors.Annotatef(err, "listening for peers: choose another --peer-listen")
+	}
+	return b.Serve(ctx, listener, peerListener)
+}
+
+// Serve is Run on listeners that the caller made.
+func (b *Box) Serve(ctx context.Context, listener, peerListener net.Listener) error {
+	go b.server.Serve(peerListener)
+	server := newServer(b.handler())
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	b.log.Info("serving", zap.String("listen", listener.Addr().String()), zap.String("hall", b.config.Hall))
+
+	// Control goes on while requests drain, except for the leases.
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	loops := b.start(background)
+	controlled, handOver := context.WithCancel(background)
+	leases := b.control.start(controlled)
+
+	select {
+	case err := <-failed:
+		handOver()
+		stop()
+		return errors.Trace(err)
+	case <-ctx.Done():
+	}
+	b.drain(server, func() {
+		handOver()
+		leases.Wait()
+	})
+	stop()
+	loops.Wait()
+	_ = peerListener.Close()
+	b.server.Close()
+	b.peers.Close()
+	b.log.Info("stopped")
+	return nil
+}
+
+// start runs the loops that keep the box informed.
+func (b *Box) start(ctx context.Context) *sync.WaitGroup {
+	var loops sync.WaitGroup
+	for _, loop := range []func(context.Context){
+		b.followStore, b.followBoxes, b.applyRecords, b.beat, b.measureDemand, b.keepBurn,
+	} {
+		loops.Add(1)
+		go func() {
+			defer loops.Done()
+			loop(ctx)
+		}()
+	}
+	return &loops
+}
+
+// Ready tells whether the box should get requests.
+func (b *Box) Ready() bool { return !b.draining.Load() && b.inForce.Load() != nil }
+
+// Metrics is the box's set of metrics.
+func (b *Box) Metrics() *metrics.Set { return b.set }
+
+func (b *Box) gauges() {
+	b.set.NewGauge("ospreymoor_in_flight", func() float64 { return float64(b.admission.InFlight()) })
+	b.set.NewGauge("ospreymoor_in_force_generation", func() float64 {
+		if f := b.inForce.Load(); f != nil {
+			return float64(f.generation)
+		}
+		return 0
+	})
+	b.set.NewGauge("ospreymoor_plan_number", func() float64 { return float64(b.fleet.Load().plan.Number) })
+	b.set.NewGauge("ospreymoor_peers_live", func() float64 { return float64(len(b.view.Live())) })
+	b.set.NewGauge("ospreymoor_store_reachable", func() float64 {
+		if b.storeOK.Load() {
+			return 1
+		}
+		return 0
+	})
+}
+
+// watched notes whether the key-value service answers.
+func (b *Box) watched(store kv.Store) kv.Store {
+	return kv.Observed(store, func(err error) {
+		down := errors.Is(err, kv.ErrUnavailable) || errors.Is(err, kv.ErrUnknown)
+		if b.storeOK.Swap(!down) == down {
+			b.log.Info("key-value service", zap.Bool("reachable", !down))
+		}
+	})
+}
+
+// wake signals a loop that has a channel of one place.
+func wake(signal chan struct{}) {
+	select {
+	case signal <- struct{}{}:
+	default:
+	}
+}
+
+// pause waits, and tells whether ctx is still on.
+func pause(ctx context.Context, wait time.Duration) bool {
+	select {
+	case <-time.After(wait):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/box/control.go
@@ -0,0 +1,217 @@
+package box
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"ospreymoor.example/ospreymoor/internal/engine"
+	"ospreymoor.example/ospreymoor/pkg/kv"
+	"ospreymoor.example/ospreymoor/pkg/lease"
+	"ospreymoor.example/ospreymoor/pkg/membership"
+	"ospreymoor.example/ospreymoor/pkg/orders"
+	"ospreymoor.example/ospreymoor/pkg/placement"
+	"ospreymoor.example/ospreymoor/pkg/records"
+)
+
+// Places of the leases.
+const (
+	hallLeasePrefix = "leases/hall/"
+	plannerLease    = "leases/planner"
+)
+
+// candidates is how many boxes contend for a lease at a time.
+const leaseCandidates = 2
+
+// control is this box's part in the control of the fleet: any box may hold its hall's
+// lease, the planner's, both or none.
+type control struct {
+	box        *Box
+	hall       *lease.Lease
+	planner    *lease.Lease
+	controller *orders.Controller
+}
+
+func newControl(b *Box) *control {
+	c := &control{box: b}
+	c.hall = c.lease(hallLeasePrefix+b.config.Hall, b.hallBoxes)
+	c.planner = c.lease(plannerLease, b.fleetBoxes)
+	c.controller = &orders.Controller{
+		Hall:            b.config.Hall,
+		Address:         b.config.PeerAddress,
+		Term:            c.hall.Term,
+		RepairTerm:      c.repairTerm,
+		Engines:         c.engines,
+		TakeOver:        c.takeOver,
+		Plan:            func() (placement.Plan, bool) { f := b.fleet.Load(); return f.plan, f.planned },
+		MayUnload:       c.mayUnload,
+		Store:           b.store,
+		PublishHoldings: c.publishHoldings,
+		PublishLoads:    c.publishLoads,
+		OrderLife:       b.config.OrderLife,
+		Set:             b.set,
+	}
+	return c
+}
+
+func (c *control) lease(key string, boxes func() []string) *lease.Lease {
+	b := c.box
+	return lease.New(lease.Config{
+		Store:  b.store,
+		Key:    key,
+		Holder: b.config.ID,
+		TTL:    b.config.LeaseTTL,
+		Candidate: func() bool {
+			return !b.draining.Load() && membership.Among(key, boxes(), b.config.ID, leaseCandidates)
+		},
+		Changed: func(term int64) {
+			b.log.Info("lease", zap.String("key", key), zap.Bool("held", term != 0), zap.Int64("term", term))
+		},
+	})
+}
+
+// start runs the leases, the controller and the planner until ctx ends.
+func (c *control) start(ctx context.Context) *sync.WaitGroup {
+	var running sync.WaitGroup
+	for _, run := range []func(context.Context){c.hall.Run, c.planner.Run, c.controller.Run, c.plan} {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			run(ctx)
+		}()
+	}
+	return &running
+}
+
+// repairTerm lets the hall's last controller go on ordering fenced engines while the
+// key-value service is away: a higher term ends it at each engine.
+func (c *control) repairTerm() int64 {
+	if c.box.storeOK.Load() || c.box.draining.Load() {
+		return 0
+	}
+	return c.hall.LatestTerm()
+}
+
+// takeOver reads the latest plan from the store, before the first order of a term.
+func (c *control) takeOver(ctx context.Context) error {
+	_, err := c.box.readStore(ctx)
+	if err == nil {
+		c.box.adoptFleet()
+	}
+	return err
+}
+
+// engines lists the hall's engines.
+func (c *control) engines() []orders.Engine {
+	var list []orders.Engine
+	for id, info := range c.box.fleet.Load().engines {
+		if info.box.Hall == c.box.config.Hall {
+			list = append(list, c.box.engines.get(id, info.box).Order())
+		}
+	}
+	return list
+}
+
+// mayUnload tells whether an item stays reachable without an engine's copy: nobody needs
+// it, or another engine confirmed it that the plan wants to keep it.
+func (c *control) mayUnload(plan placement.Plan, id, item string) bool {
+	f := c.box.fleet.Load()
+	needed := false
+	for _, copies := range plan.Units {
+		if copies.Item.Name != item && !hasAdapter(copies.Adapters, item) {
+			continue
+		}
+		needed = true
+		for _, place := range copies.Places {
+			if place.Engine != id && c.box.loads.heard(place.Engine) && f.keeps(place, copies.Unit) {
+				return true
+			}
+		}
+	}
+	return !needed
+}
+
+func (c *control) publishHoldings(term, sequence int64, holdings orders.Holdings) {
+	c.publish(holdingsPrefix+holdings.Hall, term, sequence, holdings)
+}
+
+func (c *control) publishLoads(term, sequence int64, loads orders.Loads) {
+	c.publish(loadsPrefix+c.box.config.Hall, term, sequence, loads)
+}
+
+func (c *control) publish(name string, term, sequence int64, value any) {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return
+	}
+	c.box.cache.Put(recordOf(name, term, sequence, encoded))
+}
+
+// keeps tells whether an engine has confirmed the whole of a unit, and its controller
+// knows that it shall stay.
+func (f *fleet) keeps(place placement.Place, unit placement.Unit) bool {
+	holding := f.engines[place.Engine].holding
+	resident := holding.Resident
+	if holding.Plan < place.Since || !contains(resident, unit.Item.Name) {
+		return false
+	}
+	for _, adapter := range unit.Adapters {
+		if !contains(resident, adapter.Name) {
+			return false
+		}
+	}
+	return true
+}
+
+func hasAdapter(adapters []placement.Item, name string) bool {
+	for _, adapter := range adapters {
+		if adapter.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// engineClients keeps one client for each engine's address.
+type engineClients struct {
+	http *http.Client
+
+	mu      sync.Mutex
+	clients map[string]engineClient
+}
+
+type engineClient struct {
+	box    membership.Box
+	client *engine.Client
+}
+
+func newEngineClients(client *http.Client) *engineClients {
+	return &engineClients{http: client, clients: map[string]engineClient{}}
+}
+
+func (e *engineClients) get(id string, box membership.Box) *engine.Client {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	known := e.clients[id]
+	if known.client == nil || known.box.Address != box.Address || known.box.Fenced != box.Fenced {
+		known = engineClient{box: box, client: engine.NewClient(e.http, box)}
+		e.clients[id] = known
+	}
+	return known.client
+}
+
+// putPlan takes a plan that this box wrote into what it serves by.
+func (b *Box) putPlan(document kv.Versioned[placement.Plan]) {
+	value, err := json.Marshal(kv.Document[placement.Plan]{Body: document.Body})
+	if err != nil {
+		return
+	}
+	b.cache.Put(records.Record{
+		Name:       planKey,
+		Generation: records.Generation{Term: document.Revision},
+		Value:      value,
+	})
+}
--- /dev/null
+++ b/internal/box/fleet.go
@@ -0,0 +1,260 @@
+package box
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"ospreymoor.example/ospreymoor/pkg/kv"
+	"ospreymoor.example/ospreymoor/pkg/membership"
+	"ospreymoor.example/ospreymoor/pkg/orders"
+	"ospreymoor.example/ospreymoor/pkg/placement"
+	"ospreymoor.example/ospreymoor/pkg/records"
+	"ospreymoor.example/ospreymoor/pkg/routing"
+)
+
+// Names of the records that boxes share beside the table in force.
+const (
+	planKey        = "fleet/plan"
+	boxesRecord    = "boxes"
+	holdingsPrefix = "holdings/"
+	loadsPrefix    = "loads/"
+)
+
+// fleet is what this box knows of upstreams and the plan; it is made anew, never changed.
+type fleet struct {
+	plan     placement.Plan
+	planned  bool
+	engines  map[string]engineInfo
+	services map[string][]membership.Box
+	// holders are the engines that confirmed an item.
+	holders map[string][]string
+}
+
+// engineInfo is one engine of the box list with what its hall's controller reports.
+type engineInfo struct {
+	box     membership.Box
+	holding orders.Holding
+	// reported tells whether there is a report.
+	reported bool
+}
+
+// adoptFleet makes the fleet anew from the records held.
+func (b *Box) adoptFleet() {
+	next := &fleet{
+		engines:  map[string]engineInfo{},
+		services: map[string][]membership.Box{},
+		holders:  map[string][]string{},
+	}
+	if record, ok := b.cache.Get(planKey); ok {
+		plan, err := kv.DecodeDocument[placement.Plan](kv.Record{Key: planKey, Value: record.Value})
+		next.plan, next.planned = plan.Body, err == nil
+	}
+	for _, box := range b.view.Upstreams(membership.KindService) {
+		next.services[box.Pool] = append(next.services[box.Pool], box)
+	}
+	holdings := map[string]orders.Holdings{}
+	for _, box := range b.view.Upstreams(membership.KindEngine) {
+		if _, ok := holdings[box.Hall]; !ok {
+			holdings[box.Hall] = decodeRecord[orders.Holdings](b.cache, holdingsPrefix+box.Hall)
+		}
+		holding, reported := holdings[box.Hall].Engines[box.ID]
+		b.noteIncarnation(box.ID, holding)
+		next.engines[box.ID] = engineInfo{box: box, holding: holding, reported: reported}
+		for _, item := range holding.Resident {
+			next.holders[item] = append(next.holders[item], box.ID)
+		}
+	}
+	b.fleet.Store(next)
+}
+
+// noteIncarnation forgets what an engine cached or said before its last start.
+func (b *Box) noteIncarnation(id string, holding orders.Holding) {
+	old, ok := b.fleet.Load().engines[id]
+	if ok && old.reported && holding.Incarnation != "" && old.holding.Incarnation != holding.Incarnation {
+		b.router.CacheGone(id)
+		b.view.MarkStaying(id)
+	}
+	if holding.Leaving {
+		b.view.MarkLeaving(id)
+	}
+}
+
+// candidates lists the engines that can take a request: they confirmed the model and
+// its adapter, and nobody says that they leave.
+func (b *Box) candidates(item, adapter string) ([]routing.Candidate, int) {
+	f := b.fleet.Load()
+	var list []routing.Candidate
+	slots := 0
+	for _, id := range f.holders[item] {
+		info := f.engines[id]
+		if info.box.Leaving || info.holding.Leaving || b.view.IsLeaving(id) {
+			continue
+		}
+		if adapter != "" && !contains(info.holding.Resident, adapter) {
+			continue
+		}
+		c := b.loads.candidate(id, info)
+		if info.box.Hall != b.config.Hall {
+			c.Distance = b.config.HallDistance
+		}
+		c.PeersSent = b.sent.since(id)
+		slots += c.Slots
+		list = append(list, c)
+	}
+	return list, slots
+}
+
+// placementEngines describes the engines to the planner.
+func (b *Box) placementEngines() []placement.Engine {
+	f := b.fleet.Load()
+	engines := make([]placement.Engine, 0, len(f.engines))
+	for id, info := range f.engines {
+		e := placement.Engine{
+			ID:       id,
+			Hall:     info.box.Hall,
+			Pool:     info.box.Pool,
+			Memory:   info.box.Memory,
+			Slots:    info.box.Slots,
+			Resident: map[string]bool{},
+			Plan:     info.holding.Plan,
+		}
+		switch {
+		case info.box.Leaving || info.holding.Leaving || b.view.IsLeaving(id):
+			e.Condition = placement.Leaving
+		case !b.loads.heard(id):
+			e.Condition = placement.Unheard
+		}
+		if info.reported {
+			e.Memory, e.Slots = min(e.Memory, info.holding.Capacity), info.holding.Slots
+		}
+		for _, item := range info.holding.Resident {
+			e.Resident[item] = true
+		}
+		engines = append(engines, e)
+	}
+	return engines
+}
+
+// loadTable holds the latest load of each engine.
+type loadTable struct {
+	mu    sync.Mutex
+	loads map[string]loadReport
+	// takenAt is when a hall's record was last taken in.
+	takenAt map[string]time.Time
+}
+
+type loadReport struct {
+	load orders.Load
+	at   time.Time
+}
+
+// silentEngine is after how long without a report an engine counts as unheard.
+const silentEngine = 15 * time.Second
+
+func newLoadTable() *loadTable {
+	return &loadTable{loads: map[string]loadReport{}, takenAt: map[string]time.Time{}}
+}
+
+// take takes a hall's record in.
+func (t *loadTable) take(name string, loads orders.Loads) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	t.takenAt[name] = now
+	for id, load := range loads.Engines {
+		t.loads[id] = loadReport{load: load, at: now}
+	}
+}
+
+func (t *loadTable) heard(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	report, ok := t.loads[id]
+	return ok && time.Since(report.at) < silentEngine
+}
+
+// candidate describes an engine to the router.
+func (t *loadTable) candidate(id string, info engineInfo) routing.Candidate {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	report := t.loads[id]
+	return routing.Candidate{
+		ID:       id,
+		Slots:    info.holding.Slots,
+		Running:  report.load.Running,
+		Queued:   report.load.Queued,
+		Reported: report.at,
+	}
+}
+
+// sentTable adds up what peers have sent to each engine since its last report.
+type sentTable struct {
+	mu sync.Mutex
+	// last totals of each peer's incarnation.
+	last  map[string]map[string]int64
+	total map[string]int64
+	base  map[string]int64
+}
+
+func newSentTable() *sentTable {
+	return &sentTable{last: map[string]map[string]int64{}, total: map[string]int64{}, base: map[string]int64{}}
+}
+
+// hear takes a peer's totals in; those that did not change may be left out.
+func (t *sentTable) hear(incarnation string, sent map[string]int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	last, ok := t.last[incarnation]
+	if !ok {
+		last = map[string]int64{}
+		t.last[incarnation] = last
+	}
+	for id, total := range sent {
+		if ok {
+			t.total[id] += max(0, total-last[id])
+		}
+		last[id] = total
+	}
+}
+
+// reported notes that a new report covers all that was sent to an engine so far.
+func (t *sentTable) reported(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.base[id] = t.total[id]
+}
+
+func (t *sentTable) since(id string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return int(t.total[id] - t.base[id])
+}
+
+// forget drops incarnations of boxes that are gone.
+func (t *sentTable) forget(keep map[string]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for incarnation := range t.last {
+		if !keep[incarnation] {
+			delete(t.last, incarnation)
+		}
+	}
+}
+
+func decodeRecord[T any](cache *records.Cache, name string) T {
+	var value T
+	if record, ok := cache.Get(name); ok {
+		_ = json.Unmarshal(record.Value, &value)
+	}
+	return value
+}
+
+func contains(sorted []string, name string) bool {
+	for _, s := range sorted {
+		if s == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/box/pages.go
@@ -0,0 +1,57 @@
+package box
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"ospreymoor.example/ospreymoor/internal/gen/ospreymoor/v1/ospreymoorv1connect"
+)
+
+const (
+	// headerTime bounds the reading of a request's head.
+	headerTime = 10 * time.Second
+	// idleTime is how long an idle connection stays open.
+	idleTime = 2 * time.Minute
+)
+
+// handler serves callers, operators and the box's pages.
+func (b *Box) handler() http.Handler {
+	options := connect.WithReadMaxBytes(int(b.config.MaxBody))
+	mux := http.NewServeMux()
+	mux.Handle(ospreymoorv1connect.NewInferenceServiceHandler(inference{b}, options))
+	mux.Handle(ospreymoorv1connect.NewOperatorServiceHandler(operators{b}, options))
+	mux.HandleFunc("/services/{service}/{path...}", b.serveService)
+	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprintln(w, "live") })
+	mux.HandleFunc("GET /readyz", b.readyz)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { b.set.WritePrometheus(w) })
+	return mux
+}
+
+func (b *Box) readyz(w http.ResponseWriter, _ *http.Request) {
+	if b.Ready() {
+		_, _ = fmt.Fprintln(w, "ready")
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+	if b.draining.Load() {
+		_, _ = fmt.Fprintln(w, "draining")
+		return
+	}
+	_, _ = fmt.Fprintln(w, "starting: neither the platform nor a peer has told what is in force; check --platform and --peer")
+}
+
+// newServer returns the server for callers: HTTP/1.1, and HTTP/2 without TLS.
+func newServer(handler http.Handler) *http.Server {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           handler,
+		Protocols:         &protocols,
+		ReadHeaderTimeout: headerTime,
+		IdleTimeout:       idleTime,
+	}
+}
--- /dev/null
+++ b/internal/box/planner.go
@@ -0,0 +1,90 @@
+package box
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"ospreymoor.example/ospreymoor/pkg/kv"
+	"ospreymoor.example/ospreymoor/pkg/placement"
+)
+
+const (
+	// planInterval is the pause between two plans.
+	planInterval = time.Second
+	// planTime bounds the writing of one plan.
+	planTime = 3 * time.Second
+	// sweepInterval is the pause between two sweeps of old claims.
+	sweepInterval = 2 * time.Minute
+)
+
+// Reasons why no plan is written.
+const (
+	errPlanStands   = errors.ConstError("the plan stands as it is")
+	errOtherPlanner = errors.ConstError("a planner with a higher term has written")
+)
+
+// plan makes plans while this box holds the planner's lease.
+func (c *control) plan(ctx context.Context) {
+	swept := time.Now()
+	for pause(ctx, jitter(planInterval)) {
+		term, err := c.planner.Term()
+		if err != nil {
+			continue
+		}
+		if err := c.replan(ctx, term); err != nil {
+			c.box.set.GetOrCreateCounter("ospreymoor_plan_failures_total").Inc()
+			c.box.log.Debug("no plan written", zap.Error(err))
+		}
+		if time.Since(swept) > sweepInterval {
+			swept = time.Now()
+			if err := c.box.claims.Sweep(ctx); err != nil {
+				c.box.set.GetOrCreateCounter("ospreymoor_sweep_failures_total").Inc()
+			}
+		}
+	}
+}
+
+// replan writes the next plan if it differs from the one that stands.
+func (c *control) replan(ctx context.Context, term int64) error {
+	b := c.box
+	f := b.inForce.Load()
+	if f == nil || b.view.Size() == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, planTime)
+	defer cancel()
+	in := placement.Input{
+		Engines:  b.placementEngines(),
+		Wanted:   units(f.bundles, b.demand.total()),
+		Settings: b.config.Placement,
+	}
+	// The plan that is known here stands most of the time: then nothing is read or written.
+	in.Last = b.fleet.Load().plan
+	if next := placement.Next(in); b.fleet.Load().planned && next.Equal(in.Last) && in.Last.Term == term {
+		return nil
+	}
+	document, err := kv.UpdateDocument(ctx, b.store, planKey, func(last placement.Plan) (placement.Plan, error) {
+		if last.Term > term {
+			return last, errOtherPlanner
+		}
+		in.Last = last
+		next := placement.Next(in)
+		if next.Equal(last) && last.Term == term {
+			return last, errPlanStands
+		}
+		next.Term, next.Planner = term, b.config.PeerAddress
+		return next, nil
+	})
+	if errors.Is(err, errPlanStands) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	b.putPlan(document)
+	b.set.GetOrCreateCounter("ospreymoor_plans_total").Inc()
+	return nil
+}
--- /dev/null
+++ b/internal/box/services_once.go
@@ -0,0 +1,138 @@
+package box
+
+import (
+	"context"
+	"io"
+
+	"connectrpc.com/connect"
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+
+	"ospreymoor.example/ospreymoor/internal/engine"
+	"ospreymoor.example/ospreymoor/internal/peer"
+	"ospreymoor.example/ospreymoor/pkg/claims"
+	"ospreymoor.example/ospreymoor/pkg/membership"
+)
+
+func (c *call) once() once {
+	return once{
+		customer: c.caller.bundle.Customer,
+		key:      c.request.Header.Get(headerRequestKey),
+		digest:   c.digest(),
+		first:    c.request.Header.Get(headerFirstAttempt) == "true",
+	}
+}
+
+// answerOnce claims a call's key and sends the call, or finds the answer of an earlier attempt.
+func (b *Box) answerOnce(ctx context.Context, c *call) (*peer.Answer, *refusal) {
+	o := c.once()
+	for range maxClaims {
+		upstream, refused := b.chooseService(c)
+		if refused != nil {
+			if refused = b.refuseCallOnce(ctx, c, refused); refused == nil {
+				continue
+			}
+			return nil, refused
+		}
+		own := claims.Claim{
+			Digest:    o.digest,
+			Upstream:  upstream.ID,
+			RequestID: uuid.Must(uuid.NewV7()).String(),
+			Box:       b.config.PeerAddress,
+		}
+		b.fates.begin(own.RequestID)
+		claim, err := b.claims.Claim(ctx, o.customer, o.key, own)
+		if err != nil {
+			b.fates.end(own.RequestID, peer.FateNotRun, nil)
+			return nil, b.notClaimed(ctx, o, err)
+		}
+		if claim.RequestID != own.RequestID {
+			b.fates.end(own.RequestID, peer.FateNotRun, nil)
+			answer, again, refused := b.earlierAnswer(ctx, c, o, claim)
+			if again {
+				continue
+			}
+			return answer, refused
+		}
+		answer, again, refused := b.sendOnce(ctx, c, o, own, upstream)
+		if !again {
+			return answer, refused
+		}
+	}
+	return nil, notRun(connect.CodeUnavailable, reasonNotClaimed, remedySameKey, comeBack)
+}
+
+// sendOnce sends a claimed call. Once the call may have reached the upstream, it goes on
+// without its caller, so that the answer is there for the next attempt.
+func (b *Box) sendOnce(ctx context.Context, c *call, o once, own claims.Claim, upstream membership.Box) (answer *peer.Answer, again bool, refused *refusal) {
+	if !b.fates.hand(own.RequestID) {
+		return nil, true, nil
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), durationOf(c.service.Timeout))
+	defer cancel()
+	ended := b.router.Sent(c.key, "", upstream.ID)
+	defer ended()
+	answer, err := b.readAnswer(ctx, c, upstream)
+	if err == nil {
+		b.fates.end(own.RequestID, peer.FateDone, answer)
+		return answer, false, nil
+	}
+	b.router.Failed(upstream.ID, avoidTime)
+	if engine.IsDialError(err) {
+		b.fates.end(own.RequestID, peer.FateNotRun, nil)
+		return nil, true, b.release(ctx, o, own.RequestID)
+	}
+	b.fates.end(own.RequestID, peer.FateUnknown, nil)
+	return nil, false, unknown(reasonUpstream, remedyUnknown)
+}
+
+func (b *Box) readAnswer(ctx context.Context, c *call, upstream membership.Box) (*peer.Answer, error) {
+	response, err := b.send(ctx, b.plainOnce, c, upstream)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > maxAnswerBytes {
+		return nil, errors.Errorf("answer over %d bytes", maxAnswerBytes)
+	}
+	return &peer.Answer{Status: response.StatusCode, Header: passedOn(response.Header), Body: body}, nil
+}
+
+// earlierAnswer asks the box that claimed the key. A plain service can't vouch for what it
+// did not do, so when that box can't tell, the outcome is unknown.
+func (b *Box) earlierAnswer(ctx context.Context, c *call, o once, claim claims.Claim) (answer *peer.Answer, again bool, refused *refusal) {
+	b.set.GetOrCreateCounter("ospreymoor_joined_total").Inc()
+	fate := b.askFate(ctx, claim, durationOf(c.service.Timeout))
+	switch fate.Fate {
+	case peer.FateDone:
+		if fate.Answer != nil {
+			return fate.Answer, false, nil
+		}
+	case peer.FateNotRun:
+		return nil, true, b.release(ctx, o, claim.RequestID)
+	}
+	return nil, false, unknown(reasonClaimedGone, "an earlier attempt was handed to "+claim.Upstream+"; "+remedyUnknown)
+}
+
+// refuseCallOnce looks for an earlier attempt before a call is refused; nil says that the
+// earlier attempt turned out free to be claimed anew.
+func (b *Box) refuseCallOnce(ctx context.Context, c *call, refused *refusal) *refusal {
+	if !c.notRepeatable() {
+		return refused
+	}
+	o := c.once()
+	claim, found, err := b.claims.Lookup(ctx, o.customer, o.key)
+	switch {
+	case err != nil:
+		return b.notClaimed(ctx, o, err)
+	case !found:
+		return refused
+	case claim.Digest != o.digest:
+		return b.notClaimed(ctx, o, errors.WithType(errors.New("looking up"), claims.ErrOtherRequest))
+	}
+	return unknown(reasonClaimedGone, "an earlier attempt was handed to "+claim.Upstream+"; "+remedyUnknown)
+}
--- /dev/null
+++ b/internal/cmd/cmd.go
@@ -0,0 +1,150 @@
+// Package cmd is ospreymoor's command line: one file a command.
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"reflect"
+	"sort"
+	"strings"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/juju/errors"
+)
+
+// envPrefix begins the name of each setting's variable.
+const envPrefix = "OSPREYMOOR_"
+
+// errSettings says that a setting is missing, unknown or contradicts another.
+const errSettings = errors.ConstError("bad settings")
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// commandLine is the whole command line.
+type commandLine struct {
+	Serve   serveCommand   `cmd:"" help:"Run an entry box."`
+	Dev     devCommand     `cmd:"" help:"Run everything in one process, on embedded stand-ins."`
+	Bundle  bundleCommand  `cmd:"" help:"Check, sign off, roll, retire or list bundles."`
+	Report  reportCommand  `cmd:"" help:"Report how the service does."`
+	Version versionCommand `cmd:"" help:"Print the version."`
+	Standin standinCommand `cmd:"" hidden:"" help:"Run a stand-in of the platform, an engine or a service."`
+}
+
+// output is where a command prints.
+type output struct {
+	io.Writer
+	errors io.Writer
+}
+
+// Main runs one command and returns the process's exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	var line commandLine
+	exited := -1
+	parser, err := kong.New(&line,
+		kong.Name("ospreymoor"),
+		kong.Description("Serves many models on few accelerators, for customers who do not trust each other."),
+		kong.Writers(out, errOut),
+		kong.Exit(func(code int) { exited = code }),
+	)
+	if err != nil {
+		panic(err) // The command line's own definition is wrong.
+	}
+	command, err := parser.Parse(args)
+	if exited >= 0 {
+		return exited // After --help.
+	}
+	if err != nil {
+		return fail(errOut, errors.WithType(errors.Errorf("%s: see ospreymoor --help", err), errSettings))
+	}
+	if err := checkVariables(parser.Model); err != nil {
+		return fail(errOut, err)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	command.BindTo(ctx, (*context.Context)(nil))
+	if err := command.Run(output{out, errOut}); err != nil {
+		return fail(errOut, err)
+	}
+	return exitOK
+}
+
+func fail(errOut io.Writer, err error) int {
+	_, _ = fmt.Fprintf(errOut, "ospreymoor: %s\n", err)
+	if errors.Is(err, errSettings) {
+		return exitSettings
+	}
+	return exitFailed
+}
+
+// checkVariables finds variables with our prefix that name no setting: they are misspelt.
+func checkVariables(app *kong.Application) error {
+	known := map[string]bool{}
+	_ = kong.Visit(app, func(node kong.Visitable, next kong.Next) error {
+		if flag, ok := node.(*kong.Flag); ok {
+			for _, name := range flag.Envs {
+				known[name] = true
+			}
+		}
+		return next(nil)
+	})
+	for _, pair := range os.Environ() {
+		name, _, _ := strings.Cut(pair, "=")
+		if strings.HasPrefix(name, envPrefix) && !known[name] {
+			return settingsError("%s is no setting: unset it, or see --help for the names", name)
+		}
+	}
+	return nil
+}
+
+func settingsError(format string, args ...any) error {
+	return errors.WithType(errors.Errorf(format, args...), errSettings)
+}
+
+// missing is the error of a setting that has no value.
+func missing(flag, remedy string) error {
+	return settingsError("--%s (%s) is missing: %s", flag, variable(flag), remedy)
+}
+
+// wrong is the error of a setting whose value can't be.
+func wrong(flag string, value any, remedy string) error {
+	return settingsError("--%s (%s) is %v: %s", flag, variable(flag), value, remedy)
+}
+
+// variable is the name of a flag's environment variable.
+func variable(flag string) string {
+	return envPrefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
+}
+
+// Setting is one flag as the docs list it.
+type Setting struct {
+	Flag     string
+	Variable string
+	Help     string
+	Default  string
+}
+
+// Settings lists the flags of serve, for the docs to be checked against.
+func Settings() []Setting {
+	var list []Setting
+	t := reflect.TypeFor[serveCommand]()
+	for i := range t.NumField() {
+		tag := t.Field(i).Tag
+		list = append(list, Setting{
+			Flag:     tag.Get("name"),
+			Variable: tag.Get("env"),
+			Help:     tag.Get("help"),
+			Default:  tag.Get("default"),
+		})
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Flag < list[j].Flag })
+	return list
+}
--- /dev/null
+++ b/internal/cmd/dev.go
@@ -0,0 +1,51 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"ospreymoor.example/ospreymoor/internal/dev"
+)
+
+// ospreymoor dev [--once]
+//
+// Runs a platform, engines, plain services and the entry boxes of two halls in this
+// process, on free ports of loopback, with an example bundle of each user in force.
+type devCommand struct {
+	Once bool `name:"once" help:"Send a few requests, print the answers and exit: 0 if all went well."`
+	Logs bool `name:"logs" help:"Print the boxes' log lines too."`
+}
+
+// devStartTime bounds the time until all models are loaded.
+const devStartTime = 60 * time.Second
+
+// Run starts everything, and stops it when ctx ends.
+func (c *devCommand) Run(ctx context.Context, out output) (err error) {
+	log := zap.NewNop()
+	if c.Logs {
+		if log, err = newLogger("info"); err != nil {
+			return err
+		}
+	}
+	fleet, err := dev.Start(log)
+	if err != nil {
+		return err
+	}
+	defer fleet.Stop()
+	startCtx, cancel := context.WithTimeout(ctx, devStartTime)
+	defer cancel()
+	if err := fleet.RollExamples(startCtx); err != nil {
+		return errors.Annotate(err, "starting")
+	}
+	fleet.Describe(out)
+	if c.Once {
+		return fleet.TryOut(startCtx, out)
+	}
+	<-ctx.Done()
+	_, _ = fmt.Fprintln(out, "stopping")
+	return nil
+}
--- /dev/null
+++ b/internal/cmd/serve.go
@@ -0,0 +1,195 @@
+package cmd
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"ospreymoor.example/ospreymoor/internal/box"
+	"ospreymoor.example/ospreymoor/pkg/placement"
+)
+
+// ospreymoor serve --id BOX --hall HALL --platform URL --listen ADDR --peer-listen ADDR [flags]
+//
+// Runs an entry box until SIGTERM or SIGINT, then drains it.
+type serveCommand struct {
+	ID           string            `name:"id" env:"OSPREYMOOR_ID" help:"Name of this box in the platform's box list; the host's name if left out."`
+	Hall         string            `name:"hall" env:"OSPREYMOOR_HALL" help:"Hall that this box stands in."`
+	Platform     string            `name:"platform" env:"OSPREYMOOR_PLATFORM" help:"URL of the platform's key-value service and box list."`
+	Listen       string            `name:"listen" env:"OSPREYMOOR_LISTEN" default:"127.0.0.1:8080" help:"Address for callers, operators and pages."`
+	PeerListen   string            `name:"peer-listen" env:"OSPREYMOOR_PEER_LISTEN" default:"127.0.0.1:8081" help:"Address for other boxes."`
+	PeerAddress  string            `name:"peer-address" env:"OSPREYMOOR_PEER_ADDRESS" help:"Address by which other boxes reach --peer-listen; the same if left out."`
+	PeerSecret   string            `name:"peer-secret" env:"OSPREYMOOR_PEER_SECRET" help:"Secret that all boxes share."`
+	Peer         []string          `name:"peer" env:"OSPREYMOOR_PEER" help:"Peer addresses to ask when the platform is down at the start."`
+	Operator     map[string]string `name:"operator" env:"OSPREYMOOR_OPERATOR" mapsep:"," help:"Operators' tokens, as CUSTOMER=SHA256 in hex."`
+	DrainNotice  time.Duration     `name:"drain-notice" env:"OSPREYMOOR_DRAIN_NOTICE" default:"5s" help:"How long a stopping box still takes requests, until the balancer has noticed."`
+	DrainLimit   time.Duration     `name:"drain-limit" env:"OSPREYMOOR_DRAIN_LIMIT" default:"0s" help:"How long it then waits for requests in flight; 0 for ever."`
+	KVReads      float64           `name:"kv-reads" env:"OSPREYMOOR_KV_READS" default:"100" help:"This box's share of the key-value service: reads a second."`
+	KVWrites     float64           `name:"kv-writes" env:"OSPREYMOOR_KV_WRITES" default:"10" help:"This box's share of the key-value service: writes a second."`
+	ClaimWindow  time.Duration     `name:"claim-window" env:"OSPREYMOOR_CLAIM_WINDOW" default:"1h" help:"How long request keys are remembered."`
+	LeaseTTL     time.Duration     `name:"lease-ttl" env:"OSPREYMOOR_LEASE_TTL" default:"6s" help:"How long a lease lasts without renewal."`
+	OrderLife    time.Duration     `name:"order-life" env:"OSPREYMOOR_ORDER_LIFE" default:"30s" help:"Longest time in which an order to an unfenced engine can take effect."`
+	BeatInterval time.Duration     `name:"beat-interval" env:"OSPREYMOOR_BEAT_INTERVAL" default:"1s" help:"Time between heartbeats to other boxes."`
+	HallDistance time.Duration     `name:"hall-distance" env:"OSPREYMOOR_HALL_DISTANCE" default:"5ms" help:"Extra time to reach an engine of another hall."`
+	MoveCost     float64           `name:"move-cost" env:"OSPREYMOOR_MOVE_COST" default:"0.2" help:"What a load must gain to be worth it: higher moves less."`
+	Copies       int               `name:"copies" env:"OSPREYMOOR_COPIES" default:"2" help:"Copies of each model where memory allows."`
+	Spares       int               `name:"spare-engines" env:"OSPREYMOOR_SPARE_ENGINES" default:"1" help:"Engines of each pool whose loss a bundle must fit without."`
+	MaxBody      int64             `name:"max-body" env:"OSPREYMOOR_MAX_BODY" default:"4194304" help:"Largest request body, in bytes."`
+	LogLevel     string            `name:"log-level" env:"OSPREYMOOR_LOG_LEVEL" default:"info" enum:"debug,info,warn,error" help:"Least level of log lines."`
+}
+
+// Run runs the box.
+func (c *serveCommand) Run(ctx context.Context, _ output) error {
+	if err := c.fill(); err != nil {
+		return err
+	}
+	if err := c.check(); err != nil {
+		return err
+	}
+	log, err := newLogger(c.LogLevel)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Sync() }()
+	return box.New(c.config(log)).Run(ctx)
+}
+
+// fill derives the settings that were left out.
+func (c *serveCommand) fill() error {
+	if c.ID == "" {
+		name, err := os.Hostname()
+		if err != nil {
+			return missing("id", "name this box as the platform's box list does")
+		}
+		c.ID = name
+	}
+	if c.PeerAddress == "" {
+		c.PeerAddress = c.PeerListen
+	}
+	return nil
+}
+
+// check names the first setting that is missing, wrong or contradicts another.
+func (c *serveCommand) check() error {
+	if c.Hall == "" {
+		return missing("hall", "name the hall that this box stands in, such as hall-1")
+	}
+	if c.Platform == "" {
+		return missing("platform", "give the platform's URL, such as http://127.0.0.1:2379")
+	}
+	if u, err := url.Parse(c.Platform); err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return wrong("platform", c.Platform, "give a URL such as http://127.0.0.1:2379")
+	}
+	if err := c.checkAddresses(); err != nil {
+		return err
+	}
+	if err := c.checkOperators(); err != nil {
+		return err
+	}
+	return c.checkNumbers()
+}
+
+func (c *serveCommand) checkAddresses() error {
+	addresses := map[string]string{"listen": c.Listen, "peer-listen": c.PeerListen, "peer-address": c.PeerAddress}
+	for _, flag := range []string{"listen", "peer-listen", "peer-address"} {
+		if _, _, err := net.SplitHostPort(addresses[flag]); err != nil {
+			return wrong(flag, addresses[flag], "give IP:PORT, such as 127.0.0.1:8080")
+		}
+	}
+	if c.Listen == c.PeerListen {
+		return wrong("peer-listen", c.PeerListen, "it is --listen too; choose another port")
+	}
+	host, _, _ := net.SplitHostPort(c.PeerAddress)
+	ip := net.ParseIP(host)
+	if ip == nil || ip.IsUnspecified() {
+		return wrong("peer-address", c.PeerAddress, "give the IP number by which other boxes reach this one")
+	}
+	if c.PeerSecret == "" && !ip.IsLoopback() {
+		return missing("peer-secret", "give all boxes the same secret; only on loopback it may be left out")
+	}
+	return nil
+}
+
+func (c *serveCommand) checkOperators() error {
+	for customer, digest := range c.Operator {
+		if sum, err := hex.DecodeString(digest); err != nil || len(sum) != sha256.Size {
+			return wrong("operator", customer+"="+digest, "give 64 hex digits, from printf %s TOKEN | sha256sum")
+		}
+	}
+	return nil
+}
+
+func (c *serveCommand) checkNumbers() error {
+	durations := map[string]time.Duration{
+		"claim-window": c.ClaimWindow, "lease-ttl": c.LeaseTTL, "order-life": c.OrderLife, "beat-interval": c.BeatInterval,
+	}
+	for _, flag := range []string{"claim-window", "lease-ttl", "order-life", "beat-interval"} {
+		if durations[flag] <= 0 {
+			return wrong(flag, durations[flag], "give a time above 0, such as 6s")
+		}
+	}
+	if c.LeaseTTL < 3*time.Second {
+		return wrong("lease-ttl", c.LeaseTTL, "give 3s or more: a lease is renewed three times in that time")
+	}
+	if c.DrainNotice < 0 || c.DrainLimit < 0 {
+		return wrong("drain-notice", c.DrainNotice, "give times of 0 or more")
+	}
+	if c.KVReads <= 0 || c.KVWrites <= 0 {
+		return wrong("kv-reads", c.KVReads, "give calls a second above 0, and so for --kv-writes")
+	}
+	if c.Copies < 1 {
+		return wrong("copies", c.Copies, "give 1 or more")
+	}
+	if c.MoveCost < 0 || c.Spares < 0 {
+		return wrong("move-cost", c.MoveCost, "give 0 or more, and so for --spare-engines")
+	}
+	if c.MaxBody <= 0 {
+		return wrong("max-body", c.MaxBody, "give bytes above 0, such as 4194304")
+	}
+	return nil
+}
+
+func (c *serveCommand) config(log *zap.Logger) box.Config {
+	return box.Config{
+		ID:           c.ID,
+		Hall:         c.Hall,
+		Listen:       c.Listen,
+		PeerListen:   c.PeerListen,
+		PeerAddress:  c.PeerAddress,
+		PeerSecret:   c.PeerSecret,
+		Peers:        c.Peer,
+		PlatformURL:  c.Platform,
+		Operators:    c.Operator,
+		DrainNotice:  c.DrainNotice,
+		DrainLimit:   c.DrainLimit,
+		Reads:        c.KVReads,
+		Writes:       c.KVWrites,
+		ClaimWindow:  c.ClaimWindow,
+		LeaseTTL:     c.LeaseTTL,
+		OrderLife:    c.OrderLife,
+		BeatInterval: c.BeatInterval,
+		HallDistance: c.HallDistance,
+		Placement:    placement.Settings{MoveCost: c.MoveCost, Copies: c.Copies, SpareEngines: c.Spares},
+		MaxBody:      c.MaxBody,
+		Log:          log,
+	}
+}
+
+func newLogger(level string) (*zap.Logger, error) {
+	parsed, err := zap.ParseAtomicLevel(level)
+	if err != nil {
+		return nil, wrong("log-level", level, "give debug, info, warn or error")
+	}
+	config := zap.NewProductionConfig()
+	config.Level = parsed
+	config.Sampling = nil
+	log, err := config.Build(zap.WithCaller(false))
+	return log, errors.Trace(err)
+}
--- a/internal/gen/ospreymoor/engine/v1/enginev1connect/engine.connect.go
+++ b/internal/gen/ospreymoor/engine/v1/enginev1connect/engine.connect.go
@@ -55,6 +55,8 @@
 // EngineServiceClient is a client for the ospreymoor.engine.v1.EngineService service.
 type EngineServiceClient interface {
 	// Generate starts a run; an id that the engine knows already is refused.
+	// An error before the first message with code unavailable, failed precondition,
+	// resource exhausted or invalid argument says that the run was not started.
 	Generate(context.Context, *connect.Request[v1.GenerateRequest]) (*connect.ServerStreamForClient[v1.GenerateResponse], error)
 	// Resume streams a known run from an offset; it never starts one.
 	Resume(context.Context, *connect.Request[v1.ResumeRequest]) (*connect.ServerStreamForClient[v1.GenerateResponse], error)
@@ -189,6 +191,8 @@
 // EngineServiceHandler is an implementation of the ospreymoor.engine.v1.EngineService service.
 type EngineServiceHandler interface {
 	// Generate starts a run; an id that the engine knows already is refused.
+	// An error before the first message with code unavailable, failed precondition,
+	// resource exhausted or invalid argument says that the run was not started.
 	Generate(context.Context, *connect.Request[v1.GenerateRequest], *connect.ServerStream[v1.GenerateResponse]) error
 	// Resume streams a known run from an offset; it never starts one.
 	Resume(context.Context, *connect.Request[v1.ResumeRequest], *connect.ServerStream[v1.GenerateResponse]) error
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,122 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Client calls other boxes and keeps a connection to each. It is safe for concurrent use.
+type Client struct {
+	// Secret is the fleet's.
+	Secret string
+	// Dial makes a connection to host:port.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Set takes the counters.
+	Set *metrics.Set
+
+	mu    sync.Mutex
+	conns map[string]*jsonrpc2.Conn
+}
+
+// NewClient returns a client that dials over TCP.
+func NewClient(secret string, set *metrics.Set) *Client {
+	dialer := &net.Dialer{}
+	return &Client{
+		Secret: secret,
+		Set:    set,
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		},
+		conns: map[string]*jsonrpc2.Conn{},
+	}
+}
+
+// Call calls a method of the box at a peer address.
+func Call[A any](ctx context.Context, c *Client, address, method string, params any) (A, error) {
+	var answer A
+	conn, err := c.conn(ctx, address)
+	if err != nil {
+		return answer, errors.Annotatef(err, "calling %s at %s", method, address)
+	}
+	if err := conn.Call(ctx, method, params, &answer); err != nil {
+		c.drop(address, conn, err)
+		return answer, errors.Annotatef(err, "calling %s at %s", method, address)
+	}
+	return answer, nil
+}
+
+// Close ends all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, conn := range c.conns {
+		_ = conn.Close()
+		delete(c.conns, address)
+	}
+}
+
+// conn returns the connection to an address, and makes it if there is none.
+func (c *Client) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	c.mu.Lock()
+	conn, ok := c.conns[address]
+	c.mu.Unlock()
+	if ok {
+		select {
+		case <-conn.DisconnectNotify():
+		default:
+			return conn, nil
+		}
+	}
+	conn, err := c.connect(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if old, ok := c.conns[address]; ok && old != conn {
+		_ = old.Close()
+	}
+	c.conns[address] = conn
+	return conn, nil
+}
+
+func (c *Client) connect(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	raw, err := c.Dial(ctx, address)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	stream := jsonrpc2.NewBufferedStream(counted(raw, c.Set), codec{})
+	// The connection outlives the call that makes it.
+	conn := jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, refuse{}, jsonrpc2.SetLogger(silent{}))
+	var empty Empty
+	if err := conn.Call(ctx, MethodHello, Hello{Secret: c.Secret}, &empty); err != nil {
+		_ = conn.Close()
+		return nil, errors.Trace(err)
+	}
+	return conn, nil
+}
+
+// drop closes a connection after a failure that was not the other side's answer.
+func (c *Client) drop(address string, conn *jsonrpc2.Conn, err error) {
+	var answered *jsonrpc2.Error
+	if errors.As(err, &answered) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns[address] == conn {
+		delete(c.conns, address)
+	}
+	_ = conn.Close()
+}
+
+// refuse answers nothing: calls go one way on a connection.
+type refuse struct{}
+
+// Handle ignores a request.
+func (refuse) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {}
--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,41 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+
+	"github.com/juju/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// maxFrameBytes bounds one message: a few records of the largest size.
+const maxFrameBytes = 8 << 20
+
+// errFrame says that what came is no message; the connection is closed.
+const errFrame = errors.ConstError("bad frame: check that the peer speaks this protocol")
+
+// codec is jsonrpc2's length-prefixed codec with a bound on the length.
+type codec struct {
+	jsonrpc2.VarintObjectCodec
+}
+
+// ReadObject reads one message.
+func (codec) ReadObject(stream *bufio.Reader, v any) error {
+	length, err := binary.ReadUvarint(stream)
+	if err != nil {
+		return err
+	}
+	if length > maxFrameBytes {
+		return errors.WithType(errors.Errorf("%d bytes", length), errFrame)
+	}
+	frame := make([]byte, length)
+	if _, err := io.ReadFull(stream, frame); err != nil {
+		return err
+	}
+	if err := json.Unmarshal(frame, v); err != nil {
+		return errors.WithType(err, errFrame)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/etcd.go
@@ -0,0 +1,74 @@
+package standin
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"ospreymoor.example/ospreymoor/pkg/kv"
+)
+
+// rangeKeys answers a range call: one key, or all from a key up to an end.
+func rangeKeys(ctx context.Context, store kv.Store, q kv.RangeRequest) (kv.RangeResponse, error) {
+	var answer kv.RangeResponse
+	if len(q.RangeEnd) > 0 {
+		records, err := store.List(ctx, string(q.Key))
+		for _, record := range records {
+			answer.KVs = append(answer.KVs, keyValue(record))
+		}
+		return answer, err
+	}
+	record, err := store.Get(ctx, string(q.Key))
+	if errors.Is(err, kv.ErrNotFound) {
+		return answer, nil
+	}
+	answer.KVs = []kv.KeyValue{keyValue(record)}
+	return answer, err
+}
+
+// transact answers a transaction of one comparison and one step.
+func transact(ctx context.Context, store kv.Store, q kv.TxnRequest) (kv.TxnResponse, error) {
+	if len(q.Compare) != 1 || len(q.Success) != 1 {
+		return kv.TxnResponse{}, errors.New("this stand-in takes one comparison and one step")
+	}
+	revision, err := apply(ctx, store, q.Compare[0].ModRevision, q.Success[0])
+	if errors.Is(err, kv.ErrConflict) {
+		return kv.TxnResponse{}, nil
+	}
+	return kv.TxnResponse{Header: kv.Header{Revision: revision}, Succeeded: err == nil}, err
+}
+
+func apply(ctx context.Context, store kv.Store, from int64, op kv.Op) (int64, error) {
+	if op.DeleteRange != nil {
+		return 0, store.Delete(ctx, string(op.DeleteRange.Key), from)
+	}
+	record, err := store.Swap(ctx, kv.Swap{
+		Key:      string(op.Put.Key),
+		Revision: from,
+		Value:    op.Put.Value,
+		Lease:    kv.LeaseID(op.Put.Lease),
+	})
+	return record.Revision, err
+}
+
+// renewResult wraps a renewal's answer as the service's stream does.
+type renewResult struct {
+	Result kv.LeaseResponse `json:"result"`
+}
+
+func renew(ctx context.Context, store kv.Store, q kv.LeaseRequest) (renewResult, error) {
+	err := store.Renew(ctx, kv.LeaseID(q.ID))
+	if errors.Is(err, kv.ErrLeaseLost) {
+		return renewResult{Result: kv.LeaseResponse{ID: q.ID}}, nil
+	}
+	return renewResult{Result: kv.LeaseResponse{ID: q.ID, TTL: 1}}, err
+}
+
+func keyValue(record kv.Record) kv.KeyValue {
+	return kv.KeyValue{
+		Key:         []byte(record.Key),
+		Value:       record.Value,
+		ModRevision: record.Revision,
+		Version:     record.Version,
+	}
+}
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,15 @@
+package standin
+
+import (
+	"io"
+	"log"
+	"net/http"
+)
+
+// NewServer returns a server that speaks HTTP/1.1 and HTTP/2 without TLS.
+func NewServer(handler http.Handler) *http.Server {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{Handler: handler, Protocols: &protocols, ErrorLog: log.New(io.Discard, "", 0)}
+}
--- /dev/null
+++ b/internal/standin/slots.go
@@ -0,0 +1,89 @@
+package standin
+
+import (
+	"container/heap"
+	"context"
+	"slices"
+)
+
+// waiter is a run that waits for a slot.
+type waiter struct {
+	priority int32
+	number   int64
+	ready    chan struct{}
+}
+
+// waitQueue orders runs by priority, then by arrival.
+type waitQueue struct {
+	waiters []*waiter
+	next    int64
+}
+
+// Len is the number of runs that wait.
+func (q *waitQueue) Len() int { return len(q.waiters) }
+
+// Less puts the higher priority first, then the earlier arrival.
+func (q *waitQueue) Less(i, j int) bool {
+	a, b := q.waiters[i], q.waiters[j]
+	if a.priority != b.priority {
+		return a.priority > b.priority
+	}
+	return a.number < b.number
+}
+
+// Swap exchanges two runs.
+func (q *waitQueue) Swap(i, j int) { q.waiters[i], q.waiters[j] = q.waiters[j], q.waiters[i] }
+
+// Push adds a run.
+func (q *waitQueue) Push(x any) { q.waiters = append(q.waiters, x.(*waiter)) }
+
+// Pop removes the last run.
+func (q *waitQueue) Pop() any {
+	last := q.waiters[len(q.waiters)-1]
+	q.waiters = q.waiters[:len(q.waiters)-1]
+	return last
+}
+
+// takeSlot waits for a slot; it tells whether one was had before ctx ended.
+func (e *Engine) takeSlot(ctx context.Context, priority int32) bool {
+	e.mu.Lock()
+	if e.running < max(1, e.Slots) {
+		e.running++
+		e.mu.Unlock()
+		return true
+	}
+	e.queue.next++
+	w := &waiter{priority: priority, number: e.queue.next, ready: make(chan struct{})}
+	heap.Push(&e.queue, w)
+	e.mu.Unlock()
+	select {
+	case <-w.ready:
+		return true
+	case <-ctx.Done():
+		return e.leaveQueue(w)
+	}
+}
+
+// leaveQueue takes a run off the queue, unless it was just given a slot.
+func (e *Engine) leaveQueue(w *waiter) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	i := slices.Index(e.queue.waiters, w)
+	if i < 0 {
+		return true
+	}
+	heap.Remove(&e.queue, i)
+	return false
+}
+
+// freeSlot gives the slot to the next run that waits.
+func (e *Engine) freeSlot() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.queue.Len() == 0 {
+		e.running--
+		return
+	}
+	next := heap.Pop(&e.queue).(*waiter)
+	close(next.ready)
+}
--- a/pkg/bundle/registry.go
+++ b/pkg/bundle/registry.go
@@ -34,7 +34,7 @@
 
 // Places in the key-value service.
 const (
-	TableKey = "inforce"
+	TableKey = "fleet/inforce"
 	textKeys = "bundles/"
 )
 
--- a/pkg/claims/claims.go
+++ b/pkg/claims/claims.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -43,6 +44,8 @@
 	Upstream string `json:"u"`
 	// RequestID is the id under which the upstream knows it.
 	RequestID string `json:"r"`
+	// Incarnation of the upstream that was known then; empty for plain services.
+	Incarnation string `json:"i,omitempty"`
 	// Box is the peer address of the box that hands it out.
 	Box string `json:"b"`
 }
@@ -138,6 +141,49 @@
 	}
 }
 
+// Lookup returns the claim of a customer's key, false if there is none. An error leaves it open.
+func (c *Claims) Lookup(ctx context.Context, customer, key string) (Claim, bool, error) {
+	bucket, err := c.bucket(key)
+	if err != nil {
+		return Claim{}, false, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.config.AnswerTime)
+	defer cancel()
+	name := customer + "/" + key
+	document, err := kv.ReadDocument[shard](ctx, c.config.Store, documentKey(bucket, name))
+	if err != nil {
+		return Claim{}, false, err
+	}
+	claim, ok := document.Body.Claims[name]
+	return claim, ok, nil
+}
+
+// Release frees a key whose request was certainly not run and no longer can be under its id.
+func (c *Claims) Release(ctx context.Context, customer, key, requestID string) error {
+	bucket, err := c.bucket(key)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.config.AnswerTime)
+	defer cancel()
+	name := customer + "/" + key
+	_, err = kv.UpdateDocument(ctx, c.config.Store, documentKey(bucket, name), func(body shard) (shard, error) {
+		if !body.Made || body.Claims[name].RequestID != requestID {
+			return body, errors.WithType(errors.Errorf("releasing %s", key), errReleased)
+		}
+		next := shard{Made: true, Claims: maps.Clone(body.Claims)}
+		delete(next.Claims, name)
+		return next, nil
+	})
+	if errors.Is(err, errReleased) {
+		return nil
+	}
+	return err
+}
+
+// errReleased stops a release that has nothing to do.
+const errReleased = errors.ConstError("claim is gone already")
+
 // judge turns a batch's result into the caller's. A result that came too late, as after a
 // pause of this process, gives no right: the key may have been forgotten in the meantime.
 func (c *Claims) judge(ctx context.Context, r result, own Claim) (Claim, error) {
--- /dev/null
+++ b/pkg/kv/observed.go
@@ -0,0 +1,52 @@
+package kv
+
+import (
+	"context"
+	"time"
+)
+
+// Observed returns store with the outcome of each call reported: nil, or the call's error.
+func Observed(store Store, report func(error)) Store {
+	return Store{
+		Get: func(ctx context.Context, key string) (Record, error) {
+			record, err := store.Get(ctx, key)
+			report(err)
+			return record, err
+		},
+		List: func(ctx context.Context, prefix string) ([]Record, error) {
+			records, err := store.List(ctx, prefix)
+			report(err)
+			return records, err
+		},
+		Swap: func(ctx context.Context, swap Swap) (Record, error) {
+			record, err := store.Swap(ctx, swap)
+			report(err)
+			return record, err
+		},
+		Delete: func(ctx context.Context, key string, revision int64) error {
+			err := store.Delete(ctx, key, revision)
+			report(err)
+			return err
+		},
+		Grant: func(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+			id, err := store.Grant(ctx, ttl)
+			report(err)
+			return id, err
+		},
+		Renew: func(ctx context.Context, id LeaseID) error {
+			err := store.Renew(ctx, id)
+			report(err)
+			return err
+		},
+		Revoke: func(ctx context.Context, id LeaseID) error {
+			err := store.Revoke(ctx, id)
+			report(err)
+			return err
+		},
+		Watch: func(ctx context.Context, prefix string, from int64) (<-chan Event, error) {
+			events, err := store.Watch(ctx, prefix, from)
+			report(err)
+			return events, err
+		},
+	}
+}
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -53,6 +53,8 @@
 	Address     string `json:"address"`
 	Leaving     bool   `json:"leaving,omitempty"`
 	Ready       bool   `json:"ready,omitempty"`
+	// Store tells that the peer reaches the key-value service.
+	Store bool `json:"store,omitempty"`
 }
 
 // View joins the box list and what was heard. It is safe for concurrent use.
@@ -197,3 +199,10 @@
 	defer v.mu.Unlock()
 	return len(v.list.Boxes)
 }
+
+// IsLeaving tells whether an upstream said itself that it leaves.
+func (v *View) IsLeaving(upstream string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.refused[upstream]
+}
--- a/pkg/orders/controller.go
+++ b/pkg/orders/controller.go
@@ -25,11 +25,13 @@
 	RepairTerm func() int64
 	// Engines lists the hall's engines.
 	Engines func() []Engine
-	// Wanted lists what the plan wants on an engine, models before their adapters;
-	// false if there is no plan yet.
-	Wanted func(engine string) ([]placement.Item, bool)
+	// TakeOver is called once for each new term before the first order, and must fetch the
+	// latest plan: what an earlier controller has confirmed under it holds.
+	TakeOver func(ctx context.Context) error
+	// Plan returns the latest plan, false if there is none yet.
+	Plan func() (placement.Plan, bool)
 	// MayUnload tells whether an item can go from an engine and stay reachable.
-	MayUnload func(engine, item string) bool
+	MayUnload func(plan placement.Plan, engine, item string) bool
 	// Store holds the intents of engines that are not fenced.
 	Store kv.Store
 	// PublishHoldings and PublishLoads take the hall's records, term and sequence first.
@@ -49,12 +51,16 @@
 	states   map[string]observed
 	sequence int64
 	intents  intents
-	wake     chan struct{}
+
+	takeOver sync.Mutex
+	// taken is the term that TakeOver was last done for.
+	taken int64
 }
 
-// observed is an engine's last state and when it was asked for.
+// observed is an engine's last state, the plan then gone by, and when it was asked for.
 type observed struct {
 	state State
+	plan  int64
 	at    time.Time
 }
 
@@ -162,6 +168,7 @@
 			Leaving:     s.Leaving,
 			Resident:    resident,
 			Loading:     loading,
+			Plan:        seen.plan,
 		}
 		if time.Since(seen.at) < heardIntervals*c.Interval {
 			loads.Engines[id] = Load{Running: s.Running, Queued: s.Queued}
@@ -170,10 +177,24 @@
 	return holdings, loads
 }
 
-func (c *Controller) observe(id string, state State) {
+func (c *Controller) observe(id string, state State, plan int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.states[id] = observed{state: state, at: time.Now()}
+	c.states[id] = observed{state: state, plan: plan, at: time.Now()}
+}
+
+// begin does what comes before the first order of a term.
+func (c *Controller) begin(ctx context.Context, term int64) error {
+	c.takeOver.Lock()
+	defer c.takeOver.Unlock()
+	if c.taken == term {
+		return nil
+	}
+	if err := c.TakeOver(ctx); err != nil {
+		return err
+	}
+	c.taken = term
+	return nil
 }
 
 func (c *Controller) forget(id string) {
@@ -189,5 +210,5 @@
 
 func (h Holding) equal(other Holding) bool {
 	return h.Incarnation == other.Incarnation && h.Capacity == other.Capacity && h.Slots == other.Slots &&
-		h.Leaving == other.Leaving && slices.Equal(h.Resident, other.Resident) && slices.Equal(h.Loading, other.Loading)
+		h.Leaving == other.Leaving && h.Plan == other.Plan && slices.Equal(h.Resident, other.Resident) && slices.Equal(h.Loading, other.Loading)
 }
--- a/pkg/orders/orders.go
+++ b/pkg/orders/orders.go
@@ -72,6 +72,9 @@
 	Leaving     bool     `json:"leaving,omitempty"`
 	Resident    []string `json:"resident"`
 	Loading     []string `json:"loading,omitempty"`
+	// Plan is the number of the plan that the controller goes by: no unload that an
+	// older plan asked for can take effect any more.
+	Plan int64 `json:"plan"`
 }
 
 // Holdings is a hall's record of what its engines hold; it changes with loads and unloads.
--- a/pkg/orders/worker.go
+++ b/pkg/orders/worker.go
@@ -54,16 +54,23 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, w.OrderTime)
 	defer cancel()
+	if err := w.begin(ctx, term); err != nil {
+		w.count("take over", err)
+		return false
+	}
+	// The plan is read before the state: what the state shows, later orders under this
+	// plan or a newer one change, but none under an older one.
+	plan, _ := w.Plan()
 	state, err := w.truth(ctx, term)
 	if err != nil {
 		w.count("state", err)
 		return false
 	}
-	w.observe(w.engine.ID, state)
 	if w.engine.Fenced {
-		return w.stepFenced(ctx, term, state)
+		w.observe(w.engine.ID, state, plan.Number)
+		return w.stepFenced(ctx, term, plan, state)
 	}
-	return w.stepUnfenced(ctx, term, state)
+	return w.stepUnfenced(ctx, term, plan, state)
 }
 
 // term is what this box may order under now. An engine that does not check it
@@ -110,8 +117,8 @@
 
 // stepFenced sends the next order. After any doubt the fence is raised again, which makes
 // the doubtful order impossible and returns the truth.
-func (w *worker) stepFenced(ctx context.Context, term int64, state State) bool {
-	o, ok := w.nextOrder(state, itemBytes(state.Resident)+itemBytes(state.Loading))
+func (w *worker) stepFenced(ctx context.Context, term int64, plan placement.Plan, state State) bool {
+	o, ok := w.nextOrder(plan, state, itemBytes(state.Resident)+itemBytes(state.Loading))
 	if !ok {
 		return false
 	}
@@ -124,13 +131,16 @@
 
 // stepUnfenced sends the next order after it was written down as an intent. While an earlier
 // intent is unsettled no other order is sent: its memory stays reserved.
-func (w *worker) stepUnfenced(ctx context.Context, term int64, state State) bool {
+func (w *worker) stepUnfenced(ctx context.Context, term int64, plan placement.Plan, state State) bool {
 	settled, err := w.intents.settle(ctx, w.engine.ID, term, state)
 	if err != nil || !settled {
+		// An unload of an older plan may still take effect: vouch for no plan.
+		w.observe(w.engine.ID, state, 0)
 		w.count("settle", err)
 		return false
 	}
-	o, ok := w.nextOrder(state, itemBytes(state.Resident)+itemBytes(state.Loading))
+	w.observe(w.engine.ID, state, plan.Number)
+	o, ok := w.nextOrder(plan, state, itemBytes(state.Resident)+itemBytes(state.Loading))
 	if !ok {
 		return false
 	}
@@ -153,11 +163,11 @@
 
 // nextOrder chooses a load that fits, or an unload that makes room for one. Items that the
 // plan no longer wants stay until their room is needed: they may be wanted again.
-func (w *worker) nextOrder(state State, used int64) (order, bool) {
-	wanted, ok := w.Wanted(w.engine.ID)
-	if !ok || state.Leaving || len(state.Loading) > 0 {
+func (w *worker) nextOrder(plan placement.Plan, state State, used int64) (order, bool) {
+	if state.Leaving || len(state.Loading) > 0 {
 		return order{}, false
 	}
+	wanted := plan.On(w.engine.ID)
 	for _, item := range wanted {
 		if hasItem(state.Resident, item.Name) {
 			continue
@@ -165,7 +175,7 @@
 		if used+item.Bytes <= state.Capacity {
 			return order{load: true, item: item}, true
 		}
-		if unwanted, ok := w.unwanted(state, wanted); ok {
+		if unwanted, ok := w.unwanted(plan, state, wanted); ok {
 			return order{item: unwanted}, true
 		}
 	}
@@ -173,11 +183,11 @@
 }
 
 // unwanted chooses the largest resident item that the plan does not want here and that may go.
-func (w *worker) unwanted(state State, wanted []placement.Item) (placement.Item, bool) {
+func (w *worker) unwanted(plan placement.Plan, state State, wanted []placement.Item) (placement.Item, bool) {
 	resident := append([]placement.Item(nil), state.Resident...)
 	sort.SliceStable(resident, func(i, j int) bool { return resident[i].Bytes > resident[j].Bytes })
 	for _, item := range resident {
-		if !hasItem(wanted, item.Name) && w.MayUnload(w.engine.ID, item.Name) {
+		if !hasItem(wanted, item.Name) && w.MayUnload(plan, w.engine.ID, item.Name) {
 			return item, true
 		}
 	}
--- a/pkg/placement/builder.go
+++ b/pkg/placement/builder.go
@@ -9,8 +9,8 @@
 	Unit
 	// wanted tells that a bundle in force names these weights.
 	wanted bool
-	// on holds the engines that shall have a copy.
-	on map[string]bool
+	// on holds the engines that shall have a copy, with the number of the plan that added it.
+	on map[string]int64
 }
 
 // engine is an engine while a plan is made.
@@ -25,6 +25,7 @@
 // builder makes one plan.
 type builder struct {
 	in      Input
+	number  int64
 	engines map[string]*engine
 	// order holds the engines by id, so that equal choices fall out alike.
 	order   []*engine
@@ -43,6 +44,7 @@
 	}
 	b := &builder{
 		in:      in,
+		number:  in.Last.Number + 1,
 		engines: map[string]*engine{},
 		units:   map[string]*unit{},
 		serving: map[string]string{},
@@ -57,7 +59,7 @@
 	}
 	sort.Slice(b.order, func(i, j int) bool { return b.order[i].ID < b.order[j].ID })
 	for _, u := range in.Wanted {
-		b.units[u.Item.Name] = &unit{Unit: u, wanted: true, on: map[string]bool{}}
+		b.units[u.Item.Name] = &unit{Unit: u, wanted: true, on: map[string]int64{}}
 	}
 	return b
 }
@@ -67,12 +69,12 @@
 	for _, copies := range b.in.Last.Units {
 		u := b.units[copies.Item.Name]
 		if u == nil {
-			u = &unit{Unit: copies.Unit, on: map[string]bool{}}
+			u = &unit{Unit: copies.Unit, on: map[string]int64{}}
 			b.units[copies.Item.Name] = u
 		}
-		for _, id := range copies.Engines {
-			if e := b.engines[id]; e != nil {
-				b.add(u, e)
+		for _, place := range copies.Places {
+			if e := b.engines[place.Engine]; e != nil {
+				b.addSince(u, e, place.Since)
 			}
 		}
 	}
@@ -277,7 +279,7 @@
 
 // accepts tells whether a new copy of u may go to e at all.
 func (b *builder) accepts(e *engine, u *unit) bool {
-	return e.Condition == Usable && e.Pool == u.Pool && !u.on[e.ID]
+	return e.Condition == Usable && e.Pool == u.Pool && !u.onEngine(e.ID)
 }
 
 // droppable tells whether u stays reachable, with its adapters, when e's copy goes.
@@ -293,9 +295,10 @@
 	return false
 }
 
-// complete tells whether a usable engine has confirmed a whole copy.
+// complete tells whether a usable engine has confirmed a whole copy, and its controller
+// knows that it shall stay.
 func (b *builder) complete(u *unit, e *engine) bool {
-	return e.Condition == Usable && e.holds(u)
+	return e.Condition == Usable && e.holds(u) && e.Plan >= u.on[e.ID]
 }
 
 // confirmed counts u's complete copies.
@@ -323,8 +326,10 @@
 // mayLoad tells whether one more load may be under way.
 func (b *builder) mayLoad() bool { return b.pending < b.in.Settings.Pending }
 
-func (b *builder) add(u *unit, e *engine) {
-	u.on[e.ID] = true
+func (b *builder) add(u *unit, e *engine) { b.addSince(u, e, b.number) }
+
+func (b *builder) addSince(u *unit, e *engine, since int64) {
+	u.on[e.ID] = since
 	e.units[u.Item.Name] = u
 	e.free -= u.Bytes()
 	if !e.holds(u) && e.Condition == Usable {
@@ -385,6 +390,11 @@
 	return true
 }
 
+func (u *unit) onEngine(id string) bool {
+	_, ok := u.on[id]
+	return ok
+}
+
 func (u *unit) demandPerCopy() float64 {
 	return u.Demand / float64(max(1, len(u.on)))
 }
--- a/pkg/placement/demand.go
+++ b/pkg/placement/demand.go
@@ -180,7 +180,7 @@
 func (b *builder) usableIDs(u *unit) []string {
 	var ids []string
 	for _, e := range b.order {
-		if u.on[e.ID] && e.Condition == Usable {
+		if u.onEngine(e.ID) && e.Condition == Usable {
 			ids = append(ids, e.ID)
 		}
 	}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -66,17 +66,29 @@
 	Slots int
 	// Resident are the names of the items that it confirmed.
 	Resident map[string]bool
+	// Plan is the number of the plan that its controller went by when it confirmed them.
+	Plan int64
 }
 
-// Copies is one unit with the engines that shall hold it.
+// Place is an engine that shall hold a copy.
+type Place struct {
+	Engine string `json:"engine"`
+	// Since is the number of the plan that added the copy: a controller that still goes by
+	// an older plan may be about to unload it.
+	Since int64 `json:"since"`
+}
+
+// Copies is one unit with the places that shall hold it.
 type Copies struct {
 	Unit
-	// Engines are the engines' ids, in order.
-	Engines []string `json:"engines"`
+	// Places are in the order of the engines' ids.
+	Places []Place `json:"places"`
 }
 
 // Plan is what all boxes route by and all hall controllers work towards.
 type Plan struct {
+	// Number grows by one with each plan.
+	Number int64 `json:"number"`
 	// Term of the planner that made it.
 	Term int64 `json:"term"`
 	// Planner is the peer address of the box that made it.
@@ -129,7 +141,7 @@
 func (p Plan) On(engine string) []Item {
 	var items []Item
 	for _, copies := range p.Units {
-		if slices.Contains(copies.Engines, engine) {
+		if copies.on(engine) {
 			items = append(items, copies.Item)
 			items = append(items, copies.Adapters...)
 		}
@@ -157,19 +169,23 @@
 
 func (c Copies) equal(other Copies) bool {
 	return c.Model == other.Model && c.Item == other.Item && c.Pool == other.Pool &&
-		slices.Equal(c.Adapters, other.Adapters) && slices.Equal(c.Engines, other.Engines)
+		slices.Equal(c.Adapters, other.Adapters) && slices.Equal(c.Places, other.Places)
+}
+
+func (c Copies) on(engine string) bool {
+	return slices.ContainsFunc(c.Places, func(p Place) bool { return p.Engine == engine })
 }
 
 // plan writes the builder's state down in a fixed order.
 func (b *builder) plan() Plan {
-	plan := Plan{Term: b.in.Last.Term, Planner: b.in.Last.Planner, Serving: b.serving}
+	plan := Plan{Number: b.number, Term: b.in.Last.Term, Planner: b.in.Last.Planner, Serving: b.serving}
 	for _, u := range b.units {
-		engines := make([]string, 0, len(u.on))
-		for engine := range u.on {
-			engines = append(engines, engine)
+		places := make([]Place, 0, len(u.on))
+		for engine, since := range u.on {
+			places = append(places, Place{Engine: engine, Since: since})
 		}
-		sort.Strings(engines)
-		plan.Units = append(plan.Units, Copies{Unit: u.Unit, Engines: engines})
+		sort.Slice(places, func(i, j int) bool { return places[i].Engine < places[j].Engine })
+		plan.Units = append(plan.Units, Copies{Unit: u.Unit, Places: places})
 	}
 	sort.Slice(plan.Units, func(i, j int) bool { return plan.Units[i].Item.Name < plan.Units[j].Item.Name })
 	return plan
--- a/pkg/records/records.go
+++ b/pkg/records/records.go
@@ -5,6 +5,7 @@
 package records
 
 import (
+	"encoding/json"
 	"sync"
 )
 
@@ -25,9 +26,9 @@
 
 // Record is one value of one name.
 type Record struct {
-	Name       string     `json:"name"`
-	Generation Generation `json:"generation"`
-	Value      []byte     `json:"value"`
+	Name       string          `json:"name"`
+	Generation Generation      `json:"generation"`
+	Value      json.RawMessage `json:"value"`
 }
 
 // Cache holds the highest generation seen of each record. It is safe for concurrent use.
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -248,3 +248,10 @@
 	}
 	return view
 }
+
+// Service is the mean time that a request on a model takes in a slot.
+func (r *Router) Service(model string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.service(model)
+}
