--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -107,7 +107,7 @@
 	fetching   sync.Map
 }
 
-// New returns a box that does nothing until Run.
+// New returns a box that does nothing until Serve.
 func New(config Config) *Box {
 	b := &Box{
 		config:      config,
@@ -147,27 +147,34 @@
 	return b
 }
 
-// Run serves until ctx ends, then stops without cutting off what is in flight.
-func (b *Box) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", b.config.Listen)
+// Run listens and serves until ctx ends, then stops without cutting off what is in flight.
+// A port of 0 in the settings takes a free one.
+func Run(ctx context.Context, config Config) error {
+	listener, err := net.Listen("tcp", config.Listen)
 	if err != nil {
 		return errors.Annotatef(err, "listening for callers: choose another --listen")
 	}
-	peerListener, err := net.Listen("tcp", b.config.PeerListen)
+	peerListener, err := net.Listen("tcp", config.PeerListen)
 	if err != nil {
 		_ = listener.Close()
 		return errors.Annotatef(err, "listening for peers: choose another --peer-listen")
 	}
-	return b.Serve(ctx, listener, peerListener)
+	if config.PeerAddress == config.PeerListen {
+		config.PeerAddress = peerListener.Addr().String()
+	}
+	return New(config).Serve(ctx, listener, peerListener)
 }
 
-// Serve is Run on listeners that the caller made.
+// Serve serves on listeners that the caller made until ctx ends, then drains.
 func (b *Box) Serve(ctx context.Context, listener, peerListener net.Listener) error {
 	go b.server.Serve(peerListener)
 	server := newServer(b.handler())
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
-	b.log.Info("serving", zap.String("listen", listener.Addr().String()), zap.String("hall", b.config.Hall))
+	b.log.Info("serving",
+		zap.String("listen", listener.Addr().String()),
+		zap.String("peer", peerListener.Addr().String()),
+		zap.String("hall", b.config.Hall))
 
 	// Control goes on while requests drain, except for the leases.
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/box/in_force.go
+++ b/internal/box/in_force.go
@@ -160,9 +160,5 @@
 	for _, unit := range wanted {
 		in.Wanted = append(in.Wanted, unit)
 	}
-	err := placement.Fits(in)
-	if errors.Is(err, placement.ErrNoRoom) {
-		return errors.WithType(err, bundle.ErrNoRoom)
-	}
-	return err
+	return placement.Fits(in)
 }
--- a/internal/box/operators.go
+++ b/internal/box/operators.go
@@ -18,6 +18,7 @@
 	"ospreymoor.example/ospreymoor/pkg/bundle"
 	"ospreymoor.example/ospreymoor/pkg/burn"
 	"ospreymoor.example/ospreymoor/pkg/kv"
+	"ospreymoor.example/ospreymoor/pkg/placement"
 )
 
 // operators serves those who sign off, roll and retire bundles.
@@ -203,7 +204,7 @@
 		return nil, operatorError(err)
 	}
 	if text.Customer != customer {
-		return nil, operatorError(errors.WithType(errors.Errorf("bundle of customer %s: use the token of its operators", text.Customer), bundle.ErrInvalid))
+		return nil, operatorError(errors.Annotatef(bundle.ErrInvalid, "bundle of customer %s: use the token of its operators", text.Customer))
 	}
 	return text, nil
 }
@@ -224,7 +225,7 @@
 	case errors.Is(err, bundle.ErrNotSignedOff):
 		code = connect.CodeNotFound
 	case errors.Is(err, bundle.ErrVersionUsed), errors.Is(err, bundle.ErrOlder),
-		errors.Is(err, bundle.ErrNotInForce), errors.Is(err, bundle.ErrTokenUsed), errors.Is(err, bundle.ErrNoRoom):
+		errors.Is(err, bundle.ErrNotInForce), errors.Is(err, bundle.ErrTokenUsed), errors.Is(err, placement.ErrNoRoom):
 		code = connect.CodeFailedPrecondition
 	case errors.Is(err, kv.ErrUnknown):
 		code = connect.CodeUnknown
--- a/internal/box/run_once.go
+++ b/internal/box/run_once.go
@@ -209,7 +209,7 @@
 	case !found:
 		return refused
 	case claim.Digest != o.digest:
-		return b.notClaimed(ctx, o, errors.WithType(errors.New("looking up"), claims.ErrOtherRequest))
+		return b.notClaimed(ctx, o, errors.Annotate(claims.ErrOtherRequest, "looking up"))
 	}
 	again, joined := b.joinRun(ctx, o, claim, d)
 	if again {
--- a/internal/box/services_once.go
+++ b/internal/box/services_once.go
@@ -132,7 +132,7 @@
 	case !found:
 		return refused
 	case claim.Digest != o.digest:
-		return b.notClaimed(ctx, o, errors.WithType(errors.New("looking up"), claims.ErrOtherRequest))
+		return b.notClaimed(ctx, o, errors.Annotate(claims.ErrOtherRequest, "looking up"))
 	}
 	return unknown(reasonClaimedGone, "an earlier attempt was handed to "+claim.Upstream+"; "+remedyUnknown)
 }
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -63,7 +63,7 @@
 		return exited // After --help.
 	}
 	if err != nil {
-		return fail(errOut, errors.WithType(errors.Errorf("%s: see ospreymoor --help", err), errSettings))
+		return fail(errOut, settingsError("%s: see ospreymoor --help", err))
 	}
 	if err := checkVariables(parser.Model); err != nil {
 		return fail(errOut, err)
--- a/internal/cmd/serve.go
+++ b/internal/cmd/serve.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/url"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -58,7 +59,7 @@
 		return err
 	}
 	defer func() { _ = log.Sync() }()
-	return box.New(c.config(log)).Run(ctx)
+	return box.Run(ctx, c.config(log))
 }
 
 // fill derives the settings that were left out.
@@ -103,7 +104,7 @@
 			return wrong(flag, addresses[flag], "give IP:PORT, such as 127.0.0.1:8080")
 		}
 	}
-	if c.Listen == c.PeerListen {
+	if c.Listen == c.PeerListen && !strings.HasSuffix(c.Listen, ":0") {
 		return wrong("peer-listen", c.PeerListen, "it is --listen too; choose another port")
 	}
 	host, _, _ := net.SplitHostPort(c.PeerAddress)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 
@@ -104,7 +105,7 @@
 	for stream.Receive() {
 		message := stream.Msg()
 		if message.GetRequestId() != id || message.GetIndex() != next {
-			return errors.WithType(errors.Errorf("request %s piece %d, expected %s piece %d", message.GetRequestId(), message.GetIndex(), id, next), ErrForeign)
+			return errors.Annotatef(ErrForeign, "request %s piece %d, expected %s piece %d", message.GetRequestId(), message.GetIndex(), id, next)
 		}
 		if message.GetLast() {
 			return nil
@@ -130,15 +131,15 @@
 	switch answer.Code() {
 	case connect.CodeUnavailable:
 		if answer.Message() == ReasonLeaving {
-			return errors.WithType(err, ErrLeaving)
+			return fmt.Errorf("%w: %w", err, ErrLeaving)
 		}
-		return errors.WithType(err, ErrNotStarted)
+		return fmt.Errorf("%w: %w", err, ErrNotStarted)
 	case connect.CodeNotFound:
-		return errors.WithType(err, ErrNoRun)
+		return fmt.Errorf("%w: %w", err, ErrNoRun)
 	case connect.CodeFailedPrecondition, connect.CodeResourceExhausted, connect.CodeInvalidArgument:
-		return errors.WithType(err, ErrNotStarted)
+		return fmt.Errorf("%w: %w", err, ErrNotStarted)
 	default:
-		return errors.WithType(err, ErrBrokenOff)
+		return fmt.Errorf("%w: %w", err, ErrBrokenOff)
 	}
 }
 
@@ -195,9 +196,9 @@
 	}
 	switch connect.CodeOf(err) {
 	case connect.CodePermissionDenied:
-		return errors.WithType(err, orders.ErrFenced)
+		return fmt.Errorf("%w: %w", err, orders.ErrFenced)
 	case connect.CodeFailedPrecondition, connect.CodeResourceExhausted, connect.CodeInvalidArgument:
-		return errors.WithType(err, orders.ErrRefused)
+		return fmt.Errorf("%w: %w", err, orders.ErrRefused)
 	default:
 		return errors.Trace(err)
 	}
--- a/internal/engine/transport.go
+++ b/internal/engine/transport.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -33,9 +34,9 @@
 // transportError is the kind of a failure that was not the engine's answer.
 func transportError(err error) error {
 	if IsDialError(err) {
-		return errors.WithType(err, ErrNotStarted)
+		return fmt.Errorf("%w: %w", err, ErrNotStarted)
 	}
-	return errors.WithType(err, ErrBrokenOff)
+	return fmt.Errorf("%w: %w", err, ErrBrokenOff)
 }
 
 // IsDialError tells that no connection was made, so that nothing was sent.
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/binary"
 	"encoding/json"
+	"fmt"
 	"io"
 
 	"github.com/juju/errors"
@@ -28,14 +29,14 @@
 		return err
 	}
 	if length > maxFrameBytes {
-		return errors.WithType(errors.Errorf("%d bytes", length), errFrame)
+		return errors.Annotatef(errFrame, "%d bytes", length)
 	}
 	frame := make([]byte, length)
 	if _, err := io.ReadFull(stream, frame); err != nil {
 		return err
 	}
 	if err := json.Unmarshal(frame, v); err != nil {
-		return errors.WithType(err, errFrame)
+		return fmt.Errorf("%w: %w", err, errFrame)
 	}
 	return nil
 }
--- a/pkg/bundle/registry.go
+++ b/pkg/bundle/registry.go
@@ -28,8 +28,6 @@
 	ErrNotInForce = errors.ConstError("version not in force: see bundle list")
 	// ErrTokenUsed: a caller's token stands in another bundle in force.
 	ErrTokenUsed = errors.ConstError("a caller's token is in use already: make a new random token")
-	// ErrNoRoom: the models can't all be kept in the engines' memory.
-	ErrNoRoom = errors.ConstError("not enough accelerator memory: retire or shrink models, or add engines")
 )
 
 // Places in the key-value service.
@@ -77,7 +75,7 @@
 // Registry signs off, rolls and retires bundles. It is safe for concurrent use.
 type Registry struct {
 	Store kv.Store
-	// Fits returns ErrNoRoom if the bundles of next can't all be kept resident while
+	// Fits returns an error with the figures if the bundles of next can't all be kept resident while
 	// those of current give way to them; nil accepts all.
 	Fits func(current, next []*Bundle) error
 	// AnswerTime bounds one change when its context has no deadline; 0 takes 10 s.
@@ -118,9 +116,9 @@
 		case readErr == nil && stored.Digest == digest:
 			return digest, nil
 		case readErr == nil:
-			return "", errors.WithType(errors.Errorf("%s version %d", b.Customer, b.Version), ErrVersionUsed)
+			return "", errors.Annotatef(ErrVersionUsed, "%s version %d", b.Customer, b.Version)
 		case !errors.Is(readErr, ErrNotSignedOff):
-			return "", errors.WithType(err, kv.ErrUnknown)
+			return "", fmt.Errorf("%w: %w", err, kv.ErrUnknown)
 		}
 	}
 }
@@ -136,7 +134,7 @@
 	table, err := kv.UpdateDocument(ctx, r.Store, TableKey, func(table Table) (Table, error) {
 		old := table.Customers[customer]
 		if version <= old.Version {
-			return table, errors.WithType(errors.Errorf("%s: roll %d, in force %d", customer, version, old.Version), ErrOlder)
+			return table, errors.Annotatef(ErrOlder, "%s: roll %d, in force %d", customer, version, old.Version)
 		}
 		return r.withVersion(ctx, table, next)
 	})
@@ -150,7 +148,7 @@
 	table, err := kv.UpdateDocument(ctx, r.Store, TableKey, func(table Table) (Table, error) {
 		old, ok := table.Customers[customer]
 		if !ok || old.Retired || old.Version != version {
-			return table, errors.WithType(errors.Errorf("%s: retire %d, in force %d", customer, version, old.Version), ErrNotInForce)
+			return table, errors.Annotatef(ErrNotInForce, "%s: retire %d, in force %d", customer, version, old.Version)
 		}
 		old.Retired, old.Since = true, time.Now().UTC()
 		return table.with(customer, old), nil
@@ -255,7 +253,7 @@
 	var text Text
 	record, err := r.Store.Get(ctx, TextKey(customer, version))
 	if errors.Is(err, kv.ErrNotFound) {
-		return text, errors.WithType(errors.Errorf("%s version %d", customer, version), ErrNotSignedOff)
+		return text, errors.Annotatef(ErrNotSignedOff, "%s version %d", customer, version)
 	}
 	if err != nil {
 		return text, err
@@ -317,7 +315,7 @@
 	}
 	for _, caller := range next.Callers {
 		if used[strings.ToLower(caller.TokenSHA256)] {
-			return errors.WithType(errors.Errorf("caller %s", caller.Name), ErrTokenUsed)
+			return errors.Annotatef(ErrTokenUsed, "caller %s", caller.Name)
 		}
 	}
 	return nil
--- a/pkg/claims/claims.go
+++ b/pkg/claims/claims.go
@@ -137,7 +137,7 @@
 	case r := <-p.done:
 		return c.judge(ctx, r, claim)
 	case <-ctx.Done():
-		return Claim{}, errors.WithType(errors.Annotatef(ctx.Err(), "claiming %s", key), ErrNotClaimed)
+		return Claim{}, fmt.Errorf("%w: %w", errors.Annotatef(ctx.Err(), "claiming %s", key), ErrNotClaimed)
 	}
 }
 
@@ -169,7 +169,7 @@
 	name := customer + "/" + key
 	_, err = kv.UpdateDocument(ctx, c.config.Store, documentKey(bucket, name), func(body shard) (shard, error) {
 		if !body.Made || body.Claims[name].RequestID != requestID {
-			return body, errors.WithType(errors.Errorf("releasing %s", key), errReleased)
+			return body, errors.Annotatef(errReleased, "releasing %s", key)
 		}
 		next := shard{Made: true, Claims: maps.Clone(body.Claims)}
 		delete(next.Claims, name)
@@ -191,10 +191,10 @@
 		return Claim{}, r.err
 	}
 	if ctx.Err() != nil {
-		return Claim{}, errors.WithType(errors.Trace(ctx.Err()), ErrNotClaimed)
+		return Claim{}, fmt.Errorf("%w: %w", ctx.Err(), ErrNotClaimed)
 	}
 	if r.claim.Digest != own.Digest {
-		return Claim{}, errors.WithType(errors.New("claiming"), ErrOtherRequest)
+		return Claim{}, errors.Annotate(ErrOtherRequest, "claiming")
 	}
 	return r.claim, nil
 }
@@ -203,15 +203,15 @@
 func (c *Claims) bucket(key string) (int64, error) {
 	id, err := uuid.Parse(key)
 	if err != nil || id.Version() != 7 {
-		return 0, errors.WithType(errors.Errorf("request key %.40q", key), ErrBadKey)
+		return 0, errors.Annotatef(ErrBadKey, "request key %.40q", key)
 	}
 	at := time.Unix(id.Time().UnixTime())
 	age := time.Since(at)
 	if age > c.config.Window {
-		return 0, errors.WithType(errors.Errorf("request key of %s", at.UTC().Format(time.RFC3339)), ErrTooOld)
+		return 0, errors.Annotatef(ErrTooOld, "request key of %s", at.UTC().Format(time.RFC3339))
 	}
 	if age < -c.config.Skew {
-		return 0, errors.WithType(errors.Errorf("request key of %s", at.UTC().Format(time.RFC3339)), ErrTooNew)
+		return 0, errors.Annotatef(ErrTooNew, "request key of %s", at.UTC().Format(time.RFC3339))
 	}
 	return bucketOf(at), nil
 }
@@ -262,7 +262,7 @@
 		return body.with(group)
 	})
 	if err != nil && !errors.Is(err, ErrTooOld) && !errors.Is(err, ErrFull) {
-		err = errors.WithType(err, ErrNotClaimed)
+		err = fmt.Errorf("%v: %w", err, ErrNotClaimed)
 	}
 	for _, p := range group {
 		p.done <- result{claim: document.Body.Claims[p.name], err: err}
@@ -281,7 +281,7 @@
 		}
 	}
 	if len(next.Claims) > maxShardClaims {
-		return s, errors.WithType(errors.Errorf("%d claims", len(next.Claims)), ErrFull)
+		return s, errors.Annotatef(ErrFull, "%d claims", len(next.Claims))
 	}
 	return next, nil
 }
--- a/pkg/claims/sweep.go
+++ b/pkg/claims/sweep.go
@@ -30,7 +30,7 @@
 		return err
 	}
 	if bucket < f.Body.Bucket {
-		return errors.WithType(errors.Errorf("bucket %d, oldest kept %d", bucket, f.Body.Bucket), ErrTooOld)
+		return errors.Annotatef(ErrTooOld, "bucket %d, oldest kept %d", bucket, f.Body.Bucket)
 	}
 	return nil
 }
--- a/pkg/kv/budget.go
+++ b/pkg/kv/budget.go
@@ -64,7 +64,7 @@
 	b.set.GetOrCreateCounter(fmt.Sprintf("ospreymoor_kv_calls_total{call=%q}", call)).Inc()
 	if err := limiter.Wait(ctx); err != nil {
 		b.set.GetOrCreateCounter(fmt.Sprintf("ospreymoor_kv_over_budget_total{call=%q}", call)).Inc()
-		return errors.WithType(errors.Annotatef(err, "key-value call %s", call), ErrBudget)
+		return fmt.Errorf("%w: %w", errors.Annotatef(err, "key-value call %s", call), ErrBudget)
 	}
 	return nil
 }
--- a/pkg/kv/document.go
+++ b/pkg/kv/document.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"time"
 
@@ -149,9 +150,9 @@
 
 func (u *update[T]) giveUp(last error) error {
 	if u.sent {
-		return errors.WithType(errors.Annotatef(last, "updating %s", u.key), ErrUnknown)
+		return fmt.Errorf("%v: %w", errors.Annotatef(last, "updating %s", u.key), ErrUnknown)
 	}
-	return errors.WithType(errors.Annotatef(last, "updating %s", u.key), ErrUnavailable)
+	return fmt.Errorf("%v: %w", errors.Annotatef(last, "updating %s", u.key), ErrUnavailable)
 }
 
 func readDocument[T any](ctx context.Context, store Store, key string) (Document[T], int64, error) {
--- a/pkg/kv/etcd.go
+++ b/pkg/kv/etcd.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -66,7 +67,7 @@
 		return Record{}, err
 	}
 	if len(answer.KVs) == 0 {
-		return Record{}, errors.WithType(errors.Errorf("get %s", key), ErrNotFound)
+		return Record{}, errors.Annotatef(ErrNotFound, "get %s", key)
 	}
 	return answer.KVs[0].record(), nil
 }
@@ -86,7 +87,7 @@
 
 func (e *etcd) swap(ctx context.Context, swap Swap) (Record, error) {
 	if len(swap.Value) > MaxValueBytes {
-		return Record{}, errors.WithType(errors.Errorf("swap %s: %d bytes", swap.Key, len(swap.Value)), ErrTooLarge)
+		return Record{}, errors.Annotatef(ErrTooLarge, "swap %s: %d bytes", swap.Key, len(swap.Value))
 	}
 	put := Op{Put: &PutRequest{Key: []byte(swap.Key), Value: swap.Value, Lease: int64(swap.Lease)}}
 	answer, err := e.txn(ctx, swap.Key, swap.Revision, put)
@@ -112,7 +113,7 @@
 		return answer, errors.Annotatef(err, "change %s", key)
 	}
 	if !answer.Succeeded {
-		return answer, errors.WithType(errors.Errorf("change %s from revision %d", key, revision), ErrConflict)
+		return answer, errors.Annotatef(ErrConflict, "change %s from revision %d", key, revision)
 	}
 	return answer, nil
 }
@@ -132,7 +133,7 @@
 		return err
 	}
 	if answer.Result.TTL <= 0 {
-		return errors.WithType(errors.Errorf("renew lease %d", id), ErrLeaseLost)
+		return errors.Annotatef(ErrLeaseLost, "renew lease %d", id)
 	}
 	return nil
 }
@@ -146,11 +147,11 @@
 	create := WatchCreate{Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: from}
 	response, err := e.post(ctx, PathWatch, WatchRequest{Create: create})
 	if err != nil {
-		return nil, errors.WithType(errors.Annotatef(err, "watch %s", prefix), ErrUnavailable)
+		return nil, fmt.Errorf("%v: %w", errors.Annotatef(err, "watch %s", prefix), ErrUnavailable)
 	}
 	if response.StatusCode != http.StatusOK {
 		_ = response.Body.Close()
-		return nil, errors.WithType(errors.Errorf("watch %s: %s", prefix, response.Status), ErrUnavailable)
+		return nil, errors.Annotatef(ErrUnavailable, "watch %s: %s", prefix, response.Status)
 	}
 	events := make(chan Event)
 	go readWatch(ctx, response.Body, events)
@@ -180,7 +181,7 @@
 // read makes a call that changes nothing: whatever goes wrong, the service was unavailable.
 func (e *etcd) read(ctx context.Context, path string, request, answer any) error {
 	if _, err := e.call(ctx, path, request, answer); err != nil {
-		return errors.WithType(errors.Annotatef(err, "calling %s", path), ErrUnavailable)
+		return fmt.Errorf("%v: %w", errors.Annotatef(err, "calling %s", path), ErrUnavailable)
 	}
 	return nil
 }
@@ -195,7 +196,7 @@
 	if refused {
 		kind = ErrUnavailable
 	}
-	return errors.WithType(errors.Annotatef(err, "calling %s", path), kind)
+	return fmt.Errorf("%v: %w", errors.Annotatef(err, "calling %s", path), kind)
 }
 
 // call tells beside the error whether the service refused the call outright.
--- a/pkg/kv/memory.go
+++ b/pkg/kv/memory.go
@@ -77,7 +77,7 @@
 	m.expire()
 	k, ok := m.keys[key]
 	if !ok {
-		return Record{}, errors.WithType(errors.Errorf("get %s", key), ErrNotFound)
+		return Record{}, errors.Annotatef(ErrNotFound, "get %s", key)
 	}
 	return k.record, nil
 }
@@ -101,14 +101,14 @@
 	defer m.mu.Unlock()
 	m.expire()
 	if len(swap.Value) > MaxValueBytes {
-		return Record{}, errors.WithType(errors.Errorf("swap %s: %d bytes", swap.Key, len(swap.Value)), ErrTooLarge)
+		return Record{}, errors.Annotatef(ErrTooLarge, "swap %s: %d bytes", swap.Key, len(swap.Value))
 	}
 	old := m.keys[swap.Key].record
 	if old.Revision != swap.Revision {
-		return Record{}, errors.WithType(errors.Errorf("swap %s from revision %d", swap.Key, swap.Revision), ErrConflict)
+		return Record{}, errors.Annotatef(ErrConflict, "swap %s from revision %d", swap.Key, swap.Revision)
 	}
 	if _, ok := m.leases[swap.Lease]; swap.Lease != 0 && !ok {
-		return Record{}, errors.WithType(errors.Errorf("swap %s", swap.Key), ErrLeaseLost)
+		return Record{}, errors.Annotatef(ErrLeaseLost, "swap %s", swap.Key)
 	}
 	m.revision++
 	record := Record{
@@ -127,7 +127,7 @@
 	defer m.mu.Unlock()
 	m.expire()
 	if m.keys[key].record.Revision != revision {
-		return errors.WithType(errors.Errorf("delete %s from revision %d", key, revision), ErrConflict)
+		return errors.Annotatef(ErrConflict, "delete %s from revision %d", key, revision)
 	}
 	m.drop(key)
 	return nil
@@ -147,7 +147,7 @@
 	m.expire()
 	lease, ok := m.leases[id]
 	if !ok {
-		return errors.WithType(errors.Errorf("renew lease %d", id), ErrLeaseLost)
+		return errors.Annotatef(ErrLeaseLost, "renew lease %d", id)
 	}
 	lease.expires = time.Now().Add(lease.ttl)
 	return nil
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -80,7 +80,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.term == 0 || !time.Now().Before(l.until) {
-		return 0, errors.WithType(errors.Errorf("lease %s", l.config.Key), ErrNotHeld)
+		return 0, errors.Annotatef(ErrNotHeld, "lease %s", l.config.Key)
 	}
 	return l.term, nil
 }
--- a/pkg/orders/intents.go
+++ b/pkg/orders/intents.go
@@ -109,7 +109,7 @@
 	}
 	document, err := kv.UpdateDocument(ctx, n.store, n.key, func(body hallIntents) (hallIntents, error) {
 		if body.Term > term {
-			return body, errors.WithType(errors.Errorf("intents of term %d, own term %d", body.Term, term), ErrFenced)
+			return body, errors.Annotatef(ErrFenced, "intents of term %d, own term %d", body.Term, term)
 		}
 		body.Term = term
 		return body, nil
@@ -141,7 +141,7 @@
 func (n *intents) update(ctx context.Context, engine string, change func([]Intent) []Intent) error {
 	document, err := kv.UpdateDocument(ctx, n.store, n.key, func(body hallIntents) (hallIntents, error) {
 		if body.Term != n.term {
-			return body, errors.WithType(errors.Errorf("intents of term %d, own term %d", body.Term, n.term), ErrFenced)
+			return body, errors.Annotatef(ErrFenced, "intents of term %d, own term %d", body.Term, n.term)
 		}
 		next := hallIntents{Term: body.Term, Engines: map[string][]Intent{}}
 		for id, stored := range body.Engines {
--- a/pkg/placement/fits.go
+++ b/pkg/placement/fits.go
@@ -72,9 +72,8 @@
 		free += e.free
 		largest = max(largest, e.free)
 	}
-	err := errors.Errorf("pool %s: model %s with its adapters takes %s, but of %s on %d engines (%d more set aside for failures) %s is free, at most %s on one",
+	return errors.Annotatef(ErrNoRoom, "pool %s: model %s with its adapters takes %s, but of %s on %d engines (%d more set aside for failures) %s is free, at most %s on one",
 		u.Pool, u.Model, size(u.Bytes()), size(total), engines, b.in.Settings.SpareEngines, size(free), size(largest))
-	return errors.WithType(err, ErrNoRoom)
 }
 
 func size(bytes int64) string { return units.BytesSize(float64(bytes)) }
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -119,7 +119,7 @@
 		choice, ok = r.best(model, cached, candidates, true)
 	}
 	if !ok {
-		return Choice{}, errors.WithType(errors.Errorf("model %s", model), ErrNoUpstream)
+		return Choice{}, errors.Annotatef(ErrNoUpstream, "model %s", model)
 	}
 	return choice, nil
 }
