Prove that memory is never overcommitted, on a fleet in a bubble

The boxes, stand-ins and a network in memory run on the clock of a synctest bubble.

Found and mended: the intents' mutex was held across calls to the store, so that a slow store blocked every worker beyond its deadline; it is a semaphore that gives up with the caller now.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -67,8 +67,13 @@
 	// MaxBody bounds a request's body in bytes.
 	MaxBody int64
 	Log     *zap.Logger
+	// Dial makes all connections of the box; nil dials over TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
+// dialTime bounds the making of one connection.
+const dialTime = time.Second
+
 // Box is one entry box.
 type Box struct {
 	config      Config
@@ -92,6 +97,7 @@
 	peers     *peer.Client
 	server    *peer.Server
 	engines   *engineClients
+	platform  *http.Client
 	plain     *http.Client
 	plainOnce *http.Client
 
@@ -109,6 +115,9 @@
 
 // New returns a box that does nothing until Serve.
 func New(config Config) *Box {
+	if config.Dial == nil {
+		config.Dial = (&net.Dialer{Timeout: dialTime}).DialContext
+	}
 	b := &Box{
 		config:      config,
 		log:         config.Log.With(zap.String("box", config.ID)),
@@ -124,21 +133,22 @@
 		sent:        newSentTable(),
 		beatNow:     make(chan struct{}, 1),
 		recordNews:  make(chan struct{}, 1),
-		plain:       &http.Client{Transport: plainTransport(false), CheckRedirect: noRedirect},
-		plainOnce:   &http.Client{Transport: plainTransport(true), CheckRedirect: noRedirect},
+		platform:    &http.Client{Transport: plainTransport(config.Dial)},
+		plain:       &http.Client{Transport: plainTransport(config.Dial), CheckRedirect: noRedirect},
+		plainOnce:   &http.Client{Transport: onceTransport(config.Dial), CheckRedirect: noRedirect},
 	}
 	b.burn = burn.NewRecorder(config.ID, b.incarnation)
 	b.store = b.watched(kv.WithBudget(
-		kv.NewEtcd(kv.EtcdConfig{URL: config.PlatformURL, Client: &http.Client{}}),
+		kv.NewEtcd(kv.EtcdConfig{URL: config.PlatformURL, Client: b.platform}),
 		kv.Budget{ReadsPerSecond: config.Reads, WritesPerSecond: config.Writes, Set: b.set},
 	))
 	b.registry = &bundle.Registry{Store: b.store, Fits: b.fits}
 	b.claims = claims.New(claims.Config{Store: b.store, Window: config.ClaimWindow})
 	b.admission = admission.New(b.view.FleetSize)
 	b.demand = newDemand()
-	b.peers = peer.NewClient(config.PeerSecret, b.set)
+	b.peers = peer.NewClient(config.PeerSecret, config.Dial, b.set)
 	b.server = peer.NewServer(config.PeerSecret, b.set)
-	b.engines = newEngineClients(engine.NewHTTPClient())
+	b.engines = newEngineClients(engine.NewHTTPClient(config.Dial))
 	b.fleet.Store(&fleet{})
 	b.cache.Subscribe(func(records.Record) { wake(b.recordNews) })
 	b.control = newControl(b)
@@ -198,6 +208,9 @@
 	_ = peerListener.Close()
 	b.server.Close()
 	b.peers.Close()
+	for _, client := range []*http.Client{b.platform, b.plain, b.plainOnce, b.engines.http} {
+		client.CloseIdleConnections()
+	}
 	b.log.Info("stopped")
 	return nil
 }
--- /dev/null
+++ b/internal/box/fleet_test.go
@@ -0,0 +1,381 @@
+package box
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/uuid"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	ospreymoorv1 "ospreymoor.example/ospreymoor/internal/gen/ospreymoor/v1"
+	"ospreymoor.example/ospreymoor/internal/gen/ospreymoor/v1/ospreymoorv1connect"
+	"ospreymoor.example/ospreymoor/internal/standin"
+	"ospreymoor.example/ospreymoor/pkg/bundle"
+	"ospreymoor.example/ospreymoor/pkg/membership"
+	"ospreymoor.example/ospreymoor/pkg/placement"
+)
+
+var suiteT *testing.T
+
+func TestBox(t *testing.T) {
+	suiteT = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Entry box")
+}
+
+const (
+	gib           = 1 << 30
+	operatorToken = "operator-token"
+	callerToken   = "caller-token"
+)
+
+// testFleet is a fleet on a network in memory, on the clock of a bubble.
+type testFleet struct {
+	net      *memnet
+	platform *standin.Platform
+	engines  map[string]*standin.Engine
+	services map[string]*standin.Service
+	boxes    map[string]*testBox
+	dead     []*testBox
+	client   *http.Client
+	servers  []*http.Server
+	// starts counts the starts of each box, so that each gets addresses of its own.
+	starts int
+}
+
+// testBox is one life of a box.
+type testBox struct {
+	*Box
+	address string
+	host    string
+	stop    context.CancelFunc
+	stopped chan struct{}
+}
+
+// fleetSpec says how a fleet begins.
+type fleetSpec struct {
+	halls, boxes, engines int
+	memory                int64
+	// weightSpeed is that of one load in bytes a second, 0 for no time at all.
+	weightSpeed int64
+	// fault befalls the platform's calls.
+	fault func(path string) standin.Fault
+	// engine and config may change what is started.
+	engine func(id string, c *standin.EngineConfig, box *membership.Box)
+	config func(c *Config)
+}
+
+// withFleet runs f on a fleet in a bubble.
+func withFleet(spec fleetSpec, f func(*testFleet)) {
+	synctest.Test(suiteT, func(*testing.T) {
+		defer GinkgoRecover()
+		t := newTestFleet(spec)
+		defer t.close()
+		f(t)
+	})
+}
+
+func newTestFleet(spec fleetSpec) *testFleet {
+	t := &testFleet{
+		net:      newMemnet(),
+		platform: standin.NewPlatform(),
+		engines:  map[string]*standin.Engine{},
+		services: map[string]*standin.Service{},
+		boxes:    map[string]*testBox{},
+	}
+	t.platform.Weights.BytesPerSecond, t.platform.Fault = spec.weightSpeed, spec.fault
+	t.client = &http.Client{Transport: plainTransport(t.net.dialer("client"))}
+	t.serve("platform:1", t.platform.Handler())
+	for h := 1; h <= spec.halls; h++ {
+		hall := fmt.Sprintf("h%d", h)
+		for e := 1; e <= spec.engines; e++ {
+			t.addEngine(spec, hall, fmt.Sprintf("%s-e%d", hall, e))
+		}
+		t.addService(hall)
+		for b := 1; b <= spec.boxes; b++ {
+			t.startBox(spec, hall, fmt.Sprintf("%s-b%d", hall, b))
+		}
+	}
+	return t
+}
+
+func (t *testFleet) addEngine(spec fleetSpec, hall, id string) {
+	config := standin.EngineConfig{
+		Memory: spec.memory, Slots: 4, Fenced: true,
+		FirstToken: 20 * time.Millisecond, TokenTime: 10 * time.Millisecond,
+		Fetch: t.platform.Weights.Fetch,
+	}
+	box := membership.Box{
+		ID: id, Kind: membership.KindEngine, Hall: hall, Pool: "llm", Address: id + ":1",
+		Fenced: true, Memory: spec.memory, Slots: 4,
+	}
+	if spec.engine != nil {
+		spec.engine(id, &config, &box)
+	}
+	t.engines[id] = standin.NewEngine(config)
+	t.serve(box.Address, t.engines[id].Handler())
+	t.platform.SetBox(box)
+}
+
+func (t *testFleet) addService(hall string) {
+	id := hall + "-portal"
+	t.services[id] = standin.NewService()
+	t.serve(id+":1", t.services[id].Handler())
+	t.platform.SetBox(membership.Box{ID: id, Kind: membership.KindService, Hall: hall, Pool: "portal", Address: id + ":1"})
+}
+
+func (t *testFleet) startBox(spec fleetSpec, hall, id string) *testBox {
+	t.starts++
+	host := fmt.Sprintf("%s.%d", id, t.starts)
+	sum := sha256.Sum256([]byte(operatorToken))
+	config := Config{
+		ID: id, Hall: hall, PeerAddress: host + ":2", PlatformURL: "http://platform:1",
+		Operators:   map[string]string{"acme": hex.EncodeToString(sum[:])},
+		DrainNotice: time.Second, Reads: 200, Writes: 50, ClaimWindow: time.Hour,
+		LeaseTTL: 6 * time.Second, OrderLife: 10 * time.Second, BeatInterval: time.Second,
+		HallDistance: 5 * time.Millisecond, MaxBody: 4 << 20, Log: zap.NewNop(),
+		Placement: placement.Settings{MoveCost: 0.2}, Dial: t.net.dialer(host),
+	}
+	if spec.config != nil {
+		spec.config(&config)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &testBox{Box: New(config), address: host + ":1", host: host, stop: cancel, stopped: make(chan struct{})}
+	t.boxes[id] = b
+	listener, peerListener := t.net.listen(b.address), t.net.listen(config.PeerAddress)
+	go func() {
+		defer close(b.stopped)
+		_ = b.Serve(ctx, listener, peerListener)
+	}()
+	t.platform.SetBox(membership.Box{ID: id, Kind: membership.KindEntry, Hall: hall, Address: config.PeerAddress})
+	return b
+}
+
+// kill ends a box as a crash does: from outside, nothing of it is left.
+func (t *testFleet) kill(id string) {
+	b := t.boxes[id]
+	t.net.kill(b.host)
+	b.stop()
+	t.dead = append(t.dead, b)
+	delete(t.boxes, id)
+}
+
+func (t *testFleet) serve(address string, handler http.Handler) {
+	server := standin.NewServer(handler)
+	t.servers = append(t.servers, server)
+	listener := t.net.listen(address)
+	go func() { _ = server.Serve(listener) }()
+}
+
+func (t *testFleet) close() {
+	t.net.mu.Lock()
+	clear(t.net.cut)
+	close(t.net.changed)
+	t.net.changed = make(chan struct{})
+	t.net.mu.Unlock()
+	for _, b := range t.boxes {
+		b.stop()
+	}
+	for _, b := range t.boxes {
+		<-b.stopped
+	}
+	for _, b := range t.dead {
+		<-b.stopped
+	}
+	t.client.CloseIdleConnections()
+	for _, server := range t.servers {
+		_ = server.Close()
+	}
+	t.net.mu.Lock()
+	var open []*memConn
+	for c := range t.net.conns {
+		open = append(open, c)
+	}
+	t.net.mu.Unlock()
+	for _, c := range open {
+		_ = c.Close()
+	}
+	// The bubble's clock stops with its first goroutine: let the others end before.
+	time.Sleep(time.Minute)
+}
+
+func (b *testBox) inference(t *testFleet) ospreymoorv1connect.InferenceServiceClient {
+	return ospreymoorv1connect.NewInferenceServiceClient(t.client, "http://"+b.address)
+}
+
+func (b *testBox) operator(t *testFleet) ospreymoorv1connect.OperatorServiceClient {
+	return ospreymoorv1connect.NewOperatorServiceClient(t.client, "http://"+b.address)
+}
+
+func authorized[T any](token string, message *T) *connect.Request[T] {
+	request := connect.NewRequest(message)
+	request.Header().Set("Authorization", "Bearer "+token)
+	return request
+}
+
+// complete sends a request and returns the whole answer.
+func (t *testFleet) complete(ctx context.Context, b *testBox, request *ospreymoorv1.GenerateRequest) (string, error) {
+	answer, err := b.inference(t).Complete(ctx, authorized(callerToken, &ospreymoorv1.CompleteRequest{Request: request}))
+	if err != nil {
+		return "", err
+	}
+	return answer.Msg.GetText(), nil
+}
+
+// bundleText is a bundle of acme with models of so much memory.
+func bundleText(version int, weights, memory string, models ...string) string {
+	sum := sha256.Sum256([]byte(callerToken))
+	var text strings.Builder
+	fmt.Fprintf(&text, "customer: acme\nversion: %d\ncallers:\n  - name: c\n    token-sha256: %x\nmodels:\n", version, sum)
+	for _, model := range models {
+		fmt.Fprintf(&text, "  - name: %s\n    weights: %s\n    memory: %s\n    first-token: 30s\n    between-tokens: 1s\n", model, weights, memory)
+	}
+	text.WriteString("services:\n  - name: portal\n    pool: portal\n    not-repeatable:\n      - method: POST\n        path: /reports\n")
+	return text.String()
+}
+
+// roll signs a bundle off and rolls it at a box, once the box knows its engines.
+func (t *testFleet) roll(b *testBox, text string) {
+	parsed, err := bundle.Parse("test", []byte(text))
+	Expect(err).NotTo(HaveOccurred())
+	client := b.operator(t)
+	t.until(30*time.Second, func() error {
+		_, err := client.SignOffBundle(context.Background(), authorized(operatorToken, &ospreymoorv1.SignOffBundleRequest{Yaml: text}))
+		return err
+	})
+	t.until(30*time.Second, func() error {
+		_, err := client.RollBundle(context.Background(), authorized(operatorToken, &ospreymoorv1.RollBundleRequest{Version: parsed.Version}))
+		return err
+	})
+}
+
+// until tries again until do succeeds; it fails the test after a time of the bubble's clock.
+func (t *testFleet) until(limit time.Duration, do func() error) {
+	GinkgoHelper()
+	end := time.Now().Add(limit)
+	for {
+		err := do()
+		if err == nil {
+			return
+		}
+		if time.Now().After(end) {
+			Expect(err).NotTo(HaveOccurred())
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// awaitModels waits until each box answers for each model.
+func (t *testFleet) awaitModels(models ...string) {
+	GinkgoHelper()
+	for _, b := range t.boxes {
+		for _, model := range models {
+			t.until(60*time.Second, func() error {
+				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+				defer cancel()
+				_, err := t.complete(ctx, b, &ospreymoorv1.GenerateRequest{Model: model, Prompt: "ready?", MaxTokens: 1})
+				return err
+			})
+		}
+	}
+}
+
+// hosts lists the network names of a hall's boxes and upstreams.
+func (t *testFleet) hosts(hall string) (inside, outside []string) {
+	all := []string{"platform"}
+	for id := range t.engines {
+		all = append(all, id)
+	}
+	for id := range t.services {
+		all = append(all, id)
+	}
+	for _, b := range t.boxes {
+		all = append(all, b.host)
+	}
+	for _, host := range all {
+		if strings.HasPrefix(host, hall+"-") {
+			inside = append(inside, host)
+		} else {
+			outside = append(outside, host)
+		}
+	}
+	return inside, outside
+}
+
+// overcommitted adds up the loads that took memory past an engine's capacity.
+func (t *testFleet) overcommitted() int {
+	n := 0
+	for _, e := range t.engines {
+		n += e.Record().Overcommitted
+	}
+	return n
+}
+
+// starts counts how often a prompt was started on any engine.
+func (t *testFleet) startsOf(prompt string) int {
+	n := 0
+	for _, e := range t.engines {
+		n += e.Record().Prompts[prompt]
+	}
+	return n
+}
+
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+
+// outcomeOf is what an error says of a request.
+func outcomeOf(err error) ospreymoorv1.Outcome {
+	answer, ok := err.(*connect.Error)
+	if !ok {
+		return ospreymoorv1.Outcome_OUTCOME_UNSPECIFIED
+	}
+	for _, detail := range answer.Details() {
+		if value, err := detail.Value(); err == nil {
+			if r, ok := value.(*ospreymoorv1.Refusal); ok {
+				return r.GetOutcome()
+			}
+		}
+	}
+	return ospreymoorv1.Outcome_OUTCOME_UNSPECIFIED
+}
+
+// histories collects what concurrent callers saw.
+type histories[T any] struct {
+	mu     sync.Mutex
+	events []T
+}
+
+func (h *histories[T]) add(event T) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.events = append(h.events, event)
+}
+
+func (h *histories[T]) all() []T {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.events)
+}
+
+var _ = Describe("A fleet in a bubble", func() {
+	It("serves a whole answer", func() {
+		withFleet(fleetSpec{halls: 2, boxes: 2, engines: 2, memory: 64 * gib}, func(t *testFleet) {
+			t.roll(t.boxes["h1-b1"], bundleText(1, "a", "10GiB", "writer"))
+			t.awaitModels("writer")
+			text, err := t.complete(context.Background(), t.boxes["h2-b2"], &ospreymoorv1.GenerateRequest{Model: "writer", Prompt: "x", MaxTokens: 9})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(text).To(Equal(strings.Join(standin.Answer("acme/writer@a", "", "x", 9), "")))
+		})
+	})
+})
--- /dev/null
+++ b/internal/box/memory_test.go
@@ -0,0 +1,140 @@
+package box
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	ospreymoorv1 "ospreymoor.example/ospreymoor/internal/gen/ospreymoor/v1"
+	"ospreymoor.example/ospreymoor/internal/standin"
+	"ospreymoor.example/ospreymoor/pkg/membership"
+)
+
+// orderFaults loses, delays and reorders orders on their way to an engine.
+type orderFaults struct {
+	mu     sync.Mutex
+	random *rand.Rand
+	// latest bounds how late an order takes effect.
+	latest time.Duration
+}
+
+func (f *orderFaults) onOrder(context.Context, string) error {
+	f.mu.Lock()
+	dice, late := f.random.IntN(6), time.Duration(f.random.Int64N(int64(f.latest)))
+	f.mu.Unlock()
+	switch dice {
+	case 0:
+		return connect.NewError(connect.CodeInternal, errors.New("order lost"))
+	case 1, 2, 3:
+		time.Sleep(late)
+	}
+	return nil
+}
+
+// lossyPlatform loses answers of the key-value service after they took effect.
+func lossyPlatform(seed uint64) func(string) standin.Fault {
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(seed, 2))
+	return func(string) standin.Fault {
+		mu.Lock()
+		defer mu.Unlock()
+		switch random.IntN(20) {
+		case 0:
+			return standin.FaultDown
+		case 1, 2:
+			return standin.FaultLostAnswer
+		}
+		return standin.FaultNone
+	}
+}
+
+// memorySpec is a fleet that is tight for the bundles below, with faulty orders. Without the
+// guard, engines that do not check who orders are treated as if they did.
+func memorySpec(seed uint64, fenced, guard bool) fleetSpec {
+	spec := fleetSpec{halls: 2, boxes: 2, engines: 2, memory: 40 * gib, weightSpeed: 10 * gib, fault: lossyPlatform(seed)}
+	latest := 40 * time.Second
+	if !fenced && guard {
+		latest = 9 * time.Second // Within OrderLife, as the setting promises.
+	}
+	spec.engine = func(id string, c *standin.EngineConfig, box *membership.Box) {
+		faults := &orderFaults{random: rand.New(rand.NewPCG(seed, uint64(len(id))+uint64(id[1])*7+uint64(id[4]))), latest: latest}
+		c.OnOrder = faults.onOrder
+		box.Fenced = fenced || !guard
+		c.Fenced = fenced && guard
+	}
+	return spec
+}
+
+// rollThroughFaults rolls version after version, each with new weights, while the boxes
+// that hold the leases are killed and replaced. It returns the loads past capacity.
+func rollThroughFaults(seed uint64, fenced, guard bool) (overcommitted, loads int) {
+	spec := memorySpec(seed, fenced, guard)
+	withFleet(spec, func(t *testFleet) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		models := []string{"m1", "m2", "m3"}
+		for version := 1; version <= 5; version++ {
+			b := t.boxes[fmt.Sprintf("h%d-b1", 1+random.IntN(2))]
+			t.roll(b, bundleText(version, fmt.Sprintf("w%d", version), "18GiB", models...))
+			time.Sleep(time.Duration(random.IntN(15)) * time.Second)
+			for id, b := range t.boxes {
+				if _, err := b.control.hall.Term(); err == nil && random.IntN(2) == 0 {
+					hall := b.config.Hall
+					t.kill(id)
+					t.startBox(spec, hall, id)
+				}
+			}
+			time.Sleep(time.Duration(5+random.IntN(15)) * time.Second)
+		}
+		overcommitted = t.overcommitted()
+		for _, e := range t.engines {
+			loads += e.Record().Loads
+		}
+	})
+	return overcommitted, loads
+}
+
+var _ = Describe("Accelerator memory", func() {
+	const seeds = 4
+
+	for _, fenced := range []bool{true, false} {
+		It(fmt.Sprintf("is never overcommitted while bundles roll, orders go astray and controllers die (fenced: %v)", fenced), func() {
+			for seed := range uint64(seeds) {
+				overcommitted, loads := rollThroughFaults(seed, fenced, true)
+				Expect(overcommitted).To(BeZero(), "seed %d", seed)
+				Expect(loads).To(BeNumerically(">", 8), "seed %d: the run did load models", seed)
+			}
+		})
+	}
+
+	It("would be overcommitted without fence or intents (guard off)", func() {
+		total := 0
+		for seed := range uint64(seeds) {
+			overcommitted, _ := rollThroughFaults(seed, false, false)
+			total += overcommitted
+		}
+		Expect(total).To(BeNumerically(">", 0))
+	})
+
+	It("refuses one of two rolls that fit only singly, with the figures", func() {
+		withFleet(fleetSpec{halls: 2, boxes: 1, engines: 1, memory: 60 * gib}, func(t *testFleet) {
+			t.roll(t.boxes["h1-b1"], bundleText(1, "a", "20GiB", "m1"))
+			t.awaitModels("m1")
+			time.Sleep(5 * time.Second)
+			client := t.boxes["h1-b1"].operator(t)
+			text := bundleText(2, "a", "20GiB", "m1", "m2", "m3", "m4", "m5", "m6", "m7")
+			_, err := client.SignOffBundle(context.Background(), authorized(operatorToken, &ospreymoorv1.SignOffBundleRequest{Yaml: text}))
+			Expect(err).NotTo(HaveOccurred())
+			_, err = client.RollBundle(context.Background(), authorized(operatorToken, &ospreymoorv1.RollBundleRequest{Version: 2}))
+			Expect(connect.CodeOf(err)).To(Equal(connect.CodeFailedPrecondition))
+			Expect(err).To(MatchError(ContainSubstring("takes 20GiB, but of 120GiB on 2 engines")))
+			t.awaitModels("m1")
+		})
+	})
+})
--- a/internal/box/services.go
+++ b/internal/box/services.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -45,17 +46,27 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
-// plainTransport is the transport to plain services. Calls that may not be repeated get a
-// connection of their own, because the transport sends some calls again on a stale one.
-func plainTransport(once bool) *http.Transport {
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.Proxy = nil
-	transport.DisableCompression = true
-	transport.DisableKeepAlives = once
-	transport.MaxIdleConnsPerHost = serviceSlots
+// plainTransport is the transport to plain HTTP servers.
+func plainTransport(dial dialFunc) *http.Transport {
+	return &http.Transport{
+		DialContext:         dial,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: serviceSlots,
+		IdleConnTimeout:     idleTime,
+	}
+}
+
+// onceTransport gives each call a connection of its own, because a transport may send
+// a call again when it finds the connection that it kept to be stale.
+func onceTransport(dial dialFunc) *http.Transport {
+	transport := plainTransport(dial)
+	transport.DisableKeepAlives = true
 	return transport
 }
 
+// dialFunc makes a connection.
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
 // noRedirect hands redirects to the caller instead of following them.
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
--- a/internal/box/sync.go
+++ b/internal/box/sync.go
@@ -142,7 +142,7 @@
 	if err != nil {
 		return err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := b.platform.Do(request)
 	if err != nil {
 		return err
 	}
--- a/internal/engine/transport.go
+++ b/internal/engine/transport.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -11,7 +12,6 @@
 
 // Times of connections to upstreams.
 const (
-	dialTime = time.Second
 	idleTime = 90 * time.Second
 	// pingAfter a silent HTTP/2 connection is probed, and given up pingTime later.
 	pingAfter = 5 * time.Second
@@ -20,12 +20,12 @@
 
 // NewHTTPClient returns the client for engines: HTTP/2 without TLS, many streams on one
 // connection, and a dead connection found by pings.
-func NewHTTPClient() *http.Client {
+func NewHTTPClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Client{Transport: &http.Transport{
 		Protocols:       &protocols,
-		DialContext:     (&net.Dialer{Timeout: dialTime}).DialContext,
+		DialContext:     dial,
 		IdleConnTimeout: idleTime,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTime},
 	}}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -14,8 +14,8 @@
 type Client struct {
 	// Secret is the fleet's.
 	Secret string
-	// Dial makes a connection to host:port.
-	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Dial makes a connection.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Set takes the counters.
 	Set *metrics.Set
 
@@ -23,17 +23,9 @@
 	conns map[string]*jsonrpc2.Conn
 }
 
-// NewClient returns a client that dials over TCP.
-func NewClient(secret string, set *metrics.Set) *Client {
-	dialer := &net.Dialer{}
-	return &Client{
-		Secret: secret,
-		Set:    set,
-		Dial: func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", address)
-		},
-		conns: map[string]*jsonrpc2.Conn{},
-	}
+// NewClient returns a client without connections.
+func NewClient(secret string, dial func(ctx context.Context, network, address string) (net.Conn, error), set *metrics.Set) *Client {
+	return &Client{Secret: secret, Dial: dial, Set: set, conns: map[string]*jsonrpc2.Conn{}}
 }
 
 // Call calls a method of the box at a peer address.
@@ -86,7 +78,7 @@
 }
 
 func (c *Client) connect(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
-	raw, err := c.Dial(ctx, address)
+	raw, err := c.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/pkg/orders/controller.go
+++ b/pkg/orders/controller.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/semaphore"
 
 	"ospreymoor.example/ospreymoor/pkg/kv"
 	"ospreymoor.example/ospreymoor/pkg/placement"
@@ -52,7 +53,8 @@
 	sequence int64
 	intents  intents
 
-	takeOver sync.Mutex
+	// takingOver is held during TakeOver: other workers wait for it.
+	takingOver *semaphore.Weighted
 	// taken is the term that TakeOver was last done for.
 	taken int64
 }
@@ -102,6 +104,7 @@
 		c.Set = metrics.GetDefaultSet()
 	}
 	c.states = map[string]observed{}
+	c.takingOver = semaphore.NewWeighted(1)
 	c.intents = newIntents(c.Store, c.Hall, c.OrderLife)
 }
 
@@ -185,8 +188,10 @@
 
 // begin does what comes before the first order of a term.
 func (c *Controller) begin(ctx context.Context, term int64) error {
-	c.takeOver.Lock()
-	defer c.takeOver.Unlock()
+	if err := c.takingOver.Acquire(ctx, 1); err != nil {
+		return err
+	}
+	defer c.takingOver.Release(1)
 	if c.taken == term {
 		return nil
 	}
--- a/pkg/orders/intents.go
+++ b/pkg/orders/intents.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/juju/errors"
+	"golang.org/x/sync/semaphore"
 
 	"ospreymoor.example/ospreymoor/pkg/kv"
 	"ospreymoor.example/ospreymoor/pkg/placement"
@@ -37,7 +37,8 @@
 	key   string
 	life  time.Duration
 
-	mu *sync.Mutex
+	// busy is held while the document is read or written: other workers wait for it.
+	busy *semaphore.Weighted
 	// term that the document was read under.
 	term int64
 	body hallIntents
@@ -52,7 +53,7 @@
 		store: store,
 		key:   IntentsKey(hall),
 		life:  life,
-		mu:    &sync.Mutex{},
+		busy:  semaphore.NewWeighted(1),
 		since: map[string]time.Time{},
 		done:  map[string]bool{},
 	}
@@ -60,8 +61,10 @@
 
 // settle removes an engine's intents that are finished or impossible, and tells whether none is left.
 func (n *intents) settle(ctx context.Context, engine string, term int64, state State) (bool, error) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
+	if err := n.busy.Acquire(ctx, 1); err != nil {
+		return false, err
+	}
+	defer n.busy.Release(1)
 	if err := n.inherit(ctx, term); err != nil {
 		return false, err
 	}
@@ -78,8 +81,10 @@
 
 // write adds an intent and returns its id.
 func (n *intents) write(ctx context.Context, engine string, term int64, o order) (string, error) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
+	if err := n.busy.Acquire(ctx, 1); err != nil {
+		return "", err
+	}
+	defer n.busy.Release(1)
 	intent := Intent{ID: uuid.NewString(), Term: term, Load: o.load, Item: o.item}
 	n.since[intent.ID] = time.Now()
 	return intent.ID, n.update(ctx, engine, func(stored []Intent) []Intent {
@@ -87,18 +92,16 @@
 	})
 }
 
-// sent notes that an order's sending is over, whatever came of it.
-func (n *intents) sent(id string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
+// sent notes that an order's sending is over, and whether the engine refused it.
+func (n *intents) sent(ctx context.Context, id string, refused bool) {
+	if n.busy.Acquire(ctx, 1) != nil {
+		return // The intent then counts from when it was written, or from when it is next seen.
+	}
+	defer n.busy.Release(1)
 	n.since[id] = time.Now()
-}
-
-// refused notes that an order can't take effect.
-func (n *intents) refused(id string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.done[id] = true
+	if refused {
+		n.done[id] = true
+	}
 }
 
 // inherit takes the document over when a new term begins: what others left may still be
@@ -137,7 +140,7 @@
 	return time.Since(since) > n.life
 }
 
-// update changes one engine's intents in the document. The caller holds the lock.
+// update changes one engine's intents in the document. The caller holds busy.
 func (n *intents) update(ctx context.Context, engine string, change func([]Intent) []Intent) error {
 	document, err := kv.UpdateDocument(ctx, n.store, n.key, func(body hallIntents) (hallIntents, error) {
 		if body.Term != n.term {
--- a/pkg/orders/worker.go
+++ b/pkg/orders/worker.go
@@ -154,10 +154,7 @@
 		return false
 	}
 	err = w.send(ctx, w.next(term), o)
-	w.intents.sent(id)
-	if errors.Is(err, ErrRefused) {
-		w.intents.refused(id)
-	}
+	w.intents.sent(context.WithoutCancel(ctx), id, errors.Is(err, ErrRefused))
 	return err == nil
 }
 
