Prove at most once, whole answers and a true 'not run' by history checking

Callers send requests, some twice at once and all again after failures, to random boxes, while boxes are killed and replaced, connections break, engines restart, answers are dropped, doubled, crossed and cut short, a hall is cut off and the platform goes away or loses answers. The history of what callers were told is checked against what the engines noted.

Found and mended: a box that was still starting told a retry 'not run' although the first attempt had run at another box. Refusals that come before the key is looked up (starting, token, unknown model) are unknown for what may be a retry.

--- a/internal/box/inference.go
+++ b/internal/box/inference.go
@@ -32,7 +32,7 @@
 func (s inference) Generate(ctx context.Context, r *connect.Request[ospreymoorv1.GenerateRequest], stream *connect.ServerStream[ospreymoorv1.GenerateResponse]) error {
 	j, refused := s.resolve(r.Header(), r.Msg)
 	if refused != nil {
-		return s.refuse(j, refused)
+		return s.refuse(j, refused.unlessRetry(r.Msg.GetNotRepeatable() && !r.Msg.GetFirstAttempt()))
 	}
 	d := newDelivery(func(id string, index uint32, text string) error {
 		return stream.Send(&ospreymoorv1.GenerateResponse{RequestId: id, Index: index, Text: text})
@@ -56,7 +56,7 @@
 	}
 	j, refused := s.resolve(r.Header(), request)
 	if refused != nil {
-		return nil, s.refuse(j, refused)
+		return nil, s.refuse(j, refused.unlessRetry(request.GetNotRepeatable() && !request.GetFirstAttempt()))
 	}
 	var text strings.Builder
 	d := newDelivery(func(_ string, _ uint32, piece string) error {
--- a/internal/box/memnet_test.go
+++ b/internal/box/memnet_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -91,6 +92,12 @@
 	}
 }
 
+func (n *memnet) isCut(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[[2]string{from, to}]
+}
+
 // setCut cuts two groups of hosts off from each other, or joins them again.
 func (n *memnet) setCut(cut bool, group, others []string) {
 	n.mu.Lock()
@@ -163,18 +170,23 @@
 func (memAddr) Network() string  { return "mem" }
 func (a memAddr) String() string { return string(a) }
 
-// memConn stalls while its hosts are cut off from each other.
+// memConn is dead for good once something was sent over it while its hosts were cut off
+// from each other: what is sent then is lost without a word.
 type memConn struct {
 	net.Conn
 	net      *memnet
 	from, to string
 	closed   chan struct{}
 	once     sync.Once
+	dead     atomic.Bool
 }
 
 func (c *memConn) Write(p []byte) (int, error) {
-	if !c.net.await(c.closed, c.from, c.to) {
-		return 0, net.ErrClosed
+	if c.net.isCut(c.from, c.to) {
+		c.dead.Store(true)
+	}
+	if c.dead.Load() {
+		return len(p), nil
 	}
 	return c.Conn.Write(p)
 }
--- a/internal/box/refusal.go
+++ b/internal/box/refusal.go
@@ -78,6 +78,18 @@
 	}
 }
 
+// unlessRetry turns 'not run' into unknown for what may be a retry of a request that may not be
+// repeated, when it is refused before its key was looked up: an earlier attempt may have run.
+func (r *refusal) unlessRetry(mayBeRetry bool) *refusal {
+	if !mayBeRetry || r.outcome != ospreymoorv1.Outcome_OUTCOME_NOT_RUN || r.reason == reasonKey {
+		return r // A key that can't be used was never used before either.
+	}
+	changed := *r
+	changed.outcome = ospreymoorv1.Outcome_OUTCOME_UNKNOWN
+	changed.remedy += "; this attempt was not run, an earlier one may have been: " + remedySameKey
+	return &changed
+}
+
 // connectError is the refusal as Connect callers get it.
 func (r *refusal) connectError() *connect.Error {
 	err := connect.NewError(r.code, r)
--- a/internal/box/services.go
+++ b/internal/box/services.go
@@ -84,7 +84,8 @@
 func (b *Box) serveService(w http.ResponseWriter, r *http.Request) {
 	c, refused := b.resolveCall(w, r)
 	if refused != nil {
-		b.refuseCall(w, c, refused)
+		mayBeRetry := r.Header.Get(headerRequestKey) != "" && r.Header.Get(headerFirstAttempt) != "true"
+		b.refuseCall(w, c, refused.unlessRetry(mayBeRetry))
 		return
 	}
 	done, refused := b.admitCall(c)
