--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -80,6 +80,7 @@
 	log         *zap.Logger
 	set         *metrics.Set
 	incarnation string
+	started     time.Time
 
 	store     kv.Store
 	storeOK   atomic.Bool
@@ -105,6 +106,7 @@
 	fleet    atomic.Pointer[fleet]
 	loads    *loadTable
 	sent     *sentTable
+	weights  *weightTable
 	control  *control
 	draining atomic.Bool
 	// beatNow wakes the heartbeats, and recordNews the one that takes records in.
@@ -123,6 +125,7 @@
 		log:         config.Log.With(zap.String("box", config.ID)),
 		set:         metrics.NewSet(),
 		incarnation: uuid.NewString(),
+		started:     time.Now(),
 		cache:       records.NewCache(),
 		view:        membership.NewView(config.ID, 0),
 		router:      routing.New(routing.Config{}),
@@ -131,6 +134,7 @@
 		fates:       newFates(),
 		loads:       newLoadTable(),
 		sent:        newSentTable(),
+		weights:     &weightTable{used: map[string]string{}},
 		beatNow:     make(chan struct{}, 1),
 		recordNews:  make(chan struct{}, 1),
 		platform:    &http.Client{Transport: plainTransport(config.Dial)},
@@ -230,8 +234,18 @@
 	return &loops
 }
 
-// Ready tells whether the box should get requests.
-func (b *Box) Ready() bool { return !b.draining.Load() && b.inForce.Load() != nil }
+// informGrace is how long a starting box waits for word of its hall's engines.
+const informGrace = 10 * time.Second
+
+// Ready tells whether the box should get requests: it knows what is in force, and what its
+// hall's engines hold unless nobody could tell for a while.
+func (b *Box) Ready() bool {
+	f := b.inForce.Load()
+	if b.draining.Load() || f == nil {
+		return false
+	}
+	return len(f.bundles) == 0 || b.fleet.Load().informed || time.Since(b.started) > informGrace
+}
 
 // Metrics is the box's set of metrics.
 func (b *Box) Metrics() *metrics.Set { return b.set }
--- a/internal/box/control.go
+++ b/internal/box/control.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -150,16 +151,15 @@
 	c.box.cache.Put(recordOf(name, term, sequence, encoded))
 }
 
-// keeps tells whether an engine has confirmed the whole of a unit, and its controller
-// knows that it shall stay.
+// keeps tells whether an engine has confirmed the whole of a unit, its controller knows
+// that it shall stay, and all boxes have had the time to hear of it.
 func (f *fleet) keeps(place placement.Place, unit placement.Unit) bool {
-	holding := f.engines[place.Engine].holding
-	resident := holding.Resident
-	if holding.Plan < place.Since || !contains(resident, unit.Item.Name) {
+	info := f.engines[place.Engine]
+	if info.holding.Plan < place.Since {
 		return false
 	}
-	for _, adapter := range unit.Adapters {
-		if !contains(resident, adapter.Name) {
+	for _, item := range append([]placement.Item{unit.Item}, unit.Adapters...) {
+		if at, ok := info.since[item.Name]; !ok || time.Since(at) < settleTime {
 			return false
 		}
 	}
--- a/internal/box/fleet.go
+++ b/internal/box/fleet.go
@@ -23,8 +23,10 @@
 
 // fleet is what this box knows of upstreams and the plan; it is made anew, never changed.
 type fleet struct {
-	plan     placement.Plan
-	planned  bool
+	plan    placement.Plan
+	planned bool
+	// informed tells that the box list and the hall's holdings were known.
+	informed bool
 	engines  map[string]engineInfo
 	services map[string][]membership.Box
 	// holders are the engines that confirmed an item.
@@ -37,6 +39,8 @@
 	holding orders.Holding
 	// reported tells whether there is a report.
 	reported bool
+	// since tells of each resident item since when this box knows of it.
+	since map[string]time.Time
 }
 
 // adoptFleet makes the fleet anew from the records held.
@@ -60,14 +64,33 @@
 		}
 		holding, reported := holdings[box.Hall].Engines[box.ID]
 		b.noteIncarnation(box.ID, holding)
-		next.engines[box.ID] = engineInfo{box: box, holding: holding, reported: reported}
+		next.engines[box.ID] = engineInfo{
+			box:      box,
+			holding:  holding,
+			reported: reported,
+			since:    b.residentSince(box.ID, holding),
+		}
 		for _, item := range holding.Resident {
 			next.holders[item] = append(next.holders[item], box.ID)
 		}
 	}
+	next.informed = next.planned && len(next.engines) > 0 && hasKey(b.cache, holdingsPrefix+b.config.Hall)
 	b.fleet.Store(next)
 }
 
+// residentSince tells since when each of an engine's items is known to be there.
+func (b *Box) residentSince(id string, holding orders.Holding) map[string]time.Time {
+	old := b.fleet.Load().engines[id]
+	since := make(map[string]time.Time, len(holding.Resident))
+	for _, item := range holding.Resident {
+		since[item] = time.Now()
+		if at, ok := old.since[item]; ok && old.holding.Incarnation == holding.Incarnation {
+			since[item] = at
+		}
+	}
+	return since
+}
+
 // noteIncarnation forgets what an engine cached or said before its last start.
 func (b *Box) noteIncarnation(id string, holding orders.Holding) {
 	old, ok := b.fleet.Load().engines[id]
@@ -116,7 +139,7 @@
 			Pool:     info.box.Pool,
 			Memory:   info.box.Memory,
 			Slots:    info.box.Slots,
-			Resident: map[string]bool{},
+			Resident: info.since,
 			Plan:     info.holding.Plan,
 		}
 		switch {
@@ -128,9 +151,6 @@
 		if info.reported {
 			e.Memory, e.Slots = min(e.Memory, info.holding.Capacity), info.holding.Slots
 		}
-		for _, item := range info.holding.Resident {
-			e.Resident[item] = true
-		}
 		engines = append(engines, e)
 	}
 	return engines
--- a/internal/box/fleet_test.go
+++ b/internal/box/fleet_test.go
@@ -332,7 +332,17 @@
 	return n
 }
 
-func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+// newKey makes a UUIDv7 of the bubble's time; the library's own never goes back in time, as
+// the clock does from one bubble to the next.
+func newKey() string {
+	id := uuid.New()
+	millis := uint64(time.Now().UnixMilli())
+	for i := range 6 {
+		id[i] = byte(millis >> (40 - 8*i))
+	}
+	id[6] = id[6]&0x0f | 0x70
+	return id.String()
+}
 
 // outcomeOf is what an error says of a request.
 func outcomeOf(err error) ospreymoorv1.Outcome {
--- a/internal/box/inference.go
+++ b/internal/box/inference.go
@@ -26,6 +26,8 @@
 	item    string
 	adapter string
 	request *ospreymoorv1.GenerateRequest
+	// refusedBy holds the engines that did not take the request.
+	refusedBy map[string]bool
 }
 
 // Generate streams an answer.
@@ -94,11 +96,7 @@
 			return j, refused
 		}
 	}
-	// The weights that answer now: the new ones once they are loaded.
-	j.item = b.fleet.Load().plan.Serving[j.key]
-	if j.item == "" {
-		j.item = bundle.ModelItem(who.bundle.Customer, model)
-	}
+	j.item = b.weights.choose(b.fleet.Load(), j.key, bundle.ModelItem(who.bundle.Customer, model))
 	return j, nil
 }
 
--- a/internal/box/planner.go
+++ b/internal/box/planner.go
@@ -16,6 +16,10 @@
 	planInterval = time.Second
 	// planTime bounds the writing of one plan.
 	planTime = 3 * time.Second
+	// retireAfter is how long copies of old weights stay: longer than news takes to be everywhere.
+	retireAfter = 10 * time.Second
+	// settleTime is how long a new copy must be known before another is dropped for it.
+	settleTime = 5 * time.Second
 	// sweepInterval is the pause between two sweeps of old claims.
 	sweepInterval = 2 * time.Minute
 )
@@ -60,7 +64,9 @@
 		Engines:  b.placementEngines(),
 		Wanted:   units(f.bundles, b.demand.total()),
 		Settings: b.config.Placement,
+		Now:      time.Now().UTC().Truncate(time.Millisecond),
 	}
+	in.Settings.RetireAfter, in.Settings.Settle = retireAfter, settleTime
 	// The plan that is known here stands most of the time: then nothing is read or written.
 	in.Last = b.fleet.Load().plan
 	if next := placement.Next(in); b.fleet.Load().planned && next.Equal(in.Last) && in.Last.Term == term {
--- a/internal/box/run.go
+++ b/internal/box/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -37,9 +38,10 @@
 	incarnation string
 }
 
-// choose picks an engine that holds what the job needs.
+// choose picks an engine that holds what the job needs and has not refused it.
 func (b *Box) choose(j *job) (choice, *refusal) {
 	list, slots := b.candidates(j.item, j.adapter)
+	list = slices.DeleteFunc(list, func(c routing.Candidate) bool { return j.refusedBy[c.ID] })
 	picked, err := b.router.Pick(j.item, j.request.GetPrompt(), list)
 	if err != nil {
 		b.demand.miss(j.key, b.router.Service(j.item))
@@ -87,8 +89,9 @@
 		if ctx.Err() != nil || d.sendErr != nil {
 			return gone(ctx)
 		}
-		b.noteFailure(picked.ID, err)
-		if attempt == maxAttempts || !b.retries.Retry() {
+		b.noteFailure(j, picked.ID, err)
+		// An engine that did not start the request did no work: trying another makes no storm.
+		if attempt == maxAttempts || !(notStarted(err) || b.retries.Retry()) {
 			return exhausted(mayHaveRun)
 		}
 		if picked, refused = b.choose(j); refused != nil {
@@ -142,15 +145,23 @@
 	return b.engines.get(id, b.fleet.Load().engines[id].box)
 }
 
-// noteFailure keeps further requests from an engine that failed or leaves.
-func (b *Box) noteFailure(id string, err error) {
-	if errors.Is(err, engine.ErrLeaving) {
+// noteFailure keeps the job from an engine that refused it, and all requests from one that
+// failed or leaves.
+func (b *Box) noteFailure(j *job, id string, err error) {
+	if j.refusedBy == nil {
+		j.refusedBy = map[string]bool{}
+	}
+	j.refusedBy[id] = true
+	switch {
+	case errors.Is(err, engine.ErrLeaving):
 		if b.view.MarkLeaving(id) {
 			wake(b.beatNow)
 		}
-		return
+	case errors.Is(err, engine.ErrNotStarted) && !engine.IsDialError(err):
+		// It answers, but does not hold the model any more.
+	default:
+		b.router.Failed(id, avoidTime)
 	}
-	b.router.Failed(id, avoidTime)
 }
 
 // cancelLater frees an engine of a run that nobody wants any more.
--- a/internal/box/run_once.go
+++ b/internal/box/run_once.go
@@ -107,11 +107,11 @@
 	}
 	d.begin(own.RequestID)
 	err = b.run(ctx, j, picked, d)
-	return b.settleOwn(ctx, o, own, d, err)
+	return b.settleOwn(ctx, j, o, own, d, err)
 }
 
 // settleOwn finds out what became of a run that this box handed out.
-func (b *Box) settleOwn(ctx context.Context, o once, own claims.Claim, d *delivery, err error) (again bool, refused *refusal) {
+func (b *Box) settleOwn(ctx context.Context, j *job, o once, own claims.Claim, d *delivery, err error) (again bool, refused *refusal) {
 	switch {
 	case err == nil:
 		b.fates.end(own.RequestID, peer.FateDone, nil)
@@ -121,7 +121,7 @@
 		b.fates.end(own.RequestID, peer.FateUnknown, nil)
 		return false, unknown(reasonBrokenOff, remedyUnknown)
 	}
-	b.noteFailure(own.Upstream, err)
+	b.noteFailure(j, own.Upstream, err)
 	if d.next == 0 && (notStarted(err) || b.vouched(own)) {
 		b.fates.end(own.RequestID, peer.FateNotRun, nil)
 		return true, b.release(ctx, o, own.RequestID)
--- a/pkg/orders/controller.go
+++ b/pkg/orders/controller.go
@@ -55,6 +55,8 @@
 
 	// takingOver is held during TakeOver: other workers wait for it.
 	takingOver *semaphore.Weighted
+	// began is when this box's present time as controller began, as publish saw it.
+	began time.Time
 	// taken is the term that TakeOver was last done for.
 	taken int64
 }
@@ -138,8 +140,15 @@
 func (c *Controller) publish(last Holdings) Holdings {
 	term, err := c.Term()
 	if err != nil {
+		c.began = time.Time{}
 		return Holdings{}
 	}
+	if c.began.IsZero() {
+		c.began = time.Now()
+	}
+	if !c.looked() {
+		return last
+	}
 	holdings, loads := c.records()
 	c.mu.Lock()
 	c.sequence++
@@ -153,6 +162,22 @@
 	return holdings
 }
 
+// looked tells whether every engine was heard since the term began, or had the time to answer:
+// until then the records of the controller before are better than ours.
+func (c *Controller) looked() bool {
+	if time.Since(c.began) > heardIntervals*c.Interval {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, engine := range c.Engines() {
+		if c.states[engine.ID].at.Before(c.began) {
+			return false
+		}
+	}
+	return true
+}
+
 // records describes the engines that were heard lately.
 func (c *Controller) records() (Holdings, Loads) {
 	c.mu.Lock()
--- a/pkg/placement/builder.go
+++ b/pkg/placement/builder.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 )
 
 // unit is a unit while a plan is made.
@@ -9,6 +10,8 @@
 	Unit
 	// wanted tells that a bundle in force names these weights.
 	wanted bool
+	// retired is when the unit was first neither wanted nor serving.
+	retired time.Time
 	// on holds the engines that shall have a copy, with the number of the plan that added it.
 	on map[string]int64
 }
@@ -69,7 +72,7 @@
 	for _, copies := range b.in.Last.Units {
 		u := b.units[copies.Item.Name]
 		if u == nil {
-			u = &unit{Unit: copies.Unit, on: map[string]int64{}}
+			u = &unit{Unit: copies.Unit, retired: copies.Retired, on: map[string]int64{}}
 			b.units[copies.Item.Name] = u
 		}
 		for _, place := range copies.Places {
@@ -92,10 +95,17 @@
 	}
 }
 
-// dropRetired forgets units that are neither wanted nor still answering for their model.
+// dropRetired forgets units that have been neither wanted nor serving for a while.
 func (b *builder) dropRetired() {
 	for name, u := range b.units {
-		if u.wanted || b.serving[u.Model] == name {
+		if !b.idle(u) {
+			u.retired = time.Time{}
+			continue
+		}
+		if u.retired.IsZero() {
+			u.retired = b.in.Now
+		}
+		if b.in.Now.Sub(u.retired) < b.in.Settings.RetireAfter {
 			continue
 		}
 		for id := range u.on {
@@ -105,6 +115,11 @@
 	}
 }
 
+// idle tells that nobody needs a unit any more.
+func (b *builder) idle(u *unit) bool {
+	return !u.wanted && b.serving[u.Model] != u.Item.Name
+}
+
 // dropLeaving empties leaving engines of what is confirmed elsewhere.
 func (b *builder) dropLeaving() {
 	for _, e := range b.order {
@@ -130,6 +145,24 @@
 	}
 }
 
+// replaceOld puts new weights in the place of old copies, one by one, until there are as many
+// of each: then the new ones take over.
+func (b *builder) replaceOld() {
+	for _, u := range b.sorted(func(u *unit) bool { return u.wanted && b.serving[u.Model] != u.Item.Name }) {
+		old := b.units[b.serving[u.Model]]
+		if old == nil || len(u.on) >= len(old.on) || b.confirmed(u) < len(u.on) || !b.mayLoad() {
+			continue
+		}
+		for _, e := range b.order {
+			if old.onEngine(e.ID) && b.accepts(e, u) && b.droppable(old, e) && e.free+old.Bytes() >= u.Bytes() {
+				b.remove(old, e)
+				b.add(u, e)
+				break
+			}
+		}
+	}
+}
+
 // spread gives units a second copy, and so on up to Settings.Copies, where memory is free.
 func (b *builder) spread() {
 	for copies := 1; copies < b.in.Settings.Copies; copies++ {
@@ -284,8 +317,11 @@
 
 // droppable tells whether u stays reachable, with its adapters, when e's copy goes.
 func (b *builder) droppable(u *unit, e *engine) bool {
-	if !u.wanted && b.serving[u.Model] != u.Item.Name {
-		return true
+	if b.idle(u) {
+		return b.in.Now.Sub(u.retired) >= b.in.Settings.RetireAfter
+	}
+	if u.on[e.ID] == b.number {
+		return false // This plan has just added it.
 	}
 	for id := range u.on {
 		if id != e.ID && b.complete(u, b.engines[id]) {
@@ -295,10 +331,20 @@
 	return false
 }
 
-// complete tells whether a usable engine has confirmed a whole copy, and its controller
-// knows that it shall stay.
+// complete tells whether a usable engine has confirmed a whole copy, its controller knows
+// that the copy shall stay, and all boxes have had the time to hear of it.
 func (b *builder) complete(u *unit, e *engine) bool {
-	return e.Condition == Usable && e.holds(u) && e.Plan >= u.on[e.ID]
+	return e.Condition == Usable && e.Plan >= u.on[e.ID] && e.holds(u) && b.settled(u, e)
+}
+
+func (b *builder) settled(u *unit, e *engine) bool {
+	latest := e.Resident[u.Item.Name]
+	for _, adapter := range u.Adapters {
+		if since := e.Resident[adapter.Name]; since.After(latest) {
+			latest = since
+		}
+	}
+	return b.in.Now.Sub(latest) >= b.in.Settings.Settle
 }
 
 // confirmed counts u's complete copies.
@@ -379,11 +425,11 @@
 
 // holds tells whether e has confirmed the whole of u.
 func (e *engine) holds(u *unit) bool {
-	if !e.Resident[u.Item.Name] {
+	if _, ok := e.Resident[u.Item.Name]; !ok {
 		return false
 	}
 	for _, adapter := range u.Adapters {
-		if !e.Resident[adapter.Name] {
+		if _, ok := e.Resident[adapter.Name]; !ok {
 			return false
 		}
 	}
--- a/pkg/placement/demand.go
+++ b/pkg/placement/demand.go
@@ -16,11 +16,12 @@
 	hottestTried = 8
 )
 
-// followDemand adds copies of the units that load the hottest engines,
-// as long as the relief is worth more than the move.
+// followDemand adds copies of the units that load the hottest engines, as long as the relief
+// is worth more than the move. A copy that is resident already needs no load, so that the
+// loads under way alone would not bound the additions.
 func (b *builder) followDemand() {
-	for b.mayLoad() {
-		if !b.addBestCopy(b.split()) {
+	for range b.in.Settings.Pending {
+		if !b.mayLoad() || !b.addBestCopy(b.split()) {
 			return
 		}
 	}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -8,6 +8,7 @@
 import (
 	"slices"
 	"sort"
+	"time"
 )
 
 // Item is a model or an adapter as engines hold it.
@@ -64,8 +65,8 @@
 	Memory int64
 	// Slots is how many requests it runs at once at full speed.
 	Slots int
-	// Resident are the names of the items that it confirmed.
-	Resident map[string]bool
+	// Resident tells of the items that it confirmed since when that is known.
+	Resident map[string]time.Time
 	// Plan is the number of the plan that its controller went by when it confirmed them.
 	Plan int64
 }
@@ -83,6 +84,8 @@
 	Unit
 	// Places are in the order of the engines' ids.
 	Places []Place `json:"places"`
+	// Retired is when the unit was neither wanted nor serving for the first time.
+	Retired time.Time `json:"retired,omitzero"`
 }
 
 // Plan is what all boxes route by and all hall controllers work towards.
@@ -106,6 +109,12 @@
 	Copies int
 	// Pending bounds the loads under way at once in the whole fleet; 0 takes 8.
 	Pending int
+	// Settle is how long a copy must be known before another may be dropped for it: longer
+	// than the news takes to be everywhere.
+	Settle time.Duration
+	// RetireAfter is how long retired copies stay, so that boxes that learn of the plan late
+	// still find what they route to.
+	RetireAfter time.Duration
 	// SpareEngines is how many of the largest engines a bundle must fit without.
 	SpareEngines int
 }
@@ -116,6 +125,8 @@
 	Wanted   []Unit
 	Last     Plan
 	Settings Settings
+	// Now is the time of the plan.
+	Now time.Time
 }
 
 const (
@@ -131,6 +142,7 @@
 	b.dropRetired()
 	b.dropLeaving()
 	b.coverAll()
+	b.replaceOld()
 	b.relieveOverfull()
 	b.spread()
 	b.followDemand()
@@ -168,7 +180,7 @@
 }
 
 func (c Copies) equal(other Copies) bool {
-	return c.Model == other.Model && c.Item == other.Item && c.Pool == other.Pool &&
+	return c.Model == other.Model && c.Retired.Equal(other.Retired) && c.Item == other.Item && c.Pool == other.Pool &&
 		slices.Equal(c.Adapters, other.Adapters) && slices.Equal(c.Places, other.Places)
 }
 
@@ -185,7 +197,7 @@
 			places = append(places, Place{Engine: engine, Since: since})
 		}
 		sort.Slice(places, func(i, j int) bool { return places[i].Engine < places[j].Engine })
-		plan.Units = append(plan.Units, Copies{Unit: u.Unit, Places: places})
+		plan.Units = append(plan.Units, Copies{Unit: u.Unit, Places: places, Retired: u.retired})
 	}
 	sort.Slice(plan.Units, func(i, j int) bool { return plan.Units[i].Item.Name < plan.Units[j].Item.Name })
 	return plan
