--- /dev/null
+++ b/internal/box/capacity_bench_test.go
@@ -0,0 +1,143 @@
+package box
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"ospreymoor.example/ospreymoor/pkg/bundle"
+	"ospreymoor.example/ospreymoor/pkg/kv"
+)
+
+// restTime is how long a fleet at rest is measured.
+const restTime = 10 * time.Second
+
+// BenchmarkCapacityAtRest measures what control costs a fleet that serves nothing: per box
+// the bytes sent to peers, processor time and memory, and for the fleet the calls of the
+// key-value service. Processor time includes the stand-ins' part.
+//
+//	go test -run '^$' -bench CapacityAtRest -benchtime 1x ./internal/box
+func BenchmarkCapacityAtRest(b *testing.B) {
+	for _, boxes := range []int{2, 4, 8, 16} {
+		b.Run(fmt.Sprintf("boxes=%d/engines=4", 2*boxes), func(b *testing.B) { measureRest(b, boxes, 2) })
+	}
+	for _, engines := range []int{8, 32, 64} {
+		b.Run(fmt.Sprintf("boxes=4/engines=%d", 2*engines), func(b *testing.B) { measureRest(b, 2, engines) })
+	}
+}
+
+func measureRest(b *testing.B, boxes, engines int) {
+	RegisterTestingT(b)
+	before := heap()
+	spec := fleetSpec{halls: 2, boxes: boxes, engines: engines, memory: 64 * gib}
+	t := newTestFleet(spec)
+	defer t.close()
+	t.roll(t.boxes["h1-b1"], bundleText(1, "a", "1GiB", "m1", "m2", "m3", "m4"))
+	t.awaitModels("m1", "m2", "m3", "m4")
+	time.Sleep(15 * time.Second) // All copies are loaded.
+	calls, out, cpu := t.platform.Calls(), t.peerBytes("out"), cpuTime()
+	time.Sleep(restTime)
+	n, seconds := float64(len(t.boxes)), restTime.Seconds()
+	b.ReportMetric((t.peerBytes("out")-out)/n/seconds, "B/s/box")
+	b.ReportMetric((cpuTime()-cpu).Seconds()/n/seconds*100, "core%/box")
+	reads, writes := callsSince(t.platform.Calls(), calls)
+	b.ReportMetric(reads/seconds, "kvreads/s")
+	b.ReportMetric(writes/seconds, "kvwrites/s")
+	b.ReportMetric((heap()-before)/n/(1<<20), "MB/box")
+}
+
+// BenchmarkCapacityChange counts the key-value calls of one roll, and the time until the change is in
+// force on every box.
+func BenchmarkCapacityChange(b *testing.B) {
+	for _, boxes := range []int{2, 4, 8, 16} {
+		b.Run(fmt.Sprintf("boxes=%d", 2*boxes), func(b *testing.B) {
+			RegisterTestingT(b)
+			t := newTestFleet(fleetSpec{halls: 2, boxes: boxes, engines: 2, memory: 64 * gib})
+			defer t.close()
+			t.roll(t.boxes["h1-b1"], bundleText(1, "a", "1GiB", "m1"))
+			t.awaitModels("m1")
+			time.Sleep(15 * time.Second)
+			calls, begun := t.platform.Calls(), time.Now()
+			t.roll(t.boxes["h1-b1"], bundleText(2, "a", "1GiB", "m1"))
+			t.until(inForceLimit, func() error { return settled(t) })
+			b.ReportMetric(float64(time.Since(begun).Milliseconds()), "ms-to-force")
+			reads, writes := callsSince(t.platform.Calls(), calls)
+			b.ReportMetric(reads, "kvreads/change")
+			b.ReportMetric(writes, "kvwrites/change")
+		})
+	}
+}
+
+// BenchmarkCapacityRecords measures the records of a fleet of so many engines and models: the size of
+// the plan, and the time to take holdings in.
+func BenchmarkCapacityFleet(b *testing.B) {
+	for _, engines := range []int{18, 150, 600} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			box := syntheticBox(engines)
+			b.ReportMetric(float64(planBytes(box)), "planB")
+			for b.Loop() {
+				box.adoptFleet()
+			}
+		})
+	}
+}
+
+// BenchmarkCapacityTable measures putting a table of so many customers in force.
+func BenchmarkCapacityTable(b *testing.B) {
+	for _, customers := range []int{2, 50, 300} {
+		b.Run(fmt.Sprintf("customers=%d", customers), func(b *testing.B) {
+			box := syntheticBox(18)
+			table := bundle.Table{Customers: map[string]bundle.Entry{}}
+			for c := range customers {
+				text := strings.Replace(bundleText(1, "a", "1GiB", "m1", "m2"), "customer: acme", fmt.Sprintf("customer: c%d", c), 1)
+				putText(box, fmt.Sprintf("c%d", c), text)
+				table.Customers[fmt.Sprintf("c%d", c)] = bundle.Entry{Version: 1}
+			}
+			for b.Loop() {
+				if _, err := box.newInForce(b.Context(), 1, table); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// peerBytes adds up what all boxes sent to or got from peers.
+func (t *testFleet) peerBytes(direction string) float64 {
+	var total uint64
+	for _, b := range t.boxes {
+		total += b.set.GetOrCreateCounter(fmt.Sprintf(`ospreymoor_peer_bytes_total{direction=%q}`, direction)).Get()
+	}
+	return float64(total)
+}
+
+// callsSince sorts the platform's calls into reads and writes; each watch counts as a read.
+func callsSince(now, before map[string]int) (reads, writes float64) {
+	for path, n := range now {
+		switch path {
+		case kv.PathRange, kv.PathWatch:
+			reads += float64(n - before[path])
+		case kv.PathTxn, kv.PathGrant, kv.PathRenew, kv.PathRevoke:
+			writes += float64(n - before[path])
+		}
+	}
+	return reads, writes
+}
+
+func heap() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/internal/box/demand.go
+++ b/internal/box/demand.go
@@ -7,32 +7,23 @@
 
 	"ospreymoor.example/ospreymoor/internal/peer"
 	"ospreymoor.example/ospreymoor/pkg/orders"
+	"ospreymoor.example/ospreymoor/pkg/placement"
 )
 
 const (
-	// demandSample is how often requests in flight are counted.
-	demandSample = time.Second
-	// demandReport is how often demand is passed on in a small fleet.
+	// demandReport is how often demand is passed on in a small hall.
 	demandReport = 5 * time.Second
 	// demandBoxes is the size of a hall up to which demand is passed on that often.
 	demandBoxes = 16
 	// demandAge is after how long a silent source no longer counts.
 	demandAge = time.Minute
-	// riseWeight and fallWeight are the weights of a new sample: demand is believed
-	// quickly when it rises and slowly when it falls, so that a lull moves nothing.
-	riseWeight = 0.5
-	fallWeight = 0.05
-	// leastDemand is what is too little to report.
-	leastDemand = 0.005
 )
 
-// demand measures how many requests for each model run or would run at once.
+// demand is this box's own demand, and what others have passed on to it.
 type demand struct {
+	*placement.Meter
+
 	mu sync.Mutex
-	// inFlight counts the requests under way, and missed those refused since the last sample.
-	inFlight map[string]int
-	missed   map[string]float64
-	smooth   map[string]float64
 	// boxes are the reports of the hall's boxes, halls those of the halls' controllers.
 	boxes map[string]demandReportAt
 	halls map[string]demandReportAt
@@ -45,71 +36,12 @@
 
 func newDemand() *demand {
 	return &demand{
-		inFlight: map[string]int{},
-		missed:   map[string]float64{},
-		smooth:   map[string]float64{},
-		boxes:    map[string]demandReportAt{},
-		halls:    map[string]demandReportAt{},
-	}
-}
-
-// begin notes a request under way, and returns the function to call at its end.
-func (d *demand) begin(model string) func() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.inFlight[model]++
-	return func() {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		d.inFlight[model]--
+		Meter: placement.NewMeter(),
+		boxes: map[string]demandReportAt{},
+		halls: map[string]demandReportAt{},
 	}
 }
 
-// miss notes a refused request that would have run for a time.
-func (d *demand) miss(model string, service time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.missed[model] += float64(service) / float64(demandSample)
-}
-
-// sample takes the present counts into the running means.
-func (d *demand) sample() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for model := range d.inFlight {
-		d.smooth[model] += 0
-	}
-	for model := range d.missed {
-		d.smooth[model] += 0
-	}
-	for model, mean := range d.smooth {
-		now := float64(d.inFlight[model]) + d.missed[model]
-		weight := fallWeight
-		if now > mean {
-			weight = riseWeight
-		}
-		d.smooth[model] = mean + weight*(now-mean)
-		if d.smooth[model] < leastDemand && d.inFlight[model] == 0 {
-			delete(d.smooth, model)
-			delete(d.inFlight, model)
-		}
-	}
-	clear(d.missed)
-}
-
-// own is this box's demand.
-func (d *demand) own() map[string]float64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	models := map[string]float64{}
-	for model, mean := range d.smooth {
-		if mean >= leastDemand {
-			models[model] = mean
-		}
-	}
-	return models
-}
-
 // hear takes a report in.
 func (d *demand) hear(report peer.Demand) {
 	d.mu.Lock()
@@ -123,18 +55,20 @@
 
 // hall is the sum over the hall's boxes.
 func (d *demand) hall() map[string]float64 {
-	return d.sum(func() map[string]demandReportAt { return d.boxes })
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return sumDemand(d.boxes)
 }
 
 // total is the sum over all halls.
 func (d *demand) total() map[string]float64 {
-	return d.sum(func() map[string]demandReportAt { return d.halls })
-}
-
-func (d *demand) sum(of func() map[string]demandReportAt) map[string]float64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	sources := of()
+	return sumDemand(d.halls)
+}
+
+// sumDemand adds up the reports and forgets those that are too old.
+func sumDemand(sources map[string]demandReportAt) map[string]float64 {
 	sum := map[string]float64{}
 	for from, report := range sources {
 		if time.Since(report.at) > demandAge {
@@ -151,8 +85,8 @@
 // measureDemand samples demand and passes it on: to the hall's controller, and from there to the planner.
 func (b *Box) measureDemand(ctx context.Context) {
 	last := time.Now()
-	for pause(ctx, demandSample) {
-		b.demand.sample()
+	for pause(ctx, placement.MeterInterval) {
+		b.demand.Sample()
 		every := demandReport * time.Duration(max(1, len(b.hallBoxes())/demandBoxes))
 		if time.Since(last) < every {
 			continue
@@ -163,7 +97,7 @@
 }
 
 func (b *Box) passDemand(ctx context.Context) {
-	report := peer.Demand{From: b.config.ID, Models: b.demand.own()}
+	report := peer.Demand{From: b.config.ID, Models: b.demand.Demand()}
 	holdings := decodeRecord[orders.Holdings](b.cache, holdingsPrefix+b.config.Hall)
 	b.sendDemand(ctx, holdings.Controller, report)
 	if _, err := b.control.hall.Term(); err != nil {
--- a/internal/box/inference.go
+++ b/internal/box/inference.go
@@ -140,10 +140,10 @@
 		Slots:  choice.slots,
 	})
 	if refused != nil {
-		b.demand.miss(j.key, b.router.Service(j.item))
+		b.demand.Miss(j.key, b.router.Service(j.item))
 		return nil, notRun(connect.CodeResourceExhausted, refused.Reason, refused.Error(), refused.RetryAfter)
 	}
-	ended := b.demand.begin(j.key)
+	ended := b.demand.Begin(j.key)
 	return func() { ended(); done() }, nil
 }
 
--- a/internal/box/run.go
+++ b/internal/box/run.go
@@ -44,7 +44,7 @@
 	list = slices.DeleteFunc(list, func(c routing.Candidate) bool { return j.refusedBy[c.ID] })
 	picked, err := b.router.Pick(j.item, j.request.GetPrompt(), list)
 	if err != nil {
-		b.demand.miss(j.key, b.router.Service(j.item))
+		b.demand.Miss(j.key, b.router.Service(j.item))
 		return choice{}, notRun(connect.CodeUnavailable, reasonNoUpstream, "no engine holds the model at the moment", comeBack)
 	}
 	incarnation := b.fleet.Load().engines[picked.ID].holding.Incarnation
