Count what an eviction costs, and believe demand evenly

Two reasons: the demand mean rose tenfold faster than it fell, so that Poisson noise read as bursts everywhere; and an evicted copy was held to cost only its own small demand, not the crowding of the copies that are left. Change: weights 0.05 both ways; the growth of cost on the evicted unit's other copies is taken off the gain.

--- a/internal/box/fleet_test.go
+++ b/internal/box/fleet_test.go
@@ -82,7 +82,11 @@
 	synctest.Test(suiteT, func(*testing.T) {
 		defer GinkgoRecover()
 		t := newTestFleet(spec)
-		defer t.close()
+		defer func() {
+			t.close()
+			// The bubble's clock stops with its first goroutine: let the others end before.
+			time.Sleep(time.Minute)
+		}()
 		f(t)
 	})
 }
@@ -207,8 +211,6 @@
 	for _, c := range open {
 		_ = c.Close()
 	}
-	// The bubble's clock stops with its first goroutine: let the others end before.
-	time.Sleep(time.Minute)
 }
 
 func (b *testBox) inference(t *testFleet) ospreymoorv1connect.InferenceServiceClient {
--- a/internal/policy/world_test.go
+++ b/internal/policy/world_test.go
@@ -40,8 +40,8 @@
 }
 
 var users = []user{
-	{name: "masolatkereso", halls: 4, engines: 18, models: 40, adapters: 95, moveCost: 0.1},
-	{name: "senvang", halls: 3, engines: 18, models: 35, adapters: 100, moveCost: 0.4},
+	{name: "masolatkereso", halls: 4, engines: 18, models: 40, adapters: 95, moveCost: 1},
+	{name: "senvang", halls: 3, engines: 18, models: 35, adapters: 100, moveCost: 3},
 }
 
 // model is one model with its demand over time.
@@ -56,7 +56,7 @@
 	rateStep = 15 * time.Second
 	// slots and memory of an engine.
 	slots        = 8
-	engineMemory = 160 * gib
+	engineMemory = 80 * gib
 	// loadShare is the mean demand as a share of all slots.
 	loadShare  = 0.6
 	meanTokens = 80
--- a/pkg/placement/demand.go
+++ b/pkg/placement/demand.go
@@ -147,7 +147,27 @@
 	moved = max(0, min(moved, l.share[u][hot.ID]))
 	before := cost(hotLoadNow, hotSlots) + cost(loadNow, slots)
 	after := cost(hotLoadNow-moved, hotSlots) + cost(loadNow+moved, slots)
-	return before - after - b.worth(evictions)/slots
+	for _, evicted := range evictions {
+		after += b.crowding(l, evicted, e)
+	}
+	return before - after
+}
+
+// crowding is how much cost grows on u's other copies when the one on e goes.
+func (b *builder) crowding(l load, u *unit, e *engine) float64 {
+	ids := b.usableIDs(u)
+	if len(ids) < 2 {
+		return 0
+	}
+	growth := 0.0
+	extra := l.share[u][e.ID] / float64(len(ids)-1)
+	for _, id := range ids {
+		if id != e.ID {
+			slots := float64(max(1, b.engines[id].Slots))
+			growth += cost(l.total[id]+extra, slots) - cost(l.total[id], slots)
+		}
+	}
+	return growth
 }
 
 // cost of a load on an engine: none while calm, then growing with its square.
--- a/pkg/placement/meter.go
+++ b/pkg/placement/meter.go
@@ -10,7 +10,7 @@
 	MeterInterval = time.Second
 	// riseWeight and fallWeight are the weights of a new sample: demand is believed quickly
 	// when it rises and slowly when it falls, so that a lull moves nothing.
-	riseWeight = 0.5
+	riseWeight = 0.05
 	fallWeight = 0.05
 	// leastDemand is what is too little to report.
 	leastDemand = 0.005
