--- a/internal/cmd/serve.go
+++ b/internal/cmd/serve.go
@@ -39,7 +39,7 @@
 	OrderLife    time.Duration     `name:"order-life" env:"OSPREYMOOR_ORDER_LIFE" default:"30s" help:"Longest time in which an order to an unfenced engine can take effect."`
 	BeatInterval time.Duration     `name:"beat-interval" env:"OSPREYMOOR_BEAT_INTERVAL" default:"1s" help:"Time between heartbeats to other boxes."`
 	HallDistance time.Duration     `name:"hall-distance" env:"OSPREYMOOR_HALL_DISTANCE" default:"5ms" help:"Extra time to reach an engine of another hall."`
-	MoveCost     float64           `name:"move-cost" env:"OSPREYMOOR_MOVE_COST" default:"0.2" help:"What a load must gain to be worth it: higher moves less."`
+	MoveCost     float64           `name:"move-cost" env:"OSPREYMOOR_MOVE_COST" default:"1" help:"What a load must gain to be worth it: 0.3 favours attainment, 3 few moves."`
 	Copies       int               `name:"copies" env:"OSPREYMOOR_COPIES" default:"2" help:"Copies of each model where memory allows."`
 	Spares       int               `name:"spare-engines" env:"OSPREYMOOR_SPARE_ENGINES" default:"1" help:"Engines of each pool whose loss a bundle must fit without."`
 	MaxBody      int64             `name:"max-body" env:"OSPREYMOOR_MAX_BODY" default:"4194304" help:"Largest request body, in bytes."`
--- a/internal/policy/world_test.go
+++ b/internal/policy/world_test.go
@@ -40,7 +40,7 @@
 }
 
 var users = []user{
-	{name: "masolatkereso", halls: 4, engines: 18, models: 40, adapters: 95, moveCost: 1},
+	{name: "masolatkereso", halls: 4, engines: 18, models: 40, adapters: 95, moveCost: 0.3},
 	{name: "senvang", halls: 3, engines: 18, models: 35, adapters: 100, moveCost: 3},
 }
 
--- a/pkg/placement/meter.go
+++ b/pkg/placement/meter.go
@@ -8,10 +8,9 @@
 const (
 	// MeterInterval is how often Sample should be called.
 	MeterInterval = time.Second
-	// riseWeight and fallWeight are the weights of a new sample: demand is believed quickly
-	// when it rises and slowly when it falls, so that a lull moves nothing.
-	riseWeight = 0.05
-	fallWeight = 0.05
+	// sampleWeight is that of a new sample in the running mean. A mean that rises faster
+	// than it falls reads noise as bursts, and models then move for nothing.
+	sampleWeight = 0.05
 	// leastDemand is what is too little to report.
 	leastDemand = 0.005
 )
@@ -74,11 +73,7 @@
 // take moves one model's mean towards its present count.
 func (m *Meter) take(model string) {
 	now, mean := float64(m.inFlight[model])+m.missed[model], m.smooth[model]
-	weight := fallWeight
-	if now > mean {
-		weight = riseWeight
-	}
-	m.smooth[model] = mean + weight*(now-mean)
+	m.smooth[model] = mean + sampleWeight*(now-mean)
 	if m.smooth[model] < leastDemand && m.inFlight[model] == 0 {
 		delete(m.smooth, model)
 		delete(m.inFlight, model)
