--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/signal"
 	"reflect"
-	"sort"
 	"strings"
 	"syscall"
 
@@ -124,27 +123,18 @@
 	return envPrefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
 }
 
-// Setting is one flag as the docs list it.
-type Setting struct {
-	Flag     string
-	Variable string
-	Help     string
-	Default  string
-}
-
-// Settings lists the flags of serve, for the docs to be checked against.
-func Settings() []Setting {
-	var list []Setting
-	t := reflect.TypeFor[serveCommand]()
-	for i := range t.NumField() {
-		tag := t.Field(i).Tag
-		list = append(list, Setting{
-			Flag:     tag.Get("name"),
-			Variable: tag.Get("env"),
-			Help:     tag.Get("help"),
-			Default:  tag.Get("default"),
-		})
+// SettingsTable lists the flags of serve as a table for the page of settings.
+func SettingsTable() string {
+	var table strings.Builder
+	table.WriteString("| flag | variable | default | meaning |\n| --- | --- | --- | --- |\n")
+	command := reflect.TypeFor[serveCommand]()
+	for i := range command.NumField() {
+		tag := command.Field(i).Tag
+		initial := tag.Get("default")
+		if initial != "" {
+			initial = "`" + initial + "`"
+		}
+		fmt.Fprintf(&table, "| `--%s` | `%s` | %s | %s |\n", tag.Get("name"), tag.Get("env"), initial, tag.Get("help"))
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Flag < list[j].Flag })
-	return list
+	return table.String()
 }
--- /dev/null
+++ b/pkg/burn/example_test.go
@@ -0,0 +1,26 @@
+package burn_test
+
+import (
+	"fmt"
+	"time"
+
+	"ospreymoor.example/ospreymoor/pkg/burn"
+)
+
+func ExampleReport() {
+	first, second := burn.NewRecorder("box-1", "life-1"), burn.NewRecorder("box-2", "life-2")
+	for range 97 {
+		first.Record("acme", "writer", 0.95, burn.WithinTarget, "")
+	}
+	second.Record("acme", "writer", 0.95, burn.Late, "")
+	second.Record("acme", "writer", 0.95, burn.Refused, "rate limit")
+	second.Record("acme", "writer", 0.95, burn.Failed, "")
+
+	// A kept snapshot of a box that is gone counts once, however often it is seen.
+	snapshots := []burn.Snapshot{first.Snapshot(), second.Snapshot(), first.Snapshot()}
+	for _, s := range burn.Report(snapshots, time.Now()) {
+		fmt.Printf("%s: %d requests, budget left %.0f%%, burn %.1f\n", s.Model, s.Requests, 100*s.BudgetLeft, s.BurnShort)
+	}
+	// Output:
+	// writer: 100 requests, budget left 40%, burn 0.6
+}
