Give a model a copy in a second hall, and prefer the near engine among equals

Cause: the first plan may be made while only one hall's engines are heard; both copies then stand there, and stay. When that hall or the other is cut off the model is gone for half of the callers. Change: a unit whose copies all stand in one hall gets one elsewhere where memory is free; waits within 1 ms (20 before) count as equal, so that 5 ms to another hall count.

--- a/pkg/placement/builder.go
+++ b/pkg/placement/builder.go
@@ -175,6 +175,30 @@
 			}
 		}
 	}
+	b.spreadHalls()
+}
+
+// spreadHalls gives units whose copies all stand in one hall another one elsewhere, where memory
+// is free: the first copies may have been placed while other halls were not heard.
+func (b *builder) spreadHalls() {
+	if b.in.Settings.Copies < 2 {
+		return
+	}
+	for _, u := range b.sorted(func(u *unit) bool { return u.wanted && len(u.on) > 0 }) {
+		halls := b.hallsOf(u)
+		if e := b.roomiest(u); len(halls) == 1 && e != nil && !halls[e.Hall] && b.mayLoad() {
+			b.add(u, e)
+		}
+	}
+}
+
+// hallsOf lists the halls in which u has usable copies.
+func (b *builder) hallsOf(u *unit) map[string]bool {
+	halls := map[string]bool{}
+	for _, id := range b.usableIDs(u) {
+		halls[b.engines[id].Hall] = true
+	}
+	return halls
 }
 
 // relieveOverfull starts to move copies off engines whose plan grew past their memory.
@@ -284,10 +308,7 @@
 // roomiest is the engine with most free memory that can take u without evictions;
 // an engine that holds u already goes first, then one in a hall without a copy.
 func (b *builder) roomiest(u *unit) *engine {
-	halls := map[string]bool{}
-	for id := range u.on {
-		halls[b.engines[id].Hall] = true
-	}
+	halls := b.hallsOf(u)
 	var best *engine
 	for _, e := range b.order {
 		if !b.accepts(e, u) || e.free < u.Bytes() {
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -59,7 +59,7 @@
 	defaultPrefixGain = 150 * time.Millisecond
 	defaultService    = 2 * time.Second
 	// nearlyEqual is the difference of waits below which the choice is random.
-	nearlyEqual = 20 * time.Millisecond
+	nearlyEqual = time.Millisecond
 	// serviceWeight is the weight of one measured time in the running mean.
 	serviceWeight = 0.05
 )
