Do not compress the pieces of answers; measure what a box adds

Cause: Connect compresses every message that the other side accepts, and pieces of an answer are some ten bytes each. Change: nothing below 4 KiB is compressed, and engines are not asked to.

--- a/internal/box/pages.go
+++ b/internal/box/pages.go
@@ -13,13 +13,19 @@
 const (
 	// headerTime bounds the reading of a request's head.
 	headerTime = 10 * time.Second
+	// compressFrom is the length from which a message is compressed: pieces of an answer are
+	// a few bytes each, and compressing them costs most of the box's time.
+	compressFrom = 4096
 	// idleTime is how long an idle connection stays open.
 	idleTime = 2 * time.Minute
 )
 
 // handler serves callers, operators and the box's pages.
 func (b *Box) handler() http.Handler {
-	options := connect.WithReadMaxBytes(int(b.config.MaxBody))
+	options := connect.WithHandlerOptions(
+		connect.WithReadMaxBytes(int(b.config.MaxBody)),
+		connect.WithCompressMinBytes(compressFrom),
+	)
 	mux := http.NewServeMux()
 	mux.Handle(ospreymoorv1connect.NewInferenceServiceHandler(inference{b}, options))
 	mux.Handle(ospreymoorv1connect.NewOperatorServiceHandler(operators{b}, options))
--- a/internal/cmd/dev.go
+++ b/internal/cmd/dev.go
@@ -23,6 +23,12 @@
 // devStartTime bounds the time until all models are loaded.
 const devStartTime = 60 * time.Second
 
+// Times of the engine stand-ins.
+const (
+	devFirstToken = 20 * time.Millisecond
+	devTokenTime  = 5 * time.Millisecond
+)
+
 // Run starts everything, and stops it when ctx ends.
 func (c *devCommand) Run(ctx context.Context, out output) (err error) {
 	log := zap.NewNop()
@@ -31,7 +37,7 @@
 			return err
 		}
 	}
-	fleet, err := dev.Start(log)
+	fleet, err := dev.Start(dev.Options{FirstToken: devFirstToken, TokenTime: devTokenTime, Log: log})
 	if err != nil {
 		return err
 	}
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -39,15 +39,28 @@
 	"senvang":       "senvang-operator",
 }
 
+// Options change what the stand-ins are like.
+type Options struct {
+	// FirstToken and TokenTime are the engines' times.
+	FirstToken time.Duration
+	TokenTime  time.Duration
+	// Slots of each engine; 0 takes 8.
+	Slots int
+	Log   *zap.Logger
+}
+
 // Fleet is everything that runs.
 type Fleet struct {
+	options  Options
 	log      *zap.Logger
 	platform *standin.Platform
 	url      string
 	servers  []*http.Server
 	boxes    []*runningBox
 	engines  map[string]*standin.Engine
-	services map[string]*standin.Service
+	// addresses of the engines.
+	addresses map[string]string
+	services  map[string]*standin.Service
 }
 
 // runningBox is one entry box with the way to stop it.
@@ -60,12 +73,17 @@
 }
 
 // Start runs the fleet; nothing is in force yet.
-func Start(log *zap.Logger) (*Fleet, error) {
+func Start(options Options) (*Fleet, error) {
+	if options.Slots == 0 {
+		options.Slots = engineSlots
+	}
 	f := &Fleet{
-		log:      log,
-		platform: standin.NewPlatform(),
-		engines:  map[string]*standin.Engine{},
-		services: map[string]*standin.Service{},
+		options:   options,
+		log:       options.Log,
+		platform:  standin.NewPlatform(),
+		engines:   map[string]*standin.Engine{},
+		addresses: map[string]string{},
+		services:  map[string]*standin.Service{},
 	}
 	address, err := f.serve(f.platform.Handler())
 	if err != nil {
@@ -142,10 +160,10 @@
 func (f *Fleet) startEngine(hall, id string) error {
 	engine := standin.NewEngine(standin.EngineConfig{
 		Memory:     engineMemory,
-		Slots:      engineSlots,
+		Slots:      f.options.Slots,
 		Fenced:     true,
-		FirstToken: 20 * time.Millisecond,
-		TokenTime:  5 * time.Millisecond,
+		FirstToken: f.options.FirstToken,
+		TokenTime:  f.options.TokenTime,
 		Fetch:      f.platform.Weights.Fetch,
 	})
 	f.engines[id] = engine
@@ -153,6 +171,7 @@
 	if err != nil {
 		return err
 	}
+	f.addresses[id] = address
 	f.platform.SetBox(membership.Box{
 		ID:      id,
 		Kind:    membership.KindEngine,
@@ -161,7 +180,7 @@
 		Address: address,
 		Fenced:  true,
 		Memory:  engineMemory,
-		Slots:   engineSlots,
+		Slots:   f.options.Slots,
 	})
 	return nil
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -53,7 +53,9 @@
 
 // NewClient returns a client of the engine on a box.
 func NewClient(http *http.Client, box membership.Box) *Client {
-	return &Client{box: box, engine: enginev1connect.NewEngineServiceClient(http, "http://"+box.Address)}
+	// Answers come in pieces of a few bytes, which are not worth compressing.
+	plain := connect.WithAcceptCompression("gzip", nil, nil)
+	return &Client{box: box, engine: enginev1connect.NewEngineServiceClient(http, "http://"+box.Address, plain)}
 }
 
 // Generate starts a run and hands its pieces to take in order, from index 0.
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -97,7 +97,7 @@
 // Handler serves the engine over HTTP.
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(enginev1connect.NewEngineServiceHandler(e))
+	mux.Handle(enginev1connect.NewEngineServiceHandler(e, connect.WithCompressMinBytes(compressFrom)))
 	mux.HandleFunc("GET /standin/record", e.serveRecord)
 	mux.HandleFunc("POST /standin/leave", func(http.ResponseWriter, *http.Request) { e.Leave() })
 	return mux
@@ -150,6 +150,9 @@
 	return answer
 }
 
+// compressFrom is the length from which a message is compressed.
+const compressFrom = 4096
+
 // defaultPieces is the length of an answer whose request sets no bound.
 const defaultPieces = 16
 
