--- a/internal/box/run_once.go
+++ b/internal/box/run_once.go
@@ -92,24 +92,48 @@
 		Incarnation: picked.incarnation,
 		Box:         b.config.PeerAddress,
 	}
-	b.fates.begin(own.RequestID)
-	claim, err := b.claims.Claim(ctx, o.customer, o.key, own)
-	if err != nil {
-		b.fates.end(own.RequestID, peer.FateNotRun, nil)
-		return false, b.notClaimed(ctx, o, err)
+	claim, refused := b.claimKey(ctx, o, own)
+	if refused != nil {
+		return false, refused
 	}
 	if claim.RequestID != own.RequestID {
-		b.fates.end(own.RequestID, peer.FateNotRun, nil)
 		return b.joinRun(ctx, o, claim, d)
 	}
 	if !b.fates.hand(own.RequestID) {
 		return true, nil
 	}
 	d.begin(own.RequestID)
-	err = b.run(ctx, j, picked, d)
+	err := b.run(ctx, j, picked, d)
 	return b.settleOwn(ctx, j, o, own, d, err)
 }
 
+// claimKey claims a key and returns the claim that stands; unless that is own, own's request is
+// noted as not run by this box.
+func (b *Box) claimKey(ctx context.Context, o once, own claims.Claim) (claims.Claim, *refusal) {
+	b.fates.begin(own.RequestID)
+	claim, err := b.claims.Claim(ctx, o.customer, o.key, own)
+	if err != nil || claim.RequestID != own.RequestID {
+		b.fates.end(own.RequestID, peer.FateNotRun, nil)
+	}
+	if err != nil {
+		return claim, notClaimed(o, err)
+	}
+	return claim, nil
+}
+
+// lookUp finds the claim of an earlier attempt; refused says that it could not, or that the key
+// belongs to another request.
+func (b *Box) lookUp(ctx context.Context, o once) (claim claims.Claim, found bool, refused *refusal) {
+	claim, found, err := b.claims.Lookup(ctx, o.customer, o.key)
+	if err == nil && found && claim.Digest != o.digest {
+		err = errors.Annotate(claims.ErrOtherRequest, "looking up")
+	}
+	if err != nil {
+		return claim, false, notClaimed(o, err)
+	}
+	return claim, found, nil
+}
+
 // settleOwn finds out what became of a run that this box handed out.
 func (b *Box) settleOwn(ctx context.Context, j *job, o once, own claims.Claim, d *delivery, err error) (again bool, refused *refusal) {
 	switch {
@@ -202,14 +226,12 @@
 // what stands under the key comes first: a run there is joined and not refused.
 func (b *Box) refuseOnce(ctx context.Context, j *job, d *delivery, refused *refusal) *refusal {
 	o := j.once()
-	claim, found, err := b.claims.Lookup(ctx, o.customer, o.key)
-	switch {
-	case err != nil:
-		return b.notClaimed(ctx, o, err)
-	case !found:
+	claim, found, unread := b.lookUp(ctx, o)
+	if unread != nil {
+		return unread
+	}
+	if !found {
 		return refused
-	case claim.Digest != o.digest:
-		return b.notClaimed(ctx, o, errors.Annotate(claims.ErrOtherRequest, "looking up"))
 	}
 	again, joined := b.joinRun(ctx, o, claim, d)
 	if again {
@@ -219,7 +241,7 @@
 }
 
 // notClaimed is the refusal of a request whose key can't be claimed or looked up.
-func (b *Box) notClaimed(_ context.Context, o once, err error) *refusal {
+func notClaimed(o once, err error) *refusal {
 	for _, kind := range []error{claims.ErrBadKey, claims.ErrTooNew, claims.ErrFull} {
 		if errors.Is(err, kind) {
 			return notRun(connect.CodeInvalidArgument, reasonKey, kind.Error(), 0)
--- a/internal/box/services.go
+++ b/internal/box/services.go
@@ -90,8 +90,12 @@
 	}
 	done, refused := b.admitCall(c)
 	if refused != nil {
-		refused = b.refuseCallOnce(r.Context(), c, refused)
-		b.refuseCall(w, c, refused)
+		answer, refused := b.refusedOrEarlier(r.Context(), c, refused)
+		if refused != nil {
+			b.refuseCall(w, c, refused)
+			return
+		}
+		b.writeAnswer(w, c, answer)
 		return
 	}
 	defer done()
--- a/internal/box/services_once.go
+++ b/internal/box/services_once.go
@@ -29,10 +29,7 @@
 	for range maxClaims {
 		upstream, refused := b.chooseService(c)
 		if refused != nil {
-			if refused = b.refuseCallOnce(ctx, c, refused); refused == nil {
-				continue
-			}
-			return nil, refused
+			return b.refusedOrEarlier(ctx, c, refused)
 		}
 		own := claims.Claim{
 			Digest:    o.digest,
@@ -40,14 +37,11 @@
 			RequestID: uuid.Must(uuid.NewV7()).String(),
 			Box:       b.config.PeerAddress,
 		}
-		b.fates.begin(own.RequestID)
-		claim, err := b.claims.Claim(ctx, o.customer, o.key, own)
-		if err != nil {
-			b.fates.end(own.RequestID, peer.FateNotRun, nil)
-			return nil, b.notClaimed(ctx, o, err)
+		claim, refused := b.claimKey(ctx, o, own)
+		if refused != nil {
+			return nil, refused
 		}
 		if claim.RequestID != own.RequestID {
-			b.fates.end(own.RequestID, peer.FateNotRun, nil)
 			answer, again, refused := b.earlierAnswer(ctx, c, o, claim)
 			if again {
 				continue
@@ -120,21 +114,23 @@
 	return nil, false, unknown(reasonClaimedGone, "an earlier attempt was handed to "+claim.Upstream+"; "+remedyUnknown)
 }
 
-// refuseCallOnce looks for an earlier attempt before a call is refused; nil says that the
-// earlier attempt turned out free to be claimed anew.
-func (b *Box) refuseCallOnce(ctx context.Context, c *call, refused *refusal) *refusal {
+// refusedOrEarlier looks for an earlier attempt before a call is refused that may not be
+// repeated: what that attempt got is answered instead.
+func (b *Box) refusedOrEarlier(ctx context.Context, c *call, refused *refusal) (*peer.Answer, *refusal) {
 	if !c.notRepeatable() {
-		return refused
+		return nil, refused
 	}
 	o := c.once()
-	claim, found, err := b.claims.Lookup(ctx, o.customer, o.key)
-	switch {
-	case err != nil:
-		return b.notClaimed(ctx, o, err)
-	case !found:
-		return refused
-	case claim.Digest != o.digest:
-		return b.notClaimed(ctx, o, errors.Annotate(claims.ErrOtherRequest, "looking up"))
+	claim, found, unread := b.lookUp(ctx, o)
+	if unread != nil {
+		return nil, unread
+	}
+	if !found {
+		return nil, refused
+	}
+	answer, again, joined := b.earlierAnswer(ctx, c, o, claim)
+	if again {
+		return nil, refused
 	}
-	return unknown(reasonClaimedGone, "an earlier attempt was handed to "+claim.Upstream+"; "+remedyUnknown)
+	return answer, joined
 }
