--- a/internal/box/fleet_test.go
+++ b/internal/box/fleet_test.go
@@ -136,6 +136,7 @@
 func (t *testFleet) addService(hall string) {
 	id := hall + "-portal"
 	t.services[id] = standin.NewService()
+	t.services[id].Delay = 100 * time.Millisecond
 	t.serve(id+":1", t.services[id].Handler())
 	t.platform.SetBox(membership.Box{ID: id, Kind: membership.KindService, Hall: hall, Pool: "portal", Address: id + ":1"})
 }
