--- /dev/null
+++ b/internal/cmd/bundle_check.go
@@ -0,0 +1,21 @@
+package cmd
+
+import (
+	"fmt"
+
+	"ospreymoor.example/ospreymoor/pkg/bundle"
+)
+
+// ospreymoor bundle check FILE...
+type bundleCheckCommand struct {
+	Files []string `arg:"" name:"file" help:"Bundle files."`
+}
+
+// Run checks the files.
+func (c *bundleCheckCommand) Run(out output) error {
+	return eachBundle(c.Files, func(b *bundle.Bundle, _ string) error {
+		_, err := fmt.Fprintf(out, "%s version %d: %d models, %d adapters, %d services: good\n",
+			b.Customer, b.Version, len(b.Models), len(b.Adapters), len(b.Services))
+		return err
+	})
+}
