Forget a rush that was over before the platform came back

Cause: a hall's loads were published only under a lease that is valid. Change: the last holder goes on publishing while the store is away; a report older than 10 s says nothing, and the box then takes the others to be as busy as itself. Refusals of admission no longer say their reason twice.

--- a/internal/box/control_test.go
+++ b/internal/box/control_test.go
@@ -279,6 +279,53 @@
 	})
 })
 
+var _ = Describe("While the platform is down", func() {
+	// refusedLater has engines busy when the platform goes down for minutes, and returns the
+	// refusals long after the rush is over. killed has the hall's controller die meanwhile.
+	refusedLater := func(killed bool) (refused []string) {
+		withFleet(fleetSpec{halls: 1, boxes: 3, engines: 2, memory: 64 * gib}, func(t *testFleet) {
+			text := strings.Replace(bundleText(1, "w1", "15GiB", "m1"), "first-token: 30s", "first-token: 2s", 1)
+			t.roll(t.boxes["h1-b1"], text)
+			t.awaitModels("m1")
+			time.Sleep(20 * time.Second)
+			t.platform.SetMode(standin.FaultDown)
+			var rush sync.WaitGroup
+			for n := range 600 {
+				rush.Go(func() {
+					request := &ospreymoorv1.GenerateRequest{Model: "m1", Prompt: fmt.Sprintf("rush %d", n), MaxTokens: 100}
+					_, _ = t.complete(context.Background(), t.boxes[fmt.Sprintf("h1-b%d", 1+n%3)], request)
+				})
+				time.Sleep(50 * time.Millisecond)
+			}
+			if killed {
+				for id, b := range t.boxes {
+					if b.control.hall.LatestTerm() > 0 {
+						t.kill(id)
+					}
+				}
+			}
+			rush.Wait()
+			time.Sleep(time.Minute)
+			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+			defer cancel()
+			for _, b := range t.boxes {
+				refused = append(refused, probe(ctx, t, b, []string{"m1"})...)
+				break
+			}
+			t.platform.SetMode(standin.FaultNone)
+		})
+		return refused
+	}
+
+	It("a rush is forgotten when it is over", func() {
+		Expect(refusedLater(false)).To(BeEmpty())
+	})
+
+	It("a rush is forgotten also when the hall's controller has died", func() {
+		Expect(refusedLater(true)).To(BeEmpty())
+	})
+})
+
 var _ = Describe("An upstream that is leaving", func() {
 	// lateRequests has an engine leave while the box list goes on naming it, and counts the
 	// requests that still reach it more than seconds later.
--- a/internal/box/fleet.go
+++ b/internal/box/fleet.go
@@ -126,6 +126,7 @@
 // its adapter, and nobody says that they leave.
 func (b *Box) candidates(item, adapter string) []routing.Candidate {
 	f := b.fleet.Load()
+	boxes := b.view.LiveCount() + 1
 	var list []routing.Candidate
 	for _, id := range f.holders[item] {
 		info := f.engines[id]
@@ -140,6 +141,7 @@
 			c.Distance = b.config.HallDistance
 		}
 		c.PeersSent = b.sent.since(id)
+		c.Boxes = boxes
 		list = append(list, c)
 	}
 	return list
--- a/internal/box/inference.go
+++ b/internal/box/inference.go
@@ -141,12 +141,21 @@
 	})
 	if refused != nil {
 		b.demand.Miss(j.key, b.router.Service(j.item))
-		return nil, notRun(connect.CodeResourceExhausted, refused.Reason, refused.Error(), refused.RetryAfter)
+		return nil, admissionRefusal(refused)
 	}
 	ended := b.demand.Begin(j.key)
 	return func() { ended(); done() }, nil
 }
 
+// admissionRefusal is admission's refusal as callers get it.
+func admissionRefusal(r *admission.Refusal) *refusal {
+	remedy := "send it again then"
+	if r.Limit != "" {
+		remedy = "limit of " + r.Limit + ": " + remedy + ", or have it raised in the bundle"
+	}
+	return notRun(connect.CodeResourceExhausted, r.Reason, remedy, r.RetryAfter)
+}
+
 func limit(name string, l bundle.Limits) admission.Limit {
 	return admission.Limit{Name: name, RequestsPerSecond: l.RequestsPerSecond, InFlight: l.InFlight}
 }
--- a/internal/box/services.go
+++ b/internal/box/services.go
@@ -144,7 +144,7 @@
 		Target:   durationOf(c.service.Timeout),
 	})
 	if refused != nil {
-		return nil, notRun(connect.CodeResourceExhausted, refused.Reason, refused.Error(), refused.RetryAfter)
+		return nil, admissionRefusal(refused)
 	}
 	return done, nil
 }
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -185,7 +185,7 @@
 	defer v.mu.Unlock()
 	var peers []Peer
 	for _, h := range v.peers {
-		if !h.peer.Leaving && time.Since(h.at) < v.silence {
+		if v.live(h) {
 			peers = append(peers, h.peer)
 		}
 	}
@@ -193,9 +193,27 @@
 	return peers
 }
 
+// LiveCount is the number of peers that Live lists.
+func (v *View) LiveCount() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	n := 0
+	for _, h := range v.peers {
+		if v.live(h) {
+			n++
+		}
+	}
+	return n
+}
+
+// live tells whether a peer was heard lately and is not leaving. The caller holds the lock.
+func (v *View) live(h heard) bool {
+	return !h.peer.Leaving && time.Since(h.at) < v.silence
+}
+
 // FleetSize is the number of entry boxes that share the fleet's limits, this one included.
 func (v *View) FleetSize() int {
-	return max(len(v.Entries()), len(v.Live())) + 1
+	return max(len(v.Entries()), v.LiveCount()) + 1
 }
 
 // Size is the number of boxes in the list.
--- a/pkg/orders/controller.go
+++ b/pkg/orders/controller.go
@@ -138,8 +138,8 @@
 
 // publish sends the hall's records if this box holds the lease; it returns the holdings last sent.
 func (c *Controller) publish(last Holdings) Holdings {
-	term, err := c.Term()
-	if err != nil {
+	term, ok := c.publishTerm()
+	if !ok {
 		c.began = time.Time{}
 		return Holdings{}
 	}
@@ -162,6 +162,17 @@
 	return holdings
 }
 
+// publishTerm is the term that the hall's records are published under. While the lease can't be
+// renewed because the store is away, the last holder goes on: else the hall would
+// route by the loads of that moment until the store is back.
+func (c *Controller) publishTerm() (int64, bool) {
+	if term, err := c.Term(); err == nil {
+		return term, true
+	}
+	term := c.RepairTerm()
+	return term, term != 0
+}
+
 // looked tells whether every engine was heard since the term began, or had the time to answer:
 // until then the records of the controller before are better than ours.
 func (c *Controller) looked() bool {
--- a/pkg/orders/worker.go
+++ b/pkg/orders/worker.go
@@ -50,6 +50,7 @@
 	term, ok := w.term()
 	if !ok {
 		w.fenced = 0
+		w.watchOnly(ctx)
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, w.OrderTime)
@@ -73,6 +74,18 @@
 	return w.stepUnfenced(ctx, term, plan, state)
 }
 
+// watchOnly looks at an engine that may not be ordered now, if this box still publishes.
+func (w *worker) watchOnly(ctx context.Context) {
+	if _, ok := w.publishTerm(); !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, w.OrderTime)
+	defer cancel()
+	if state, err := w.engine.State(ctx); err == nil {
+		w.observe(w.engine.ID, state, 0)
+	}
+}
+
 // term is what this box may order under now. An engine that does not check it
 // takes orders only under a lease that is valid now.
 func (w *worker) term() (int64, bool) {
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -31,6 +31,8 @@
 	Reported time.Time
 	// PeersSent is what other boxes sent there since.
 	PeersSent int
+	// Boxes is how many boxes send there, this one included; 0 takes 1.
+	Boxes int
 }
 
 // Choice is an upstream with the wait to expect there.
@@ -60,6 +62,8 @@
 	defaultService    = 2 * time.Second
 	// nearlyEqual is the difference of waits below which the choice is random.
 	nearlyEqual = time.Millisecond
+	// staleReport is the age from which a report says nothing any more.
+	staleReport = 10 * time.Second
 	// serviceWeight is the weight of one measured time in the running mean.
 	serviceWeight = 0.05
 )
@@ -155,6 +159,10 @@
 func (r *Router) wait(model string, c Candidate) time.Duration {
 	slots := max(1, c.Slots)
 	ahead := c.Running + c.Queued + c.PeersSent + r.sentSince(c.ID, c.Reported)
+	if time.Since(c.Reported) > staleReport {
+		// Nobody reports any more: take the other boxes to be as busy there as this one.
+		ahead = r.view(c.ID).inFlight * max(1, c.Boxes)
+	}
 	ahead = max(ahead, r.view(c.ID).inFlight)
 	excess := ahead + 1 - slots
 	if excess <= 0 {
