--- a/internal/box/planner.go
+++ b/internal/box/planner.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"ospreymoor.example/ospreymoor/pkg/bundle"
 	"ospreymoor.example/ospreymoor/pkg/kv"
 	"ospreymoor.example/ospreymoor/pkg/placement"
 )
@@ -33,11 +34,19 @@
 // plan makes plans while this box holds the planner's lease.
 func (c *control) plan(ctx context.Context) {
 	swept := time.Now()
+	var began int64
 	for pause(ctx, jitter(planInterval)) {
 		term, err := c.planner.Term()
 		if err != nil {
 			continue
 		}
+		if term != began {
+			// What this box holds may be older than what the planner before it went by.
+			if _, err := c.box.readStore(ctx); err != nil {
+				continue
+			}
+			began = term
+		}
 		if err := c.replan(ctx, term); err != nil {
 			c.box.set.GetOrCreateCounter("ospreymoor_plan_failures_total").Inc()
 			c.box.log.Debug("no plan written", zap.Error(err))
@@ -55,7 +64,7 @@
 func (c *control) replan(ctx context.Context, term int64) error {
 	b := c.box
 	f := b.inForce.Load()
-	if f == nil || b.view.Size() == 0 {
+	if f == nil || b.view.Size() == 0 || !b.servesNewest(f) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, planTime)
@@ -94,3 +103,10 @@
 	b.set.GetOrCreateCounter("ospreymoor_plans_total").Inc()
 	return nil
 }
+
+// servesNewest tells whether a table in force is the newest this box knows of. A planner that
+// goes by an older one would plan away the models of a bundle that was just rolled.
+func (b *Box) servesNewest(f *inForce) bool {
+	record, ok := b.cache.Get(bundle.TableKey)
+	return !ok || f.generation >= record.Generation.Term
+}
--- a/internal/box/requests_test.go
+++ b/internal/box/requests_test.go
@@ -9,10 +9,12 @@
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	enginev1 "ospreymoor.example/ospreymoor/internal/gen/ospreymoor/engine/v1"
+	"ospreymoor.example/ospreymoor/internal/gen/ospreymoor/engine/v1/enginev1connect"
 	ospreymoorv1 "ospreymoor.example/ospreymoor/internal/gen/ospreymoor/v1"
 	"ospreymoor.example/ospreymoor/internal/standin"
 	"ospreymoor.example/ospreymoor/pkg/claims"
@@ -262,6 +264,20 @@
 	}
 }
 
+// unchecked reads an answer from an engine as a client does that checks nothing.
+func (t *testFleet) unchecked(engine, prompt string) string {
+	client := enginev1connect.NewEngineServiceClient(t.client, "http://"+engine+":1")
+	request := &enginev1.GenerateRequest{RequestId: prompt, Model: "acme/writer@a", Prompt: prompt, MaxTokens: answerPieces}
+	stream, err := client.Generate(context.Background(), connect.NewRequest(request))
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = stream.Close() }()
+	var text strings.Builder
+	for stream.Receive() {
+		text.WriteString(stream.Msg().GetText())
+	}
+	return text.String()
+}
+
 var _ = Describe("Requests under faults", func() {
 	const seeds = 6
 
@@ -287,6 +303,21 @@
 		Expect(broken).To(BeNumerically(">", 0))
 	})
 
+	It("would get answers that are not whole or not their own without the checks (guard off)", func() {
+		withFleet(requestSpec(1), func(t *testFleet) {
+			t.roll(t.boxes["h1-b1"], bundleText(1, "a", "10GiB", "writer"))
+			t.awaitModels("writer")
+			wrong := 0
+			for n := range 60 {
+				prompt := fmt.Sprintf("unchecked %d", n)
+				if t.unchecked("h1-e1", prompt) != wholeAnswer(prompt) {
+					wrong++
+				}
+			}
+			Expect(wrong).To(BeNumerically(">", 0))
+		})
+	})
+
 	It("would be told not run falsely if a retry passed for a first attempt (guard off)", func() {
 		withFleet(fleetSpec{halls: 1, boxes: 2, engines: 2, memory: 64 * gib}, func(t *testFleet) {
 			t.roll(t.boxes["h1-b1"], bundleText(1, "a", "10GiB", "writer"))
