--- a/internal/cmd/report_burn.go
+++ b/internal/cmd/report_burn.go
@@ -13,12 +13,12 @@
 	ospreymoorv1 "ospreymoor.example/ospreymoor/internal/gen/ospreymoor/v1"
 )
 
-// ospreymoor report burn --token TOKEN [--box URL] [--format table|json]
+// ospreymoor report burn --token TOKEN [--box URL] [--format table|json|svg]
 //
 // Adds up the counters of all boxes that answer, and of those that others keep.
 type reportBurnCommand struct {
 	operatorFlags
-	Format string `name:"format" default:"table" enum:"table,json" help:"table or json."`
+	Format string `name:"format" default:"table" enum:"table,json,svg" help:"table, json or svg (a picture)."`
 }
 
 // Run prints the report.
@@ -31,12 +31,16 @@
 	if err != nil {
 		return errors.Annotate(err, "asking for the burn report")
 	}
-	if c.Format == "json" {
+	switch c.Format {
+	case "json":
 		encoder := json.NewEncoder(out)
 		encoder.SetIndent("", "  ")
 		return encoder.Encode(answer.Msg)
+	case "svg":
+		return drawBurn(out, answer.Msg)
+	default:
+		return printBurn(out, answer.Msg)
 	}
-	return printBurn(out, answer.Msg)
 }
 
 func printBurn(out output, report *ospreymoorv1.GetBurnResponse) error {
--- a/internal/endtoend/path_test.go
+++ b/internal/endtoend/path_test.go
@@ -98,6 +98,12 @@
 		Expect(out).To(ContainSubstring("writer"))
 		Expect(out).To(ContainSubstring("portal"))
 
+		for format, wanted := range map[string]string{"json": `"model": "writer"`, "svg": "<svg"} {
+			out, code = command("report", "burn", "--box", "http://"+two.address, "--token", operatorToken, "--format", format)
+			Expect(code).To(Equal(0), out)
+			Expect(out).To(ContainSubstring(wanted))
+		}
+
 		By("listing and retiring the bundle")
 		out, code = command("bundle", "list", "--box", "http://"+two.address, "--token", operatorToken)
 		Expect(code).To(Equal(0), out)
