Beat to other halls from two boxes of each hall only

Cause: with seven halls every box beat to two boxes of each other hall, and each reply told all generations: 13.2 KB a second a box at rest with 14 boxes, 15.2 with 56, most of it between halls. Change: the first two of a hall by rendezvous hashing beat for it; the others learn from them. Replies tell all generations only to a full beat or a starting box. The burn report asks the boxes of the box list, since not all are heard directly now.

--- a/internal/box/beats.go
+++ b/internal/box/beats.go
@@ -20,13 +20,14 @@
 	fullBeats = 8
 	// beatsToSilence is how many beats are missed before a peer counts as gone.
 	beatsToSilence = 5
-	// bridges is how many boxes of each other hall a box beats to.
+	// bridges is how many boxes of a hall beat to another hall, and to how many there.
 	bridges = 2
 	// farLoadsAge is how old another hall's loads get before they are fetched anew.
 	farLoadsAge = 5 * time.Second
 )
 
-// beat sends heartbeats: to all boxes of the hall, and to a few of each other hall.
+// beat sends heartbeats: to all boxes of the hall, and from a few of them to a few of each
+// other hall.
 func (b *Box) beat(ctx context.Context) {
 	said := newSaid()
 	for {
@@ -65,7 +66,10 @@
 		far[box.Hall] = append(far[box.Hall], box.ID)
 		addresses[box.ID] = box.Address
 	}
-	for _, ids := range far {
+	for hall, ids := range far {
+		if !membership.Among("bridge/"+hall, b.hallBoxes(), b.config.ID, bridges) {
+			continue // Others of this hall talk to that one, and tell.
+		}
 		ranked := membership.Rank(b.config.ID, ids)
 		for _, id := range ranked[:min(bridges, len(ranked))] {
 			targets = append(targets, addresses[id])
@@ -99,11 +103,11 @@
 			beat.Sent[id], s.sent[id] = total, total
 		}
 	}
-	full := s.beats%fullBeats == 0
+	beat.Full = s.beats%fullBeats == 0
 	s.beats++
 	for name, generation := range b.cache.Generations(shared) {
 		// What must be everywhere within seconds is told each time.
-		if full || s.generations[name] != generation || strings.HasPrefix(name, fleetPrefix) {
+		if beat.Full || s.generations[name] != generation || strings.HasPrefix(name, fleetPrefix) {
 			beat.Generations[name], s.generations[name] = generation, generation
 		}
 	}
@@ -212,13 +216,19 @@
 }
 
 // answerBeat takes a beat in and replies with this box's own; but for a box of the same
-// hall, which gets our beats anyway, unless it is starting up.
+// hall, which gets our beats anyway. The reply tells all generations only to a full beat or
+// to a box that is starting up.
 func (b *Box) answerBeat(_ context.Context, beat peer.Beat) (peer.Beat, error) {
 	b.hear(beat)
-	if beat.Peer.Hall == b.config.Hall && !startingUp(beat) {
+	starting := startingUp(beat)
+	if beat.Peer.Hall == b.config.Hall && !starting {
 		return peer.Beat{}, nil
 	}
-	return peer.Beat{Peer: b.self(), Generations: b.cache.Generations(shared), Leaving: b.view.MarkedLeaving()}, nil
+	reply := peer.Beat{Peer: b.self(), Leaving: b.view.MarkedLeaving()}
+	reply.Generations = b.cache.Generations(func(name string) bool {
+		return strings.HasPrefix(name, fleetPrefix) || (shared(name) && (starting || beat.Full))
+	})
+	return reply, nil
 }
 
 // startingUp tells whether a beat comes from a box that has nothing to serve by yet.
--- a/internal/box/operators.go
+++ b/internal/box/operators.go
@@ -144,15 +144,15 @@
 func (b *Box) gatherBurn(ctx context.Context) (snapshots []burn.Snapshot, boxes, missing []string) {
 	snapshots = append(b.keeper.Snapshots(), b.burn.Snapshot())
 	boxes = []string{b.config.ID}
-	for _, p := range b.view.Live() {
+	for _, entry := range b.view.Entries() {
 		callCtx, cancel := context.WithTimeout(ctx, peerCallTime)
-		answer, err := peer.Call[peer.BurnResponse](callCtx, b.peers, p.Address, peer.MethodBurn, peer.Empty{})
+		answer, err := peer.Call[peer.BurnResponse](callCtx, b.peers, entry.Address, peer.MethodBurn, peer.Empty{})
 		cancel()
 		if err != nil {
-			missing = append(missing, p.ID)
+			missing = append(missing, entry.ID)
 			continue
 		}
-		boxes = append(boxes, p.ID)
+		boxes = append(boxes, entry.ID)
 		snapshots = append(snapshots, answer.Snapshots...)
 	}
 	return snapshots, boxes, missing
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -30,6 +30,8 @@
 	Peer membership.Peer `json:"peer,omitzero"`
 	// Generations of the records that the box holds.
 	Generations map[string]records.Generation `json:"generations,omitempty"`
+	// Full tells that these are all, not only those that changed.
+	Full bool `json:"full,omitempty"`
 	// Sent counts the box's dispatches to upstreams whose count changed.
 	Sent map[string]int64 `json:"sent,omitempty"`
 	// Leaving are upstreams that told the box that they leave.
