Keep callers' own faults out of the burn report

A request with a bad key, an unknown model or a broken connection of the caller's own burnt the service's error budget; found by reading a report of dev. They are counted in /metrics only.

--- a/internal/box/inference.go
+++ b/internal/box/inference.go
@@ -170,12 +170,15 @@
 	return r.connectError()
 }
 
-// count takes a request without a whole answer into the burn counters.
+// count takes a request without a whole answer into the counters; into those of the burn report
+// only if it was not the caller's own fault.
 func (b *Box) count(customer, name string, objective float64, r *refusal) {
 	result := burn.Refused
 	if r.outcome == ospreymoorv1.Outcome_OUTCOME_UNKNOWN {
 		result = burn.Failed
 	}
-	b.burn.Record(customer, name, objective, result, r.reason)
+	if !r.callersFault() {
+		b.burn.Record(customer, name, objective, result, r.reason)
+	}
 	b.countRefused(customer, r)
 }
--- a/internal/box/refusal.go
+++ b/internal/box/refusal.go
@@ -27,8 +27,19 @@
 	reasonKey         = "request key"
 	reasonClaimedGone = "earlier attempt"
 	reasonBrokenOff   = "answer broke off"
+	reasonCallerLeft  = "caller left"
 )
 
+// callersFault tells that the service level does not suffer by a refusal: the caller asked for
+// what can't be, or left.
+func (r *refusal) callersFault() bool {
+	switch r.reason {
+	case reasonBadRequest, reasonNotFound, reasonKey, reasonCallerLeft:
+		return true
+	}
+	return false
+}
+
 // comeBack is when to come back if nothing better is known.
 const comeBack = time.Second
 
@@ -157,5 +168,5 @@
 	if cause := context.Cause(ctx); cause != nil {
 		why = cause.Error()
 	}
-	return unknown(reasonBrokenOff, "the caller left: "+why)
+	return unknown(reasonCallerLeft, why)
 }
--- a/internal/box/run_once.go
+++ b/internal/box/run_once.go
@@ -143,7 +143,7 @@
 	case d.sendErr != nil || ctx.Err() != nil:
 		// The run goes on at the engine, where the caller's next attempt finds it.
 		b.fates.end(own.RequestID, peer.FateUnknown, nil)
-		return false, unknown(reasonBrokenOff, remedyUnknown)
+		return false, unknown(reasonCallerLeft, remedyUnknown)
 	}
 	b.noteFailure(j, own.Upstream, err)
 	if d.next == 0 && (notStarted(err) || b.vouched(own)) {
