--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -185,7 +185,7 @@
 // Serve serves on listeners that the caller made until ctx ends, then drains.
 func (b *Box) Serve(ctx context.Context, listener, peerListener net.Listener) error {
 	go b.server.Serve(peerListener)
-	server := newServer(b.handler())
+	server := newServer(withBodyDeadline(b.handler()))
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	b.log.Info("serving",
