--- a/internal/box/capacity_bench_test.go
+++ b/internal/box/capacity_bench_test.go
@@ -76,6 +76,29 @@
 	}
 }
 
+// BenchmarkCapacityReturn counts the key-value calls in the ten seconds after a hall that was cut off
+// from everything for as long has come back.
+func BenchmarkCapacityReturn(b *testing.B) {
+	for _, boxes := range []int{2, 4, 8} {
+		b.Run(fmt.Sprintf("boxes=%d", 2*boxes), func(b *testing.B) {
+			RegisterTestingT(b)
+			t := newTestFleet(fleetSpec{halls: 2, boxes: boxes, engines: 2, memory: 64 * gib})
+			defer t.close()
+			t.roll(t.boxes["h1-b1"], bundleText(1, "a", "1GiB", "m1"))
+			t.awaitModels("m1")
+			inside, outside := t.hosts("h2")
+			t.net.setCut(true, inside, outside)
+			time.Sleep(restTime)
+			t.net.setCut(false, inside, outside)
+			calls := t.platform.Calls()
+			time.Sleep(restTime)
+			reads, writes := callsSince(t.platform.Calls(), calls)
+			b.ReportMetric(reads, "kvreads/return")
+			b.ReportMetric(writes, "kvwrites/return")
+		})
+	}
+}
+
 // BenchmarkCapacityFleet measures the records of a fleet of so many engines and models: the size of
 // the plan, and the time to take holdings in.
 func BenchmarkCapacityFleet(b *testing.B) {
