--- a/internal/box/operators.go
+++ b/internal/box/operators.go
@@ -66,30 +66,34 @@
 
 // RollBundle puts a version in force.
 func (s operators) RollBundle(ctx context.Context, r *connect.Request[ospreymoorv1.RollBundleRequest]) (*connect.Response[ospreymoorv1.RollBundleResponse], error) {
-	customer, err := s.operator(r.Header())
+	generation, err := s.change(ctx, r.Header(), r.Msg.GetVersion(), s.registry.Roll)
 	if err != nil {
 		return nil, err
 	}
-	generation, err := s.registry.Roll(ctx, customer, r.Msg.GetVersion())
-	if err != nil {
-		return nil, operatorError(err)
-	}
-	s.fetchChange(ctx)
 	return connect.NewResponse(&ospreymoorv1.RollBundleResponse{Generation: generation}), nil
 }
 
 // RetireBundle takes the version in force out of service.
 func (s operators) RetireBundle(ctx context.Context, r *connect.Request[ospreymoorv1.RetireBundleRequest]) (*connect.Response[ospreymoorv1.RetireBundleResponse], error) {
-	customer, err := s.operator(r.Header())
+	generation, err := s.change(ctx, r.Header(), r.Msg.GetVersion(), s.registry.Retire)
 	if err != nil {
 		return nil, err
 	}
-	generation, err := s.registry.Retire(ctx, customer, r.Msg.GetVersion())
+	return connect.NewResponse(&ospreymoorv1.RetireBundleResponse{Generation: generation}), nil
+}
+
+// change changes the table in force for the operator's customer, and takes the change in here.
+func (s operators) change(ctx context.Context, header http.Header, version uint64, do func(context.Context, string, uint64) (int64, error)) (int64, error) {
+	customer, err := s.operator(header)
 	if err != nil {
-		return nil, operatorError(err)
+		return 0, err
+	}
+	generation, err := do(ctx, customer, version)
+	if err != nil {
+		return 0, operatorError(err)
 	}
 	s.fetchChange(ctx)
-	return connect.NewResponse(&ospreymoorv1.RetireBundleResponse{Generation: generation}), nil
+	return generation, nil
 }
 
 // ListBundles lists the operator's own versions.
