Never take a failed resumption for a request that was not started

Cause: a stream that broke off before its first piece is resumed; if the engine could not be reached then, the dial error said 'not started', the claim was released and the request ran again elsewhere. Found by reading; the new spec (an engine cut off just after it has started) failed: 2 starts for one key. Change: whatever a resumption fails with, but 'no such run', leaves the run open. The soak cuts single engines off too now.

--- a/internal/box/resume_test.go
+++ b/internal/box/resume_test.go
@@ -154,3 +154,48 @@
 		}
 	})
 })
+
+var _ = Describe("An engine that is cut off just after it has started a keyed request", func() {
+	It("is the only one to run it", func() {
+		var cutNow atomic.Bool
+		var cut func(engine string)
+		spec := fleetSpec{halls: 1, boxes: 2, engines: 2, memory: 64 * gib}
+		spec.engine = func(id string, c *standin.EngineConfig, _ *membership.Box) {
+			c.Mangle = func(m *enginev1.GenerateResponse) []*enginev1.GenerateResponse {
+				if cutNow.CompareAndSwap(true, false) {
+					cut(id)
+					return nil
+				}
+				return []*enginev1.GenerateResponse{m}
+			}
+		}
+		withFleet(spec, func(t *testFleet) {
+			hosts := []string{t.boxes["h1-b1"].host, t.boxes["h1-b2"].host}
+			cut = func(engine string) {
+				t.net.setCut(true, hosts, []string{engine})
+				t.net.reset(engine)
+				time.AfterFunc(12*time.Second, func() { t.net.setCut(false, hosts, []string{engine}) })
+			}
+			t.roll(t.boxes["h1-b1"], bundleText(1, "a", "10GiB", "writer"))
+			t.awaitModels("writer")
+			time.Sleep(10 * time.Second)
+			for n := range 4 {
+				prompt := fmt.Sprintf("cut off %d", n)
+				request := &ospreymoorv1.GenerateRequest{
+					Model: "writer", Prompt: prompt, MaxTokens: answerPieces, NotRepeatable: true, RequestKey: newKey(),
+				}
+				cutNow.Store(true)
+				t.until(time.Minute, func() error {
+					text, err := t.complete(context.Background(), t.boxes[fmt.Sprintf("h1-b%d", 1+n%2)], request)
+					if err == nil {
+						Expect(text).To(Equal(wholeAnswer(prompt)))
+					} else {
+						Expect(outcomeOf(err)).To(Equal(ospreymoorv1.Outcome_OUTCOME_UNKNOWN))
+					}
+					return err
+				})
+				Expect(t.startsOf(prompt)).To(Equal(1), prompt)
+			}
+		})
+	})
+})
--- a/internal/box/soak_test.go
+++ b/internal/box/soak_test.go
@@ -37,7 +37,7 @@
 
 var faultKinds = []string{
 	"kill box", "drain box", "restart engine", "reset engine", "platform down", "lost answers",
-	"cut hall", "cut platform from hall", "roll", "lose engine orders",
+	"cut hall", "cut platform from hall", "roll", "lose engine orders", "cut engine",
 }
 
 // schedule draws the faults of a seed: the same seed draws the same ones.
@@ -148,6 +148,12 @@
 		t.net.setCut(true, inside, []string{"platform"})
 		time.Sleep(f.lasts)
 		t.net.setCut(false, inside, []string{"platform"})
+	case "cut engine":
+		others := boxes.boxHosts()
+		t.net.setCut(true, others, []string{engine})
+		t.net.reset(engine)
+		time.Sleep(f.lasts)
+		t.net.setCut(false, others, []string{engine})
 	case "roll":
 		*version++
 		_, b := boxes.pick()
@@ -186,6 +192,15 @@
 	}
 }
 
+func (p *boxPicker) boxHosts() (hosts []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, b := range p.fleet.boxes {
+		hosts = append(hosts, b.host)
+	}
+	return hosts
+}
+
 func (p *boxPicker) hosts(hall string) (inside, outside []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -78,10 +78,12 @@
 func (c *Client) Resume(ctx context.Context, id string, offset uint32, take func(index uint32, text string) error) error {
 	request := &enginev1.ResumeRequest{RequestId: id, Offset: offset}
 	stream, err := c.engine.Resume(ctx, connect.NewRequest(request))
-	if err != nil {
-		return requestError(err)
+	if err == nil {
+		err = receive(stream, id, offset, take)
+	} else {
+		err = requestError(err)
 	}
-	return receive(stream, id, offset, take)
+	return resumeError(err)
 }
 
 // Cancelled is what an engine tells when it cancels a run.
@@ -145,6 +147,15 @@
 	}
 }
 
+// resumeError takes from a failed resumption what it might seem to say of the run: an engine
+// that can't be reached now, or refuses now, may well have started it before.
+func resumeError(err error) error {
+	if errors.Is(err, ErrNotStarted) || errors.Is(err, ErrLeaving) {
+		return errors.Annotatef(ErrBrokenOff, "resuming: %v", err)
+	}
+	return err
+}
+
 // Order returns the engine as the hall's controller orders it.
 func (c *Client) Order() orders.Engine {
 	return orders.Engine{
