Say of fates only what they do

A comment promised that a request which was not handed out yet would be voided by whoever asks; nothing did that, and nothing needs it. The field goes with it.

--- a/internal/box/fates.go
+++ b/internal/box/fates.go
@@ -30,8 +30,6 @@
 type fate struct {
 	state  peer.Fate
 	answer *peer.Answer
-	// handed tells that the request may have been handed to the upstream.
-	handed bool
 	ended  chan struct{}
 }
 
@@ -46,17 +44,13 @@
 	f.trim()
 }
 
-// hand notes that the request is about to be handed to its upstream; it returns false if
-// another box was told meanwhile that it was not run.
-func (f *fates) hand(id string) bool {
+// mayHand tells whether the request may be handed to its upstream: not if it was forgotten in the
+// meantime, since others are then told that nothing is known of it.
+func (f *fates) mayHand(id string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	entry := f.byID[id]
-	if entry == nil || entry.state != peer.FateRunning {
-		return false
-	}
-	entry.handed = true
-	return true
+	return entry != nil && entry.state == peer.FateRunning
 }
 
 // end notes a request's fate, with its answer if it is to be kept.
@@ -75,8 +69,7 @@
 	f.trim()
 }
 
-// wait tells a request's fate, after waiting for its end for a while. A request that was not
-// handed out yet when somebody asks in earnest (wait of 0) never will be.
+// wait tells a request's fate, after waiting for its end for a while.
 func (f *fates) wait(ctx context.Context, id string, wait time.Duration) peer.AnswerResponse {
 	f.mu.Lock()
 	entry := f.byID[id]
--- a/internal/box/run_once.go
+++ b/internal/box/run_once.go
@@ -99,7 +99,7 @@
 	if claim.RequestID != own.RequestID {
 		return b.joinRun(ctx, o, claim, d)
 	}
-	if !b.fates.hand(own.RequestID) {
+	if !b.fates.mayHand(own.RequestID) {
 		return true, nil
 	}
 	d.begin(own.RequestID)
--- a/internal/box/services_once.go
+++ b/internal/box/services_once.go
@@ -59,7 +59,7 @@
 // sendOnce sends a claimed call. Once the call may have reached the upstream, it goes on
 // without its caller, so that the answer is there for the next attempt.
 func (b *Box) sendOnce(ctx context.Context, c *call, o once, own claims.Claim, upstream membership.Box) (answer *peer.Answer, again bool, refused *refusal) {
-	if !b.fates.hand(own.RequestID) {
+	if !b.fates.mayHand(own.RequestID) {
 		return nil, true, nil
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), durationOf(c.service.Timeout))
