Call the library where it was written again; drop a field nobody reads

Found on reading the whole change once more: our own contains and copyMap stood for slices.Contains and maps.Clone; answers' headers were filtered twice; two benchmarks read streams, and three set fleets up, in lines of their own; every heartbeat carried 'ready', which nobody reads.

--- a/internal/box/beats.go
+++ b/internal/box/beats.go
@@ -122,7 +122,6 @@
 		Hall:        b.config.Hall,
 		Address:     b.config.PeerAddress,
 		Leaving:     b.draining.Load(),
-		Ready:       b.Ready(),
 		Store:       b.storeOK.Load(),
 	}
 }
--- a/internal/box/capacity_bench_test.go
+++ b/internal/box/capacity_bench_test.go
@@ -33,14 +33,20 @@
 	}
 }
 
-func measureRest(b *testing.B, halls, boxes, engines int) {
+// servingFleet starts a fleet on the real clock, with so many boxes and engines in each hall,
+// and waits until its models answer.
+func servingFleet(b *testing.B, halls, boxes, engines int, models ...string) *testFleet {
 	RegisterTestingT(b)
+	t := newTestFleet(fleetSpec{halls: halls, boxes: boxes, engines: engines, memory: 64 * gib})
+	b.Cleanup(t.close)
+	t.roll(t.boxes["h1-b1"], bundleText(1, "a", "1GiB", models...))
+	t.awaitModels(models...)
+	return t
+}
+
+func measureRest(b *testing.B, halls, boxes, engines int) {
 	before := heap()
-	spec := fleetSpec{halls: halls, boxes: boxes, engines: engines, memory: 64 * gib}
-	t := newTestFleet(spec)
-	defer t.close()
-	t.roll(t.boxes["h1-b1"], bundleText(1, "a", "1GiB", "m1", "m2", "m3", "m4"))
-	t.awaitModels("m1", "m2", "m3", "m4")
+	t := servingFleet(b, halls, boxes, engines, "m1", "m2", "m3", "m4")
 	time.Sleep(15 * time.Second) // All copies are loaded.
 	calls, out, in, cpu := t.platform.Calls(), t.peerBytes("out"), t.peerBytes("in"), cpuTime()
 	time.Sleep(restTime)
@@ -59,11 +65,7 @@
 func BenchmarkCapacityChange(b *testing.B) {
 	for _, boxes := range []int{2, 4, 8} {
 		b.Run(fmt.Sprintf("boxes=%d", 2*boxes), func(b *testing.B) {
-			RegisterTestingT(b)
-			t := newTestFleet(fleetSpec{halls: 2, boxes: boxes, engines: 2, memory: 64 * gib})
-			defer t.close()
-			t.roll(t.boxes["h1-b1"], bundleText(1, "a", "1GiB", "m1"))
-			t.awaitModels("m1")
+			t := servingFleet(b, 2, boxes, 2, "m1")
 			time.Sleep(15 * time.Second)
 			calls, begun := t.platform.Calls(), time.Now()
 			t.roll(t.boxes["h1-b1"], bundleText(2, "a", "1GiB", "m1"))
@@ -81,11 +83,7 @@
 func BenchmarkCapacityReturn(b *testing.B) {
 	for _, boxes := range []int{2, 4, 8} {
 		b.Run(fmt.Sprintf("boxes=%d", 2*boxes), func(b *testing.B) {
-			RegisterTestingT(b)
-			t := newTestFleet(fleetSpec{halls: 2, boxes: boxes, engines: 2, memory: 64 * gib})
-			defer t.close()
-			t.roll(t.boxes["h1-b1"], bundleText(1, "a", "1GiB", "m1"))
-			t.awaitModels("m1")
+			t := servingFleet(b, 2, boxes, 2, "m1")
 			inside, outside := t.hosts("h2")
 			t.net.setCut(true, inside, outside)
 			time.Sleep(restTime)
--- a/internal/box/fleet.go
+++ b/internal/box/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -159,7 +160,7 @@
 		if info.box.Leaving || info.holding.Leaving || b.view.IsLeaving(id) {
 			continue
 		}
-		if adapter != "" && !contains(info.holding.Resident, adapter) {
+		if adapter != "" && !slices.Contains(info.holding.Resident, adapter) {
 			continue
 		}
 		c := b.loads.candidate(id, info)
@@ -208,12 +209,3 @@
 	}
 	return value
 }
-
-func contains(sorted []string, name string) bool {
-	for _, s := range sorted {
-		if s == name {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/box/services.go
+++ b/internal/box/services.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/url"
@@ -228,7 +229,7 @@
 // caller's connection too: it must never look whole.
 func (b *Box) copyAnswer(w http.ResponseWriter, c *call, response *http.Response) {
 	defer func() { _ = response.Body.Close() }()
-	copyHeader(w.Header(), response.Header)
+	maps.Copy(w.Header(), passedOn(response.Header))
 	w.WriteHeader(response.StatusCode)
 	buffer := make([]byte, copyBytes)
 	if _, err := io.CopyBuffer(flushing{w, http.NewResponseController(w)}, response.Body, buffer); err != nil {
@@ -252,7 +253,7 @@
 
 // writeAnswer hands a whole answer to the caller.
 func (b *Box) writeAnswer(w http.ResponseWriter, c *call, answer *peer.Answer) {
-	copyHeader(w.Header(), answer.Header)
+	maps.Copy(w.Header(), answer.Header)
 	w.WriteHeader(answer.Status)
 	if _, err := w.Write(answer.Body); err == nil {
 		b.servedCall(c)
@@ -282,6 +283,7 @@
 	return hex.EncodeToString(sum.Sum(nil)[:16])
 }
 
+// passedOn is a header without what concerns one connection only.
 func passedOn(header http.Header) http.Header {
 	passed := header.Clone()
 	for _, listed := range header.Values("Connection") {
@@ -295,12 +297,6 @@
 	return passed
 }
 
-func copyHeader(to, from http.Header) {
-	for name, values := range passedOn(from) {
-		to[name] = values
-	}
-}
-
 // flushing writes each piece through to the caller at once.
 type flushing struct {
 	http.ResponseWriter
--- a/internal/dev/box_bench_test.go
+++ b/internal/dev/box_bench_test.go
@@ -116,14 +116,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	n := 0
-	for stream.Receive() {
-		n++
-	}
-	if n != pieces+1 || stream.Err() != nil {
-		b.Fatal(n, stream.Err())
-	}
-	_ = stream.Close()
+	readWhole(b, stream)
 }
 
 func fromBox(b *testing.B, client ospreymoorv1connect.InferenceServiceClient) {
@@ -132,6 +125,18 @@
 	if err != nil {
 		b.Fatal(err)
 	}
+	readWhole(b, stream)
+}
+
+// answer is a stream of either protocol.
+type answer interface {
+	Receive() bool
+	Err() error
+	Close() error
+}
+
+// readWhole reads an answer to its end and checks that it is whole.
+func readWhole(b *testing.B, stream answer) {
 	n := 0
 	for stream.Receive() {
 		n++
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -128,8 +129,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	record := e.record
-	record.Started, record.Prompts = copyMap(e.record.Started), copyMap(e.record.Prompts)
-	record.Finished = copyMap(e.record.Finished)
+	record.Started, record.Prompts = maps.Clone(e.record.Started), maps.Clone(e.record.Prompts)
+	record.Finished = maps.Clone(e.record.Finished)
 	return record
 }
 
@@ -299,11 +300,3 @@
 		return false
 	}
 }
-
-func copyMap[K comparable, V any](m map[K]V) map[K]V {
-	c := make(map[K]V, len(m))
-	for k, v := range m {
-		c[k] = v
-	}
-	return c
-}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -84,11 +85,7 @@
 func (p *Platform) Calls() map[string]int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	calls := map[string]int{}
-	for path, n := range p.calls {
-		calls[path] = n
-	}
-	return calls
+	return maps.Clone(p.calls)
 }
 
 func (p *Platform) without(id string) []membership.Box {
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -25,7 +26,7 @@
 func (s *Service) Runs() map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return copyMap(s.runs)
+	return maps.Clone(s.runs)
 }
 
 // Handler serves GET with the path, and POST with a count of the same body.
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -52,7 +52,6 @@
 	Hall        string `json:"hall"`
 	Address     string `json:"address"`
 	Leaving     bool   `json:"leaving,omitempty"`
-	Ready       bool   `json:"ready,omitempty"`
 	// Store tells that the peer reaches the key-value service.
 	Store bool `json:"store,omitempty"`
 }
