--- /dev/null
+++ b/internal/cmd/node.go
@@ -0,0 +1,51 @@
+package cmd
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"ospreymoor.example/ospreymoor/platform"
+)
+
+// ospreymoor node --settings FILE [flags]
+//
+// Runs one machine on the users' platform until SIGTERM, then drains it. SIGHUP has the
+// settings read again.
+type nodeCommand struct {
+	Settings    string        `name:"settings" env:"OSPREYMOOR_NODE_FILE" default:"/etc/ospreymoor/local.yaml" help:"The platform's settings file."`
+	MetricsPort int           `name:"metrics-port" env:"OSPREYMOOR_METRICS_PORT" default:"0" help:"Port for metrics on the machine's address; 0 serves none."`
+	LeaseTTL    time.Duration `name:"order-lease-ttl" env:"OSPREYMOOR_ORDER_LEASE_TTL" default:"6s" help:"How long the lease of the machine that gives orders lasts without renewal."`
+	MoveCost    float64       `name:"load-cost" env:"OSPREYMOOR_LOAD_COST" default:"0.01" help:"What a model's load must gain at least, in squared engine time."`
+	LogLevel    string        `name:"node-log-level" env:"OSPREYMOOR_NODE_LOG_LEVEL" default:"info" enum:"debug,info,warn,error" help:"Least level of log lines."`
+}
+
+// Run runs the machine.
+func (c *nodeCommand) Run(ctx context.Context, _ output) error {
+	if c.LeaseTTL < 3*time.Second {
+		return wrong("order-lease-ttl", c.LeaseTTL, "give 3s or more: a lease is renewed three times in that time")
+	}
+	if c.MoveCost < 0 {
+		return wrong("load-cost", c.MoveCost, "give 0 or more")
+	}
+	if c.MetricsPort < 0 || c.MetricsPort > 65535 {
+		return wrong("metrics-port", c.MetricsPort, "give a port, or 0")
+	}
+	log, err := newLogger(c.LogLevel)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Sync() }()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	return platform.Run(ctx, platform.Options{
+		SettingsFile: c.Settings,
+		MetricsPort:  c.MetricsPort,
+		LeaseTTL:     c.LeaseTTL,
+		MoveCost:     c.MoveCost,
+		Log:          log,
+		Reload:       reload,
+	})
+}
--- /dev/null
+++ b/internal/gateway/cluster.go
@@ -0,0 +1,448 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"ospreymoor.example/ospreymoor/internal/peer"
+	"ospreymoor.example/ospreymoor/pkg/dispatch"
+	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/kv"
+	"ospreymoor.example/ospreymoor/pkg/mirror"
+	"ospreymoor.example/ospreymoor/pkg/residency"
+)
+
+// cluster is what this machine knows of the others, and tells them.
+type cluster struct {
+	self       node
+	seeds      []string
+	client     *peer.Client
+	gateway    *Gateway
+	controller *residency.Controller
+	demand     *residency.Demand
+	config     *mirror.Mirror
+	backends   *mirror.Mirror
+	boxes      *outboxes
+	log        *zap.Logger
+	leaving    func() bool
+
+	mu    sync.Mutex
+	nodes map[string]*member
+	// most is the largest number of machines that was known at once.
+	most int
+}
+
+// member is another machine.
+type member struct {
+	node
+	// registered tells that the store lists it now.
+	registered bool
+	// heard is when it last said something.
+	heard   time.Time
+	leaving bool
+	// holder tells that it said to hold the order lease, under term.
+	holder bool
+	term   int64
+	// calling tells that an exchange with it is under way.
+	calling bool
+	// failed is when an exchange last failed, and failures how many did in a row.
+	failed   time.Time
+	failures int
+}
+
+const (
+	// exchangeInterval is the least time between two exchanges with one peer.
+	exchangeInterval = 150 * time.Millisecond
+	// intervalPerNode lengthens it where there are many machines.
+	intervalPerNode = 10 * time.Millisecond
+	// exchangeTimeout bounds one exchange.
+	exchangeTimeout = 600 * time.Millisecond
+	// memberTime is how long a machine that the store does not list and that says nothing is kept.
+	memberTime = 15 * time.Second
+	// failurePause is how long a peer that does not answer is left alone, by failures in a row.
+	failurePause = 200 * time.Millisecond
+	// longFailurePause bounds it.
+	longFailurePause = 2 * time.Second
+	// holderTime is how long a peer's word that it holds the order lease is believed.
+	holderTime = 4 * time.Second
+)
+
+// setNodes takes the store's list of machines.
+func (c *cluster) setNodes(list mirror.Copy) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range c.nodes {
+		m.registered = false
+	}
+	for _, record := range list.Records {
+		var n node
+		if err := json.Unmarshal(record.Value, &n); err != nil || n.Name == c.self.Name {
+			continue
+		}
+		c.member(n).registered = true
+	}
+	c.most = max(c.most, len(c.nodes)+1)
+}
+
+// member returns the state of a machine. The caller holds the lock.
+func (c *cluster) member(n node) *member {
+	m := c.nodes[n.Name]
+	if m == nil {
+		m = &member{}
+		c.nodes[n.Name] = m
+	}
+	if m.Incarnation != n.Incarnation {
+		m.holder, m.failures = false, 0
+	}
+	m.node = n
+	return m
+}
+
+// machines is the largest number of machines known to share budgets.
+func (c *cluster) machines() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return max(1, c.most)
+}
+
+// run exchanges news with all peers until ctx ends.
+func (c *cluster) run(ctx context.Context) {
+	c.askSeeds(ctx)
+	for {
+		c.round(ctx)
+		if sleep(ctx, c.interval()) != nil {
+			return
+		}
+	}
+}
+
+func (c *cluster) interval() time.Duration {
+	return max(exchangeInterval, time.Duration(c.machines())*intervalPerNode)
+}
+
+// round starts an exchange with each peer that is this machine's to call.
+func (c *cluster) round(ctx context.Context) {
+	c.mu.Lock()
+	now := time.Now()
+	names := make([]string, 0, len(c.nodes))
+	var due []*member
+	for name, m := range c.nodes {
+		if !m.registered && now.Sub(m.heard) > memberTime {
+			delete(c.nodes, name)
+			continue
+		}
+		names = append(names, name)
+		rest := min(longFailurePause, time.Duration(m.failures)*failurePause)
+		// The smaller name calls; the other one only if it hears nothing.
+		mine := c.self.Name < name || now.Sub(m.heard) > 4*c.intervalFor(len(c.nodes))
+		if mine && !m.calling && now.Sub(m.failed) >= rest {
+			m.calling = true
+			due = append(due, m)
+		}
+	}
+	c.mu.Unlock()
+	work, uses := c.boxes.collect(c.gateway.Book, names)
+	c.demand.Note(work, now)
+	c.controller.Used(uses)
+	c.gateway.Directory.Forget()
+	for _, m := range due {
+		go c.exchangeWith(ctx, m)
+	}
+}
+
+func (c *cluster) intervalFor(nodes int) time.Duration {
+	return max(exchangeInterval, time.Duration(nodes)*intervalPerNode)
+}
+
+func (c *cluster) exchangeWith(ctx context.Context, m *member) {
+	c.mu.Lock()
+	name, address := m.Name, m.Address
+	c.mu.Unlock()
+	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	answer, err := peer.Call[exchange](callCtx, c.client, address, methodExchange, c.message(name, fleet.Stamp{}, false))
+	c.mu.Lock()
+	m.calling = false
+	if err != nil {
+		m.failed = time.Now()
+		m.failures++
+		first := m.failures == 1
+		c.mu.Unlock()
+		if first && ctx.Err() == nil {
+			c.log.Info("peer lost", zap.String("peer", name), zap.Error(err))
+		}
+		return
+	}
+	regained := m.failures > 0
+	m.failures = 0
+	c.mu.Unlock()
+	if regained {
+		c.log.Info("peer regained", zap.String("peer", name))
+	}
+	c.hear(ctx, answer)
+}
+
+// message is what one peer is told now. Residencies go along if the peer is known to know less.
+func (c *cluster) message(to string, known fleet.Stamp, withResidencies bool) exchange {
+	box := c.boxes.take(to)
+	_, holding := c.controller.Residencies()
+	message := exchange{
+		From:            c.self,
+		Leaving:         c.leaving(),
+		ConfigRevision:  c.config.State().Revision,
+		BackendRevision: c.backends.State().Revision,
+		Holder:          holding != nil,
+		Stamp:           c.gateway.Directory.Stamp(),
+		News:            dispatch.News{Loads: c.gateway.Book.Loads(), Sent: box.sent, Verdicts: box.verdicts},
+		Uses:            box.uses,
+	}
+	for key, milliseconds := range box.work {
+		message.Work = append(message.Work, workItem{ModelKey: key, Milliseconds: milliseconds})
+	}
+	if withResidencies && known.Before(message.Stamp) {
+		_, message.Residencies = c.gateway.Directory.Residencies()
+	}
+	return message
+}
+
+// answerExchange answers a peer's exchange.
+func (c *cluster) answerExchange(ctx context.Context, said exchange) (exchange, error) {
+	c.hear(context.WithoutCancel(ctx), said)
+	return c.message(said.From.Name, said.Stamp, true), nil
+}
+
+// hear takes in what a peer said, and fetches what it has newer.
+func (c *cluster) hear(ctx context.Context, said exchange) {
+	c.mu.Lock()
+	m := c.member(said.From)
+	m.heard = time.Now()
+	m.leaving = said.Leaving
+	m.holder, m.term = said.Holder, said.Stamp.Term
+	c.most = max(c.most, len(c.nodes)+1)
+	c.mu.Unlock()
+	c.gateway.Book.Hear(said.From.Name, said.News)
+	if len(said.Work) > 0 {
+		work := make(map[residency.ModelKey]float64, len(said.Work))
+		for _, item := range said.Work {
+			work[item.ModelKey] += item.Milliseconds
+		}
+		c.demand.Note(work, time.Now())
+	}
+	c.controller.Used(said.Uses)
+	directory := c.gateway.Directory
+	if len(said.Residencies) > 0 {
+		directory.SetResidency(said.Stamp.Term, said.Residencies)
+	}
+	newer := said.ConfigRevision > c.config.State().Revision || said.BackendRevision > c.backends.State().Revision
+	if newer || (len(said.Residencies) == 0 && directory.Stamp().Before(said.Stamp)) {
+		go c.fetch(ctx, said, newer)
+	}
+}
+
+// fetch gets what a peer has newer: copies after a moment in which the store may tell itself.
+func (c *cluster) fetch(ctx context.Context, from exchange, newer bool) {
+	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	if !newer {
+		// An exchange of our own is answered with the residencies.
+		answer, err := peer.Call[exchange](callCtx, c.client, from.From.Address, methodExchange, c.message(from.From.Name, fleet.Stamp{}, false))
+		if err == nil && len(answer.Residencies) > 0 {
+			c.gateway.Directory.SetResidency(answer.Stamp.Term, answer.Residencies)
+		}
+		return
+	}
+	if sleep(ctx, storeLead) != nil {
+		return
+	}
+	c.fetchCopies(callCtx, from.From.Address)
+}
+
+// storeLead is the time that the store has to tell of a change itself before a peer is asked.
+const storeLead = 300 * time.Millisecond
+
+func (c *cluster) fetchCopies(ctx context.Context, address string) bool {
+	request := copiesRequest{ConfigRevision: c.config.State().Revision, BackendRevision: c.backends.State().Revision}
+	answer, err := peer.Call[copiesAnswer](ctx, c.client, address, methodCopies, request)
+	if err != nil {
+		return false
+	}
+	if answer.Config != nil && c.config.Offer(*answer.Config) {
+		c.log.Info("configuration from peer", zap.String("peer", address), zap.Int64("revision", answer.Config.Revision))
+	}
+	if answer.Backends != nil && c.backends.Offer(*answer.Backends) {
+		c.log.Info("back ends from peer", zap.String("peer", address), zap.Int64("revision", answer.Backends.Revision))
+	}
+	return true
+}
+
+// askSeeds gets a first copy from the machines named in the settings: the store may be away.
+func (c *cluster) askSeeds(ctx context.Context) {
+	for _, seed := range c.seeds {
+		if seed == c.self.Address || c.config.State().Revision > 0 {
+			continue
+		}
+		go func() {
+			callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+			defer cancel()
+			answer, err := peer.Call[exchange](callCtx, c.client, seed, methodExchange, c.message("", fleet.Stamp{}, false))
+			if err != nil {
+				return
+			}
+			c.hear(ctx, answer)
+			c.fetchCopies(callCtx, seed)
+		}()
+	}
+}
+
+func (c *cluster) answerCopies(_ context.Context, request copiesRequest) (copiesAnswer, error) {
+	var answer copiesAnswer
+	if state := c.config.State(); state.Revision > request.ConfigRevision {
+		answer.Config = &state
+	}
+	if state := c.backends.State(); state.Revision > request.BackendRevision {
+		answer.Backends = &state
+	}
+	return answer, nil
+}
+
+// announce sends the order holder's word to all peers at once.
+func (c *cluster) announce(int64, map[string]fleet.Residency) {
+	// The next exchanges carry it: they are at most an interval away.
+}
+
+func (c *cluster) answerEnsure(ctx context.Context, request ensureRequest) (ensureAnswer, error) {
+	ensured, err := c.controller.Ensure(ctx, request.Service, request.Model, request.Adapter)
+	answer := ensureAnswer{Ensured: ensured}
+	if err != nil {
+		answer.Error = err.Error()
+	}
+	return answer, nil
+}
+
+// errNoHolder says that no machine is known to give orders.
+const errNoHolder = errors.ConstError("no machine is known to hold the order lease: wait for the next one")
+
+// ensure asks the order holder, which may be this machine.
+func (c *cluster) ensure(ctx context.Context, service, model, adapter string) (residency.Ensured, error) {
+	ensured, err := c.controller.Ensure(ctx, service, model, adapter)
+	if !errors.Is(err, residency.ErrNotHolder) {
+		return ensured, err
+	}
+	address, ok := c.holder()
+	if !ok {
+		return residency.Ensured{}, errNoHolder
+	}
+	request := ensureRequest{Service: service, Model: model, Adapter: adapter}
+	answer, err := peer.Call[ensureAnswer](ctx, c.client, address, methodEnsure, request)
+	if err != nil {
+		return residency.Ensured{}, err
+	}
+	if answer.Error != "" {
+		return answer.Ensured, errors.New(answer.Error)
+	}
+	return answer.Ensured, nil
+}
+
+// holder is the address of the machine that last said to hold the order lease.
+func (c *cluster) holder() (string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var best *member
+	for _, m := range c.nodes {
+		if !m.holder || time.Since(m.heard) > holderTime {
+			continue
+		}
+		if best == nil || m.term > best.term {
+			best = m
+		}
+	}
+	if best == nil {
+		return "", false
+	}
+	return best.Address, true
+}
+
+// peers lists the names of the machines known now.
+func (c *cluster) peers() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Sorted(maps.Keys(c.nodes))
+}
+
+// registration keeps this machine listed in the store.
+type registration struct {
+	store  kv.Store
+	key    string
+	node   node
+	log    *zap.Logger
+	lease  kv.LeaseID
+	listed bool
+}
+
+const (
+	// registrationTime is how long a machine that is gone stays listed.
+	registrationTime = 12 * time.Second
+	// registrationRenewal is the time between renewals.
+	registrationRenewal = 4 * time.Second
+	// registrationRetry is the pause after a failure.
+	registrationRetry = time.Second
+)
+
+// run keeps the registration until ctx ends, and then ends it.
+func (r *registration) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		span := registrationRenewal
+		if err := r.step(ctx); err != nil {
+			span = registrationRetry
+		}
+		_ = sleep(ctx, span)
+	}
+	if r.lease != 0 {
+		ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), registrationRetry)
+		defer cancel()
+		_ = r.store.Revoke(ending, r.lease)
+	}
+}
+
+func (r *registration) step(ctx context.Context) error {
+	if r.listed {
+		err := r.store.Renew(ctx, r.lease)
+		if errors.Is(err, kv.ErrLeaseLost) {
+			r.listed = false
+		} else {
+			return err
+		}
+	}
+	return r.register(ctx)
+}
+
+func (r *registration) register(ctx context.Context) error {
+	value, err := json.Marshal(r.node)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	revision := int64(0)
+	current, err := r.store.Get(ctx, r.key)
+	switch {
+	case err == nil:
+		revision = current.Revision
+	case !errors.Is(err, kv.ErrNotFound):
+		return err
+	}
+	lease, err := r.store.Grant(ctx, registrationTime)
+	if err != nil {
+		return err
+	}
+	if _, err := r.store.Swap(ctx, kv.Swap{Key: r.key, Revision: revision, Value: value, Lease: lease}); err != nil {
+		return err
+	}
+	r.lease, r.listed = lease, true
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,368 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"ospreymoor.example/ospreymoor/pkg/dispatch"
+	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/residency"
+	"ospreymoor.example/ospreymoor/pkg/routes"
+)
+
+// ErrAborted says that an answer was begun and can't be completed: the door must break the
+// caller's connection, so that the answer does not look whole.
+const ErrAborted = errors.ConstError("answer can't be completed: the connection to the caller is broken off")
+
+// Gateway serves requests. Set the fields before the first one.
+type Gateway struct {
+	Directory *fleet.Directory
+	Book      *dispatch.Book
+	Chooser   *dispatch.Chooser
+	Backends  Backends
+	// Ensure asks the order holder for an adapter or model.
+	Ensure func(ctx context.Context, service, model, adapter string) (residency.Ensured, error)
+	// Note takes work that was asked for, and Used the use of an adapter.
+	Note func(work map[residency.ModelKey]float64)
+	Used func(use residency.Use)
+	Log  *zap.Logger
+	Set  *metrics.Set
+
+	budget *repeatBudget
+	table  atomic.Pointer[routes.Table]
+	flight atomic.Int64
+}
+
+// SetTable puts a configuration in force; one that is not newer is ignored.
+func (g *Gateway) SetTable(table *routes.Table) bool {
+	for {
+		old := g.table.Load()
+		if old != nil && old.Version >= table.Version {
+			return false
+		}
+		if g.table.CompareAndSwap(old, table) {
+			return true
+		}
+	}
+}
+
+// Table returns the configuration in force, or nil.
+func (g *Gateway) Table() *routes.Table { return g.table.Load() }
+
+// InFlight counts the requests under way.
+func (g *Gateway) InFlight() int64 { return g.flight.Load() }
+
+// run is one request on its way.
+type run struct {
+	gateway *Gateway
+	request *Request
+	route   *routes.Route
+	service string
+	need    dispatch.Need
+	// ends is when the final answer is due; zero for never.
+	ends time.Time
+	// patience is until when the request may wait before it is sent.
+	patience time.Time
+	// sends counts the sendings, tries those of them that may have run.
+	sends int
+	tries int
+	// avoid are the back ends that it was sent to, last the latest of them.
+	avoid []string
+	last  string
+	// firstByte is when the first part of the answer was passed on.
+	firstByte time.Time
+}
+
+// Serve answers a request. It returns ErrAborted if the caller's connection must be broken.
+func (g *Gateway) Serve(ctx context.Context, w http.ResponseWriter, request *Request) error {
+	g.flight.Add(1)
+	defer g.flight.Add(-1)
+	table := g.table.Load()
+	if table == nil {
+		g.refuse(w, request, nil, notRun(reasonNoConfig, whenConfigured))
+		return nil
+	}
+	route := table.Match(request.Host, request.Path)
+	if route == nil {
+		g.refuse(w, request, nil, &refusal{status: http.StatusNotFound, reason: reasonNoRoute})
+		return nil
+	}
+	r := g.newRun(table, route, request)
+	if !r.ends.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, r.ends)
+		defer cancel()
+	}
+	g.budget.request(r.service)
+	if route.Kind == routes.Stream {
+		return r.serveStream(ctx, w)
+	}
+	return r.servePlain(ctx, w)
+}
+
+const (
+	// patienceShare is the part of the target that a request may wait before it is sent.
+	patienceShare = 0.22
+	// leastPatience holds for routes without a target.
+	leastPatience = 50 * time.Millisecond
+)
+
+func (g *Gateway) newRun(table *routes.Table, route *routes.Route, request *Request) *run {
+	r := &run{gateway: g, request: request, route: route}
+	r.service = route.Pick(xxhash.Sum64String(request.ID))
+	r.need = dispatch.Need{Service: r.service}
+	if service := table.Services[r.service]; service != nil && service.Engines != nil && request.Model != "" {
+		r.need.Model, r.need.Adapter = request.Model, request.Adapter
+		r.need.Pieces = dispatch.Pieces(request.Model, request.Adapter, request.Prompt)
+		r.need.PromptTokens = promptTokens(request)
+		r.need.AnswerTokens = request.AnswerTokens
+		if request.LengthGuess > 0 {
+			r.need.AnswerTokens = min(request.AnswerTokens, request.LengthGuess)
+		}
+		r.need.CacheTokens = service.Engines.CacheTokens
+	}
+	r.ends = request.Deadline
+	if route.Timeout > 0 {
+		if held := request.Arrived.Add(route.Timeout); r.ends.IsZero() || held.Before(r.ends) {
+			r.ends = held
+		}
+	}
+	patience := max(leastPatience, time.Duration(patienceShare*float64(route.Target)))
+	r.patience = request.Arrived.Add(patience)
+	return r
+}
+
+func promptTokens(request *Request) int {
+	parts := 0
+	for _, part := range request.Prompt {
+		parts += part.Tokens
+	}
+	return max(parts, request.PromptTokens)
+}
+
+// pick chooses the back end of the next sending, and waits for what has to be loaded first.
+func (r *run) pick(ctx context.Context) (dispatch.Choice, *refusal) {
+	for {
+		choice, why := r.choose()
+		if why == "" {
+			return choice, nil
+		}
+		wait, refused := r.provide(ctx, why)
+		if refused != nil {
+			return choice, refused
+		}
+		if err := sleep(ctx, wait); err != nil {
+			return choice, r.over(ctx)
+		}
+	}
+}
+
+// choose picks among the back ends that have what the request needs; why tells what is lacking.
+func (r *run) choose() (dispatch.Choice, reason) {
+	all := r.gateway.Directory.Of(r.service)
+	candidates := make([]*fleet.State, 0, len(all))
+	holdModel := false
+	present := false
+	for _, state := range all {
+		if state.Leaving || r.avoids(state.ID) {
+			continue
+		}
+		present = true
+		if r.need.Model != "" {
+			if !state.Holds(r.need.Model) {
+				continue
+			}
+			holdModel = true
+			if !state.HoldsAdapter(r.need.Model, r.need.Adapter) {
+				continue
+			}
+		}
+		if r.gateway.Directory.Missing(state.ID, r.need.Model, r.need.Adapter) {
+			continue
+		}
+		candidates = append(candidates, state)
+	}
+	if choice, ok := r.gateway.Chooser.Choose(r.need, candidates); ok {
+		return choice, ""
+	}
+	switch {
+	case !present:
+		return dispatch.Choice{}, reasonNoBackend
+	case r.need.Model == "":
+		return dispatch.Choice{}, reasonNoBackend
+	case !holdModel:
+		return dispatch.Choice{}, reasonNoModel
+	}
+	return dispatch.Choice{}, reasonNoAdapter
+}
+
+func (r *run) avoids(backend string) bool {
+	return slices.Contains(r.avoid, backend)
+}
+
+// retryWait is the pause before another look at the directory.
+const retryWait = 20 * time.Millisecond
+
+// provide has what is lacking loaded, and tells how long to wait before looking again; it
+// refuses the request if that is longer than it may wait.
+func (r *run) provide(ctx context.Context, why reason) (time.Duration, *refusal) {
+	left := time.Until(r.patience)
+	if why == reasonNoBackend {
+		if left < retryWait {
+			return 0, r.giveUp(why, soon)
+		}
+		return retryWait, nil
+	}
+	if why == reasonNoModel {
+		r.missed()
+	}
+	if left <= 0 {
+		return 0, r.giveUp(why, soon)
+	}
+	askCtx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	ensured, err := r.gateway.Ensure(askCtx, r.service, r.need.Model, r.need.Adapter)
+	if ensured.Backend != "" {
+		r.gateway.Directory.SetResidency(ensured.Term, map[string]fleet.Residency{ensured.Backend: ensured.Residency})
+		return 0, nil
+	}
+	if ctx.Err() != nil {
+		return 0, r.over(ctx)
+	}
+	left = time.Until(r.patience)
+	wait := max(retryWait, min(ensured.Ready, left/2))
+	if ensured.Ready > left || left < retryWait {
+		r.gateway.Log.Debug("not provided", zap.String("id", r.request.ID), zap.String("model", r.need.Model),
+			zap.String("adapter", r.need.Adapter), zap.Duration("ready", ensured.Ready), zap.Error(err))
+		return 0, r.giveUp(why, max(soon, ensured.Ready))
+	}
+	return wait, nil
+}
+
+// missed tells the order holder of work that no engine could take.
+func (r *run) missed() {
+	r.noteWork(r.need.PromptTokens)
+}
+
+func (r *run) noteWork(uncached int) {
+	if r.need.Model == "" || r.gateway.Note == nil {
+		return
+	}
+	work := r.gateway.Book.Work(r.need, uncached)
+	key := residency.ModelKey{Service: r.service, Model: r.need.Model}
+	r.gateway.Note(map[residency.ModelKey]float64{key: float64(work) / float64(time.Millisecond)})
+}
+
+// giveUp is the final answer to a request that goes to no back end any more.
+func (r *run) giveUp(why reason, retryAfter time.Duration) *refusal {
+	if r.tries > 0 && !r.route.Idempotent() {
+		return mayHaveRun(why)
+	}
+	return notRun(why, retryAfter)
+}
+
+// over is the final answer when ctx has ended.
+func (r *run) over(ctx context.Context) *refusal {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return &refusal{status: 499, reason: reasonCallerLeft}
+	}
+	if r.tries == 0 {
+		return notRun(reasonTimeout, soon)
+	}
+	return mayHaveRun(reasonTimeout)
+}
+
+// maySend tells whether one more sending is within the route's attempts and the budget.
+func (r *run) maySend() (bool, reason) {
+	if r.sends == 0 {
+		return true, ""
+	}
+	if r.tries >= max(1, r.route.MaxAttempts) {
+		return false, reasonAttempts
+	}
+	if r.sends >= maxSends {
+		return false, reasonAttempts
+	}
+	if !r.gateway.budget.repeat(r.service) {
+		return false, reasonBudget
+	}
+	return true, ""
+}
+
+// maxSends bounds the sendings of one request, those included that back ends turned down.
+const maxSends = 4
+
+// send sends the request to a back end, after the bookkeeping of one attempt.
+func (r *run) send(ctx context.Context, choice dispatch.Choice, lastEventID string) (*Answer, *dispatch.Ticket, error) {
+	r.sends++
+	r.last = choice.Backend.ID
+	r.avoid = append(r.avoid, r.last)
+	r.noteWork(choice.Uncached)
+	ticket := r.gateway.Book.Begin(choice, r.need)
+	if r.need.Adapter != "" && r.gateway.Used != nil {
+		r.gateway.Used(residency.Use{Backend: r.last, Model: r.need.Model, Adapter: r.need.Adapter})
+	}
+	attempt := Attempt{Request: r.request, LastEventID: lastEventID, Urgency: r.route.Priority}
+	if !r.ends.IsZero() {
+		attempt.Left = time.Until(r.ends)
+	}
+	begun := time.Now()
+	answer, err := r.gateway.Backends.Send(ctx, choice.Backend.Backend, attempt)
+	r.judge(ctx, choice, answer, err, time.Since(begun))
+	return answer, ticket, err
+}
+
+// judge takes note of what an attempt's answer, or lack of one, tells of the back end.
+func (r *run) judge(ctx context.Context, choice dispatch.Choice, answer *Answer, err error, took time.Duration) {
+	id := choice.Backend.ID
+	switch {
+	case err != nil && ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return // The caller left.
+	case err != nil:
+		if !errors.Is(err, ErrNotSent) {
+			r.tries++
+		}
+		r.gateway.Book.Verdict(id, false)
+		r.logAttempt(choice, 0, took, err)
+	case answer.Elsewhere:
+		r.logAttempt(choice, answer.Status, took, nil)
+		if answer.Status == http.StatusMisdirectedRequest && r.need.Model == "" {
+			r.gateway.Directory.Miss(id, "", "")
+		} else {
+			r.gateway.Directory.Miss(id, r.need.Model, r.need.Adapter)
+		}
+	case answer.NotExecuted:
+		r.logAttempt(choice, answer.Status, took, nil)
+		if r.need.Adapter != "" {
+			r.gateway.Directory.Miss(id, r.need.Model, r.need.Adapter)
+		}
+	case answer.Status >= http.StatusInternalServerError:
+		r.tries++
+		r.gateway.Book.Verdict(id, false)
+		r.logAttempt(choice, answer.Status, took, nil)
+	default:
+		r.tries++
+	}
+}
+
+func sleep(ctx context.Context, span time.Duration) error {
+	if span <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/gateway/log.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ospreymoor.example/ospreymoor/pkg/dispatch"
+)
+
+// refuse gives a final answer of our own.
+func (g *Gateway) refuse(w http.ResponseWriter, request *Request, r *run, refused *refusal) {
+	g.Set.GetOrCreateCounter(fmt.Sprintf("ospreymoor_refusals_total{reason=%q}", refused.reason)).Inc()
+	if r != nil {
+		r.logEnd(refused.status, refused.reason, nil)
+	} else {
+		version := int64(0)
+		if table := g.table.Load(); table != nil {
+			version = table.Version
+		}
+		g.Log.Info("request over",
+			zap.String("id", request.ID),
+			zap.Int("status", refused.status),
+			zap.String("reason", string(refused.reason)),
+			zap.String("host", request.Host),
+			zap.String("path", request.Path),
+			zap.Int64("configVersion", version))
+	}
+	if refused.reason != reasonCallerLeft {
+		refused.write(w)
+	}
+}
+
+// logAttempt tells of a sending that brought no good answer.
+func (r *run) logAttempt(choice dispatch.Choice, status int, took time.Duration, err error) {
+	r.gateway.Set.GetOrCreateCounter("ospreymoor_attempts_failed_total").Inc()
+	load := r.gateway.Book.Total(choice.Backend.ID)
+	r.gateway.Log.Info("attempt failed",
+		zap.String("id", r.request.ID),
+		zap.String("backend", choice.Backend.ID),
+		zap.Int("sending", r.sends),
+		zap.Int("status", status),
+		zap.Duration("took", took),
+		zap.Duration("predicted", choice.Wait),
+		zap.Int("uncached", choice.Uncached),
+		zap.Int("running", load.Running),
+		zap.Int("prefill", load.Prefill),
+		zap.Int64("listRevision", choice.Backend.Revision),
+		zap.Duration("listAge", time.Since(choice.Backend.Listed)),
+		zap.Error(err))
+}
+
+// logEnd tells how a request ended.
+func (r *run) logEnd(status int, why reason, err error) {
+	took := time.Since(r.request.Arrived)
+	first := took
+	if !r.firstByte.IsZero() {
+		first = r.firstByte.Sub(r.request.Arrived)
+	}
+	g := r.gateway
+	g.Set.GetOrCreateCounter(fmt.Sprintf("ospreymoor_requests_total{route=%q,status=%q}", r.route.Name, fmt.Sprint(status))).Inc()
+	g.Set.GetOrCreateHistogram(fmt.Sprintf("ospreymoor_first_answer_seconds{route=%q}", r.route.Name)).Update(first.Seconds())
+	g.Set.GetOrCreateHistogram(fmt.Sprintf("ospreymoor_request_seconds{route=%q}", r.route.Name)).Update(took.Seconds())
+	g.Log.Info("request over",
+		zap.String("id", r.request.ID),
+		zap.String("route", r.route.Name),
+		zap.String("service", r.service),
+		zap.String("model", r.need.Model),
+		zap.String("adapter", r.need.Adapter),
+		zap.String("backend", r.last),
+		zap.Int("sendings", r.sends),
+		zap.Int("tries", r.tries),
+		zap.Int("status", status),
+		zap.String("reason", string(why)),
+		zap.Duration("first", first),
+		zap.Duration("took", took),
+		zap.Int64("configVersion", g.tableVersion()),
+		zap.Error(err))
+}
+
+func (g *Gateway) tableVersion() int64 {
+	if table := g.table.Load(); table != nil {
+		return table.Version
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/gateway/messages.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"ospreymoor.example/ospreymoor/pkg/dispatch"
+	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/mirror"
+	"ospreymoor.example/ospreymoor/pkg/residency"
+)
+
+// Methods that machines call on each other.
+const (
+	methodExchange = "exchange"
+	methodCopies   = "copies"
+	methodEnsure   = "ensure"
+)
+
+// node is what a machine registers about itself in the store.
+type node struct {
+	Name string `json:"name"`
+	Zone string `json:"zone"`
+	// Address for other machines, IP:PORT.
+	Address string `json:"address"`
+	// Incarnation differs from start to start.
+	Incarnation string `json:"incarnation"`
+}
+
+// exchange is what two machines tell each other: each sends one and is answered by one.
+type exchange struct {
+	From node `json:"from"`
+	// Leaving machines are about to stop.
+	Leaving bool `json:"leaving,omitempty"`
+	// Revisions of the copies of what the platform tells.
+	ConfigRevision  int64 `json:"config"`
+	BackendRevision int64 `json:"backends"`
+	// Holder tells that the sender holds the order lease, under Stamp's term.
+	Holder bool `json:"holder,omitempty"`
+	// Stamp is how new the sender's knowledge of the order holder's word is.
+	Stamp fleet.Stamp `json:"stamp"`
+	// Residencies are the order holder's words, if the other side knew less.
+	Residencies map[string]fleet.Residency `json:"residencies,omitempty"`
+	News        dispatch.News              `json:"news"`
+	Work        []workItem                 `json:"work,omitempty"`
+	Uses        []residency.Use            `json:"uses,omitempty"`
+}
+
+// workItem is work that was asked of a model.
+type workItem struct {
+	residency.ModelKey
+	// Milliseconds of an engine's time.
+	Milliseconds float64 `json:"w"`
+}
+
+// copiesRequest asks for what the other machine has newer copies of.
+type copiesRequest struct {
+	ConfigRevision  int64 `json:"config"`
+	BackendRevision int64 `json:"backends"`
+}
+
+// copiesAnswer holds newer copies; nil where there is none.
+type copiesAnswer struct {
+	Config   *mirror.Copy `json:"config,omitempty"`
+	Backends *mirror.Copy `json:"backends,omitempty"`
+}
+
+// ensureRequest asks the order holder for an adapter or model.
+type ensureRequest struct {
+	Service string `json:"service"`
+	Model   string `json:"model"`
+	Adapter string `json:"adapter,omitempty"`
+}
+
+// ensureAnswer tells where it is, or when it will be; Error is why not.
+type ensureAnswer struct {
+	residency.Ensured
+	Error string `json:"error,omitempty"`
+}
--- a/internal/standin/etcd.go
+++ b/internal/standin/etcd.go
@@ -12,8 +12,9 @@
 func rangeKeys(ctx context.Context, store kv.Store, q kv.RangeRequest) (kv.RangeResponse, error) {
 	var answer kv.RangeResponse
 	if len(q.RangeEnd) > 0 {
-		records, err := store.List(ctx, string(q.Key))
-		for _, record := range records {
+		snapshot, err := store.Snapshot(ctx, string(q.Key))
+		answer.Header.Revision = snapshot.Revision
+		for _, record := range snapshot.Records {
 			answer.KVs = append(answer.KVs, keyValue(record))
 		}
 		return answer, err
--- /dev/null
+++ b/pkg/dispatch/choose.go
@@ -0,0 +1,183 @@
+package dispatch
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ospreymoor.example/ospreymoor/pkg/fleet"
+)
+
+// Need is what a request asks of a back end.
+type Need struct {
+	Service string
+	// Model and Adapter are empty for plain services.
+	Model   string
+	Adapter string
+	// Pieces are the beginnings of the prompt.
+	Pieces       []Piece
+	PromptTokens int
+	AnswerTokens int
+	// CacheTokens is an engine's memory for prompts and answers.
+	CacheTokens int
+}
+
+// Choice is a back end with what is expected there.
+type Choice struct {
+	Backend *fleet.State
+	// Wait is the predicted time to the first token, or to the answer's begin.
+	Wait time.Duration
+	// Uncached is the prompt tokens that the engine has to read.
+	Uncached int
+	// Full tells that the back end has no free place or memory now.
+	Full bool
+}
+
+// Times that the prediction goes by: those of an engine of 70 billion parameters. What an
+// engine really takes is learned as a factor.
+const (
+	prefillTokensPerMillisecond = 38.0
+	stepTime                    = 5 * time.Millisecond
+	stepTimePerRunning          = 20 * time.Microsecond
+	// farPenalty is the extra time of another zone.
+	farPenalty = 2 * time.Millisecond
+	// fullPenalty is the wait expected where no place or memory is free.
+	fullPenalty = 400 * time.Millisecond
+	// tokenTime is the time that a running request takes from the prompts that are read.
+	tokenTime = time.Millisecond
+	// homeBonus is the part of an uncached prompt's time by which the engine is preferred that
+	// all processes agree on, so that prompts that share a beginning meet on one engine.
+	homeBonus = 0.2
+	// jitterTime spreads choices among back ends that are about equal.
+	jitterTime = 2 * time.Millisecond
+	// memoryFull is the share of an engine's memory from which it is taken to be full.
+	memoryFull = 0.92
+	// failurePenalty is the time that a certain failure is worth.
+	failurePenalty = 400 * time.Millisecond
+)
+
+// Chooser picks back ends by the book's loads.
+type Chooser struct {
+	Book *Book
+	// Zone of this process.
+	Zone string
+}
+
+// Choose returns the best of the candidates; ok is false if there is none. Back ends that fail
+// a lot are taken only if there are no others.
+func (c *Chooser) Choose(need Need, candidates []*fleet.State) (best Choice, ok bool) {
+	if len(candidates) == 0 {
+		return Choice{}, false
+	}
+	c.Book.mu.Lock()
+	defer c.Book.mu.Unlock()
+	now := time.Now()
+	usual := c.Book.usualFailures(candidates)
+	home := homeOf(need, candidates)
+	bestScore := time.Duration(0)
+	bestEjected := false
+	for _, state := range candidates {
+		entry := c.Book.of(state.ID)
+		ejected := entry.health.ejected(usual, now)
+		choice := c.predict(need, state, entry, now)
+		score := c.score(choice, entry, state.ID == home, usual)
+		better := !ok || (bestEjected && !ejected) || (bestEjected == ejected && score < bestScore)
+		if better {
+			best, bestScore, bestEjected, ok = choice, score, ejected, true
+		}
+	}
+	return best, ok
+}
+
+func (c *Chooser) score(choice Choice, entry *backendBook, home bool, usual float64) time.Duration {
+	score := choice.Wait + rand.N(jitterTime)
+	if over := entry.health.failures - usual; over > 0 {
+		score += time.Duration(over * float64(failurePenalty))
+	}
+	if home {
+		score -= time.Duration(homeBonus * float64(prefillTime(choice.Uncached)))
+	}
+	if choice.Backend.Busy() {
+		score += farPenalty
+	}
+	return score
+}
+
+func (c *Chooser) predict(need Need, state *fleet.State, entry *backendBook, now time.Time) Choice {
+	load := c.Book.total(state.ID, entry, now)
+	choice := Choice{Backend: state}
+	if need.Model == "" {
+		choice.Full = state.Slots > 0 && load.Running >= state.Slots
+		perSlot := float64(load.Running) / float64(max(1, state.Slots))
+		choice.Wait = time.Duration(perSlot * perSlot * float64(plainWait))
+	} else {
+		c.predictEngine(need, state, entry, load, &choice)
+	}
+	choice.Wait = time.Duration(float64(choice.Wait) * entry.slowness)
+	if choice.Full {
+		choice.Wait += fullPenalty
+	}
+	if state.Zone != c.Zone {
+		choice.Wait += farPenalty
+	}
+	return choice
+}
+
+// plainWait is the wait expected at a plain service whose places are all taken.
+const plainWait = 60 * time.Millisecond
+
+func (c *Chooser) predictEngine(need Need, state *fleet.State, entry *backendBook, load Load, choice *Choice) {
+	entry.capacity = int(keptShare * float64(need.CacheTokens))
+	kept := 0
+	if entry.cache != nil {
+		kept = entry.cache.kept(need.Pieces)
+	}
+	choice.Uncached = max(1, need.PromptTokens-kept)
+	work := prefillTime(load.Prefill + choice.Uncached)
+	work += time.Duration(load.Running) * tokenTime
+	step := stepTime + time.Duration(load.Running)*stepTimePerRunning
+	choice.Wait = time.Duration(c.Book.paceOf(need.Model)*float64(work)) + step
+	memory := load.Tokens + need.PromptTokens + need.AnswerTokens
+	choice.Full = (state.Slots > 0 && load.Running >= state.Slots) ||
+		(need.CacheTokens > 0 && float64(memory) > memoryFull*float64(need.CacheTokens))
+}
+
+func prefillTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / prefillTokensPerMillisecond * float64(time.Millisecond))
+}
+
+// usualFailures is the middle share of failures of the candidates. The caller holds the lock.
+func (b *Book) usualFailures(candidates []*fleet.State) float64 {
+	least, sum := 1.0, 0.0
+	for _, state := range candidates {
+		failures := b.of(state.ID).health.failures
+		least = min(least, failures)
+		sum += failures
+	}
+	// Between the best and the mean, so that one bad back end of a few does not hide itself.
+	return (least + sum/float64(len(candidates))) / 2
+}
+
+// homeOf is the candidate that all processes prefer for a prompt that no engine keeps.
+func homeOf(need Need, candidates []*fleet.State) string {
+	if len(need.Pieces) < 2 {
+		return ""
+	}
+	// The last part is the request's own.
+	key := need.Pieces[len(need.Pieces)-2].Key
+	var home string
+	var highest uint64
+	var buffer [8]byte
+	binary.LittleEndian.PutUint64(buffer[:], key)
+	for _, state := range candidates {
+		digest := xxhash.New()
+		_, _ = digest.Write(buffer[:])
+		_, _ = digest.WriteString(state.ID)
+		if rank := digest.Sum64(); home == "" || rank > highest {
+			home, highest = state.ID, rank
+		}
+	}
+	return home
+}
--- /dev/null
+++ b/pkg/dispatch/prefixes.go
@@ -0,0 +1,80 @@
+package dispatch
+
+import (
+	"container/list"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Part is one piece of a prompt; requests share parts.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Piece is a prompt's beginning up to the end of one part, for one model and adapter.
+type Piece struct {
+	// Key is a hash of the model, the adapter and all parts up to here.
+	Key uint64 `json:"k"`
+	// Tokens of the last part alone.
+	Tokens int `json:"t"`
+}
+
+// Pieces returns the beginnings of a prompt, shortest first.
+func Pieces(model, adapter string, parts []Part) []Piece {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(model)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(adapter)
+	pieces := make([]Piece, len(parts))
+	for i, part := range parts {
+		_, _ = digest.Write([]byte{0})
+		_, _ = digest.WriteString(part.ID)
+		pieces[i] = Piece{Key: digest.Sum64(), Tokens: part.Tokens}
+	}
+	return pieces
+}
+
+// prefixCache models which beginnings of prompts one engine keeps: those used last, up to its
+// memory.
+type prefixCache struct {
+	capacity int
+	tokens   int
+	order    *list.List
+	entries  map[uint64]*list.Element
+}
+
+func newPrefixCache(capacity int) *prefixCache {
+	return &prefixCache{capacity: capacity, order: list.New(), entries: map[uint64]*list.Element{}}
+}
+
+// kept counts the tokens of a prompt's beginning that the engine keeps.
+func (c *prefixCache) kept(pieces []Piece) int {
+	tokens := 0
+	for _, piece := range pieces {
+		if _, ok := c.entries[piece.Key]; !ok {
+			break
+		}
+		tokens += piece.Tokens
+	}
+	return tokens
+}
+
+// use notes that the engine was sent a prompt.
+func (c *prefixCache) use(pieces []Piece) {
+	for _, piece := range pieces {
+		if element, ok := c.entries[piece.Key]; ok {
+			c.order.MoveToFront(element)
+			continue
+		}
+		c.entries[piece.Key] = c.order.PushFront(piece)
+		c.tokens += piece.Tokens
+	}
+	for c.tokens > c.capacity && c.order.Len() > 0 {
+		oldest := c.order.Back()
+		piece := oldest.Value.(Piece)
+		c.order.Remove(oldest)
+		delete(c.entries, piece.Key)
+		c.tokens -= piece.Tokens
+	}
+}
--- /dev/null
+++ b/pkg/fleet/fleet.go
@@ -0,0 +1,326 @@
+// Package fleet is the directory of back ends: which there are, what they hold and which leave.
+//
+// It joins three sources: the platform's list, what the holder of the order lease says of the
+// engines that it changes, and what back ends themselves answered.
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Backend is one back end as the platform's list tells. It does not change once listed.
+type Backend struct {
+	ID      string
+	Service string
+	// Address is IP:PORT.
+	Address string
+	Zone    string
+	// Version of its software.
+	Version string
+	// Slots is how many requests it works on at once.
+	Slots int
+	// Leaving back ends get nothing new.
+	Leaving bool
+	// Remaining is the notice that a leaving back end gave; 0 if it gave none.
+	Remaining time.Duration
+	// Models that it holds, with their adapters.
+	Models []Holding
+	// Revision is the list's revision at which this was said.
+	Revision int64
+}
+
+// Holding is a model that an engine holds.
+type Holding struct {
+	Model    string
+	Version  int
+	Adapters []string
+}
+
+// Residency is what the holder of the order lease says of one engine.
+type Residency struct {
+	// Adapters that are loaded, by model.
+	Adapters map[string][]string `json:"adapters,omitempty"`
+	// Withdrawn models are about to be unloaded and get nothing new.
+	Withdrawn []string `json:"withdrawn,omitempty"`
+	// Sequence grows with each change of this engine under one term.
+	Sequence int64 `json:"sequence"`
+	// Busy tells that the engine loads a model.
+	Busy bool `json:"busy,omitempty"`
+}
+
+// State is a back end with everything known of it. It does not change once made.
+type State struct {
+	Backend
+	// Listed is when the platform's list last said something new of it.
+	Listed time.Time
+	// LeavesAt is when a back end that gave notice is gone; zero if it gave none.
+	LeavesAt time.Time
+
+	adapters  map[string][]string
+	withdrawn []string
+	busy      bool
+}
+
+// Holds tells whether the engine may be sent requests for a model.
+func (s *State) Holds(model string) bool {
+	if slices.Contains(s.withdrawn, model) {
+		return false
+	}
+	return slices.ContainsFunc(s.Models, func(h Holding) bool { return h.Model == model })
+}
+
+// HoldsAdapter tells whether the engine has an adapter of a model that it holds.
+func (s *State) HoldsAdapter(model, adapter string) bool {
+	return adapter == "" || slices.Contains(s.adapters[model], adapter)
+}
+
+// Adapters lists the adapters of a model that the engine is known to have.
+func (s *State) Adapters(model string) []string { return s.adapters[model] }
+
+// Busy tells whether the engine loads or unloads a model, so that it takes no other order.
+func (s *State) Busy() bool { return s.busy }
+
+// Directory is the joined view. It is safe for concurrent use.
+type Directory struct {
+	mu     sync.RWMutex
+	states map[string]*State
+	// byService holds the states of a service in the order of their ids.
+	byService map[string][]*State
+	// residency is what the order holder said last, by engine.
+	residency map[string]Residency
+	term      int64
+	revision  int64
+	// misses are models or adapters that an engine said it lacks, until when that is believed.
+	misses map[miss]time.Time
+}
+
+type miss struct {
+	backend, model, adapter string
+}
+
+const (
+	// missTime is how long an engine's word that it lacks something is believed.
+	missTime = 400 * time.Millisecond
+	// goneTime is how long a back end that is not at its address any more is left alone.
+	goneTime = 5 * time.Second
+)
+
+// New returns an empty directory.
+func New() *Directory {
+	return &Directory{
+		states:    map[string]*State{},
+		byService: map[string][]*State{},
+		residency: map[string]Residency{},
+		misses:    map[miss]time.Time{},
+	}
+}
+
+// Change is a back end that came, left or began to leave with a list.
+type Change struct {
+	Backend Backend
+	// What is one of the Change constants.
+	What ChangeKind
+}
+
+// ChangeKind says what a list changed.
+type ChangeKind string
+
+// The kinds of change.
+const (
+	Joined  ChangeKind = "joined"
+	Leaving ChangeKind = "leaving"
+	Removed ChangeKind = "removed"
+)
+
+// SetList takes a newer list of all back ends, and returns who came, went or began to leave.
+func (d *Directory) SetList(revision int64, list []Backend) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if revision < d.revision {
+		return nil
+	}
+	d.revision = revision
+	var changes []Change
+	listed := make(map[string]bool, len(list))
+	for _, backend := range list {
+		listed[backend.ID] = true
+		old := d.states[backend.ID]
+		if old != nil && old.Revision == backend.Revision {
+			continue
+		}
+		if what := changeOf(old, backend); what != "" {
+			changes = append(changes, Change{Backend: backend, What: what})
+		}
+		d.states[backend.ID] = d.join(backend, old)
+	}
+	for id, state := range d.states {
+		if listed[id] {
+			continue
+		}
+		changes = append(changes, Change{Backend: state.Backend, What: Removed})
+		delete(d.states, id)
+		delete(d.residency, id)
+	}
+	d.index()
+	return changes
+}
+
+func changeOf(old *State, now Backend) ChangeKind {
+	switch {
+	case old == nil:
+		return Joined
+	case now.Leaving && !old.Leaving:
+		return Leaving
+	}
+	return ""
+}
+
+// join makes the state of a back end from all sources. The caller holds the lock.
+func (d *Directory) join(backend Backend, old *State) *State {
+	state := &State{Backend: backend, Listed: time.Now(), adapters: map[string][]string{}}
+	if backend.Leaving && backend.Remaining > 0 {
+		state.LeavesAt = state.Listed.Add(backend.Remaining)
+		if old != nil && !old.LeavesAt.IsZero() {
+			state.LeavesAt = old.LeavesAt
+		}
+	}
+	for _, holding := range backend.Models {
+		state.adapters[holding.Model] = holding.Adapters
+	}
+	if residency, ok := d.residency[backend.ID]; ok {
+		for model, adapters := range residency.Adapters {
+			state.adapters[model] = adapters
+		}
+		state.withdrawn = residency.Withdrawn
+		state.busy = residency.Busy
+	}
+	return state
+}
+
+// index rebuilds the lists of the services. The caller holds the lock.
+func (d *Directory) index() {
+	d.byService = map[string][]*State{}
+	for _, state := range d.states {
+		d.byService[state.Service] = append(d.byService[state.Service], state)
+	}
+	for _, list := range d.byService {
+		slices.SortFunc(list, func(a, b *State) int { return strings.Compare(a.ID, b.ID) })
+	}
+}
+
+// SetResidency takes the order holder's word on engines. Words of an older term are dropped;
+// the first of a new term replace all that were said before.
+func (d *Directory) SetResidency(term int64, engines map[string]Residency) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if term < d.term {
+		return
+	}
+	if term > d.term {
+		d.term = term
+		d.residency = map[string]Residency{}
+	}
+	for id, said := range engines {
+		known, ok := d.residency[id]
+		if ok && said.Sequence <= known.Sequence {
+			continue
+		}
+		d.residency[id] = said
+		if state := d.states[id]; state != nil {
+			next := d.join(state.Backend, state)
+			next.Listed = state.Listed
+			d.states[id] = next
+		}
+	}
+	d.index()
+}
+
+// Residencies returns what was said of engines under the latest term.
+func (d *Directory) Residencies() (term int64, engines map[string]Residency) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.term, maps.Clone(d.residency)
+}
+
+// Stamp tells how new the word on engines is.
+func (d *Directory) Stamp() Stamp {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	stamp := Stamp{Term: d.term}
+	for _, said := range d.residency {
+		stamp.Sum += said.Sequence
+	}
+	return stamp
+}
+
+// Stamp orders the states of knowledge of the order holder's word.
+type Stamp struct {
+	Term int64 `json:"term,omitempty"`
+	// Sum of the engines' sequences.
+	Sum int64 `json:"sum,omitempty"`
+}
+
+// Before tells whether s knows less than other.
+func (s Stamp) Before(other Stamp) bool {
+	return s.Term < other.Term || (s.Term == other.Term && s.Sum < other.Sum)
+}
+
+// Get returns one back end, or nil.
+func (d *Directory) Get(id string) *State {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.states[id]
+}
+
+// Of returns the back ends of a service, in the order of their ids; the caller must not change it.
+func (d *Directory) Of(service string) []*State {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.byService[service]
+}
+
+// Revision is that of the latest list.
+func (d *Directory) Revision() int64 {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.revision
+}
+
+// Miss notes that an engine said it lacks a model or adapter (or, with no model, that another
+// back end has its address).
+func (d *Directory) Miss(backend, model, adapter string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	until := time.Now().Add(missTime)
+	if model == "" {
+		until = time.Now().Add(goneTime)
+	}
+	d.misses[miss{backend, model, adapter}] = until
+}
+
+// Missing tells whether an engine said lately that it lacks what a request needs.
+func (d *Directory) Missing(backend, model, adapter string) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	if len(d.misses) == 0 {
+		return false
+	}
+	now := time.Now()
+	return now.Before(d.misses[miss{backend: backend}]) || now.Before(d.misses[miss{backend, model, adapter}])
+}
+
+// Forget drops words of misses that are no longer believed. Call it now and then.
+func (d *Directory) Forget() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for key, until := range d.misses {
+		if now.After(until) {
+			delete(d.misses, key)
+		}
+	}
+}
--- a/pkg/kv/budget.go
+++ b/pkg/kv/budget.go
@@ -27,14 +27,15 @@
 func WithBudget(store Store, budget Budget) Store {
 	b := newBudgeted(store, budget)
 	return Store{
-		Get:    b.get,
-		List:   b.list,
-		Swap:   b.swap,
-		Delete: b.remove,
-		Grant:  b.grant,
-		Renew:  b.renew,
-		Revoke: b.revoke,
-		Watch:  b.watch,
+		Get:      b.get,
+		List:     b.list,
+		Snapshot: b.snapshot,
+		Swap:     b.swap,
+		Delete:   b.remove,
+		Grant:    b.grant,
+		Renew:    b.renew,
+		Revoke:   b.revoke,
+		Watch:    b.watch,
 	}
 }
 
@@ -83,6 +84,13 @@
 	return b.store.List(ctx, prefix)
 }
 
+func (b *budgeted) snapshot(ctx context.Context, prefix string) (Snapshot, error) {
+	if err := b.take(ctx, b.reads, "snapshot"); err != nil {
+		return Snapshot{}, err
+	}
+	return b.store.Snapshot(ctx, prefix)
+}
+
 func (b *budgeted) swap(ctx context.Context, swap Swap) (Record, error) {
 	if err := b.take(ctx, b.writes, "swap"); err != nil {
 		return Record{}, err
--- a/pkg/kv/etcd.go
+++ b/pkg/kv/etcd.go
@@ -48,14 +48,15 @@
 	}
 	e := &etcd{EtcdConfig: config}
 	return Store{
-		Get:    e.get,
-		List:   e.list,
-		Swap:   e.swap,
-		Delete: e.remove,
-		Grant:  e.grant,
-		Renew:  e.renew,
-		Revoke: e.revoke,
-		Watch:  e.watch,
+		Get:      e.get,
+		List:     e.list,
+		Snapshot: e.snapshot,
+		Swap:     e.swap,
+		Delete:   e.remove,
+		Grant:    e.grant,
+		Renew:    e.renew,
+		Revoke:   e.revoke,
+		Watch:    e.watch,
 	}
 }
 
@@ -73,16 +74,21 @@
 }
 
 func (e *etcd) list(ctx context.Context, prefix string) ([]Record, error) {
+	snapshot, err := e.snapshot(ctx, prefix)
+	return snapshot.Records, err
+}
+
+func (e *etcd) snapshot(ctx context.Context, prefix string) (Snapshot, error) {
 	var answer RangeResponse
 	request := RangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)}
 	if err := e.read(ctx, PathRange, request, &answer); err != nil {
-		return nil, err
+		return Snapshot{}, err
 	}
 	records := make([]Record, 0, len(answer.KVs))
 	for _, kv := range answer.KVs {
 		records = append(records, kv.record())
 	}
-	return records, nil
+	return Snapshot{Records: records, Revision: answer.Header.Revision}, nil
 }
 
 func (e *etcd) swap(ctx context.Context, swap Swap) (Record, error) {
--- a/pkg/kv/kv.go
+++ b/pkg/kv/kv.go
@@ -64,6 +64,13 @@
 	Deleted bool
 }
 
+// Snapshot is what is below a prefix, with the service's revision that it reflects: a watch
+// from the next revision on misses nothing.
+type Snapshot struct {
+	Records  []Record
+	Revision int64
+}
+
 // Store is the key-value service as the rest of the program sees it.
 // All functions are safe for concurrent use and return errors of the kinds above.
 type Store struct {
@@ -71,6 +78,8 @@
 	Get func(ctx context.Context, key string) (Record, error)
 	// List reads all keys that begin with prefix, in key order.
 	List func(ctx context.Context, prefix string) ([]Record, error)
+	// Snapshot is List with the revision to watch from.
+	Snapshot func(ctx context.Context, prefix string) (Snapshot, error)
 	// Swap changes one key, and returns the record as it now is.
 	Swap func(ctx context.Context, swap Swap) (Record, error)
 	// Delete removes one key if it is at the revision.
--- a/pkg/kv/memory.go
+++ b/pkg/kv/memory.go
@@ -44,14 +44,15 @@
 // Store returns the functions of the service.
 func (m *Memory) Store() Store {
 	return Store{
-		Get:    m.get,
-		List:   m.list,
-		Swap:   m.swap,
-		Delete: m.remove,
-		Grant:  m.grant,
-		Renew:  m.renew,
-		Revoke: m.revoke,
-		Watch:  m.watch,
+		Get:      m.get,
+		List:     m.list,
+		Snapshot: m.snapshot,
+		Swap:     m.swap,
+		Delete:   m.remove,
+		Grant:    m.grant,
+		Renew:    m.renew,
+		Revoke:   m.revoke,
+		Watch:    m.watch,
 	}
 }
 
@@ -96,6 +97,13 @@
 	return records, nil
 }
 
+func (m *Memory) snapshot(ctx context.Context, prefix string) (Snapshot, error) {
+	// The revision is read first: changes that come between are seen twice, never missed.
+	revision := m.Revision()
+	records, err := m.list(ctx, prefix)
+	return Snapshot{Records: records, Revision: revision}, err
+}
+
 func (m *Memory) swap(_ context.Context, swap Swap) (Record, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/pkg/kv/observed.go
+++ b/pkg/kv/observed.go
@@ -18,6 +18,11 @@
 			report(err)
 			return records, err
 		},
+		Snapshot: func(ctx context.Context, prefix string) (Snapshot, error) {
+			snapshot, err := store.Snapshot(ctx, prefix)
+			report(err)
+			return snapshot, err
+		},
 		Swap: func(ctx context.Context, swap Swap) (Record, error) {
 			record, err := store.Swap(ctx, swap)
 			report(err)
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -33,6 +33,9 @@
 	Margin time.Duration
 	// Candidate tells whether this process should try to take the lease now; nil means always.
 	Candidate func() bool
+	// Reclaim lets a restarted process take over the lease that its own name still holds, under
+	// a higher term. Set it only where two processes never run under one name at once.
+	Reclaim bool
 	// Changed is called on each gain (term above 0) and loss (term 0); it must not block.
 	Changed func(term int64)
 }
@@ -142,7 +145,13 @@
 // take creates the lease's key if nobody has it; the creation's revision is the term.
 func (l *Lease) take(ctx context.Context) {
 	store := l.config.Store
-	if _, err := store.Get(ctx, l.config.Key); !errors.Is(err, kv.ErrNotFound) {
+	current, err := store.Get(ctx, l.config.Key)
+	switch {
+	case errors.Is(err, kv.ErrNotFound):
+		current = kv.Record{}
+	case err != nil:
+		return
+	case !l.config.Reclaim || string(current.Value) != l.config.Holder:
 		return
 	}
 	before := time.Now()
@@ -150,7 +159,7 @@
 	if err != nil {
 		return
 	}
-	swap := kv.Swap{Key: l.config.Key, Value: []byte(l.config.Holder), Lease: id}
+	swap := kv.Swap{Key: l.config.Key, Revision: current.Revision, Value: []byte(l.config.Holder), Lease: id}
 	record, err := store.Swap(ctx, swap)
 	if err != nil {
 		// Also when the answer got lost: the key then dies with the lease that we revoke.
--- /dev/null
+++ b/pkg/mirror/mirror.go
@@ -0,0 +1,181 @@
+// Package mirror keeps a copy of the keys below one prefix of the key-value service.
+//
+// The copy follows the service's watch. Where the service can't be reached, another process's
+// newer copy is taken instead, so that news spreads while a few processes still hear it.
+package mirror
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"ospreymoor.example/ospreymoor/pkg/kv"
+)
+
+const (
+	firstPause = 100 * time.Millisecond
+	longPause  = time.Second
+	// quietTime is how long events are gathered before the watch asks again.
+	quietTime = 50 * time.Millisecond
+)
+
+// Copy is the state of the prefix at one revision.
+type Copy struct {
+	// Revision of the service that the copy reflects; 0 before anything was read.
+	Revision int64                `json:"revision"`
+	Records  map[string]kv.Record `json:"records"`
+}
+
+// Mirror follows one prefix. It is safe for concurrent use.
+type Mirror struct {
+	Store  kv.Store
+	Prefix string
+	// Changed is called with each new state, one call at a time; it must not block. The
+	// records of a copy are never changed.
+	Changed func(Copy)
+	// Reached is called when the service is lost (with the error) and regained (with nil).
+	Reached func(error)
+
+	mu    sync.Mutex
+	state Copy
+	// heard is when the state was last known to be current.
+	heard time.Time
+	lost  bool
+}
+
+// State returns the latest copy.
+func (m *Mirror) State() Copy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state
+}
+
+// Age is how long ago the copy was last known to be current; negative if it never was.
+func (m *Mirror) Age() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.heard.IsZero() {
+		return -1
+	}
+	return time.Since(m.heard)
+}
+
+// Offer takes another process's copy if it is newer, and tells whether it was.
+func (m *Mirror) Offer(c Copy) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c.Revision <= m.state.Revision {
+		return false
+	}
+	m.set(c)
+	return true
+}
+
+// Run follows the prefix until ctx ends.
+func (m *Mirror) Run(ctx context.Context) {
+	pause := firstPause
+	for ctx.Err() == nil {
+		begun := time.Now()
+		m.follow(ctx)
+		if time.Since(begun) > longPause {
+			pause = firstPause
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, longPause)
+	}
+}
+
+// follow reads the prefix and takes in changes until the service breaks off.
+func (m *Mirror) follow(ctx context.Context) {
+	snapshot, err := m.Store.Snapshot(ctx, m.Prefix)
+	if err != nil {
+		m.report(err)
+		return
+	}
+	m.report(nil)
+	m.take(snapshot)
+	events, err := m.Store.Watch(ctx, m.Prefix, snapshot.Revision+1)
+	if err != nil {
+		m.report(err)
+		return
+	}
+	for event := range events {
+		batch := []kv.Event{event}
+		for more := true; more; {
+			select {
+			case next, ok := <-events:
+				if more = ok; ok {
+					batch = append(batch, next)
+				}
+			default:
+				more = false
+			}
+		}
+		m.apply(batch)
+	}
+}
+
+// take replaces the state by a snapshot, unless a newer copy was offered meanwhile.
+func (m *Mirror) take(snapshot kv.Snapshot) {
+	records := make(map[string]kv.Record, len(snapshot.Records))
+	for _, record := range snapshot.Records {
+		records[record.Key] = record
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.heard = time.Now()
+	if snapshot.Revision < m.state.Revision {
+		return
+	}
+	m.set(Copy{Revision: snapshot.Revision, Records: records})
+}
+
+func (m *Mirror) apply(events []kv.Event) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.heard = time.Now()
+	next := Copy{Revision: m.state.Revision, Records: maps.Clone(m.state.Records)}
+	if next.Records == nil {
+		next.Records = map[string]kv.Record{}
+	}
+	changed := false
+	for _, event := range events {
+		record := event.Record
+		if record.Revision <= m.state.Revision {
+			continue
+		}
+		changed = true
+		if event.Deleted {
+			delete(next.Records, record.Key)
+		} else {
+			next.Records[record.Key] = record
+		}
+		next.Revision = max(next.Revision, record.Revision)
+	}
+	if changed {
+		m.set(next)
+	}
+}
+
+// set stores a state and tells of it. The caller holds the lock.
+func (m *Mirror) set(c Copy) {
+	m.state = c
+	if m.Changed != nil {
+		m.Changed(c)
+	}
+}
+
+func (m *Mirror) report(err error) {
+	m.mu.Lock()
+	was := m.lost
+	m.lost = err != nil
+	m.mu.Unlock()
+	if m.Reached != nil && was != (err != nil) {
+		m.Reached(err)
+	}
+}
--- /dev/null
+++ b/pkg/residency/controller.go
@@ -0,0 +1,323 @@
+package residency
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+
+	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/routes"
+)
+
+// Controller gives orders while its process holds the order lease. Set the fields before Run.
+type Controller struct {
+	// Holder is this machine's name.
+	Holder    string
+	Directory *fleet.Directory
+	Table     func() *routes.Table
+	Engines   Engines
+	// Term returns the term under which orders may be given now, or an error.
+	Term func() (int64, error)
+	// Running tells how many requests are under way at a back end.
+	Running func(backend string) int
+	Demand  *Demand
+	// Announce tells all machines what engines hold or withdraw.
+	Announce func(term int64, engines map[string]fleet.Residency)
+	// MoveCost is what a load must gain at least, in squared engine time.
+	MoveCost float64
+	// PlanInterval is the time between plans; 0 takes 200 ms.
+	PlanInterval time.Duration
+	Log          *zap.Logger
+
+	ctx context.Context
+
+	mu      sync.Mutex
+	engines map[string]*engine
+	// missed are models that were asked for while no engine held them.
+	missed map[ModelKey]time.Time
+	// coming is when a model's load under way will be done.
+	coming map[ModelKey]time.Time
+	term   int64
+	// loads bounds the loads from the weight store.
+	loads *rate.Limiter
+}
+
+const (
+	defaultPlanInterval = 200 * time.Millisecond
+	// maxMoves bounds the moves started by one plan.
+	maxMoves = 4
+	// storeBurst is how many loads from the weight store may begin at once.
+	storeBurst = 4
+	// storeShare is the part of the weight store's rate that is used.
+	storeShare = 0.95
+	// missedTime is how long a request for a model that nobody holds is remembered.
+	missedTime = 10 * time.Second
+)
+
+// Run plans and orders until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	c.prepare(ctx)
+	interval := c.PlanInterval
+	if interval == 0 {
+		interval = defaultPlanInterval
+	}
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.tick(time.Now())
+		}
+	}
+}
+
+func (c *Controller) prepare(ctx context.Context) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ctx = ctx
+	c.reset(0)
+}
+
+// reset forgets everything learned under an older term: others may have given orders since. The
+// caller holds the lock.
+func (c *Controller) reset(term int64) {
+	c.term = term
+	c.engines = map[string]*engine{}
+	c.missed = map[ModelKey]time.Time{}
+	c.coming = map[ModelKey]time.Time{}
+	c.loads = nil
+}
+
+// mayOrder returns the term under which an order may be given at this moment.
+func (c *Controller) mayOrder() (int64, error) { return c.Term() }
+
+// tick takes note of what changed and starts the moves that are due.
+func (c *Controller) tick(now time.Time) {
+	term, err := c.mayOrder()
+	if err != nil {
+		return
+	}
+	c.mu.Lock()
+	if term != c.term {
+		c.reset(term)
+		c.Log.Info("orders begin", zap.Int64("term", term))
+	}
+	c.mu.Unlock()
+	table := c.Table()
+	if table == nil {
+		return
+	}
+	for name, service := range table.Services {
+		if service.Engines != nil {
+			c.planService(name, service, now)
+		}
+	}
+}
+
+func (c *Controller) planService(name string, service *routes.Service, now time.Time) {
+	states := c.Directory.Of(name)
+	if len(states) == 0 {
+		return
+	}
+	c.mu.Lock()
+	if c.loads == nil {
+		// A new holder counts the weight store's rate as used up.
+		c.loads = rate.NewLimiter(rate.Limit(storeShare*service.Engines.LoadsPerSecond), storeBurst)
+		c.loads.AllowN(now, storeBurst)
+	}
+	input := c.planInput(name, service, states, now)
+	loads := c.loads
+	c.mu.Unlock()
+	input.StoreLoads = int(loads.TokensAt(now))
+	for _, move := range Plan(input) {
+		if !move.FromDisk && !loads.AllowN(now, 1) {
+			return
+		}
+		c.start(name, service, move)
+	}
+}
+
+// planInput describes a service's engines and models to the planner. The caller holds the lock.
+func (c *Controller) planInput(name string, service *routes.Service, states []*fleet.State, now time.Time) PlanInput {
+	input := PlanInput{Megabytes: service.Engines.Megabytes, MoveCost: c.MoveCost, Moves: maxMoves}
+	present := map[string]bool{}
+	for _, state := range states {
+		present[state.ID] = true
+		input.Engines = append(input.Engines, c.engine(state.ID, name).planView(state, service))
+	}
+	for id, e := range c.engines {
+		if e.service == name && !present[id] {
+			delete(c.engines, id)
+		}
+	}
+	rates := c.Demand.Rates(now)
+	for _, model := range service.Engines.Models {
+		key := ModelKey{name, model.Name}
+		input.Models = append(input.Models, PlanModel{
+			Name:      model.Name,
+			Megabytes: model.Megabytes,
+			Demand:    rates[key],
+			Missed:    now.Sub(c.missed[key]) < missedTime,
+		})
+	}
+	return input
+}
+
+// engine returns the state of one engine. The caller holds the lock.
+func (c *Controller) engine(id, service string) *engine {
+	e := c.engines[id]
+	if e == nil {
+		e = newEngine(c, id, service)
+		c.engines[id] = e
+	}
+	return e
+}
+
+// planView describes an engine to the planner, with what orders under way will change.
+func (e *engine) planView(state *fleet.State, service *routes.Service) PlanEngine {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	view := PlanEngine{
+		ID:      state.ID,
+		Zone:    state.Zone,
+		Seen:    e.seen,
+		Usable:  e.loading == "" && e.unloading == "" && len(e.withdrawn) == 0 && time.Now().After(e.coolUntil),
+		Leaving: state.Leaving,
+	}
+	for _, holding := range state.Models {
+		e.seen[holding.Model] = true
+		if !contains(e.withdrawn, holding.Model) && holding.Model != e.loading {
+			view.Models = append(view.Models, holding.Model)
+		}
+	}
+	if e.loading != "" {
+		view.Models = append(view.Models, e.loading)
+	}
+	for key := range e.adapters {
+		if model := service.Model(key.model); model != nil {
+			view.AdapterMegabytes += model.AdapterMegabytes
+		}
+	}
+	return view
+}
+
+func contains(list []string, name string) bool {
+	for _, entry := range list {
+		if entry == name {
+			return true
+		}
+	}
+	return false
+}
+
+// model returns a model's description and that of its service's engines, or nil.
+func (c *Controller) model(service, model string) (*routes.Engines, *routes.Model) {
+	table := c.Table()
+	if table == nil || table.Services[service] == nil || table.Services[service].Engines == nil {
+		return nil, nil
+	}
+	return table.Services[service].Engines, table.Services[service].Model(model)
+}
+
+// modelMegabytes is the memory that an engine's models take.
+func (c *Controller) modelMegabytes(service, id string) float64 {
+	state := c.Directory.Get(id)
+	if state == nil {
+		return 0
+	}
+	used := 0.0
+	for _, holding := range state.Models {
+		if _, described := c.model(service, holding.Model); described != nil {
+			used += described.Megabytes
+		}
+	}
+	return used
+}
+
+// copies counts the engines that may be sent requests for a model.
+func (c *Controller) copies(service, model string) int {
+	n := 0
+	for _, state := range c.Directory.Of(service) {
+		if !state.Leaving && state.Holds(model) {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *Controller) load(backend string) int {
+	if c.Running == nil {
+		return 0
+	}
+	return c.Running(backend)
+}
+
+// wantModel notes that a model is asked for which nobody holds, and tells when it will be there.
+func (c *Controller) wantModel(service, model string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	key := ModelKey{service, model}
+	c.missed[key] = now
+	if at, ok := c.coming[key]; ok && at.After(now) {
+		return at.Sub(now)
+	}
+	if _, described := c.model(service, model); described != nil {
+		return described.LoadTime + defaultPlanInterval
+	}
+	return 0
+}
+
+// announce tells the peers of one engine's change.
+func (c *Controller) announce(e *engine) {
+	term, err := c.Term()
+	if err != nil {
+		return
+	}
+	said := map[string]fleet.Residency{e.id: e.residency()}
+	c.Directory.SetResidency(term, said)
+	if c.Announce != nil {
+		c.Announce(term, said)
+	}
+}
+
+// Residencies returns what this process knows of all engines as the holder, with its term; the
+// term is 0 if it is not the holder.
+func (c *Controller) Residencies() (int64, map[string]fleet.Residency) {
+	term, err := c.Term()
+	if err != nil {
+		return 0, nil
+	}
+	c.mu.Lock()
+	list := make([]*engine, 0, len(c.engines))
+	if term == c.term {
+		for _, e := range c.engines {
+			list = append(list, e)
+		}
+	}
+	c.mu.Unlock()
+	said := make(map[string]fleet.Residency, len(list))
+	for _, e := range list {
+		if residency := e.residency(); residency.Sequence > 0 {
+			said[e.id] = residency
+		}
+	}
+	return term, said
+}
+
+func (c *Controller) logOrder(engine string, order Order, result Result, err error) {
+	c.Log.Info("order",
+		zap.String("engine", engine),
+		zap.String("operation", string(order.Operation)),
+		zap.String("model", order.Model),
+		zap.String("adapter", order.Adapter),
+		zap.Int64("expected", order.Expected),
+		zap.Int64("term", order.Term),
+		zap.Stringer("result", result),
+		zap.Error(err))
+}
--- /dev/null
+++ b/pkg/residency/engine.go
@@ -0,0 +1,249 @@
+package residency
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"ospreymoor.example/ospreymoor/pkg/fleet"
+)
+
+// engine gives one engine its orders, one at a time.
+type engine struct {
+	controller *Controller
+	id         string
+	service    string
+
+	// turn is held by the job that gives orders.
+	turn chan struct{}
+
+	mu sync.Mutex
+	// taken is the number of orders that the engine has taken; known tells that we know it.
+	taken int64
+	known bool
+	// lastOrder is when an order was last sent.
+	lastOrder time.Time
+	// adapters are those loaded or perhaps loaded, with their last use.
+	adapters map[adapterKey]*adapterState
+	// loading and unloading are models that orders under way concern.
+	loading   string
+	unloading string
+	withdrawn []string
+	// seen are the models that the engine held at any time: they are on its disk.
+	seen map[string]bool
+	// sequence numbers the changes that peers are told of.
+	sequence int64
+	// coolUntil is until when an engine that failed orders gets none.
+	coolUntil time.Time
+}
+
+type adapterKey struct {
+	model, adapter string
+}
+
+type adapterState struct {
+	// ready is closed when the load is over; failed then tells how.
+	ready  chan struct{}
+	loaded bool
+	used   time.Time
+}
+
+func newEngine(c *Controller, id, service string) *engine {
+	e := &engine{
+		controller: c,
+		id:         id,
+		service:    service,
+		turn:       make(chan struct{}, 1),
+		adapters:   map[adapterKey]*adapterState{},
+		seen:       map[string]bool{},
+	}
+	return e
+}
+
+// acquire waits for the engine's turn.
+func (e *engine) acquire(ctx context.Context) error {
+	select {
+	case e.turn <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (e *engine) release() { <-e.turn }
+
+// order sends one order until the engine has answered it. The caller has the turn.
+func (e *engine) order(ctx context.Context, order Order) (Result, error) {
+	var last error
+	for range orderTries {
+		if err := e.sync(ctx); err != nil {
+			return Unanswered, err
+		}
+		result, err := e.send(ctx, order)
+		switch result {
+		case Accepted:
+			e.mu.Lock()
+			e.taken++
+			e.mu.Unlock()
+			return Accepted, nil
+		case Already, Refused, Gone:
+			return result, err
+		case Conflict:
+			// Another count, or an order still under way: the engine's own word decides.
+			e.unsure()
+		case Unanswered:
+			// The same order again: only one of the two can be carried out.
+		}
+		last = err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	e.unsure()
+	return Unanswered, last
+}
+
+// send gives the order once, if this process may.
+func (e *engine) send(ctx context.Context, order Order) (Result, error) {
+	state := e.controller.Directory.Get(e.id)
+	if state == nil {
+		return Gone, ErrFailed
+	}
+	e.mu.Lock()
+	order.Expected = e.taken
+	e.lastOrder = time.Now()
+	e.mu.Unlock()
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	term, err := e.controller.mayOrder()
+	if err != nil {
+		return Refused, err
+	}
+	order.Holder, order.Term = e.controller.Holder, term
+	result, err := e.controller.Engines.Order(callCtx, state.Backend, order)
+	e.controller.logOrder(e.id, order, result, err)
+	return result, err
+}
+
+// unsure has the next order preceded by a report.
+func (e *engine) unsure() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.known = false
+}
+
+// sync learns how many orders the engine has taken, if that is not known.
+func (e *engine) sync(ctx context.Context) error {
+	e.mu.Lock()
+	known, since := e.known, time.Since(e.lastOrder)
+	e.mu.Unlock()
+	if known {
+		return nil
+	}
+	if since < reportLag {
+		if err := pause(ctx, reportLag-since); err != nil {
+			return err
+		}
+	}
+	state := e.controller.Directory.Get(e.id)
+	if state == nil {
+		return ErrFailed
+	}
+	callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	report, err := e.controller.Engines.Report(callCtx, state.Backend)
+	if err != nil {
+		return err
+	}
+	e.adopt(report)
+	return nil
+}
+
+// adopt takes over what the engine says of itself.
+func (e *engine) adopt(report Report) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.taken, e.known = report.Taken, true
+	reported := map[adapterKey]bool{}
+	for _, holding := range report.Models {
+		e.seen[holding.Model] = true
+		for _, adapter := range holding.Adapters {
+			reported[adapterKey{holding.Model, adapter}] = true
+		}
+	}
+	for key := range reported {
+		if e.adapters[key] == nil {
+			e.adapters[key] = &adapterState{ready: closed, loaded: true}
+		}
+	}
+	for key, state := range e.adapters {
+		switch {
+		case state.pending():
+			// Its own job settles it.
+		case reported[key]:
+			state.loaded = true
+		default:
+			delete(e.adapters, key)
+		}
+	}
+	e.sequence++
+}
+
+// pending tells whether the load is still under way.
+func (s *adapterState) pending() bool {
+	select {
+	case <-s.ready:
+		return false
+	default:
+		return true
+	}
+}
+
+// closed is a channel that is always ready.
+var closed = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
+// residency tells the peers what the engine holds.
+func (e *engine) residency() fleet.Residency {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	said := fleet.Residency{
+		Adapters:  map[string][]string{},
+		Withdrawn: slices.Clone(e.withdrawn),
+		Sequence:  e.sequence,
+		Busy:      e.loading != "" || e.unloading != "",
+	}
+	for key, state := range e.adapters {
+		if state.loaded {
+			said.Adapters[key.model] = append(said.Adapters[key.model], key.adapter)
+		}
+	}
+	for _, list := range said.Adapters {
+		slices.Sort(list)
+	}
+	return said
+}
+
+// change alters the engine's state and has the peers told.
+func (e *engine) change(alter func()) {
+	e.mu.Lock()
+	alter()
+	e.sequence++
+	e.mu.Unlock()
+	e.controller.announce(e)
+}
+
+func pause(ctx context.Context, span time.Duration) error {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/pkg/residency/moves.go
@@ -0,0 +1,155 @@
+package residency
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/routes"
+)
+
+const (
+	// noticeTime is how long a withdrawal takes to be known on all machines.
+	noticeTime = 250 * time.Millisecond
+	// pollInterval is how often the directory is looked at for an order's end.
+	pollInterval = 20 * time.Millisecond
+	// listLag is how long the directory may lag behind an engine before the engine is asked.
+	listLag = 1500 * time.Millisecond
+	// moveTimeout bounds a whole move.
+	moveTimeout = 40 * time.Second
+)
+
+// start begins a move in the background.
+func (c *Controller) start(service string, described *routes.Service, move Move) {
+	key := ModelKey{service, move.Model}
+	c.mu.Lock()
+	e := c.engine(move.Engine, service)
+	c.coming[key] = time.Now().Add(described.Model(move.Model).LoadTime + noticeTime)
+	c.mu.Unlock()
+	c.Log.Info("move",
+		zap.String("engine", move.Engine),
+		zap.String("model", move.Model),
+		zap.Strings("evicted", move.Evict),
+		zap.Bool("fromDisk", move.FromDisk),
+		zap.String("reason", move.Reason))
+	e.change(func() {
+		e.loading = move.Model
+		e.withdrawn = move.Evict
+	})
+	go e.move(described, move)
+}
+
+// move makes room on the engine and loads a model.
+func (e *engine) move(described *routes.Service, move Move) {
+	ctx, cancel := context.WithTimeout(e.controller.ctx, moveTimeout)
+	defer cancel()
+	done := e.carryOut(ctx, described, move)
+	e.change(func() {
+		e.loading, e.unloading, e.withdrawn = "", "", nil
+		if !done {
+			e.known = false
+			e.coolUntil = time.Now().Add(listLag)
+		}
+	})
+	e.controller.Log.Info("move over", zap.String("engine", e.id), zap.String("model", move.Model), zap.Bool("done", done))
+}
+
+func (e *engine) carryOut(ctx context.Context, described *routes.Service, move Move) bool {
+	if e.acquire(ctx) != nil {
+		return false
+	}
+	defer e.release()
+	if len(move.Evict) > 0 && pause(ctx, noticeTime) != nil {
+		return false
+	}
+	for _, model := range move.Evict {
+		if !e.unloadModel(ctx, model) {
+			return false
+		}
+	}
+	return e.loadModel(ctx, described.Model(move.Model), move)
+}
+
+func (e *engine) unloadModel(ctx context.Context, model string) bool {
+	e.mu.Lock()
+	e.unloading = model
+	e.mu.Unlock()
+	result, _ := e.order(ctx, Order{Operation: Unload, Model: model})
+	if result != Accepted && result != Already {
+		return false
+	}
+	if result == Accepted && !e.await(ctx, 0, func(held bool) bool { return !held }, model) {
+		return false
+	}
+	e.change(func() {
+		e.unloading = ""
+		for key := range e.adapters {
+			if key.model == model {
+				delete(e.adapters, key)
+			}
+		}
+	})
+	return true
+}
+
+func (e *engine) loadModel(ctx context.Context, model *routes.Model, move Move) bool {
+	result, _ := e.order(ctx, Order{Operation: Load, Model: model.Name})
+	if result != Accepted && result != Already {
+		return false
+	}
+	expected := model.LoadTime
+	if move.FromDisk && model.DiskLoadTime > 0 {
+		expected = model.DiskLoadTime
+	}
+	if result == Accepted && !e.await(ctx, expected, func(held bool) bool { return held }, model.Name) {
+		return false
+	}
+	e.mu.Lock()
+	e.seen[model.Name] = true
+	e.mu.Unlock()
+	return true
+}
+
+// await waits until the directory, or the engine itself, tells that an order is done.
+func (e *engine) await(ctx context.Context, expected time.Duration, done func(held bool) bool, model string) bool {
+	ask := time.Now().Add(expected + listLag)
+	for {
+		state := e.controller.Directory.Get(e.id)
+		if state == nil {
+			return false
+		}
+		if done(holds(state.Models, model)) {
+			return true
+		}
+		if time.Now().After(ask) {
+			report, err := e.ask(ctx, state.Backend)
+			if err == nil && !report.Busy && done(holds(report.Models, model)) {
+				return true
+			}
+			if err == nil && !report.Busy {
+				return false
+			}
+			ask = time.Now().Add(listLag)
+		}
+		if pause(ctx, pollInterval) != nil {
+			return false
+		}
+	}
+}
+
+func (e *engine) ask(ctx context.Context, of fleet.Backend) (Report, error) {
+	callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	return e.controller.Engines.Report(callCtx, of)
+}
+
+func holds(list []fleet.Holding, model string) bool {
+	for _, holding := range list {
+		if holding.Model == model {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/residency/plan.go
@@ -0,0 +1,350 @@
+package residency
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// Move is one load with the unloads that make room for it.
+type Move struct {
+	Engine string
+	Model  string
+	Evict  []string
+	// FromDisk tells that the engine held the model before.
+	FromDisk bool
+	// Reason is why, for the log.
+	Reason string
+}
+
+// PlanEngine is an engine as the planner sees it.
+type PlanEngine struct {
+	ID   string
+	Zone string
+	// Models that it holds or is loading, but for those it is unloading.
+	Models []string
+	// Seen models are on its disk.
+	Seen map[string]bool
+	// Megabytes of memory that adapters take.
+	AdapterMegabytes float64
+	// Usable engines may be given moves; the others only hold what they hold.
+	Usable bool
+	// Leaving engines' copies count for nothing.
+	Leaving bool
+}
+
+// PlanModel is a model as the planner sees it.
+type PlanModel struct {
+	Name      string
+	Megabytes float64
+	// Demand is engine time asked for, 1 being all of one engine's.
+	Demand float64
+	// Missed tells that requests came while no engine held it.
+	Missed bool
+}
+
+// PlanInput is all that a plan depends on.
+type PlanInput struct {
+	Engines []PlanEngine
+	Models  []PlanModel
+	// Megabytes is an engine's memory.
+	Megabytes float64
+	// MoveCost is what a load must gain at least, in squared engine time.
+	MoveCost float64
+	// Moves is how many moves may be started now; StoreLoads how many of them may load from the
+	// weight store.
+	Moves      int
+	StoreLoads int
+}
+
+// zoneGain is what a first copy of a busy model in a zone is worth, by the model's demand.
+const zoneGain = 0.05
+
+// Plan returns the next moves, most needed first: models that no engine holds, then copies that
+// even out the engines' work. It is a pure function.
+func Plan(in PlanInput) []Move {
+	p := newPlanner(in)
+	var moves []Move
+	for len(moves) < in.Moves {
+		move, ok := p.cover()
+		if !ok {
+			move, ok = p.relieve()
+		}
+		if !ok {
+			break
+		}
+		p.do(move)
+		moves = append(moves, move)
+	}
+	return moves
+}
+
+type planner struct {
+	in      PlanInput
+	models  map[string]*PlanModel
+	engines []*planEngine
+	byID    map[string]*planEngine
+	// copies on engines that stay.
+	copies map[string]int
+	// zones counts a model's copies by zone.
+	zones      map[string]map[string]int
+	storeLoads int
+}
+
+type planEngine struct {
+	PlanEngine
+	free  float64
+	moved bool
+}
+
+func newPlanner(in PlanInput) *planner {
+	p := &planner{
+		in:         in,
+		models:     map[string]*PlanModel{},
+		byID:       map[string]*planEngine{},
+		copies:     map[string]int{},
+		zones:      map[string]map[string]int{},
+		storeLoads: in.StoreLoads,
+	}
+	for i := range in.Models {
+		model := &in.Models[i]
+		p.models[model.Name] = model
+		p.zones[model.Name] = map[string]int{}
+	}
+	for _, described := range in.Engines {
+		e := &planEngine{PlanEngine: described, free: in.Megabytes - described.AdapterMegabytes}
+		e.Models = slices.Clone(described.Models)
+		for _, name := range e.Models {
+			if model := p.models[name]; model != nil {
+				e.free -= model.Megabytes
+				p.count(name, e, 1)
+			}
+		}
+		p.engines = append(p.engines, e)
+		p.byID[e.ID] = e
+	}
+	slices.SortFunc(p.engines, func(a, b *planEngine) int { return strings.Compare(a.ID, b.ID) })
+	return p
+}
+
+func (p *planner) count(model string, e *planEngine, by int) {
+	if e.Leaving {
+		return
+	}
+	p.copies[model] += by
+	if p.zones[model] != nil {
+		p.zones[model][e.Zone] += by
+	}
+}
+
+func (p *planner) do(move Move) {
+	e := p.byID[move.Engine]
+	for _, name := range move.Evict {
+		e.Models = slices.DeleteFunc(e.Models, func(held string) bool { return held == name })
+		if model := p.models[name]; model != nil {
+			e.free += model.Megabytes
+		}
+		p.count(name, e, -1)
+	}
+	e.Models = append(e.Models, move.Model)
+	e.free -= p.models[move.Model].Megabytes
+	e.moved = true
+	p.count(move.Model, e, 1)
+	if !move.FromDisk {
+		p.storeLoads--
+	}
+}
+
+// share is the work that a model brings to each engine that holds it.
+func (p *planner) share(model string, copies int) float64 {
+	described := p.models[model]
+	if described == nil || copies == 0 {
+		return 0
+	}
+	return described.Demand / float64(copies)
+}
+
+// work is what an engine has to do.
+func (p *planner) work(e *planEngine) float64 {
+	total := 0.0
+	for _, model := range e.Models {
+		total += p.share(model, p.copies[model])
+	}
+	return total
+}
+
+// cover loads a model that no engine holds: those asked for first.
+func (p *planner) cover() (Move, bool) {
+	var missing []*PlanModel
+	for _, model := range p.models {
+		if p.copies[model.Name] == 0 {
+			missing = append(missing, model)
+		}
+	}
+	slices.SortFunc(missing, func(a, b *PlanModel) int {
+		if a.Missed != b.Missed {
+			if a.Missed {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(b.Demand, a.Demand), strings.Compare(a.Name, b.Name))
+	})
+	for _, model := range missing {
+		if move, ok := p.place(model); ok {
+			return move, true
+		}
+	}
+	return Move{}, false
+}
+
+// place finds the engine where a model's first copy costs least.
+func (p *planner) place(model *PlanModel) (Move, bool) {
+	var best Move
+	bestCost, found := 0.0, false
+	for _, e := range p.engines {
+		if !p.mayMove(e, model) {
+			continue
+		}
+		evict, ok := p.roomOn(e, model)
+		if !ok {
+			continue
+		}
+		cost := p.work(e) + p.lossOf(evict)
+		if e.Seen[model.Name] {
+			cost -= 1
+		}
+		if !found || cost < bestCost {
+			best, bestCost, found = Move{Engine: e.ID, Model: model.Name, Evict: evict, FromDisk: e.Seen[model.Name], Reason: "no engine holds it"}, cost, true
+		}
+	}
+	return best, found
+}
+
+func (p *planner) mayMove(e *planEngine, model *PlanModel) bool {
+	if !e.Usable || e.Leaving || e.moved || slices.Contains(e.Models, model.Name) {
+		return false
+	}
+	return p.storeLoads > 0 || e.Seen[model.Name]
+}
+
+// roomOn lists the copies that have to give way; ok is false if that would lose a last copy.
+func (p *planner) roomOn(e *planEngine, model *PlanModel) (evict []string, ok bool) {
+	free := e.free
+	if free >= model.Megabytes {
+		return nil, true
+	}
+	spare := slices.Clone(e.Models)
+	slices.SortFunc(spare, func(a, b string) int {
+		return cmp.Or(cmp.Compare(p.growth(a), p.growth(b)), strings.Compare(a, b))
+	})
+	for _, name := range spare {
+		described := p.models[name]
+		if described != nil && p.copies[name] < 2 {
+			continue
+		}
+		evict = append(evict, name)
+		if described != nil {
+			free += described.Megabytes
+		}
+		if free >= model.Megabytes {
+			return evict, true
+		}
+	}
+	return nil, false
+}
+
+// growth is how much work one copy less brings to each other copy.
+func (p *planner) growth(model string) float64 {
+	copies := p.copies[model]
+	return p.share(model, copies-1) - p.share(model, copies)
+}
+
+func (p *planner) lossOf(evict []string) float64 {
+	loss := 0.0
+	for _, name := range evict {
+		loss += p.share(name, p.copies[name])
+	}
+	return loss
+}
+
+// relieve adds the copy that evens out the engines' work most, if it is worth a move.
+func (p *planner) relieve() (Move, bool) {
+	var best Move
+	bestGain := p.in.MoveCost
+	for _, model := range p.busiest() {
+		for _, e := range p.engines {
+			if !p.mayMove(e, model) {
+				continue
+			}
+			evict, ok := p.roomOn(e, model)
+			if !ok {
+				continue
+			}
+			gain := p.gain(model, e, evict)
+			if e.Seen[model.Name] {
+				gain += p.in.MoveCost / 2
+			}
+			if gain > bestGain {
+				bestGain = gain
+				best = Move{Engine: e.ID, Model: model.Name, Evict: evict, FromDisk: e.Seen[model.Name], Reason: "demand"}
+			}
+		}
+	}
+	return best, best.Model != ""
+}
+
+// triedModels bounds how many busy models are tried for one more copy.
+const triedModels = 12
+
+func (p *planner) busiest() []*PlanModel {
+	var busy []*PlanModel
+	for _, model := range p.models {
+		if model.Demand > 0 && p.copies[model.Name] > 0 {
+			busy = append(busy, model)
+		}
+	}
+	slices.SortFunc(busy, func(a, b *PlanModel) int {
+		return cmp.Or(
+			cmp.Compare(p.share(b.Name, p.copies[b.Name]), p.share(a.Name, p.copies[a.Name])),
+			strings.Compare(a.Name, b.Name))
+	})
+	return busy[:min(len(busy), triedModels)]
+}
+
+// gain is how much the sum of the engines' squared work falls with a move.
+func (p *planner) gain(model *PlanModel, target *planEngine, evict []string) float64 {
+	copies := p.copies[model.Name]
+	relief := p.share(model.Name, copies) - p.share(model.Name, copies+1)
+	gain := 0.0
+	for _, e := range p.engines {
+		if e.Leaving {
+			continue
+		}
+		before := p.work(e)
+		after := before
+		if e == target {
+			after += p.share(model.Name, copies+1)
+		} else if slices.Contains(e.Models, model.Name) {
+			after -= relief
+		}
+		for _, name := range evict {
+			if e == target {
+				after -= p.share(name, p.copies[name])
+			} else if slices.Contains(e.Models, name) {
+				after += p.growth(name)
+			}
+		}
+		gain += before*before - after*after
+	}
+	if p.zones[model.Name][target.Zone] == 0 {
+		gain += zoneGain * model.Demand
+	}
+	for _, name := range evict {
+		described := p.models[name]
+		if described != nil && p.zones[name][target.Zone] == 1 {
+			gain -= zoneGain * described.Demand
+		}
+	}
+	return gain
+}
