Order what engines hold by the orders' own ends; deliver watches in batches

Two faults: an adapter whose unload was under way could be chosen to give way twice, and the list of back ends lagged by a second an event, since the watch handed over one event at a time and the mirror paused after each. Ruled out: engines' counts (all orders carried the right one).

--- a/internal/box/sync.go
+++ b/internal/box/sync.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"ospreymoor.example/ospreymoor/pkg/bundle"
+	"ospreymoor.example/ospreymoor/pkg/kv"
 	"ospreymoor.example/ospreymoor/pkg/membership"
 	"ospreymoor.example/ospreymoor/pkg/orders"
 	"ospreymoor.example/ospreymoor/pkg/records"
@@ -87,17 +88,11 @@
 	defer check.Stop()
 	for {
 		select {
-		case event, ok := <-events:
+		case batch, ok := <-events:
 			if !ok {
 				return
 			}
-			if !event.Deleted {
-				b.cache.Put(records.Record{
-					Name:       event.Record.Key,
-					Generation: records.Generation{Term: event.Record.Revision},
-					Value:      event.Record.Value,
-				})
-			}
+			b.cacheEvents(batch)
 		case <-check.C:
 			if !b.watches() {
 				return
@@ -106,6 +101,20 @@
 	}
 }
 
+// cacheEvents takes a batch of changes in.
+func (b *Box) cacheEvents(batch []kv.Event) {
+	for _, event := range batch {
+		if event.Deleted {
+			continue
+		}
+		b.cache.Put(records.Record{
+			Name:       event.Record.Key,
+			Generation: records.Generation{Term: event.Record.Revision},
+			Value:      event.Record.Value,
+		})
+	}
+}
+
 // waitForTurn pauses a box that does not watch, until its next poll or until it should watch.
 func (b *Box) waitForTurn(ctx context.Context) {
 	end := time.Now().Add(jitter(pollInterval))
--- a/internal/gateway/cluster.go
+++ b/internal/gateway/cluster.go
@@ -35,6 +35,8 @@
 
 	mu    sync.Mutex
 	nodes map[string]*member
+	// behindSince is when a peer's copy was first seen to be newer than a mirror's.
+	behindSince map[*mirror.Mirror]time.Time
 	// most is the largest number of machines that was known at once.
 	most int
 }
@@ -148,9 +150,8 @@
 		}
 	}
 	c.mu.Unlock()
-	work, uses := c.boxes.collect(c.gateway.Book, names)
-	c.demand.Note(work, now)
-	c.controller.Used(uses)
+	c.demand.Note(c.boxes.collect(c.gateway.Book, names), now)
+	c.controller.Used(c.self.Name, c.gateway.uses.list())
 	c.gateway.Directory.Forget()
 	for _, m := range due {
 		go c.exchangeWith(ctx, m)
@@ -201,7 +202,7 @@
 		Holder:          holding != nil,
 		Stamp:           c.gateway.Directory.Stamp(),
 		News:            dispatch.News{Loads: c.gateway.Book.Loads(), Sent: box.sent, Verdicts: box.verdicts},
-		Uses:            box.uses,
+		Uses:            c.gateway.uses.list(),
 	}
 	for key, milliseconds := range box.work {
 		message.Work = append(message.Work, workItem{ModelKey: key, Milliseconds: milliseconds})
@@ -235,18 +236,34 @@
 		}
 		c.demand.Note(work, time.Now())
 	}
-	c.controller.Used(said.Uses)
+	c.controller.Used(said.From.Name, said.Uses)
 	directory := c.gateway.Directory
 	if len(said.Residencies) > 0 {
 		directory.SetResidency(said.Stamp.Term, said.Residencies)
 	}
-	newer := said.ConfigRevision > c.config.State().Revision || said.BackendRevision > c.backends.State().Revision
+	newer := c.behind(c.config, said.ConfigRevision) || c.behind(c.backends, said.BackendRevision)
 	if newer || (len(said.Residencies) == 0 && directory.Stamp().Before(said.Stamp)) {
 		go c.fetch(ctx, said, newer)
 	}
 }
 
-// fetch gets what a peer has newer: copies after a moment in which the store may tell itself.
+// behind tells whether a peer's copy is newer and the store probably won't tell of it in time.
+func (c *cluster) behind(m *mirror.Mirror, revision int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if revision <= m.State().Revision {
+		delete(c.behindSince, m)
+		return false
+	}
+	since, ok := c.behindSince[m]
+	if !ok {
+		since = time.Now()
+		c.behindSince[m] = since
+	}
+	return m.Lost() || time.Since(since) > storeLead
+}
+
+// fetch gets what a peer has newer.
 func (c *cluster) fetch(ctx context.Context, from exchange, newer bool) {
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
@@ -258,14 +275,11 @@
 		}
 		return
 	}
-	if sleep(ctx, storeLead) != nil {
-		return
-	}
 	c.fetchCopies(callCtx, from.From.Address)
 }
 
 // storeLead is the time that the store has to tell of a change itself before a peer is asked.
-const storeLead = 300 * time.Millisecond
+const storeLead = 1200 * time.Millisecond
 
 func (c *cluster) fetchCopies(ctx context.Context, address string) bool {
 	request := copiesRequest{ConfigRevision: c.config.State().Revision, BackendRevision: c.backends.State().Revision}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,13 +30,13 @@
 	Backends  Backends
 	// Ensure asks the order holder for an adapter or model.
 	Ensure func(ctx context.Context, service, model, adapter string) (residency.Ensured, error)
-	// Note takes work that was asked for, and Used the use of an adapter.
+	// Note takes work that was asked for.
 	Note func(work map[residency.ModelKey]float64)
-	Used func(use residency.Use)
 	Log  *zap.Logger
 	Set  *metrics.Set
 
 	budget *repeatBudget
+	uses   adapterUses
 	table  atomic.Pointer[routes.Table]
 	flight atomic.Int64
 }
@@ -77,6 +77,8 @@
 	// avoid are the back ends that it was sent to, last the latest of them.
 	avoid []string
 	last  string
+	// noted tells that the work was told as missed.
+	noted bool
 	// firstByte is when the first part of the answer was passed on.
 	firstByte time.Time
 }
@@ -249,6 +251,10 @@
 
 // missed tells the order holder of work that no engine could take.
 func (r *run) missed() {
+	if r.noted {
+		return
+	}
+	r.noted = true
 	r.noteWork(r.need.PromptTokens)
 }
 
@@ -307,8 +313,9 @@
 	r.avoid = append(r.avoid, r.last)
 	r.noteWork(choice.Uncached)
 	ticket := r.gateway.Book.Begin(choice, r.need)
-	if r.need.Adapter != "" && r.gateway.Used != nil {
-		r.gateway.Used(residency.Use{Backend: r.last, Model: r.need.Model, Adapter: r.need.Adapter})
+	if r.need.Adapter != "" {
+		use := residency.Use{Backend: r.last, Model: r.need.Model, Adapter: r.need.Adapter}
+		ticket.OnEnd(r.gateway.uses.begin(use))
 	}
 	attempt := Attempt{Request: r.request, LastEventID: lastEventID, Urgency: r.route.Priority}
 	if !r.ends.IsZero() {
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -80,7 +80,7 @@
 		Chooser:   &dispatch.Chooser{Book: book, Zone: config.Zone},
 		Backends:  config.Backends,
 		Note:      boxes.note,
-		Used:      boxes.used,
+		uses:      adapterUses{running: map[residency.Use]int{}},
 		Log:       config.Log,
 		Set:       config.Set,
 	}
@@ -99,7 +99,9 @@
 		log:        config.Log,
 		leaving:    n.leaving.Load,
 		nodes:      map[string]*member{},
-		most:       1,
+
+		behindSince: map[*mirror.Mirror]time.Time{},
+		most:        1,
 	}
 	n.Gateway.Ensure = n.cluster.ensure
 	n.Gateway.budget = newRepeatBudget(config.Retries, n.cluster.machines)
@@ -123,10 +125,24 @@
 		}
 	}
 	n.tables = &mirror.Mirror{Store: platform.Store, Prefix: platform.ConfigPrefix, Changed: n.takeTable, Reached: reached(platform.ConfigPrefix)}
-	n.backends = &mirror.Mirror{Store: platform.Store, Prefix: platform.BackendPrefix, Changed: n.takeBackends, Reached: reached(platform.BackendPrefix)}
+	n.backends = &mirror.Mirror{Store: platform.Store, Prefix: platform.BackendPrefix, Changed: n.takeBackends, Quiet: n.listQuiet, Reached: reached(platform.BackendPrefix)}
 	n.nodes = &mirror.Mirror{Store: platform.Store, Prefix: platform.NodePrefix}
 }
 
+const (
+	// holderQuiet and peerQuiet are how long the list of back ends may lag: on the machine that
+	// gives orders, which waits for their ends, and on the others, which it tells of them.
+	holderQuiet = 150 * time.Millisecond
+	peerQuiet   = 900 * time.Millisecond
+)
+
+func (n *Node) listQuiet() time.Duration {
+	if _, err := n.lease.Term(); err == nil {
+		return holderQuiet
+	}
+	return peerQuiet
+}
+
 func (n *Node) makeController(demand *residency.Demand) {
 	n.turn = &turnGuard{
 		store:  n.config.Platform.Store,
--- a/internal/gateway/outbox.go
+++ b/internal/gateway/outbox.go
@@ -12,16 +12,14 @@
 type outboxes struct {
 	mu    sync.Mutex
 	boxes map[string]*outbox
-	// work and uses since the last collection.
+	// work since the last collection.
 	work map[residency.ModelKey]float64
-	uses []residency.Use
 }
 
 type outbox struct {
 	sent     []dispatch.Sent
 	verdicts map[string]dispatch.Verdicts
 	work     map[residency.ModelKey]float64
-	uses     []residency.Use
 }
 
 // maxOutbox bounds each list for a peer that does not answer; the oldest entries go first.
@@ -43,22 +41,14 @@
 	}
 }
 
-func (o *outboxes) used(use residency.Use) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if len(o.uses) < maxOutbox {
-		o.uses = append(o.uses, use)
-	}
-}
-
 // collect puts what happened since the last call into all peers' boxes, and returns the work
-// and uses for this machine itself.
-func (o *outboxes) collect(book *dispatch.Book, peers []string) (map[residency.ModelKey]float64, []residency.Use) {
+// for this machine itself.
+func (o *outboxes) collect(book *dispatch.Book, peers []string) map[residency.ModelKey]float64 {
 	sent, verdicts := book.TakeNews()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	work, uses := o.work, o.uses
-	o.work, o.uses = map[residency.ModelKey]float64{}, nil
+	work := o.work
+	o.work = map[residency.ModelKey]float64{}
 	for name := range o.boxes {
 		if !slices.Contains(peers, name) {
 			delete(o.boxes, name)
@@ -71,7 +61,6 @@
 			o.boxes[name] = box
 		}
 		box.sent = lastOf(append(box.sent, sent...))
-		box.uses = lastOf(append(box.uses, uses...))
 		for id, counts := range verdicts {
 			old := box.verdicts[id]
 			box.verdicts[id] = dispatch.Verdicts{Good: old.Good + counts.Good, Bad: old.Bad + counts.Bad}
@@ -80,7 +69,7 @@
 			box.work[key] += milliseconds
 		}
 	}
-	return work, uses
+	return work
 }
 
 func lastOf[T any](list []T) []T {
--- /dev/null
+++ b/internal/gateway/uses.go
@@ -0,0 +1,40 @@
+package gateway
+
+import (
+	"sync"
+
+	"ospreymoor.example/ospreymoor/pkg/residency"
+)
+
+// adapterUses counts what this machine has running with adapters. It is safe for concurrent use.
+type adapterUses struct {
+	mu sync.Mutex
+	// running by use, the Running field left at 0.
+	running map[residency.Use]int
+}
+
+// begin notes a request that uses an adapter, and returns the function to call at its end.
+func (u *adapterUses) begin(use residency.Use) (end func()) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.running[use]++
+	return sync.OnceFunc(func() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		if u.running[use]--; u.running[use] == 0 {
+			delete(u.running, use)
+		}
+	})
+}
+
+// list returns all uses.
+func (u *adapterUses) list() []residency.Use {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	uses := make([]residency.Use, 0, len(u.running))
+	for use, running := range u.running {
+		use.Running = running
+		uses = append(uses, use)
+	}
+	return uses
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -168,11 +168,13 @@
 	_ = http.NewResponseController(w).Flush()
 	for {
 		select {
-		case event, ok := <-events:
+		case batch, ok := <-events:
 			if !ok {
 				return
 			}
-			_ = encoder.Encode(watchMessage(event))
+			for _, event := range batch {
+				_ = encoder.Encode(watchMessage(event))
+			}
 			_ = http.NewResponseController(w).Flush()
 		case <-ended:
 			panic(http.ErrAbortHandler)
--- a/pkg/dispatch/book.go
+++ b/pkg/dispatch/book.go
@@ -110,8 +110,12 @@
 	predicted time.Duration
 	started   bool
 	ended     bool
+	onEnd     func()
 }
 
+// OnEnd has f called when the request is over.
+func (t *Ticket) OnEnd(f func()) { t.onEnd = f }
+
 // Begin notes that a request is sent to a back end.
 func (b *Book) Begin(choice Choice, need Need) *Ticket {
 	b.mu.Lock()
@@ -161,6 +165,9 @@
 		return
 	}
 	t.ended = true
+	if t.onEnd != nil {
+		t.onEnd()
+	}
 	entry := t.book.of(t.backend)
 	if !t.started {
 		entry.own.Prefill -= t.load.Prefill
@@ -176,7 +183,7 @@
 	paceWeight     = 0.1
 	// leastFactor and mostFactor bound the factors and one observation.
 	leastFactor = 0.2
-	mostFactor  = 4
+	mostFactor  = 1.5
 	// leastPredicted is too short to compare with.
 	leastPredicted = 8 * time.Millisecond
 )
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -46,6 +46,10 @@
 	Adapters map[string][]string `json:"adapters,omitempty"`
 	// Withdrawn models are about to be unloaded and get nothing new.
 	Withdrawn []string `json:"withdrawn,omitempty"`
+	// Loaded models that the platform's list may not tell of yet.
+	Loaded []string `json:"loaded,omitempty"`
+	// Dropped models that the platform's list may still tell of.
+	Dropped []string `json:"dropped,omitempty"`
 	// Sequence grows with each change of this engine under one term.
 	Sequence int64 `json:"sequence"`
 	// Busy tells that the engine loads a model.
@@ -62,6 +66,8 @@
 
 	adapters  map[string][]string
 	withdrawn []string
+	loaded    []string
+	dropped   []string
 	busy      bool
 }
 
@@ -70,7 +76,11 @@
 	if slices.Contains(s.withdrawn, model) {
 		return false
 	}
-	return slices.ContainsFunc(s.Models, func(h Holding) bool { return h.Model == model })
+	if slices.Contains(s.loaded, model) {
+		return true
+	}
+	listed := slices.ContainsFunc(s.Models, func(h Holding) bool { return h.Model == model })
+	return listed && !slices.Contains(s.dropped, model)
 }
 
 // HoldsAdapter tells whether the engine has an adapter of a model that it holds.
@@ -196,6 +206,8 @@
 			state.adapters[model] = adapters
 		}
 		state.withdrawn = residency.Withdrawn
+		state.loaded = residency.Loaded
+		state.dropped = residency.Dropped
 		state.busy = residency.Busy
 	}
 	return state
--- a/pkg/kv/etcd.go
+++ b/pkg/kv/etcd.go
@@ -149,7 +149,7 @@
 	return e.change(ctx, PathRevoke, LeaseRequest{ID: int64(id)}, &answer)
 }
 
-func (e *etcd) watch(ctx context.Context, prefix string, from int64) (<-chan Event, error) {
+func (e *etcd) watch(ctx context.Context, prefix string, from int64) (<-chan []Event, error) {
 	create := WatchCreate{Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: from}
 	response, err := e.post(ctx, PathWatch, WatchRequest{Create: create})
 	if err != nil {
@@ -159,13 +159,13 @@
 		_ = response.Body.Close()
 		return nil, errors.Annotatef(ErrUnavailable, "watch %s: %s", prefix, response.Status)
 	}
-	events := make(chan Event)
+	events := make(chan []Event)
 	go readWatch(ctx, response.Body, events)
 	return events, nil
 }
 
 // readWatch turns a watch's stream of JSON messages into events until either side ends it.
-func readWatch(ctx context.Context, body io.ReadCloser, events chan<- Event) {
+func readWatch(ctx context.Context, body io.ReadCloser, events chan<- []Event) {
 	defer close(events)
 	defer func() { _ = body.Close() }()
 	decoder := json.NewDecoder(body)
@@ -174,12 +174,17 @@
 		if decoder.Decode(&message) != nil || message.Result.Canceled {
 			return
 		}
-		for _, e := range message.Result.Events {
-			select {
-			case events <- Event{Record: e.KV.record(), Deleted: e.Type == "DELETE"}:
-			case <-ctx.Done():
-				return
-			}
+		batch := make([]Event, len(message.Result.Events))
+		for i, e := range message.Result.Events {
+			batch[i] = Event{Record: e.KV.record(), Deleted: e.Type == "DELETE"}
+		}
+		if len(batch) == 0 {
+			continue
+		}
+		select {
+		case events <- batch:
+		case <-ctx.Done():
+			return
 		}
 	}
 }
--- a/pkg/kv/kv.go
+++ b/pkg/kv/kv.go
@@ -90,7 +90,8 @@
 	Renew func(ctx context.Context, id LeaseID) error
 	// Revoke ends a lease and the keys that die with it.
 	Revoke func(ctx context.Context, id LeaseID) error
-	// Watch sends every change of a prefix from a revision on, until ctx ends or the
-	// service breaks off; then it closes the channel, and the caller reads and watches anew.
-	Watch func(ctx context.Context, prefix string, from int64) (<-chan Event, error)
+	// Watch sends every change of a prefix from a revision on, in batches as the service tells
+	// them, until ctx ends or the service breaks off; then it closes the channel, and the
+	// caller reads and watches anew. The service is not asked for more before a batch is taken.
+	Watch func(ctx context.Context, prefix string, from int64) (<-chan []Event, error)
 }
--- a/pkg/kv/memory.go
+++ b/pkg/kv/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -168,8 +169,8 @@
 	return nil
 }
 
-func (m *Memory) watch(ctx context.Context, prefix string, from int64) (<-chan Event, error) {
-	events := make(chan Event)
+func (m *Memory) watch(ctx context.Context, prefix string, from int64) (<-chan []Event, error) {
+	events := make(chan []Event)
 	m.mu.Lock()
 	next := len(m.history)
 	if from > 0 {
@@ -181,7 +182,7 @@
 }
 
 // follow sends the history's events from index next on, waiting for more.
-func (m *Memory) follow(ctx context.Context, prefix string, next int, events chan<- Event) {
+func (m *Memory) follow(ctx context.Context, prefix string, next int, events chan<- []Event) {
 	defer close(events)
 	for {
 		m.mu.Lock()
@@ -189,12 +190,12 @@
 		news, changed := m.history[next:], m.changed
 		m.mu.Unlock()
 		next += len(news)
-		for _, event := range news {
-			if !strings.HasPrefix(event.Record.Key, prefix) {
-				continue
-			}
+		batch := slices.DeleteFunc(slices.Clone(news), func(event Event) bool {
+			return !strings.HasPrefix(event.Record.Key, prefix)
+		})
+		if len(batch) > 0 {
 			select {
-			case events <- event:
+			case events <- batch:
 			case <-ctx.Done():
 				return
 			}
--- a/pkg/kv/observed.go
+++ b/pkg/kv/observed.go
@@ -48,7 +48,7 @@
 			report(err)
 			return err
 		},
-		Watch: func(ctx context.Context, prefix string, from int64) (<-chan Event, error) {
+		Watch: func(ctx context.Context, prefix string, from int64) (<-chan []Event, error) {
 			events, err := store.Watch(ctx, prefix, from)
 			report(err)
 			return events, err
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -16,8 +16,6 @@
 const (
 	firstPause = 100 * time.Millisecond
 	longPause  = time.Second
-	// quietTime is how long events are gathered before the watch asks again.
-	quietTime = 50 * time.Millisecond
 )
 
 // Copy is the state of the prefix at one revision.
@@ -34,6 +32,9 @@
 	// Changed is called with each new state, one call at a time; it must not block. The
 	// records of a copy are never changed.
 	Changed func(Copy)
+	// Quiet tells how long changes are gathered before the service is asked for more: each
+	// answer of a watch is a call that costs. nil takes no time.
+	Quiet func() time.Duration
 	// Reached is called when the service is lost (with the error) and regained (with nil).
 	Reached func(error)
 
@@ -74,19 +75,17 @@
 
 // Run follows the prefix until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
-	pause := firstPause
+	wait := firstPause
 	for ctx.Err() == nil {
 		begun := time.Now()
 		m.follow(ctx)
 		if time.Since(begun) > longPause {
-			pause = firstPause
+			wait = firstPause
 		}
-		select {
-		case <-ctx.Done():
+		if pause(ctx, wait) != nil {
 			return
-		case <-time.After(pause):
 		}
-		pause = min(2*pause, longPause)
+		wait = min(2*wait, longPause)
 	}
 }
 
@@ -104,22 +103,32 @@
 		m.report(err)
 		return
 	}
-	for event := range events {
-		batch := []kv.Event{event}
-		for more := true; more; {
-			select {
-			case next, ok := <-events:
-				if more = ok; ok {
-					batch = append(batch, next)
-				}
-			default:
-				more = false
-			}
-		}
+	for batch := range events {
 		m.apply(batch)
+		if m.Quiet != nil && pause(ctx, m.Quiet()) != nil {
+			return
+		}
+	}
+}
+
+func pause(ctx context.Context, span time.Duration) error {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
 }
 
+// Lost tells whether the service could not be reached at the last try.
+func (m *Mirror) Lost() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lost
+}
+
 // take replaces the state by a snapshot, unless a newer copy was offered meanwhile.
 func (m *Mirror) take(snapshot kv.Snapshot) {
 	records := make(map[string]kv.Record, len(snapshot.Records))
--- a/pkg/residency/adapters.go
+++ b/pkg/residency/adapters.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"ospreymoor.example/ospreymoor/pkg/fleet"
@@ -11,8 +12,6 @@
 const (
 	// adapterTime is how long an adapter's load takes; the engine's answers correct it.
 	adapterTime = 11 * time.Millisecond
-	// unloadTime is how long an idle adapter's unload takes.
-	unloadTime = 2 * time.Millisecond
 	// idleTime is how long an adapter must not have been used to give way.
 	idleTime = 700 * time.Millisecond
 	// pageTimeout bounds the paging of one adapter.
@@ -51,7 +50,7 @@
 	if adapter == "" {
 		return Ensured{Term: term}, nil
 	}
-	target, state := c.placeAdapter(service, pool, described, adapterKey{model, adapter})
+	target, state := c.placeAdapter(service, pool, adapterKey{model, adapter})
 	if target == nil {
 		return Ensured{Ready: idleTime / 2, Term: term}, ErrNoPlace
 	}
@@ -61,7 +60,7 @@
 		return Ensured{Ready: adapterTime, Term: term}, ctx.Err()
 	}
 	target.mu.Lock()
-	loaded := state.loaded
+	loaded := state.phase == phaseLoaded
 	target.mu.Unlock()
 	if !loaded {
 		return Ensured{Term: term}, ErrFailed
@@ -70,182 +69,233 @@
 }
 
 // placeAdapter finds the engine that has or will have an adapter; nil if none can now.
-func (c *Controller) placeAdapter(service string, pool *routes.Engines, model *routes.Model, key adapterKey) (*engine, *adapterState) {
+func (c *Controller) placeAdapter(service string, pool *routes.Engines, key adapterKey) (*engine, *adapterState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var best *engine
-	var victim adapterKey
 	bestCost := 0
 	for _, state := range c.Directory.Of(service) {
 		if state.Leaving || !state.Holds(key.model) {
 			continue
 		}
 		e := c.engine(state.ID, service)
-		if there := e.findAdapter(key); there != nil && e.unloadingModel() != key.model {
+		if there := e.findAdapter(key); there != nil {
 			return e, there
 		}
-		cost, evict, ok := e.adapterCost(pool, model)
+		cost, ok := e.adapterCost(pool)
 		if !ok {
 			continue
 		}
 		cost += c.load(state.ID)
 		if best == nil || cost < bestCost {
-			best, bestCost, victim = e, cost, evict
+			best, bestCost = e, cost
 		}
 	}
 	if best == nil {
 		return nil, nil
 	}
-	return best, best.startAdapter(key, victim)
+	return best, best.startAdapter(key)
 }
 
+// findAdapter returns an adapter that the engine has or is loading; nil if it has not.
 func (e *engine) findAdapter(key adapterKey) *adapterState {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	state := e.adapters[key]
-	if state != nil {
-		state.used = time.Now()
+	if state == nil || (state.phase != phaseLoading && state.phase != phaseLoaded) || e.unloading == key.model {
+		return nil
 	}
+	state.used = time.Now()
 	return state
 }
 
-func (e *engine) unloadingModel() string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.unloading
-}
-
-// adapterCost tells what it costs to load one more adapter here, and which has to give way.
-func (e *engine) adapterCost(pool *routes.Engines, model *routes.Model) (cost int, evict adapterKey, ok bool) {
+// adapterCost tells what it costs to load one more adapter here.
+func (e *engine) adapterCost(pool *routes.Engines) (cost int, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
 	if e.loading != "" || e.unloading != "" || now.Before(e.coolUntil) {
-		return 0, evict, false
+		return 0, false
 	}
-	pending := 0
+	idle := 0
 	for _, state := range e.adapters {
-		if !state.loaded {
-			pending++
+		switch {
+		case state.phase != phaseLoaded:
+			cost += queueCost
+		case e.idle(state, now):
+			idle++
 		}
 	}
-	cost = pending * queueCost
-	if len(e.adapters) < pool.AdapterSlots && e.fitsAdapter(pool, model) {
-		return cost, evict, true
-	}
-	var oldest time.Time
-	for key, state := range e.adapters {
-		if !state.loaded || now.Sub(state.used) < idleTime {
-			continue
-		}
-		if evict.model == "" || state.used.Before(oldest) {
-			evict, oldest = key, state.used
-		}
+	if len(e.adapters) < pool.AdapterSlots {
+		return cost, true
 	}
-	return cost + fullCost, evict, evict.model != ""
+	return cost + fullCost, len(e.adapters)-idle < pool.AdapterSlots
 }
 
-// fitsAdapter tells whether the engine's memory takes one more adapter beside its models. The
-// caller holds the lock.
-func (e *engine) fitsAdapter(pool *routes.Engines, model *routes.Model) bool {
-	used := e.controller.modelMegabytes(e.service, e.id)
-	for key := range e.adapters {
-		if _, described := e.controller.model(e.service, key.model); described != nil {
-			used += described.AdapterMegabytes
-		}
-	}
-	return used+model.AdapterMegabytes <= pool.Megabytes
+// idle tells whether an adapter may give way. The caller holds the lock.
+func (e *engine) idle(state *adapterState, now time.Time) bool {
+	return state.phase == phaseLoaded && state.running == 0 && now.Sub(state.used) >= idleTime
 }
 
-// startAdapter begins the load of an adapter, after the unload of the one that gives way.
-func (e *engine) startAdapter(key, evict adapterKey) *adapterState {
-	state := &adapterState{ready: make(chan struct{}), used: time.Now()}
+// startAdapter begins the load of an adapter.
+func (e *engine) startAdapter(key adapterKey) *adapterState {
+	state := &adapterState{ready: make(chan struct{}), used: time.Now(), phase: phaseLoading}
 	e.mu.Lock()
 	e.adapters[key] = state
-	if evict.model != "" {
-		// Not offered any more, but its place counts as taken until the engine has dropped it.
-		e.adapters[evict].loaded = false
-		e.sequence++
-	}
 	e.mu.Unlock()
-	if evict.model != "" {
-		e.controller.announce(e)
-	}
-	go e.pageAdapter(key, evict, state)
+	go e.pageAdapter(key, state)
 	return state
 }
 
-func (e *engine) pageAdapter(key, evict adapterKey, state *adapterState) {
+func (e *engine) pageAdapter(key adapterKey, state *adapterState) {
 	ctx, cancel := context.WithTimeout(e.controller.ctx, pageTimeout)
 	defer cancel()
 	defer close(state.ready)
-	loaded := e.page(ctx, key, evict)
+	result := e.page(ctx, key)
 	e.change(func() {
-		state.loaded = loaded
 		state.used = time.Now()
-		if !loaded {
+		switch result {
+		case pageDone:
+			state.phase = phaseLoaded
+		case pageNotBegun:
 			delete(e.adapters, key)
+		case pageUnsure:
+			// It may be there, now or later: it keeps its place until the engine tells.
+			state.phase = phaseUnsure
 			e.known = false
 			e.coolUntil = time.Now().Add(reportLag)
 		}
 	})
 }
 
-// page gives the orders that put one adapter in the place of another.
-func (e *engine) page(ctx context.Context, key, evict adapterKey) bool {
+// pageResult is how the paging of an adapter ended.
+type pageResult int
+
+const (
+	pageDone pageResult = iota
+	pageNotBegun
+	pageUnsure
+)
+
+// page gives the orders that load one adapter, after the unload of others if there is no room.
+func (e *engine) page(ctx context.Context, key adapterKey) pageResult {
 	if e.acquire(ctx) != nil {
-		return false
+		return pageNotBegun
 	}
 	defer e.release()
-	if evict.model != "" {
-		if !e.unloadAdapter(ctx, evict) {
-			return false
+	if e.sync(ctx) != nil {
+		return pageNotBegun
+	}
+	for {
+		fits, victim := e.makeRoom(key)
+		if fits {
+			break
+		}
+		if victim.model == "" || !e.unloadAdapter(ctx, victim) {
+			return pageNotBegun
 		}
 	}
 	result, _ := e.order(ctx, Order{Operation: Load, Model: key.model, Adapter: key.adapter})
-	if result == Accepted {
-		return pause(ctx, adapterTime) == nil
+	switch result {
+	case Accepted:
+		_ = pause(ctx, adapterTime)
+		return pageDone
+	case Already:
+		return pageDone
 	}
-	return result == Already
+	return pageUnsure
 }
 
+// makeRoom tells whether the engine has room for one adapter that is counted already, or else
+// which one gives way; none if all are in use.
+func (e *engine) makeRoom(key adapterKey) (fits bool, victim adapterKey) {
+	pool, model := e.controller.model(e.service, key.model)
+	if model == nil {
+		return false, victim
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	used := e.modelMegabytes()
+	now := time.Now()
+	var oldest time.Time
+	for other, state := range e.adapters {
+		if _, described := e.controller.model(e.service, other.model); described != nil {
+			used += described.AdapterMegabytes
+		}
+		if other == key || !e.idle(state, now) {
+			continue
+		}
+		if victim.model == "" || state.used.Before(oldest) {
+			victim, oldest = other, state.used
+		}
+	}
+	if len(e.adapters) <= pool.AdapterSlots && used <= pool.Megabytes {
+		return true, adapterKey{}
+	}
+	if victim.model != "" {
+		e.adapters[victim].phase = phaseLeaving
+		e.sequence++
+	}
+	return false, victim
+}
+
+// unloadAdapter has an adapter dropped; its place is free when the next order is accepted.
 func (e *engine) unloadAdapter(ctx context.Context, key adapterKey) bool {
+	e.controller.announce(e)
 	result, _ := e.order(ctx, Order{Operation: Unload, Model: key.model, Adapter: key.adapter})
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	if result != Accepted && result != Already {
-		// It may still be there: the next report tells, until then it keeps its place.
-		e.unsure()
+		e.adapters[key].phase = phaseUnsure
+		e.known = false
 		return false
 	}
-	e.mu.Lock()
 	delete(e.adapters, key)
-	e.mu.Unlock()
-	if result == Accepted {
-		return pause(ctx, unloadTime) == nil
-	}
 	return true
 }
 
-// Used notes that requests used adapters, so that the one unused longest gives way.
-func (c *Controller) Used(uses []Use) {
+// Use is what one machine has running with an adapter on an engine.
+type Use struct {
+	Backend string `json:"b"`
+	Model   string `json:"m"`
+	Adapter string `json:"a"`
+	// Running requests; 0 tells that the last one has ended since it was told before.
+	Running int `json:"r,omitempty"`
+}
+
+// Used takes what a machine has running with adapters, so that the one unused longest gives
+// way and none that is in use.
+func (c *Controller) Used(machine string, uses []Use) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
+	running := make(map[Use]int, len(uses))
 	for _, use := range uses {
-		e := c.engines[use.Backend]
-		if e == nil {
-			continue
-		}
-		e.mu.Lock()
-		if state := e.adapters[adapterKey{use.Model, use.Adapter}]; state != nil {
-			state.used = now
+		running[Use{Backend: use.Backend, Model: use.Model, Adapter: use.Adapter}] = use.Running
+	}
+	changed := maps.Clone(running)
+	maps.Copy(changed, c.uses[machine])
+	c.uses[machine] = running
+	for use := range changed {
+		if e := c.engines[use.Backend]; e != nil {
+			e.use(use, c.runningWith(use), now)
 		}
-		e.mu.Unlock()
 	}
 }
 
-// Use is one request's use of an adapter on an engine.
-type Use struct {
-	Backend string `json:"b"`
-	Model   string `json:"m"`
-	Adapter string `json:"a"`
+// runningWith sums what all machines have running with an adapter. The caller holds the lock.
+func (c *Controller) runningWith(use Use) int {
+	total := 0
+	for _, running := range c.uses {
+		total += running[use]
+	}
+	return total
+}
+
+func (e *engine) use(use Use, running int, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if state := e.adapters[adapterKey{use.Model, use.Adapter}]; state != nil {
+		state.used, state.running = now, running
+	}
 }
--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,6 +42,8 @@
 	// coming is when a model's load under way will be done.
 	coming map[ModelKey]time.Time
 	term   int64
+	// uses is what each machine has running with adapters.
+	uses map[string]map[Use]int
 	// loads bounds the loads from the weight store.
 	loads *rate.Limiter
 }
@@ -90,6 +93,7 @@
 	c.engines = map[string]*engine{}
 	c.missed = map[ModelKey]time.Time{}
 	c.coming = map[ModelKey]time.Time{}
+	c.uses = map[string]map[Use]int{}
 	c.loads = nil
 }
 
@@ -189,15 +193,15 @@
 		Usable:  e.loading == "" && e.unloading == "" && len(e.withdrawn) == 0 && time.Now().After(e.coolUntil),
 		Leaving: state.Leaving,
 	}
-	for _, holding := range state.Models {
-		e.seen[holding.Model] = true
-		if !contains(e.withdrawn, holding.Model) && holding.Model != e.loading {
-			view.Models = append(view.Models, holding.Model)
+	e.reconcile(state)
+	for _, model := range e.held(state) {
+		e.seen[model] = true
+		if !slices.Contains(e.withdrawn, model) && model != e.loading {
+			view.Models = append(view.Models, model)
 		}
 	}
-	if e.loading != "" {
-		view.Models = append(view.Models, e.loading)
-	}
+	view.Loading = e.loading
+	view.Fresh = e.fresh(time.Now())
 	for key := range e.adapters {
 		if model := service.Model(key.model); model != nil {
 			view.AdapterMegabytes += model.AdapterMegabytes
@@ -206,13 +210,36 @@
 	return view
 }
 
-func contains(list []string, name string) bool {
-	for _, entry := range list {
-		if entry == name {
-			return true
+// freshTime is how long a model stays on an engine at least.
+const freshTime = 6 * time.Second
+
+// fresh are the models that were loaded lately. The caller holds the lock.
+func (e *engine) fresh(now time.Time) map[string]bool {
+	fresh := map[string]bool{}
+	for model, at := range e.loadedAt {
+		if now.Sub(at) < freshTime {
+			fresh[model] = true
 		}
 	}
-	return false
+	return fresh
+}
+
+// held lists the models that the engine has, also where the platform's list lags. The caller
+// holds the lock.
+func (e *engine) held(state *fleet.State) []string {
+	held := slices.Clone(e.loaded)
+	for _, holding := range state.Models {
+		if !slices.Contains(e.dropped, holding.Model) && !slices.Contains(held, holding.Model) {
+			held = append(held, holding.Model)
+		}
+	}
+	return held
+}
+
+// reconcile forgets what the platform's list has come to tell itself. The caller holds the lock.
+func (e *engine) reconcile(state *fleet.State) {
+	e.loaded = slices.DeleteFunc(e.loaded, func(model string) bool { return holds(state.Models, model) })
+	e.dropped = slices.DeleteFunc(e.dropped, func(model string) bool { return !holds(state.Models, model) })
 }
 
 // model returns a model's description and that of its service's engines, or nil.
@@ -224,15 +251,15 @@
 	return table.Services[service].Engines, table.Services[service].Model(model)
 }
 
-// modelMegabytes is the memory that an engine's models take.
-func (c *Controller) modelMegabytes(service, id string) float64 {
-	state := c.Directory.Get(id)
+// modelMegabytes is the memory that the engine's models take. The caller holds the lock.
+func (e *engine) modelMegabytes() float64 {
+	state := e.controller.Directory.Get(e.id)
 	if state == nil {
 		return 0
 	}
 	used := 0.0
-	for _, holding := range state.Models {
-		if _, described := c.model(service, holding.Model); described != nil {
+	for _, model := range e.held(state) {
+		if _, described := e.controller.model(e.service, model); described != nil {
 			used += described.Megabytes
 		}
 	}
--- a/pkg/residency/demand.go
+++ b/pkg/residency/demand.go
@@ -16,7 +16,7 @@
 	bucketSpan = 250 * time.Millisecond
 	// slowBuckets and fastBuckets are how many buckets the two rates reach back.
 	slowBuckets = 20
-	fastBuckets = 6
+	fastBuckets = 10
 	// ahead is how far a rise is drawn out, in the distance between the two rates' middles.
 	ahead = 1.0
 )
--- a/pkg/residency/engine.go
+++ b/pkg/residency/engine.go
@@ -30,6 +30,12 @@
 	loading   string
 	unloading string
 	withdrawn []string
+	// loaded and dropped are models whose load or unload was seen to end, as long as the
+	// platform's list does not tell.
+	loaded  []string
+	dropped []string
+	// loadedAt is when models were loaded by order.
+	loadedAt map[string]time.Time
 	// seen are the models that the engine held at any time: they are on its disk.
 	seen map[string]bool
 	// sequence numbers the changes that peers are told of.
@@ -42,11 +48,26 @@
 	model, adapter string
 }
 
+// phase is where an adapter stands on an engine. In every phase it takes a place.
+type phase int
+
+const (
+	// phaseLoading: its load is under way or waits for the engine's turn.
+	phaseLoading phase = iota
+	phaseLoaded
+	// phaseLeaving: its unload is under way.
+	phaseLeaving
+	// phaseUnsure: an order was not answered; the engine's next report tells.
+	phaseUnsure
+)
+
 type adapterState struct {
-	// ready is closed when the load is over; failed then tells how.
-	ready  chan struct{}
-	loaded bool
-	used   time.Time
+	// ready is closed when the load is over; phase then tells how.
+	ready chan struct{}
+	phase phase
+	used  time.Time
+	// running requests that use it, on all machines.
+	running int
 }
 
 func newEngine(c *Controller, id, service string) *engine {
@@ -57,6 +78,7 @@
 		turn:       make(chan struct{}, 1),
 		adapters:   map[adapterKey]*adapterState{},
 		seen:       map[string]bool{},
+		loadedAt:   map[string]time.Time{},
 	}
 	return e
 }
@@ -75,11 +97,12 @@
 
 // order sends one order until the engine has answered it. The caller has the turn.
 func (e *engine) order(ctx context.Context, order Order) (Result, error) {
-	var last error
-	for range orderTries {
-		if err := e.sync(ctx); err != nil {
-			return Unanswered, err
-		}
+	if err := e.sync(ctx); err != nil {
+		return Unanswered, err
+	}
+	wait := conflictPause
+	unanswered := 0
+	for {
 		result, err := e.send(ctx, order)
 		switch result {
 		case Accepted:
@@ -89,19 +112,39 @@
 			return Accepted, nil
 		case Already, Refused, Gone:
 			return result, err
-		case Conflict:
-			// Another count, or an order still under way: the engine's own word decides.
-			e.unsure()
 		case Unanswered:
 			// The same order again: only one of the two can be carried out.
+			unanswered++
+		case Conflict:
+			if unanswered > 0 {
+				// The first one was carried out after all, or is now.
+				return e.settle(ctx, order)
+			}
 		}
-		last = err
-		if ctx.Err() != nil {
-			break
+		// An order before may still be under way.
+		if unanswered == orderTries || wait > longConflictPause || pause(ctx, wait) != nil {
+			e.unsure()
+			return Unanswered, err
 		}
+		wait *= 2
 	}
+}
+
+// settle finds out whether an unanswered order was carried out.
+func (e *engine) settle(ctx context.Context, order Order) (Result, error) {
+	e.mu.Lock()
+	before := e.taken
+	e.mu.Unlock()
 	e.unsure()
-	return Unanswered, last
+	if err := e.sync(ctx); err != nil {
+		return Unanswered, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.taken == before+1 {
+		return Accepted, nil
+	}
+	return Unanswered, nil
 }
 
 // send gives the order once, if this process may.
@@ -156,6 +199,9 @@
 	if err != nil {
 		return err
 	}
+	if report.Busy {
+		return ErrBusy
+	}
 	e.adopt(report)
 	return nil
 }
@@ -174,15 +220,15 @@
 	}
 	for key := range reported {
 		if e.adapters[key] == nil {
-			e.adapters[key] = &adapterState{ready: closed, loaded: true}
+			e.adapters[key] = &adapterState{ready: closed, phase: phaseLoaded}
 		}
 	}
 	for key, state := range e.adapters {
 		switch {
-		case state.pending():
+		case state.phase == phaseLoading || state.phase == phaseLeaving:
 			// Its own job settles it.
 		case reported[key]:
-			state.loaded = true
+			state.phase = phaseLoaded
 		default:
 			delete(e.adapters, key)
 		}
@@ -190,16 +236,6 @@
 	e.sequence++
 }
 
-// pending tells whether the load is still under way.
-func (s *adapterState) pending() bool {
-	select {
-	case <-s.ready:
-		return false
-	default:
-		return true
-	}
-}
-
 // closed is a channel that is always ready.
 var closed = func() chan struct{} {
 	c := make(chan struct{})
@@ -214,11 +250,13 @@
 	said := fleet.Residency{
 		Adapters:  map[string][]string{},
 		Withdrawn: slices.Clone(e.withdrawn),
+		Loaded:    slices.Clone(e.loaded),
+		Dropped:   slices.Clone(e.dropped),
 		Sequence:  e.sequence,
 		Busy:      e.loading != "" || e.unloading != "",
 	}
 	for key, state := range e.adapters {
-		if state.loaded {
+		if state.phase == phaseLoaded {
 			said.Adapters[key.model] = append(said.Adapters[key.model], key.adapter)
 		}
 	}
--- a/pkg/residency/moves.go
+++ b/pkg/residency/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -33,7 +34,11 @@
 		zap.String("model", move.Model),
 		zap.Strings("evicted", move.Evict),
 		zap.Bool("fromDisk", move.FromDisk),
-		zap.String("reason", move.Reason))
+		zap.String("reason", move.Reason),
+		zap.Strings("held", move.Held),
+		zap.Float64("demand", move.Demand),
+		zap.Int("copies", move.Copies),
+		zap.Float64("gain", move.Gain))
 	e.change(func() {
 		e.loading = move.Model
 		e.withdrawn = move.Evict
@@ -64,11 +69,17 @@
 	if len(move.Evict) > 0 && pause(ctx, noticeTime) != nil {
 		return false
 	}
+	if e.sync(ctx) != nil {
+		return false
+	}
 	for _, model := range move.Evict {
 		if !e.unloadModel(ctx, model) {
 			return false
 		}
 	}
+	if !e.fitsModel(described, move.Model) {
+		return false
+	}
 	return e.loadModel(ctx, described.Model(move.Model), move)
 }
 
@@ -85,8 +96,10 @@
 	}
 	e.change(func() {
 		e.unloading = ""
-		for key := range e.adapters {
-			if key.model == model {
+		e.loaded = without(e.loaded, model)
+		e.dropped = append(without(e.dropped, model), model)
+		for key, state := range e.adapters {
+			if key.model == model && state.phase != phaseLoading {
 				delete(e.adapters, key)
 			}
 		}
@@ -94,6 +107,19 @@
 	return true
 }
 
+// fitsModel tells whether the engine has room for a model now.
+func (e *engine) fitsModel(described *routes.Service, model string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	used := e.modelMegabytes()
+	for key := range e.adapters {
+		if other := described.Model(key.model); other != nil {
+			used += other.AdapterMegabytes
+		}
+	}
+	return used+described.Model(model).Megabytes <= described.Engines.Megabytes
+}
+
 func (e *engine) loadModel(ctx context.Context, model *routes.Model, move Move) bool {
 	result, _ := e.order(ctx, Order{Operation: Load, Model: model.Name})
 	if result != Accepted && result != Already {
@@ -108,10 +134,17 @@
 	}
 	e.mu.Lock()
 	e.seen[model.Name] = true
+	e.loadedAt[model.Name] = time.Now()
+	e.loaded = append(without(e.loaded, model.Name), model.Name)
+	e.dropped = without(e.dropped, model.Name)
 	e.mu.Unlock()
 	return true
 }
 
+func without(list []string, name string) []string {
+	return slices.DeleteFunc(slices.Clone(list), func(entry string) bool { return entry == name })
+}
+
 // await waits until the directory, or the engine itself, tells that an order is done.
 func (e *engine) await(ctx context.Context, expected time.Duration, done func(held bool) bool, model string) bool {
 	ask := time.Now().Add(expected + listLag)
--- a/pkg/residency/orders.go
+++ b/pkg/residency/orders.go
@@ -88,6 +88,8 @@
 	ErrNoPlace = errors.ConstError("no engine can take it now: ask again later")
 	// ErrUnknownModel says that the configuration names no such model or adapter.
 	ErrUnknownModel = errors.ConstError("model or adapter not in the configuration: check its name")
+	// ErrBusy says that an order is under way at the engine whose end can't be foreseen.
+	ErrBusy = errors.ConstError("engine has an order under way: ask again later")
 	// ErrFailed says that an order did not go through.
 	ErrFailed = errors.ConstError("engine did not carry out the order: ask again")
 )
@@ -102,6 +104,8 @@
 	reportLag = 600 * time.Millisecond
 	// orderTries bounds how often one order is sent.
 	orderTries = 4
-	// conflictPause is the wait after an order met another under way.
-	conflictPause = 8 * time.Millisecond
+	// conflictPause is the first wait after an order met another under way; it doubles up to
+	// longConflictPause.
+	conflictPause     = 8 * time.Millisecond
+	longConflictPause = 600 * time.Millisecond
 )
--- a/pkg/residency/plan.go
+++ b/pkg/residency/plan.go
@@ -15,14 +15,25 @@
 	FromDisk bool
 	// Reason is why, for the log.
 	Reason string
+	// Held are the models of the engine, and Demand is the model's, as the plan saw them.
+	Held   []string
+	Demand float64
+	// Copies that the model had.
+	Copies int
+	// Gain is how much the sum of the engines' squared work falls.
+	Gain float64
 }
 
 // PlanEngine is an engine as the planner sees it.
 type PlanEngine struct {
 	ID   string
 	Zone string
-	// Models that it holds or is loading, but for those it is unloading.
+	// Models that it holds, but for those it is unloading.
 	Models []string
+	// Fresh models were loaded so lately that they stay.
+	Fresh map[string]bool
+	// Loading is the model whose load is under way; empty if there is none.
+	Loading string
 	// Seen models are on its disk.
 	Seen map[string]bool
 	// Megabytes of memory that adapters take.
@@ -73,8 +84,7 @@
 		if !ok {
 			break
 		}
-		p.do(move)
-		moves = append(moves, move)
+		moves = append(moves, p.do(move))
 	}
 	return moves
 }
@@ -84,8 +94,9 @@
 	models  map[string]*PlanModel
 	engines []*planEngine
 	byID    map[string]*planEngine
-	// copies on engines that stay.
-	copies map[string]int
+	// copies on engines that stay, loads under way included; confirmed are those without.
+	copies    map[string]int
+	confirmed map[string]int
 	// zones counts a model's copies by zone.
 	zones      map[string]map[string]int
 	storeLoads int
@@ -103,6 +114,7 @@
 		models:     map[string]*PlanModel{},
 		byID:       map[string]*planEngine{},
 		copies:     map[string]int{},
+		confirmed:  map[string]int{},
 		zones:      map[string]map[string]int{},
 		storeLoads: in.StoreLoads,
 	}
@@ -118,8 +130,16 @@
 			if model := p.models[name]; model != nil {
 				e.free -= model.Megabytes
 				p.count(name, e, 1)
+				if !e.Leaving {
+					p.confirmed[name]++
+				}
 			}
 		}
+		if model := p.models[e.Loading]; model != nil {
+			e.Models = append(e.Models, e.Loading)
+			e.free -= model.Megabytes
+			p.count(e.Loading, e, 1)
+		}
 		p.engines = append(p.engines, e)
 		p.byID[e.ID] = e
 	}
@@ -137,14 +157,19 @@
 	}
 }
 
-func (p *planner) do(move Move) {
+// do notes a move as made, and returns it with what it was made by.
+func (p *planner) do(move Move) Move {
 	e := p.byID[move.Engine]
+	move.Held = slices.Clone(e.Models)
+	move.Demand = p.models[move.Model].Demand
+	move.Copies = p.copies[move.Model]
 	for _, name := range move.Evict {
 		e.Models = slices.DeleteFunc(e.Models, func(held string) bool { return held == name })
 		if model := p.models[name]; model != nil {
 			e.free += model.Megabytes
 		}
 		p.count(name, e, -1)
+		p.confirmed[name]--
 	}
 	e.Models = append(e.Models, move.Model)
 	e.free -= p.models[move.Model].Megabytes
@@ -153,6 +178,7 @@
 	if !move.FromDisk {
 		p.storeLoads--
 	}
+	return move
 }
 
 // share is the work that a model brings to each engine that holds it.
@@ -240,7 +266,7 @@
 	})
 	for _, name := range spare {
 		described := p.models[name]
-		if described != nil && p.copies[name] < 2 {
+		if described != nil && (p.confirmed[name] < 2 || e.Fresh[name]) {
 			continue
 		}
 		evict = append(evict, name)
@@ -287,7 +313,7 @@
 			}
 			if gain > bestGain {
 				bestGain = gain
-				best = Move{Engine: e.ID, Model: model.Name, Evict: evict, FromDisk: e.Seen[model.Name], Reason: "demand"}
+				best = Move{Engine: e.ID, Model: model.Name, Evict: evict, FromDisk: e.Seen[model.Name], Reason: "demand", Gain: gain}
 			}
 		}
 	}
