Hand the order lease over by asking the former holder to yield

Cause: seven seconds without orders when the holder is cut from the store, since the lease had to run out and its turn be waited for. Ruled out: a shorter lease alone (store outages of 4 to 9 s). A holder that can't renew while others reach the store resigns through a peer; the next one asks it to yield and waits engine by engine. Unreachable holders are waited for in full.

--- a/internal/gateway/cluster.go
+++ b/internal/gateway/cluster.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -32,6 +33,7 @@
 	boxes      *outboxes
 	log        *zap.Logger
 	leaving    func() bool
+	storeLost  func() bool
 
 	mu    sync.Mutex
 	nodes map[string]*member
@@ -47,8 +49,9 @@
 	// registered tells that the store lists it now.
 	registered bool
 	// heard is when it last said something.
-	heard   time.Time
-	leaving bool
+	heard     time.Time
+	leaving   bool
+	storeLost bool
 	// holder tells that it said to hold the order lease, under term.
 	holder bool
 	term   int64
@@ -76,14 +79,17 @@
 	holderTime = 4 * time.Second
 )
 
-// setNodes takes the store's list of machines.
-func (c *cluster) setNodes(list mirror.Copy) {
+// setNodes takes the store's list of machines: the records below prefix.
+func (c *cluster) setNodes(list mirror.Copy, prefix string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, m := range c.nodes {
 		m.registered = false
 	}
-	for _, record := range list.Records {
+	for key, record := range list.Records {
+		if !strings.HasPrefix(key, prefix) {
+			continue
+		}
 		var n node
 		if err := json.Unmarshal(record.Value, &n); err != nil || n.Name == c.self.Name {
 			continue
@@ -197,6 +203,7 @@
 	message := exchange{
 		From:            c.self,
 		Leaving:         c.leaving(),
+		StoreLost:       c.storeLost(),
 		ConfigRevision:  c.config.State().Revision,
 		BackendRevision: c.backends.State().Revision,
 		Holder:          holding != nil,
@@ -224,7 +231,7 @@
 	c.mu.Lock()
 	m := c.member(said.From)
 	m.heard = time.Now()
-	m.leaving = said.Leaving
+	m.leaving, m.storeLost = said.Leaving, said.StoreLost
 	m.holder, m.term = said.Holder, said.Stamp.Term
 	c.most = max(c.most, len(c.nodes)+1)
 	c.mu.Unlock()
@@ -383,6 +390,48 @@
 	return best.Address, true
 }
 
+// addressOf returns the peer address of a machine, if it is known.
+func (c *cluster) addressOf(name string) (string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m, ok := c.nodes[name]
+	if !ok {
+		return "", false
+	}
+	return m.Address, true
+}
+
+// wordTime is how long a peer's word on the store is believed.
+const wordTime = 1500 * time.Millisecond
+
+// storeLostByAll tells whether this machine and every other one that is known said lately that
+// they do not reach the store.
+func (c *cluster) storeLostByAll() bool {
+	if !c.storeLost() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range c.nodes {
+		if !m.storeLost || time.Since(m.heard) > wordTime {
+			return false
+		}
+	}
+	return len(c.nodes) > 0
+}
+
+// reachesStore returns a machine that said lately that it reaches the store.
+func (c *cluster) reachesStore() (address string, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range c.nodes {
+		if !m.storeLost && !m.leaving && time.Since(m.heard) < wordTime {
+			return m.Address, true
+		}
+	}
+	return "", false
+}
+
 // peers lists the names of the machines known now.
 func (c *cluster) peers() []string {
 	c.mu.Lock()
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"time"
+
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
 	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/kv"
 	"ospreymoor.example/ospreymoor/pkg/mirror"
 	"ospreymoor.example/ospreymoor/pkg/residency"
 )
@@ -12,6 +15,8 @@
 	methodExchange = "exchange"
 	methodCopies   = "copies"
 	methodEnsure   = "ensure"
+	methodYield    = "yield"
+	methodRevoke   = "revoke"
 )
 
 // node is what a machine registers about itself in the store.
@@ -29,6 +34,8 @@
 	From node `json:"from"`
 	// Leaving machines are about to stop.
 	Leaving bool `json:"leaving,omitempty"`
+	// StoreLost tells that the sender does not reach the store.
+	StoreLost bool `json:"storeLost,omitempty"`
 	// Revisions of the copies of what the platform tells.
 	ConfigRevision  int64 `json:"config"`
 	BackendRevision int64 `json:"backends"`
@@ -74,3 +81,22 @@
 	residency.Ensured
 	Error string `json:"error,omitempty"`
 }
+
+// yieldRequest has a former holder of the order lease stop giving orders under older terms.
+type yieldRequest struct {
+	Term int64  `json:"term"`
+	To   string `json:"to"`
+}
+
+// yieldAnswer tells when the last orders were given.
+type yieldAnswer struct {
+	// Ages of the last order, by engine.
+	Ages map[string]time.Duration `json:"ages"`
+	// Others is the least age of the last order to any other engine.
+	Others time.Duration `json:"others"`
+}
+
+// revokeRequest has a machine revoke a lease in the store.
+type revokeRequest struct {
+	Lease kv.LeaseID `json:"lease"`
+}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -10,13 +9,11 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
-	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"ospreymoor.example/ospreymoor/internal/peer"
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
 	"ospreymoor.example/ospreymoor/pkg/fleet"
-	"ospreymoor.example/ospreymoor/pkg/kv"
 	"ospreymoor.example/ospreymoor/pkg/lease"
 	"ospreymoor.example/ospreymoor/pkg/mirror"
 	"ospreymoor.example/ospreymoor/pkg/residency"
@@ -59,9 +56,11 @@
 	turn       *turnGuard
 	backends   *mirror.Mirror
 	tables     *mirror.Mirror
-	nodes      *mirror.Mirror
-	server     *peer.Server
-	leaving    atomic.Bool
+	own        *mirror.Mirror
+	// leaseWake has the order lease looked after at once.
+	leaseWake chan struct{}
+	server    *peer.Server
+	leaving   atomic.Bool
 	// stopOrders ends the lease's contest.
 	stopOrders context.CancelFunc
 	background sync.WaitGroup
@@ -98,6 +97,7 @@
 		boxes:      boxes,
 		log:        config.Log,
 		leaving:    n.leaving.Load,
+		storeLost:  n.storeLost,
 		nodes:      map[string]*member{},
 
 		behindSince: map[*mirror.Mirror]time.Time{},
@@ -105,11 +105,13 @@
 	}
 	n.Gateway.Ensure = n.cluster.ensure
 	n.Gateway.budget = newRepeatBudget(config.Retries, n.cluster.machines)
-	n.nodes.Changed = n.cluster.setNodes
+	n.turn.cluster = n.cluster
 	n.server = peer.NewServer(config.PeerSecret, config.Set)
 	peer.Handle(n.server, methodExchange, n.cluster.answerExchange)
 	peer.Handle(n.server, methodCopies, n.cluster.answerCopies)
 	peer.Handle(n.server, methodEnsure, n.cluster.answerEnsure)
+	peer.Handle(n.server, methodYield, n.answerYield)
+	peer.Handle(n.server, methodRevoke, n.answerRevoke)
 	return n
 }
 
@@ -126,7 +128,7 @@
 	}
 	n.tables = &mirror.Mirror{Store: platform.Store, Prefix: platform.ConfigPrefix, Changed: n.takeTable, Reached: reached(platform.ConfigPrefix)}
 	n.backends = &mirror.Mirror{Store: platform.Store, Prefix: platform.BackendPrefix, Changed: n.takeBackends, Quiet: n.listQuiet, Reached: reached(platform.BackendPrefix)}
-	n.nodes = &mirror.Mirror{Store: platform.Store, Prefix: platform.NodePrefix}
+	n.own = &mirror.Mirror{Store: platform.Store, Prefix: platform.OwnPrefix, Changed: n.takeOwn}
 }
 
 const (
@@ -144,19 +146,18 @@
 }
 
 func (n *Node) makeController(demand *residency.Demand) {
-	n.turn = &turnGuard{
-		store:  n.config.Platform.Store,
-		key:    n.config.Platform.LeasePrefix + "last-order-holder",
-		holder: n.config.Name,
-		wait:   n.config.TurnTime,
-		log:    n.config.Log,
-	}
+	margin := n.config.LeaseTTL / marginsPerTTL
+	n.turn = newTurnGuard(n.config, n.config.LeaseTTL-margin)
+	n.leaseWake = make(chan struct{}, 1)
 	n.lease = lease.New(lease.Config{
 		Store:   n.config.Platform.Store,
-		Key:     n.config.Platform.LeasePrefix + "orders",
+		Key:     n.orderKey(),
 		Holder:  n.config.Name,
 		TTL:     n.config.LeaseTTL,
+		Margin:  margin,
 		Reclaim: true,
+		Free:    n.orderLeaseFree,
+		Wake:    n.leaseWake,
 		Changed: n.turn.changed,
 	})
 	n.controller = &residency.Controller{
@@ -165,6 +166,7 @@
 		Table:     n.Gateway.Table,
 		Engines:   n.config.Backends.Engines,
 		Term:      n.orderTerm,
+		NotBefore: n.turn.notBefore,
 		Running:   func(backend string) int { return n.Gateway.Book.Total(backend).Running },
 		Demand:    demand,
 		MoveCost:  n.config.MoveCost,
@@ -172,18 +174,6 @@
 	}
 }
 
-// orderTerm returns the term under which this machine may give orders at this moment.
-func (n *Node) orderTerm() (int64, error) {
-	term, err := n.lease.Term()
-	if err != nil {
-		return 0, errors.WithType(err, residency.ErrNotHolder)
-	}
-	if !n.turn.passed(term) {
-		return 0, residency.ErrWaiting
-	}
-	return term, nil
-}
-
 // takeTable puts a configuration in force.
 func (n *Node) takeTable(records mirror.Copy) {
 	table, err := n.config.Platform.Table(records.Records)
@@ -202,6 +192,21 @@
 	}
 }
 
+// Keys below the own prefix.
+const (
+	nodePart      = "nodes/"
+	orderPart     = "leases/orders"
+	lastHolderKey = "leases/last-order-holder"
+)
+
+// takeOwn takes what machines wrote themselves: their registrations and the order lease.
+func (n *Node) takeOwn(records mirror.Copy) {
+	n.cluster.setNodes(records, n.config.Platform.OwnPrefix+nodePart)
+	if _, held := records.Records[n.orderKey()]; !held {
+		n.wakeLease()
+	}
+}
+
 // takeBackends takes a list of back ends.
 func (n *Node) takeBackends(records mirror.Copy) {
 	list := make([]fleet.Backend, 0, len(records.Records))
@@ -234,13 +239,14 @@
 	go n.server.Serve(listener)
 	n.start(func() { n.tables.Run(ctx) })
 	n.start(func() { n.backends.Run(ctx) })
-	n.start(func() { n.nodes.Run(ctx) })
+	n.start(func() { n.own.Run(ctx) })
+	n.start(func() { n.watchLease(ctx) })
 	n.start(func() { n.lease.Run(orders) })
 	n.start(func() { n.controller.Run(orders) })
 	n.start(func() { n.cluster.run(ctx) })
 	registration := &registration{
 		store: n.config.Platform.Store,
-		key:   n.config.Platform.NodePrefix + n.config.Name,
+		key:   n.config.Platform.OwnPrefix + nodePart + n.config.Name,
 		node:  n.cluster.self,
 		log:   n.config.Log,
 	}
@@ -274,97 +280,3 @@
 
 // Table returns the configuration in force, or nil.
 func (n *Node) Table() *routes.Table { return n.Gateway.Table() }
-
-// turnGuard keeps a new holder of the order lease from ordering before the orders of another
-// machine are surely over.
-type turnGuard struct {
-	store  kv.Store
-	key    string
-	holder string
-	wait   time.Duration
-	log    *zap.Logger
-
-	mu   sync.Mutex
-	term int64
-	// open tells that orders may be given under term.
-	open bool
-}
-
-// lastHolder is what the store keeps of the machine that last gave orders.
-type lastHolder struct {
-	Name string `json:"name"`
-}
-
-// changed is called when the lease is gained (term above 0) or lost.
-func (g *turnGuard) changed(term int64) {
-	g.mu.Lock()
-	g.term, g.open = term, false
-	g.mu.Unlock()
-	g.log.Info("order lease", zap.Int64("term", term))
-	if term != 0 {
-		go g.settle(term, time.Now())
-	}
-}
-
-// turnRetry is the pause after a failure of the store.
-const turnRetry = 200 * time.Millisecond
-
-// settle finds out who gave orders last, waits for that machine's time to be over, and only
-// then notes that this machine does now: one that is killed while it waits waits again.
-func (g *turnGuard) settle(term int64, gained time.Time) {
-	for g.current(term) {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		wait, err := g.claim(ctx, gained)
-		cancel()
-		switch {
-		case err != nil:
-			time.Sleep(turnRetry)
-		case wait > 0:
-			time.Sleep(wait)
-		default:
-			g.begin(term)
-			return
-		}
-	}
-}
-
-func (g *turnGuard) current(term int64) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.term == term
-}
-
-// claim returns how long to wait yet, and writes this machine's name when the wait is over.
-func (g *turnGuard) claim(ctx context.Context, gained time.Time) (time.Duration, error) {
-	record, err := g.store.Get(ctx, g.key)
-	if err != nil && !errors.Is(err, kv.ErrNotFound) {
-		return 0, err
-	}
-	var last lastHolder
-	if err == nil && json.Unmarshal(record.Value, &last) == nil && last.Name == g.holder {
-		return 0, nil
-	}
-	if wait := g.wait - time.Since(gained); wait > 0 {
-		return wait, nil
-	}
-	value, err := json.Marshal(lastHolder{Name: g.holder})
-	if err != nil {
-		return 0, errors.Trace(err)
-	}
-	_, err = g.store.Swap(ctx, kv.Swap{Key: g.key, Revision: record.Revision, Value: value})
-	return 0, err
-}
-
-// begin opens the way for orders under a term.
-func (g *turnGuard) begin(term int64) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.open = g.term == term
-	g.log.Info("orders may begin", zap.Int64("term", term), zap.Bool("current", g.open))
-}
-
-func (g *turnGuard) passed(term int64) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.term == term && g.open
-}
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -47,12 +47,11 @@
 // Platform is the port to what the platform tells.
 type Platform struct {
 	Store kv.Store
-	// ConfigPrefix and BackendPrefix are the keys that the platform writes; NodePrefix and
-	// LeasePrefix those that this program does.
+	// ConfigPrefix and BackendPrefix are the keys that the platform writes; OwnPrefix those that
+	// this program does.
 	ConfigPrefix  string
 	BackendPrefix string
-	NodePrefix    string
-	LeasePrefix   string
+	OwnPrefix     string
 	// Table decodes the configuration; nil without an error if there is none.
 	Table func(records map[string]kv.Record) (*routes.Table, error)
 	// Backend decodes one entry of the list of back ends.
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -36,6 +36,11 @@
 	// Reclaim lets a restarted process take over the lease that its own name still holds, under
 	// a higher term. Set it only where two processes never run under one name at once.
 	Reclaim bool
+	// Free tells whether this process should ask the store for the lease: what it has heard may
+	// tell that another holds it. nil means always.
+	Free func() bool
+	// Wake has the lease looked after at once; nil leaves it to the regular times.
+	Wake <-chan struct{}
 	// Changed is called on each gain (term above 0) and loss (term 0); it must not block.
 	Changed func(term int64)
 }
@@ -72,6 +77,9 @@
 	if config.Candidate == nil {
 		config.Candidate = func() bool { return true }
 	}
+	if config.Free == nil {
+		config.Free = func() bool { return true }
+	}
 	if config.Changed == nil {
 		config.Changed = func(int64) {}
 	}
@@ -107,17 +115,59 @@
 		case <-ctx.Done():
 			return
 		case <-time.After(pause):
+		case <-l.config.Wake:
 		}
 	}
 }
 
+// Claim is the state of a lease that was gained and not given up, though it may have run out.
+type Claim struct {
+	// Term of the lease; 0 if it is not held.
+	Term int64
+	// Renewed is when the last successful renewal was sent.
+	Renewed time.Time
+}
+
+// Claim returns what is held, also when its time is over and the store has not said so.
+func (l *Lease) Claim() Claim {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Claim{Term: l.term, Renewed: l.until.Add(l.config.Margin - l.config.TTL)}
+}
+
+// Abandon stops acting under terms below the given one, which another process holds.
+func (l *Lease) Abandon(term int64) {
+	l.mu.Lock()
+	had := l.term != 0 && l.term < term
+	if had {
+		l.id, l.term = 0, 0
+	}
+	l.mu.Unlock()
+	if had {
+		l.config.Changed(0)
+	}
+}
+
+// Resign stops acting at once and returns the lease, for a process that reaches the store to
+// revoke; 0 if nothing was held.
+func (l *Lease) Resign() kv.LeaseID {
+	l.mu.Lock()
+	id, had := l.id, l.term != 0
+	l.id, l.term = 0, 0
+	l.mu.Unlock()
+	if had {
+		l.config.Changed(0)
+	}
+	return id
+}
+
 // step renews a lease that is held, or tries to take one that is not.
 func (l *Lease) step(ctx context.Context) {
 	if id := l.heldID(); id != 0 {
 		l.renew(ctx, id)
 		return
 	}
-	if l.config.Candidate() {
+	if l.config.Candidate() && l.config.Free() {
 		l.take(ctx)
 	}
 }
@@ -133,7 +183,7 @@
 	err := l.config.Store.Renew(ctx, id)
 	switch {
 	case err == nil && l.config.Candidate():
-		l.extend(before)
+		l.extend(id, before)
 	case err == nil, errors.Is(err, kv.ErrLeaseLost):
 		// Lost, or another candidate ranks higher now: let it go.
 		l.release()
@@ -173,9 +223,12 @@
 	l.config.Changed(record.Revision)
 }
 
-func (l *Lease) extend(sent time.Time) {
+func (l *Lease) extend(id kv.LeaseID, sent time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.id != id {
+		return // Given up meanwhile.
+	}
 	l.until = sent.Add(l.config.TTL - l.config.Margin)
 }
 
--- a/pkg/residency/adapters.go
+++ b/pkg/residency/adapters.go
@@ -114,7 +114,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	if e.loading != "" || e.unloading != "" || now.Before(e.coolUntil) {
+	if e.loading != "" || e.unloading != "" || now.Before(e.coolUntil) || !e.mayOrder() {
 		return 0, false
 	}
 	idle := 0
--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -22,6 +22,8 @@
 	Engines   Engines
 	// Term returns the term under which orders may be given now, or an error.
 	Term func() (int64, error)
+	// NotBefore is when an engine may be given orders, after those of a former holder.
+	NotBefore func(engine string) time.Time
 	// Running tells how many requests are under way at a back end.
 	Running func(backend string) int
 	Demand  *Demand
@@ -42,6 +44,8 @@
 	// coming is when a model's load under way will be done.
 	coming map[ModelKey]time.Time
 	term   int64
+	// lastOrders is when each engine was last given an order, under any term.
+	lastOrders map[string]time.Time
 	// uses is what each machine has running with adapters.
 	uses map[string]map[Use]int
 	// loads bounds the loads from the weight store.
@@ -97,6 +101,41 @@
 	c.loads = nil
 }
 
+// keptOrders is how long the time of an engine's last order is kept.
+const keptOrders = time.Minute
+
+// LastOrders returns how long ago engines were given their last orders.
+func (c *Controller) LastOrders() map[string]time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ages := make(map[string]time.Duration, len(c.lastOrders))
+	for id, at := range c.lastOrders {
+		ages[id] = time.Since(at)
+	}
+	return ages
+}
+
+// noteOrder notes that an engine is given an order now.
+func (c *Controller) noteOrder(engine string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for id, at := range c.lastOrders {
+		if now.Sub(at) > keptOrders {
+			delete(c.lastOrders, id)
+		}
+	}
+	if c.lastOrders == nil {
+		c.lastOrders = map[string]time.Time{}
+	}
+	c.lastOrders[engine] = now
+}
+
+// mayOrder tells whether the engine may be given orders after those of a former holder.
+func (e *engine) mayOrder() bool {
+	return e.controller.NotBefore == nil || !time.Now().Before(e.controller.NotBefore(e.id))
+}
+
 // mayOrder returns the term under which an order may be given at this moment.
 func (c *Controller) mayOrder() (int64, error) { return c.Term() }
 
@@ -190,7 +229,7 @@
 		ID:      state.ID,
 		Zone:    state.Zone,
 		Seen:    e.seen,
-		Usable:  e.loading == "" && e.unloading == "" && len(e.withdrawn) == 0 && time.Now().After(e.coolUntil),
+		Usable:  e.mayOrder() && e.loading == "" && e.unloading == "" && len(e.withdrawn) == 0 && time.Now().After(e.coolUntil),
 		Leaving: state.Leaving,
 	}
 	e.reconcile(state)
--- a/pkg/residency/engine.go
+++ b/pkg/residency/engine.go
@@ -159,10 +159,14 @@
 	e.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	e.controller.noteOrder(e.id)
 	term, err := e.controller.mayOrder()
 	if err != nil {
 		return Refused, err
 	}
+	if !e.mayOrder() {
+		return Refused, ErrWaiting
+	}
 	order.Holder, order.Term = e.controller.Holder, term
 	result, err := e.controller.Engines.Order(callCtx, state.Backend, order)
 	e.controller.logOrder(e.id, order, result, err)
