--- a/internal/box/sync.go
+++ b/internal/box/sync.go
@@ -80,7 +80,7 @@
 func (b *Box) watchStore(ctx context.Context, from int64) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	events, err := b.store.Watch(ctx, fleetPrefix, from)
+	events, err := b.store.Watch(ctx, kv.Watching{Prefix: fleetPrefix, From: from})
 	if err != nil {
 		return
 	}
--- a/internal/gateway/cluster.go
+++ b/internal/gateway/cluster.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -28,17 +30,17 @@
 	gateway    *Gateway
 	controller *residency.Controller
 	demand     *residency.Demand
-	config     *mirror.Mirror
-	backends   *mirror.Mirror
+	mirror     *mirror.Mirror
 	boxes      *outboxes
 	log        *zap.Logger
 	leaving    func() bool
 	storeLost  func() bool
 
+	// fetching tells that a copy is being fetched.
+	fetching atomic.Bool
+
 	mu    sync.Mutex
 	nodes map[string]*member
-	// behindSince is when a peer's copy was first seen to be newer than a mirror's.
-	behindSince map[*mirror.Mirror]time.Time
 	// most is the largest number of machines that was known at once.
 	most int
 }
@@ -201,15 +203,14 @@
 	box := c.boxes.take(to)
 	_, holding := c.controller.Residencies()
 	message := exchange{
-		From:            c.self,
-		Leaving:         c.leaving(),
-		StoreLost:       c.storeLost(),
-		ConfigRevision:  c.config.State().Revision,
-		BackendRevision: c.backends.State().Revision,
-		Holder:          holding != nil,
-		Stamp:           c.gateway.Directory.Stamp(),
-		News:            dispatch.News{Loads: c.gateway.Book.Loads(), Sent: box.sent, Verdicts: box.verdicts},
-		Uses:            c.gateway.uses.list(),
+		From:      c.self,
+		Leaving:   c.leaving(),
+		StoreLost: c.storeLost(),
+		Revision:  c.mirror.State().Revision,
+		Holder:    holding != nil,
+		Stamp:     c.gateway.Directory.Stamp(),
+		News:      dispatch.News{Loads: c.gateway.Book.Loads(), Sent: box.sent, Verdicts: box.verdicts},
+		Uses:      c.gateway.uses.list(),
 	}
 	for key, milliseconds := range box.work {
 		message.Work = append(message.Work, workItem{ModelKey: key, Milliseconds: milliseconds})
@@ -248,28 +249,12 @@
 	if len(said.Residencies) > 0 {
 		directory.SetResidency(said.Stamp.Term, said.Residencies)
 	}
-	newer := c.behind(c.config, said.ConfigRevision) || c.behind(c.backends, said.BackendRevision)
+	newer := said.Revision > c.mirror.State().Revision
 	if newer || (len(said.Residencies) == 0 && directory.Stamp().Before(said.Stamp)) {
 		go c.fetch(ctx, said, newer)
 	}
 }
 
-// behind tells whether a peer's copy is newer and the store probably won't tell of it in time.
-func (c *cluster) behind(m *mirror.Mirror, revision int64) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if revision <= m.State().Revision {
-		delete(c.behindSince, m)
-		return false
-	}
-	since, ok := c.behindSince[m]
-	if !ok {
-		since = time.Now()
-		c.behindSince[m] = since
-	}
-	return m.Lost() || time.Since(since) > storeLead
-}
-
 // fetch gets what a peer has newer.
 func (c *cluster) fetch(ctx context.Context, from exchange, newer bool) {
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
@@ -282,31 +267,26 @@
 		}
 		return
 	}
-	c.fetchCopies(callCtx, from.From.Address)
+	c.fetchCopy(callCtx, from.From.Address)
 }
 
-// storeLead is the time that the store has to tell of a change itself before a peer is asked.
-const storeLead = 1200 * time.Millisecond
-
-func (c *cluster) fetchCopies(ctx context.Context, address string) bool {
-	request := copiesRequest{ConfigRevision: c.config.State().Revision, BackendRevision: c.backends.State().Revision}
-	answer, err := peer.Call[copiesAnswer](ctx, c.client, address, methodCopies, request)
-	if err != nil {
-		return false
-	}
-	if answer.Config != nil && c.config.Offer(*answer.Config) {
-		c.log.Info("configuration from peer", zap.String("peer", address), zap.Int64("revision", answer.Config.Revision))
+// fetchCopy gets what a machine's copy of the store has newer.
+func (c *cluster) fetchCopy(ctx context.Context, address string) {
+	if !c.fetching.CompareAndSwap(false, true) {
+		return
 	}
-	if answer.Backends != nil && c.backends.Offer(*answer.Backends) {
-		c.log.Info("back ends from peer", zap.String("peer", address), zap.Int64("revision", answer.Backends.Revision))
+	defer c.fetching.Store(false)
+	request := copyRequest{Revision: c.mirror.State().Revision}
+	answer, err := peer.Call[copyAnswer](ctx, c.client, address, methodCopy, request)
+	if err == nil && answer.Delta != nil {
+		c.mirror.Offer(*answer.Delta)
 	}
-	return true
 }
 
 // askSeeds gets a first copy from the machines named in the settings: the store may be away.
 func (c *cluster) askSeeds(ctx context.Context) {
 	for _, seed := range c.seeds {
-		if seed == c.self.Address || c.config.State().Revision > 0 {
+		if seed == c.self.Address || c.mirror.State().Revision > 0 {
 			continue
 		}
 		go func() {
@@ -317,20 +297,13 @@
 				return
 			}
 			c.hear(ctx, answer)
-			c.fetchCopies(callCtx, seed)
+			c.fetchCopy(callCtx, seed)
 		}()
 	}
 }
 
-func (c *cluster) answerCopies(_ context.Context, request copiesRequest) (copiesAnswer, error) {
-	var answer copiesAnswer
-	if state := c.config.State(); state.Revision > request.ConfigRevision {
-		answer.Config = &state
-	}
-	if state := c.backends.State(); state.Revision > request.BackendRevision {
-		answer.Backends = &state
-	}
-	return answer, nil
+func (c *cluster) answerCopy(_ context.Context, request copyRequest) (copyAnswer, error) {
+	return copyAnswer{Delta: c.mirror.Since(request.Revision)}, nil
 }
 
 // announce sends the order holder's word to all peers at once.
@@ -432,6 +405,25 @@
 	return "", false
 }
 
+// notWatching is the rank of a machine that can't watch.
+const notWatching = math.MaxInt
+
+// watchRank is this machine's place among those that watch the store for all: 0 and 1 do.
+func (c *cluster) watchRank() int {
+	if c.storeLost() {
+		return notWatching
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rank := 0
+	for name, m := range c.nodes {
+		if name < c.self.Name && !m.storeLost && !m.leaving && time.Since(m.heard) < wordTime {
+			rank++
+		}
+	}
+	return rank
+}
+
 // peers lists the names of the machines known now.
 func (c *cluster) peers() []string {
 	c.mu.Lock()
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -13,7 +13,7 @@
 // Methods that machines call on each other.
 const (
 	methodExchange = "exchange"
-	methodCopies   = "copies"
+	methodCopy     = "copy"
 	methodEnsure   = "ensure"
 	methodYield    = "yield"
 	methodRevoke   = "revoke"
@@ -36,9 +36,8 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// StoreLost tells that the sender does not reach the store.
 	StoreLost bool `json:"storeLost,omitempty"`
-	// Revisions of the copies of what the platform tells.
-	ConfigRevision  int64 `json:"config"`
-	BackendRevision int64 `json:"backends"`
+	// Revision of the sender's copy of the store.
+	Revision int64 `json:"revision"`
 	// Holder tells that the sender holds the order lease, under Stamp's term.
 	Holder bool `json:"holder,omitempty"`
 	// Stamp is how new the sender's knowledge of the order holder's word is.
@@ -57,16 +56,14 @@
 	Milliseconds float64 `json:"w"`
 }
 
-// copiesRequest asks for what the other machine has newer copies of.
-type copiesRequest struct {
-	ConfigRevision  int64 `json:"config"`
-	BackendRevision int64 `json:"backends"`
+// copyRequest asks for what is newer than a copy of the store.
+type copyRequest struct {
+	Revision int64 `json:"revision"`
 }
 
-// copiesAnswer holds newer copies; nil where there is none.
-type copiesAnswer struct {
-	Config   *mirror.Copy `json:"config,omitempty"`
-	Backends *mirror.Copy `json:"backends,omitempty"`
+// copyAnswer holds it; nil if there is nothing newer.
+type copyAnswer struct {
+	Delta *mirror.Delta `json:"delta,omitempty"`
 }
 
 // ensureRequest asks the order holder for an adapter or model.
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -54,9 +54,9 @@
 	controller *residency.Controller
 	lease      *lease.Lease
 	turn       *turnGuard
-	backends   *mirror.Mirror
-	tables     *mirror.Mirror
-	own        *mirror.Mirror
+	// mirror is the copy of all that the store holds.
+	mirror *mirror.Mirror
+	view   storeView
 	// leaseWake has the order lease looked after at once.
 	leaseWake chan struct{}
 	server    *peer.Server
@@ -83,7 +83,7 @@
 		Log:       config.Log,
 		Set:       config.Set,
 	}
-	n.makeMirrors()
+	n.makeMirror()
 	n.makeController(demand)
 	n.cluster = &cluster{
 		self:       node{Name: config.Name, Zone: config.Zone, Address: config.PeerAddress, Incarnation: uuid.NewString()},
@@ -92,57 +92,41 @@
 		gateway:    n.Gateway,
 		controller: n.controller,
 		demand:     demand,
-		config:     n.tables,
-		backends:   n.backends,
+		mirror:     n.mirror,
 		boxes:      boxes,
 		log:        config.Log,
 		leaving:    n.leaving.Load,
 		storeLost:  n.storeLost,
 		nodes:      map[string]*member{},
-
-		behindSince: map[*mirror.Mirror]time.Time{},
-		most:        1,
+		most:       1,
 	}
 	n.Gateway.Ensure = n.cluster.ensure
 	n.Gateway.budget = newRepeatBudget(config.Retries, n.cluster.machines)
 	n.turn.cluster = n.cluster
 	n.server = peer.NewServer(config.PeerSecret, config.Set)
 	peer.Handle(n.server, methodExchange, n.cluster.answerExchange)
-	peer.Handle(n.server, methodCopies, n.cluster.answerCopies)
+	peer.Handle(n.server, methodCopy, n.cluster.answerCopy)
 	peer.Handle(n.server, methodEnsure, n.cluster.answerEnsure)
 	peer.Handle(n.server, methodYield, n.answerYield)
 	peer.Handle(n.server, methodRevoke, n.answerRevoke)
 	return n
 }
 
-func (n *Node) makeMirrors() {
-	platform := n.config.Platform
-	reached := func(prefix string) func(error) {
-		return func(err error) {
+func (n *Node) makeMirror() {
+	n.view = storeView{platform: n.config.Platform, node: n, decoded: map[string]fleet.Backend{}}
+	n.mirror = &mirror.Mirror{
+		Store:   n.config.Platform.Store,
+		Changed: n.view.take,
+		Quiet:   n.watchQuiet,
+		Idle:    n.watchIdle,
+		Reached: func(err error) {
 			if err != nil {
-				n.config.Log.Warn("store lost", zap.String("prefix", prefix), zap.Error(err))
+				n.config.Log.Warn("store lost", zap.Error(err))
 			} else {
-				n.config.Log.Info("store regained", zap.String("prefix", prefix))
+				n.config.Log.Info("store regained")
 			}
-		}
+		},
 	}
-	n.tables = &mirror.Mirror{Store: platform.Store, Prefix: platform.ConfigPrefix, Changed: n.takeTable, Reached: reached(platform.ConfigPrefix)}
-	n.backends = &mirror.Mirror{Store: platform.Store, Prefix: platform.BackendPrefix, Changed: n.takeBackends, Quiet: n.listQuiet, Reached: reached(platform.BackendPrefix)}
-	n.own = &mirror.Mirror{Store: platform.Store, Prefix: platform.OwnPrefix, Changed: n.takeOwn}
-}
-
-const (
-	// holderQuiet and peerQuiet are how long the list of back ends may lag: on the machine that
-	// gives orders, which waits for their ends, and on the others, which it tells of them.
-	holderQuiet = 150 * time.Millisecond
-	peerQuiet   = 900 * time.Millisecond
-)
-
-func (n *Node) listQuiet() time.Duration {
-	if _, err := n.lease.Term(); err == nil {
-		return holderQuiet
-	}
-	return peerQuiet
 }
 
 func (n *Node) makeController(demand *residency.Demand) {
@@ -174,72 +158,12 @@
 	}
 }
 
-// takeTable puts a configuration in force.
-func (n *Node) takeTable(records mirror.Copy) {
-	table, err := n.config.Platform.Table(records.Records)
-	if err != nil {
-		n.config.Log.Error("configuration not understood", zap.Int64("revision", records.Revision), zap.Error(err))
-		return
-	}
-	if table == nil {
-		return
-	}
-	if n.Gateway.SetTable(table) {
-		n.config.Log.Info("configuration in force",
-			zap.Int64("version", table.Version),
-			zap.Int64("revision", records.Revision),
-			zap.Int("routes", len(table.Routes)))
-	}
-}
-
-// Keys below the own prefix.
-const (
-	nodePart      = "nodes/"
-	orderPart     = "leases/orders"
-	lastHolderKey = "leases/last-order-holder"
-)
-
-// takeOwn takes what machines wrote themselves: their registrations and the order lease.
-func (n *Node) takeOwn(records mirror.Copy) {
-	n.cluster.setNodes(records, n.config.Platform.OwnPrefix+nodePart)
-	if _, held := records.Records[n.orderKey()]; !held {
-		n.wakeLease()
-	}
-}
-
-// takeBackends takes a list of back ends.
-func (n *Node) takeBackends(records mirror.Copy) {
-	list := make([]fleet.Backend, 0, len(records.Records))
-	for _, record := range records.Records {
-		backend, err := n.config.Platform.Backend(record)
-		if err != nil {
-			n.config.Log.Warn("back end not understood", zap.String("key", record.Key), zap.Error(err))
-			continue
-		}
-		list = append(list, backend)
-	}
-	for _, change := range n.Gateway.Directory.SetList(records.Revision, list) {
-		n.config.Log.Info("back end "+string(change.What),
-			zap.String("backend", change.Backend.ID),
-			zap.String("service", change.Backend.Service),
-			zap.String("address", change.Backend.Address),
-			zap.Duration("notice", change.Backend.Remaining),
-			zap.Int64("revision", change.Backend.Revision))
-		if change.What == fleet.Removed {
-			n.config.Backends.Forget(change.Backend.ID)
-			n.Gateway.Book.Forget(change.Backend.ID)
-		}
-	}
-}
-
 // Run takes part in the system until ctx ends; peers call the listener.
 func (n *Node) Run(ctx context.Context, listener net.Listener) {
 	orders, stopOrders := context.WithCancel(ctx)
 	n.stopOrders = stopOrders
 	go n.server.Serve(listener)
-	n.start(func() { n.tables.Run(ctx) })
-	n.start(func() { n.backends.Run(ctx) })
-	n.start(func() { n.own.Run(ctx) })
+	n.start(func() { n.mirror.Run(ctx) })
 	n.start(func() { n.watchLease(ctx) })
 	n.start(func() { n.lease.Run(orders) })
 	n.start(func() { n.controller.Run(orders) })
--- a/internal/gateway/orderlease.go
+++ b/internal/gateway/orderlease.go
@@ -33,7 +33,7 @@
 	if n.leaving.Load() {
 		return false
 	}
-	state := n.own.State()
+	state := n.mirror.State()
 	if state.Revision == 0 {
 		return false
 	}
@@ -69,7 +69,7 @@
 
 // storeLost tells whether this machine could not reach the store at its last tries.
 func (n *Node) storeLost() bool {
-	return n.tables.Lost() || n.backends.Lost() || n.own.Lost()
+	return n.mirror.Lost()
 }
 
 // watchLease has this machine resign when it can't renew the order lease and others could.
--- /dev/null
+++ b/internal/gateway/storeview.go
@@ -0,0 +1,169 @@
+package gateway
+
+import (
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/kv"
+	"ospreymoor.example/ospreymoor/pkg/mirror"
+)
+
+// Keys below the own prefix.
+const (
+	nodePart      = "nodes/"
+	orderPart     = "leases/orders"
+	lastHolderKey = "leases/last-order-holder"
+)
+
+// Times of the store's watch. A few machines ask often, so that changes that a silent watch
+// did not tell are found soon; the others hear of them by the exchange.
+const (
+	// holderQuiet is how long changes are gathered on the machine that gives orders, which waits
+	// for their ends; watcherQuiet on the machines that watch for the others; otherQuiet on those.
+	holderQuiet  = 150 * time.Millisecond
+	watcherQuiet = 250 * time.Millisecond
+	otherQuiet   = 2 * time.Second
+	// firstIdle, secondIdle and otherIdle are how long a watch may be silent.
+	firstIdle  = 400 * time.Millisecond
+	secondIdle = 800 * time.Millisecond
+	otherIdle  = 5 * time.Second
+)
+
+func (n *Node) watchQuiet() time.Duration {
+	if _, err := n.lease.Term(); err == nil {
+		return holderQuiet
+	}
+	if n.cluster.watchRank() < 2 {
+		return watcherQuiet
+	}
+	return otherQuiet
+}
+
+func (n *Node) watchIdle() time.Duration {
+	switch n.cluster.watchRank() {
+	case 0:
+		return firstIdle
+	case 1:
+		return secondIdle
+	}
+	return otherIdle
+}
+
+// storeView turns the copy of the store into the table, the directory and the other machines.
+// Its methods are called one at a time.
+type storeView struct {
+	platform Platform
+	node     *Node
+	// config is the revision of the configuration that was decoded last.
+	config int64
+	// decoded are the back ends of the last list, by key.
+	decoded map[string]fleet.Backend
+	// own tells the last state of the machines' own records.
+	own partStamp
+}
+
+// partStamp tells two states of the records below one prefix apart.
+type partStamp struct {
+	newest int64
+	count  int
+}
+
+// take takes a new copy in.
+func (v *storeView) take(state mirror.Copy) {
+	v.takeConfig(state)
+	v.takeBackends(state)
+	v.takeOwn(state)
+}
+
+// takeConfig puts a new configuration in force.
+func (v *storeView) takeConfig(state mirror.Copy) {
+	log := v.node.config.Log
+	newest := stampOf(state, v.platform.ConfigPrefix).newest
+	if newest == v.config {
+		return
+	}
+	v.config = newest
+	table, err := v.platform.Table(state.Records)
+	if err != nil {
+		log.Error("configuration not understood", zap.Int64("revision", newest), zap.Error(err))
+		return
+	}
+	if table != nil && v.node.Gateway.SetTable(table) {
+		log.Info("configuration in force",
+			zap.Int64("version", table.Version),
+			zap.Int64("revision", newest),
+			zap.Int("routes", len(table.Routes)))
+	}
+}
+
+// takeBackends takes a list of back ends; only records that changed are decoded.
+func (v *storeView) takeBackends(state mirror.Copy) {
+	next := make(map[string]fleet.Backend, len(v.decoded))
+	list := make([]fleet.Backend, 0, len(v.decoded))
+	for key, record := range state.Records {
+		if !strings.HasPrefix(key, v.platform.BackendPrefix) {
+			continue
+		}
+		backend, ok := v.decoded[key]
+		if !ok || backend.Revision != record.Revision {
+			backend, ok = v.decode(record)
+		}
+		if ok {
+			next[key] = backend
+			list = append(list, backend)
+		}
+	}
+	v.decoded = next
+	for _, change := range v.node.Gateway.Directory.SetList(state.Revision, list) {
+		v.tell(change, state.Revision)
+	}
+}
+
+func (v *storeView) decode(record kv.Record) (fleet.Backend, bool) {
+	backend, err := v.platform.Backend(record)
+	if err != nil {
+		v.node.config.Log.Warn("back end not understood", zap.String("key", record.Key), zap.Error(err))
+	}
+	return backend, err == nil
+}
+
+// tell takes note of a back end that came, went or began to leave.
+func (v *storeView) tell(change fleet.Change, revision int64) {
+	v.node.config.Log.Info("back end "+string(change.What),
+		zap.String("backend", change.Backend.ID),
+		zap.String("service", change.Backend.Service),
+		zap.String("address", change.Backend.Address),
+		zap.Duration("notice", change.Backend.Remaining),
+		zap.Int64("revision", revision))
+	if change.What == fleet.Removed {
+		v.node.config.Backends.Forget(change.Backend.ID)
+		v.node.Gateway.Book.Forget(change.Backend.ID)
+	}
+}
+
+// takeOwn takes what machines wrote themselves: their registrations and the order lease.
+func (v *storeView) takeOwn(state mirror.Copy) {
+	stamp := stampOf(state, v.platform.OwnPrefix)
+	if stamp == v.own {
+		return
+	}
+	v.own = stamp
+	v.node.cluster.setNodes(state, v.platform.OwnPrefix+nodePart)
+	if _, held := state.Records[v.node.orderKey()]; !held {
+		v.node.wakeLease()
+	}
+}
+
+func stampOf(state mirror.Copy, prefix string) partStamp {
+	var stamp partStamp
+	for key, record := range state.Records {
+		if strings.HasPrefix(key, prefix) {
+			stamp.newest = max(stamp.newest, record.Revision)
+			stamp.count++
+		}
+	}
+	return stamp
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -162,7 +162,7 @@
 	p.mu.Lock()
 	ended := p.ended
 	p.mu.Unlock()
-	events, _ := p.Memory.Store().Watch(r.Context(), string(q.Create.Key), q.Create.StartRevision)
+	events, _ := p.Memory.Store().Watch(r.Context(), kv.Watching{Prefix: string(q.Create.Key), From: q.Create.StartRevision})
 	encoder := json.NewEncoder(w)
 	_ = encoder.Encode(kv.WatchResponse{Result: kv.WatchResult{Created: true}})
 	_ = http.NewResponseController(w).Flush()
--- a/pkg/kv/budget.go
+++ b/pkg/kv/budget.go
@@ -126,9 +126,9 @@
 	return b.store.Revoke(ctx, id)
 }
 
-func (b *budgeted) watch(ctx context.Context, prefix string, from int64) (<-chan []Event, error) {
+func (b *budgeted) watch(ctx context.Context, watching Watching) (<-chan []Event, error) {
 	if err := b.take(ctx, b.reads, "watch"); err != nil {
 		return nil, err
 	}
-	return b.store.Watch(ctx, prefix, from)
+	return b.store.Watch(ctx, watching)
 }
--- a/pkg/kv/etcd.go
+++ b/pkg/kv/etcd.go
@@ -149,8 +149,9 @@
 	return e.change(ctx, PathRevoke, LeaseRequest{ID: int64(id)}, &answer)
 }
 
-func (e *etcd) watch(ctx context.Context, prefix string, from int64) (<-chan []Event, error) {
-	create := WatchCreate{Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: from}
+func (e *etcd) watch(ctx context.Context, watching Watching) (<-chan []Event, error) {
+	prefix := watching.Prefix
+	create := WatchCreate{Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: watching.From}
 	response, err := e.post(ctx, PathWatch, WatchRequest{Create: create})
 	if err != nil {
 		return nil, fmt.Errorf("%v: %w", errors.Annotatef(err, "watch %s", prefix), ErrUnavailable)
--- a/pkg/kv/kv.go
+++ b/pkg/kv/kv.go
@@ -71,6 +71,16 @@
 	Revision int64
 }
 
+// Watching says what a watch is told of.
+type Watching struct {
+	Prefix string
+	// From is the first revision of interest; 0 is what comes from now on.
+	From int64
+	// Idle is how long a service that answers each question of a watch by itself may hold one
+	// back when there is nothing to tell; nil leaves it to the binding.
+	Idle func() time.Duration
+}
+
 // Store is the key-value service as the rest of the program sees it.
 // All functions are safe for concurrent use and return errors of the kinds above.
 type Store struct {
@@ -93,5 +103,5 @@
 	// Watch sends every change of a prefix from a revision on, in batches as the service tells
 	// them, until ctx ends or the service breaks off; then it closes the channel, and the
 	// caller reads and watches anew. The service is not asked for more before a batch is taken.
-	Watch func(ctx context.Context, prefix string, from int64) (<-chan []Event, error)
+	Watch func(ctx context.Context, watching Watching) (<-chan []Event, error)
 }
--- a/pkg/kv/memory.go
+++ b/pkg/kv/memory.go
@@ -169,15 +169,15 @@
 	return nil
 }
 
-func (m *Memory) watch(ctx context.Context, prefix string, from int64) (<-chan []Event, error) {
+func (m *Memory) watch(ctx context.Context, watching Watching) (<-chan []Event, error) {
 	events := make(chan []Event)
 	m.mu.Lock()
 	next := len(m.history)
-	if from > 0 {
-		next = sort.Search(len(m.history), func(i int) bool { return m.history[i].Record.Revision >= from })
+	if watching.From > 0 {
+		next = sort.Search(len(m.history), func(i int) bool { return m.history[i].Record.Revision >= watching.From })
 	}
 	m.mu.Unlock()
-	go m.follow(ctx, prefix, next, events)
+	go m.follow(ctx, watching.Prefix, next, events)
 	return events, nil
 }
 
--- a/pkg/kv/observed.go
+++ b/pkg/kv/observed.go
@@ -48,8 +48,8 @@
 			report(err)
 			return err
 		},
-		Watch: func(ctx context.Context, prefix string, from int64) (<-chan []Event, error) {
-			events, err := store.Watch(ctx, prefix, from)
+		Watch: func(ctx context.Context, watching Watching) (<-chan []Event, error) {
+			events, err := store.Watch(ctx, watching)
 			report(err)
 			return events, err
 		},
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -35,6 +35,8 @@
 	// Quiet tells how long changes are gathered before the service is asked for more: each
 	// answer of a watch is a call that costs. nil takes no time.
 	Quiet func() time.Duration
+	// Idle is how long the service may hold a question of the watch back; see kv.Watching.
+	Idle func() time.Duration
 	// Reached is called when the service is lost (with the error) and regained (with nil).
 	Reached func(error)
 
@@ -62,14 +64,55 @@
 	return time.Since(m.heard)
 }
 
-// Offer takes another process's copy if it is newer, and tells whether it was.
-func (m *Mirror) Offer(c Copy) bool {
+// Delta is what brings a copy of an older revision up to date.
+type Delta struct {
+	// From is the revision of the older copy, and Revision that of the newer one.
+	From     int64 `json:"from"`
+	Revision int64 `json:"revision"`
+	// Changed records, and the Keys of all records that there are.
+	Changed []kv.Record `json:"changed,omitempty"`
+	Keys    []string    `json:"keys"`
+}
+
+// Since returns what a copy of an older revision lacks; nil if there is nothing newer.
+func (m *Mirror) Since(revision int64) *Delta {
+	state := m.State()
+	if state.Revision <= revision {
+		return nil
+	}
+	delta := &Delta{From: revision, Revision: state.Revision, Keys: make([]string, 0, len(state.Records))}
+	for key, record := range state.Records {
+		delta.Keys = append(delta.Keys, key)
+		if record.Revision > revision {
+			delta.Changed = append(delta.Changed, record)
+		}
+	}
+	return delta
+}
+
+// Offer takes what another process's copy has newer, and tells whether it brought anything.
+func (m *Mirror) Offer(delta Delta) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if c.Revision <= m.state.Revision {
+	if delta.Revision <= m.state.Revision || delta.From > m.state.Revision {
 		return false
 	}
-	m.set(c)
+	changed := make(map[string]kv.Record, len(delta.Changed))
+	for _, record := range delta.Changed {
+		changed[record.Key] = record
+	}
+	next := Copy{Revision: delta.Revision, Records: make(map[string]kv.Record, len(delta.Keys))}
+	for _, key := range delta.Keys {
+		record, ok := changed[key]
+		if old, held := m.state.Records[key]; !ok && held {
+			record, ok = old, true
+		}
+		if !ok {
+			return false // Ours lacks a record that the other one thinks we have.
+		}
+		next.Records[key] = record
+	}
+	m.set(next)
 	return true
 }
 
@@ -98,7 +141,7 @@
 	}
 	m.report(nil)
 	m.take(snapshot)
-	events, err := m.Store.Watch(ctx, m.Prefix, snapshot.Revision+1)
+	events, err := m.Store.Watch(ctx, kv.Watching{Prefix: m.Prefix, From: snapshot.Revision + 1, Idle: m.Idle})
 	if err != nil {
 		m.report(err)
 		return
