--- a/internal/gateway/cluster.go
+++ b/internal/gateway/cluster.go
@@ -54,6 +54,8 @@
 	heard     time.Time
 	leaving   bool
 	storeLost bool
+	// storeHeard is when it last heard the store, as it says.
+	storeHeard time.Time
 	// holder tells that it said to hold the order lease, under term.
 	holder bool
 	term   int64
@@ -206,6 +208,7 @@
 		From:      c.self,
 		Leaving:   c.leaving(),
 		StoreLost: c.storeLost(),
+		StoreAge:  c.mirror.Age(),
 		Revision:  c.mirror.State().Revision,
 		Holder:    holding != nil,
 		Stamp:     c.gateway.Directory.Stamp(),
@@ -233,6 +236,7 @@
 	m := c.member(said.From)
 	m.heard = time.Now()
 	m.leaving, m.storeLost = said.Leaving, said.StoreLost
+	m.storeHeard = m.heard.Add(-said.StoreAge)
 	m.holder, m.term = said.Holder, said.Stamp.Term
 	c.most = max(c.most, len(c.nodes)+1)
 	c.mu.Unlock()
@@ -393,12 +397,12 @@
 	return len(c.nodes) > 0
 }
 
-// reachesStore returns a machine that said lately that it reaches the store.
+// reachesStore returns a machine that heard the store lately.
 func (c *cluster) reachesStore() (address string, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, m := range c.nodes {
-		if !m.storeLost && !m.leaving && time.Since(m.heard) < wordTime {
+		if !m.storeLost && !m.leaving && time.Since(m.storeHeard) < wordTime {
 			return m.Address, true
 		}
 	}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -14,8 +14,9 @@
 	Server *http.Server
 
 	gateway *Gateway
-	// closing has each answer end its connection.
-	closing atomic.Bool
+	// closing has each answer end its connection; refusing turns new requests away.
+	closing  atomic.Bool
+	refusing atomic.Bool
 
 	mu sync.Mutex
 	// idle holds since when a connection has rested.
@@ -30,9 +31,10 @@
 	// idleCheck is how often resting connections are looked at.
 	idleCheck = 500 * time.Millisecond
 	// balancerTime is how long the balancer may take to see that a machine is not ready.
-	balancerTime = 2500 * time.Millisecond
-	// listenTime is how long a stopping machine still takes new connections.
-	listenTime = 3500 * time.Millisecond
+	balancerTime = 2 * time.Second
+	// takeTime is how long a stopping machine still takes requests: a later one might not end
+	// within the grace time.
+	takeTime = 2800 * time.Millisecond
 	// drainMargin is kept free at the end of the grace time.
 	drainMargin = 300 * time.Millisecond
 )
@@ -54,6 +56,10 @@
 		if f.closing.Load() {
 			w.Header().Set("Connection", "close")
 		}
+		if f.refusing.Load() {
+			notRun(reasonStopping, soon).write(w)
+			return
+		}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -111,7 +117,8 @@
 	begun := time.Now()
 	time.Sleep(min(balancerTime, grace/4))
 	f.closing.Store(true)
-	time.Sleep(min(listenTime, grace/2) - time.Since(begun))
+	time.Sleep(min(takeTime, grace/2) - time.Since(begun))
+	f.refusing.Store(true)
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(grace-drainMargin))
 	defer cancel()
 	if f.Server.Shutdown(ctx) != nil {
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -36,6 +36,8 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// StoreLost tells that the sender does not reach the store.
 	StoreLost bool `json:"storeLost,omitempty"`
+	// StoreAge is how long ago the sender last heard the store.
+	StoreAge time.Duration `json:"storeAge"`
 	// Revision of the sender's copy of the store.
 	Revision int64 `json:"revision"`
 	// Holder tells that the sender holds the order lease, under Stamp's term.
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -23,6 +23,7 @@
 	reasonTimeout     reason = "time is over"
 	reasonCallerLeft  reason = "caller left"
 	reasonTooLarge    reason = "body too large"
+	reasonStopping    reason = "machine stops"
 	reasonNotAccepted reason = "not executed"
 )
 
--- a/pkg/kv/kv.go
+++ b/pkg/kv/kv.go
@@ -103,5 +103,6 @@
 	// Watch sends every change of a prefix from a revision on, in batches as the service tells
 	// them, until ctx ends or the service breaks off; then it closes the channel, and the
 	// caller reads and watches anew. The service is not asked for more before a batch is taken.
+	// An empty batch tells that the service answered and nothing has changed.
 	Watch func(ctx context.Context, watching Watching) (<-chan []Event, error)
 }
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -148,6 +148,9 @@
 	}
 	for batch := range events {
 		m.apply(batch)
+		if len(batch) == 0 {
+			continue
+		}
 		if m.Quiet != nil && pause(ctx, m.Quiet()) != nil {
 			return
 		}
--- a/pkg/residency/adapters.go
+++ b/pkg/residency/adapters.go
@@ -5,6 +5,8 @@
 	"maps"
 	"time"
 
+	"go.uber.org/zap"
+
 	"ospreymoor.example/ospreymoor/pkg/fleet"
 	"ospreymoor.example/ospreymoor/pkg/routes"
 )
@@ -195,6 +197,7 @@
 			return pageNotBegun
 		}
 	}
+	e.controller.Log.Debug("page", zap.String("engine", e.id), zap.String("model", key.model), zap.String("adapter", key.adapter), zap.Strings("places", e.places()))
 	result, _ := e.order(ctx, Order{Operation: Load, Model: key.model, Adapter: key.adapter})
 	switch result {
 	case Accepted:
@@ -206,6 +209,17 @@
 	return pageUnsure
 }
 
+// places lists what takes the engine's places for adapters, for the log.
+func (e *engine) places() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	names := make([]string, 0, len(e.adapters))
+	for key, state := range e.adapters {
+		names = append(names, key.model+"/"+key.adapter+" "+state.phase.String())
+	}
+	return names
+}
+
 // makeRoom tells whether the engine has room for one adapter that is counted already, or else
 // which one gives way; none if all are in use.
 func (e *engine) makeRoom(key adapterKey) (fits bool, victim adapterKey) {
--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -1,7 +1,9 @@
 package residency
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -191,7 +193,11 @@
 	present := map[string]bool{}
 	for _, state := range states {
 		present[state.ID] = true
-		input.Engines = append(input.Engines, c.engine(state.ID, name).planView(state, service))
+		e := c.engine(state.ID, name)
+		if e.shouldLearn(now) {
+			e.learn()
+		}
+		input.Engines = append(input.Engines, e.planView(state, service))
 	}
 	for id, e := range c.engines {
 		if e.service == name && !present[id] {
@@ -221,6 +227,13 @@
 	return e
 }
 
+// shouldLearn tells whether the engine should be asked what it holds.
+func (e *engine) shouldLearn(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.known && now.After(e.coolUntil) && e.mayOrder()
+}
+
 // planView describes an engine to the planner, with what orders under way will change.
 func (e *engine) planView(state *fleet.State, service *routes.Service) PlanEngine {
 	e.mu.Lock()
@@ -228,19 +241,19 @@
 	view := PlanEngine{
 		ID:      state.ID,
 		Zone:    state.Zone,
-		Seen:    e.seen,
-		Usable:  e.mayOrder() && e.loading == "" && e.unloading == "" && len(e.withdrawn) == 0 && time.Now().After(e.coolUntil),
+		Usable:  e.known && e.mayOrder() && e.loading == "" && e.unloading == "" && len(e.withdrawn) == 0 && time.Now().After(e.coolUntil),
 		Leaving: state.Leaving,
 	}
 	e.reconcile(state)
 	for _, model := range e.held(state) {
-		e.seen[model] = true
+		e.seen[model] = time.Now()
 		if !slices.Contains(e.withdrawn, model) && model != e.loading {
 			view.Models = append(view.Models, model)
 		}
 	}
 	view.Loading = e.loading
 	view.Fresh = e.fresh(time.Now())
+	view.Seen = e.onDisk(service)
 	for key := range e.adapters {
 		if model := service.Model(key.model); model != nil {
 			view.AdapterMegabytes += model.AdapterMegabytes
@@ -252,6 +265,30 @@
 // freshTime is how long a model stays on an engine at least.
 const freshTime = 6 * time.Second
 
+// diskShare is the part of an engine's disk that is counted on.
+const diskShare = 0.85
+
+// onDisk are the models that the engine's disk should still have: those held last, as far as
+// they fit. The caller holds the lock.
+func (e *engine) onDisk(service *routes.Service) map[string]bool {
+	models := slices.SortedFunc(maps.Keys(e.seen), func(a, b string) int {
+		return cmp.Or(e.seen[b].Compare(e.seen[a]), cmp.Compare(a, b))
+	})
+	kept := map[string]bool{}
+	room := diskShare * service.Engines.DiskMegabytes
+	for _, name := range models {
+		model := service.Model(name)
+		if model == nil {
+			continue
+		}
+		if room -= model.Megabytes; room < 0 {
+			break
+		}
+		kept[name] = true
+	}
+	return kept
+}
+
 // fresh are the models that were loaded lately. The caller holds the lock.
 func (e *engine) fresh(now time.Time) map[string]bool {
 	fresh := map[string]bool{}
--- a/pkg/residency/engine.go
+++ b/pkg/residency/engine.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"ospreymoor.example/ospreymoor/pkg/fleet"
 )
 
@@ -36,8 +38,8 @@
 	dropped []string
 	// loadedAt is when models were loaded by order.
 	loadedAt map[string]time.Time
-	// seen are the models that the engine held at any time: they are on its disk.
-	seen map[string]bool
+	// seen is when the engine last held each model.
+	seen map[string]time.Time
 	// sequence numbers the changes that peers are told of.
 	sequence int64
 	// coolUntil is until when an engine that failed orders gets none.
@@ -61,6 +63,11 @@
 	phaseUnsure
 )
 
+// String names a phase for logs.
+func (p phase) String() string {
+	return [...]string{"loading", "loaded", "leaving", "unsure"}[p]
+}
+
 type adapterState struct {
 	// ready is closed when the load is over; phase then tells how.
 	ready chan struct{}
@@ -77,7 +84,7 @@
 		service:    service,
 		turn:       make(chan struct{}, 1),
 		adapters:   map[adapterKey]*adapterState{},
-		seen:       map[string]bool{},
+		seen:       map[string]time.Time{},
 		loadedAt:   map[string]time.Time{},
 	}
 	return e
@@ -215,9 +222,15 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.taken, e.known = report.Taken, true
+	e.controller.Log.Info("engine told",
+		zap.String("engine", e.id),
+		zap.Int64("taken", report.Taken),
+		zap.Any("models", report.Models),
+		zap.Duration("lastOrder", time.Since(e.lastOrder)))
+	e.adoptModels(report)
 	reported := map[adapterKey]bool{}
 	for _, holding := range report.Models {
-		e.seen[holding.Model] = true
+		e.seen[holding.Model] = time.Now()
 		for _, adapter := range holding.Adapters {
 			reported[adapterKey{holding.Model, adapter}] = true
 		}
@@ -240,6 +253,50 @@
 	e.sequence++
 }
 
+// adoptModels notes where the platform's list differs from what the engine says. The caller
+// holds the lock.
+func (e *engine) adoptModels(report Report) {
+	state := e.controller.Directory.Get(e.id)
+	if state == nil {
+		return
+	}
+	e.loaded, e.dropped = nil, nil
+	for _, holding := range report.Models {
+		if !holds(state.Models, holding.Model) {
+			e.loaded = append(e.loaded, holding.Model)
+		}
+	}
+	for _, holding := range state.Models {
+		if !holds(report.Models, holding.Model) {
+			e.dropped = append(e.dropped, holding.Model)
+		}
+	}
+}
+
+// learn asks the engine what it holds, if that is not known, in the background.
+func (e *engine) learn() {
+	select {
+	case e.turn <- struct{}{}:
+	default:
+		return // A job has the turn and learns itself.
+	}
+	go func() {
+		defer e.release()
+		ctx, cancel := context.WithTimeout(e.controller.ctx, pageTimeout)
+		defer cancel()
+		if e.sync(ctx) != nil {
+			e.mu.Lock()
+			e.coolUntil = time.Now().Add(learnPause)
+			e.mu.Unlock()
+			return
+		}
+		e.change(func() {})
+	}()
+}
+
+// learnPause is how long an engine that did not say what it holds is left alone.
+const learnPause = time.Second
+
 // closed is a channel that is always ready.
 var closed = func() chan struct{} {
 	c := make(chan struct{})
--- a/pkg/residency/moves.go
+++ b/pkg/residency/moves.go
@@ -133,7 +133,7 @@
 		return false
 	}
 	e.mu.Lock()
-	e.seen[model.Name] = true
+	e.seen[model.Name] = time.Now()
 	e.loadedAt[model.Name] = time.Now()
 	e.loaded = append(without(e.loaded, model.Name), model.Name)
 	e.dropped = without(e.dropped, model.Name)
--- a/pkg/routes/routes.go
+++ b/pkg/routes/routes.go
@@ -78,6 +78,8 @@
 	// Megabytes is an engine's memory for weights and adapters together.
 	Megabytes    float64
 	AdapterSlots int
+	// DiskMegabytes is an engine's disk for weights; those unused longest give way.
+	DiskMegabytes float64
 	// LoadsPerSecond is what the weight store allows all engines together.
 	LoadsPerSecond float64
 	// Models in the order of the configuration.
