Count retries by arrivals; drain a model before its unload; count uses of all models

Cause: 'retry budget used up' for sends that no engine saw, engines that could not page adapters while their unload waited for runs, and adapters refused where a model has too few places.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,9 +71,11 @@
 	ends time.Time
 	// patience is until when the request may wait before it is sent.
 	patience time.Time
-	// sends counts the sendings, tries those of them that may have run.
-	sends int
-	tries int
+	// sends counts the sendings, arrivals those of them that reached a back end, and tries
+	// those that may have run.
+	sends    int
+	arrivals int
+	tries    int
 	// avoid are the back ends that it was sent to, last the latest of them.
 	avoid []string
 	last  string
@@ -297,7 +299,7 @@
 	if r.sends >= maxSends {
 		return false, reasonAttempts
 	}
-	if !r.gateway.budget.repeat(r.service) {
+	if r.arrivals > 0 && !r.gateway.budget.repeat(r.service) {
 		return false, reasonBudget
 	}
 	return true, ""
@@ -313,7 +315,7 @@
 	r.avoid = append(r.avoid, r.last)
 	r.noteWork(choice.Uncached)
 	ticket := r.gateway.Book.Begin(choice, r.need)
-	if r.need.Adapter != "" {
+	if r.need.Model != "" {
 		use := residency.Use{Backend: r.last, Model: r.need.Model, Adapter: r.need.Adapter}
 		ticket.OnEnd(r.gateway.uses.begin(use))
 	}
@@ -333,13 +335,16 @@
 	switch {
 	case err != nil && ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return // The caller left.
+	case errors.Is(err, ErrNotSent):
+		r.gateway.Directory.Unreachable(id)
+		r.logAttempt(choice, 0, took, err)
 	case err != nil:
-		if !errors.Is(err, ErrNotSent) {
-			r.tries++
-		}
+		r.arrivals++
+		r.tries++
 		r.gateway.Book.Verdict(id, false)
 		r.logAttempt(choice, 0, took, err)
 	case answer.Elsewhere:
+		r.arrivals++
 		r.logAttempt(choice, answer.Status, took, nil)
 		if answer.Status == http.StatusMisdirectedRequest && r.need.Model == "" {
 			r.gateway.Directory.Miss(id, "", "")
@@ -347,15 +352,18 @@
 			r.gateway.Directory.Miss(id, r.need.Model, r.need.Adapter)
 		}
 	case answer.NotExecuted:
+		r.arrivals++
 		r.logAttempt(choice, answer.Status, took, nil)
 		if r.need.Adapter != "" {
 			r.gateway.Directory.Miss(id, r.need.Model, r.need.Adapter)
 		}
 	case answer.Status >= http.StatusInternalServerError:
+		r.arrivals++
 		r.tries++
 		r.gateway.Book.Verdict(id, false)
 		r.logAttempt(choice, answer.Status, took, nil)
 	default:
+		r.arrivals++
 		r.tries++
 	}
 }
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -115,6 +115,8 @@
 const (
 	// missTime is how long an engine's word that it lacks something is believed.
 	missTime = 400 * time.Millisecond
+	// unreachableTime is how long a back end that took no connection is left alone.
+	unreachableTime = 700 * time.Millisecond
 	// goneTime is how long a back end that is not at its address any more is left alone.
 	goneTime = 5 * time.Second
 )
@@ -314,6 +316,16 @@
 	d.misses[miss{backend, model, adapter}] = until
 }
 
+// Unreachable notes that a back end took no connection.
+func (d *Directory) Unreachable(backend string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	key := miss{backend: backend}
+	if until := time.Now().Add(unreachableTime); until.After(d.misses[key]) {
+		d.misses[key] = until
+	}
+}
+
 // Missing tells whether an engine said lately that it lacks what a request needs.
 func (d *Directory) Missing(backend, model, adapter string) bool {
 	d.mu.RLock()
--- a/pkg/residency/adapters.go
+++ b/pkg/residency/adapters.go
@@ -15,9 +15,12 @@
 	// adapterTime is how long an adapter's load takes; the engine's answers correct it.
 	adapterTime = 11 * time.Millisecond
 	// idleTime is how long an adapter must not have been used to give way.
-	idleTime = 700 * time.Millisecond
+	idleTime = 250 * time.Millisecond
 	// pageTimeout bounds the paging of one adapter.
 	pageTimeout = 2 * time.Second
+	// crowdedWork is the work, in milliseconds of an engine's time, that is noted for a model each
+	// time that its engines have no place for an adapter: another copy brings more places.
+	crowdedWork = 60
 	// fullCost is the cost, in running requests, of having to evict an adapter first.
 	fullCost = 6
 	// queueCost is the cost of each job that waits for an engine's turn.
@@ -54,6 +57,7 @@
 	}
 	target, state := c.placeAdapter(service, pool, adapterKey{model, adapter})
 	if target == nil {
+		c.Demand.Note(map[ModelKey]float64{{service, model}: crowdedWork}, time.Now())
 		return Ensured{Ready: idleTime / 2, Term: term}, ErrNoPlace
 	}
 	select {
@@ -116,7 +120,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	if e.loading != "" || e.unloading != "" || now.Before(e.coolUntil) || !e.mayOrder() {
+	if e.ordering || now.Before(e.coolUntil) || !e.mayOrder() {
 		return 0, false
 	}
 	idle := 0
@@ -277,6 +281,21 @@
 	Running int `json:"r,omitempty"`
 }
 
+// runningModel counts the requests of a model that run on an engine, on all machines.
+func (c *Controller) runningModel(backend, model string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	total := 0
+	for _, uses := range c.uses {
+		for use, running := range uses {
+			if use.Backend == backend && use.Model == model {
+				total += running
+			}
+		}
+	}
+	return total
+}
+
 // Used takes what a machine has running with adapters, so that the one unused longest gives
 // way and none that is in use.
 func (c *Controller) Used(machine string, uses []Use) {
--- a/pkg/residency/engine.go
+++ b/pkg/residency/engine.go
@@ -31,6 +31,8 @@
 	// loading and unloading are models that orders under way concern.
 	loading   string
 	unloading string
+	// ordering tells that a move's orders are under way: the engine takes no others.
+	ordering  bool
 	withdrawn []string
 	// loaded and dropped are models whose load or unload was seen to end, as long as the
 	// platform's list does not tell.
@@ -314,7 +316,7 @@
 		Loaded:    slices.Clone(e.loaded),
 		Dropped:   slices.Clone(e.dropped),
 		Sequence:  e.sequence,
-		Busy:      e.loading != "" || e.unloading != "",
+		Busy:      e.ordering,
 	}
 	for key, state := range e.adapters {
 		if state.phase == phaseLoaded {
--- a/pkg/residency/moves.go
+++ b/pkg/residency/moves.go
@@ -52,7 +52,7 @@
 	defer cancel()
 	done := e.carryOut(ctx, described, move)
 	e.change(func() {
-		e.loading, e.unloading, e.withdrawn = "", "", nil
+		e.loading, e.unloading, e.withdrawn, e.ordering = "", "", nil, false
 		if !done {
 			e.known = false
 			e.coolUntil = time.Now().Add(listLag)
@@ -62,13 +62,17 @@
 }
 
 func (e *engine) carryOut(ctx context.Context, described *routes.Service, move Move) bool {
-	if e.acquire(ctx) != nil {
+	if len(move.Evict) > 0 && pause(ctx, noticeTime) != nil {
 		return false
 	}
-	defer e.release()
-	if len(move.Evict) > 0 && pause(ctx, noticeTime) != nil {
+	e.awaitIdle(ctx, move.Evict)
+	if e.acquire(ctx) != nil {
 		return false
 	}
+	defer e.release()
+	e.mu.Lock()
+	e.ordering = true
+	e.mu.Unlock()
 	if e.sync(ctx) != nil {
 		return false
 	}
@@ -83,6 +87,24 @@
 	return e.loadModel(ctx, described.Model(move.Model), move)
 }
 
+// drainTime is how long the runs of withdrawn models are waited for before the unload is
+// ordered: the engine takes no other order while it waits itself.
+const drainTime = 3 * time.Second
+
+// awaitIdle waits until no machine has requests of the models running on the engine.
+func (e *engine) awaitIdle(ctx context.Context, models []string) {
+	end := time.Now().Add(drainTime)
+	for time.Now().Before(end) {
+		running := 0
+		for _, model := range models {
+			running += e.controller.runningModel(e.id, model)
+		}
+		if running == 0 || pause(ctx, pollInterval) != nil {
+			return
+		}
+	}
+}
+
 func (e *engine) unloadModel(ctx context.Context, model string) bool {
 	e.mu.Lock()
 	e.unloading = model
