--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -144,7 +144,7 @@
 		Wake:    n.leaseWake,
 		Changed: n.turn.changed,
 	})
-	n.controller = &residency.Controller{
+	n.controller = residency.New(residency.Config{
 		Holder:    n.config.Name,
 		Directory: n.Gateway.Directory,
 		Table:     n.Gateway.Table,
@@ -155,7 +155,7 @@
 		Demand:    demand,
 		MoveCost:  n.config.MoveCost,
 		Log:       n.config.Log,
-	}
+	})
 }
 
 // Run takes part in the system until ctx ends; peers call the listener.
--- /dev/null
+++ b/pkg/fleet/fleet_test.go
@@ -0,0 +1,74 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreymoor.example/ospreymoor/pkg/fleet"
+)
+
+func TestFleet(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Fleet")
+}
+
+func engine(id string, revision int64, models ...string) fleet.Backend {
+	backend := fleet.Backend{ID: id, Service: "s", Revision: revision}
+	for _, model := range models {
+		backend.Models = append(backend.Models, fleet.Holding{Model: model})
+	}
+	return backend
+}
+
+var _ = Describe("a directory", func() {
+	var d *fleet.Directory
+	BeforeEach(func() {
+		d = fleet.New()
+		d.SetList(10, []fleet.Backend{engine("e1", 8, "m1", "m2"), engine("e2", 9)})
+	})
+
+	It("tells who came, leaves and went, and ignores older lists", func() {
+		leaving := engine("e1", 11, "m1", "m2")
+		leaving.Leaving, leaving.Remaining = true, 2*time.Second
+		changes := d.SetList(12, []fleet.Backend{leaving, engine("e3", 12)})
+		kinds := map[string]fleet.ChangeKind{}
+		for _, change := range changes {
+			kinds[change.Backend.ID] = change.What
+		}
+		Expect(kinds).To(Equal(map[string]fleet.ChangeKind{"e1": fleet.Leaving, "e2": fleet.Removed, "e3": fleet.Joined}))
+		Expect(d.SetList(11, nil)).To(BeEmpty())
+		Expect(d.Of("s")).To(HaveLen(2))
+		Expect(time.Until(d.Get("e1").LeavesAt)).To(BeNumerically("~", 2*time.Second, time.Second))
+	})
+
+	It("joins what the order holder says, newest term and sequence first", func() {
+		d.SetResidency(5, map[string]fleet.Residency{"e1": {
+			Sequence: 2, Withdrawn: []string{"m1"}, Loaded: []string{"m3"}, Dropped: []string{"m2"},
+			Adapters: map[string][]string{"m3": {"a1"}},
+		}})
+		state := d.Get("e1")
+		Expect([]bool{state.Holds("m1"), state.Holds("m2"), state.Holds("m3")}).To(Equal([]bool{false, false, true}))
+		Expect(state.HoldsAdapter("m3", "a1")).To(BeTrue())
+		Expect(state.HoldsAdapter("m3", "a2")).To(BeFalse())
+		d.SetResidency(5, map[string]fleet.Residency{"e1": {Sequence: 1}})
+		Expect(d.Get("e1").Holds("m1")).To(BeFalse())
+		d.SetResidency(4, map[string]fleet.Residency{"e1": {Sequence: 9}})
+		Expect(d.Get("e1").Holds("m1")).To(BeFalse())
+		d.SetResidency(6, map[string]fleet.Residency{"e1": {Sequence: 1}})
+		Expect(d.Get("e1").Holds("m1")).To(BeTrue())
+		Expect(fleet.Stamp{Term: 5, Sum: 9}.Before(d.Stamp())).To(BeTrue())
+	})
+
+	It("believes for a while that an engine lacks something or takes no connection", func() {
+		d.Miss("e1", "m1", "a1")
+		Expect(d.Missing("e1", "m1", "a1")).To(BeTrue())
+		Expect(d.Missing("e1", "m1", "a2")).To(BeFalse())
+		d.Unreachable("e2")
+		Expect(d.Missing("e2", "any", "")).To(BeTrue())
+		d.Miss("e2", "", "")
+		Expect(d.Missing("e2", "any", "")).To(BeTrue())
+	})
+})
--- /dev/null
+++ b/pkg/mirror/mirror_test.go
@@ -0,0 +1,134 @@
+package mirror_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreymoor.example/ospreymoor/pkg/kv"
+	"ospreymoor.example/ospreymoor/pkg/mirror"
+)
+
+var suiteT *testing.T
+
+func TestMirror(t *testing.T) {
+	suiteT = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Mirror")
+}
+
+func put(store kv.Store, key, value string) {
+	current, _ := store.Get(context.Background(), key)
+	_, err := store.Swap(context.Background(), kv.Swap{Key: key, Revision: current.Revision, Value: []byte(value)})
+	Expect(err).NotTo(HaveOccurred())
+}
+
+func values(c mirror.Copy) map[string]string {
+	all := map[string]string{}
+	for key, record := range c.Records {
+		all[key] = string(record.Value)
+	}
+	return all
+}
+
+var _ = Describe("a mirror", func() {
+	It("follows changes and removals, however slowly it takes them", func() {
+		synctest.Test(suiteT, func(*testing.T) {
+			defer GinkgoRecover()
+			store := kv.NewMemory().Store()
+			m := &mirror.Mirror{Store: store, Quiet: func() time.Duration { return 300 * time.Millisecond }}
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() { m.Run(ctx); close(done) }()
+			for n := range 50 {
+				put(store, fmt.Sprint("k", n%10), fmt.Sprint(n))
+				time.Sleep(20 * time.Millisecond)
+			}
+			record, err := store.Get(ctx, "k3")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(store.Delete(ctx, "k3", record.Revision)).To(Succeed())
+			// Many changes must not lag behind one another: a pause covers all that came in it.
+			time.Sleep(700 * time.Millisecond)
+			Expect(values(m.State())).To(HaveLen(9))
+			Expect(values(m.State())["k9"]).To(Equal("49"))
+			cancel()
+			<-done
+		})
+	})
+
+	It("takes a peer's newer copy while the service is away, and never an older one", func() {
+		store := kv.NewMemory().Store()
+		put(store, "a", "1")
+		put(store, "b", "1")
+		peer := &mirror.Mirror{Store: store}
+		ctx, cancel := context.WithCancel(context.Background())
+		go peer.Run(ctx)
+		defer cancel()
+		Eventually(func() int { return len(peer.State().Records) }).Should(Equal(2))
+		mine := &mirror.Mirror{}
+		Expect(mine.Offer(*peer.Since(0))).To(BeTrue())
+		old := *peer.Since(0)
+		put(store, "a", "2")
+		record, _ := store.Get(ctx, "b")
+		Expect(store.Delete(ctx, "b", record.Revision)).To(Succeed())
+		Eventually(func() map[string]string { return values(peer.State()) }).Should(Equal(map[string]string{"a": "2"}))
+		delta := peer.Since(mine.State().Revision)
+		Expect(delta.Changed).To(HaveLen(1))
+		Expect(mine.Offer(*delta)).To(BeTrue())
+		Expect(values(mine.State())).To(Equal(map[string]string{"a": "2"}))
+		Expect(mine.Offer(old)).To(BeFalse())
+		Expect(peer.Since(peer.State().Revision)).To(BeNil())
+	})
+
+	It("refuses a delta for a copy that is newer than its own", func() {
+		m := &mirror.Mirror{}
+		Expect(m.Offer(mirror.Delta{From: 5, Revision: 9, Keys: []string{"a"}})).To(BeFalse())
+		Expect(m.State().Revision).To(BeZero())
+	})
+
+	It("ends at the store's state under lost calls and broken watches", func() {
+		for seed := range uint64(20) {
+			synctest.Test(suiteT, func(*testing.T) {
+				defer GinkgoRecover()
+				random := rand.New(rand.NewPCG(seed, 1))
+				store := kv.NewMemory().Store()
+				unreliable := store
+				unreliable.Snapshot = func(ctx context.Context, prefix string) (kv.Snapshot, error) {
+					if random.IntN(2) == 0 {
+						return kv.Snapshot{}, kv.ErrUnavailable
+					}
+					return store.Snapshot(ctx, prefix)
+				}
+				unreliable.Watch = func(ctx context.Context, watching kv.Watching) (<-chan []kv.Event, error) {
+					span := time.Duration(random.IntN(300)) * time.Millisecond
+					ctx, cancel := context.WithTimeout(ctx, span)
+					time.AfterFunc(span, cancel)
+					return store.Watch(ctx, watching)
+				}
+				m := &mirror.Mirror{Store: unreliable}
+				ctx, cancel := context.WithCancel(context.Background())
+				done := make(chan struct{})
+				go func() { m.Run(ctx); close(done) }()
+				for n := range 100 {
+					put(store, fmt.Sprint("k", random.IntN(8)), fmt.Sprint(n))
+					time.Sleep(time.Duration(random.IntN(30)) * time.Millisecond)
+				}
+				time.Sleep(10 * time.Second)
+				snapshot, _ := store.Snapshot(ctx, "")
+				want := map[string]string{}
+				for _, record := range snapshot.Records {
+					want[record.Key] = string(record.Value)
+				}
+				Expect(values(m.State())).To(Equal(want), "seed %d", seed)
+				cancel()
+				<-done
+			})
+		}
+	})
+})
--- a/pkg/residency/adapters.go
+++ b/pkg/residency/adapters.go
@@ -5,8 +5,6 @@
 	"maps"
 	"time"
 
-	"go.uber.org/zap"
-
 	"ospreymoor.example/ospreymoor/pkg/fleet"
 	"ospreymoor.example/ospreymoor/pkg/routes"
 )
@@ -45,6 +43,7 @@
 	if err != nil {
 		return Ensured{}, err
 	}
+	c.enter(term)
 	pool, described := c.model(service, model)
 	if described == nil {
 		return Ensured{}, ErrUnknownModel
@@ -88,7 +87,7 @@
 		if there := e.findAdapter(key); there != nil {
 			return e, there
 		}
-		cost, ok := e.adapterCost(pool)
+		cost, ok := e.adapterCost(pool, key)
 		if !ok {
 			continue
 		}
@@ -115,12 +114,13 @@
 	return state
 }
 
-// adapterCost tells what it costs to load one more adapter here.
-func (e *engine) adapterCost(pool *routes.Engines) (cost int, ok bool) {
+// adapterCost tells what it costs to load one more adapter here; ok is false if that can't be
+// now, as where the same adapter is just being unloaded.
+func (e *engine) adapterCost(pool *routes.Engines, key adapterKey) (cost int, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	if e.ordering || now.Before(e.coolUntil) || !e.mayOrder() {
+	if e.ordering || e.adapters[key] != nil || now.Before(e.coolUntil) || !e.mayOrder() {
 		return 0, false
 	}
 	idle := 0
@@ -154,7 +154,7 @@
 }
 
 func (e *engine) pageAdapter(key adapterKey, state *adapterState) {
-	ctx, cancel := context.WithTimeout(e.controller.ctx, pageTimeout)
+	ctx, cancel := context.WithTimeout(e.controller.jobs(), pageTimeout)
 	defer cancel()
 	defer close(state.ready)
 	result := e.page(ctx, key)
@@ -189,57 +189,65 @@
 		return pageNotBegun
 	}
 	defer e.release()
-	if e.sync(ctx) != nil {
-		return pageNotBegun
-	}
 	for {
+		if e.sync(ctx) != nil {
+			return pageNotBegun
+		}
 		fits, victim := e.makeRoom(key)
-		if fits {
-			break
+		if !fits {
+			if victim.model == "" || !e.unloadAdapter(ctx, victim) {
+				return pageNotBegun
+			}
+			continue
 		}
-		if victim.model == "" || !e.unloadAdapter(ctx, victim) {
-			return pageNotBegun
+		result, _ := e.order(ctx, Order{Operation: Load, Model: key.model, Adapter: key.adapter}, e.hasRoom)
+		switch result {
+		case Accepted:
+			_ = pause(ctx, adapterTime)
+			return pageDone
+		case Already:
+			return pageDone
+		case NotAllowed:
+			continue
 		}
+		return pageUnsure
 	}
-	e.controller.Log.Debug("page", zap.String("engine", e.id), zap.String("model", key.model), zap.String("adapter", key.adapter), zap.Strings("places", e.places()))
-	result, _ := e.order(ctx, Order{Operation: Load, Model: key.model, Adapter: key.adapter})
-	switch result {
-	case Accepted:
-		_ = pause(ctx, adapterTime)
-		return pageDone
-	case Already:
-		return pageDone
-	}
-	return pageUnsure
 }
 
-// places lists what takes the engine's places for adapters, for the log.
-func (e *engine) places() []string {
+// hasRoom tells whether all adapters that are counted fit.
+func (e *engine) hasRoom() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	names := make([]string, 0, len(e.adapters))
-	for key, state := range e.adapters {
-		names = append(names, key.model+"/"+key.adapter+" "+state.phase.String())
+	return e.adaptersFit()
+}
+
+// adaptersFit tells whether all adapters that are counted fit. The caller holds the lock.
+func (e *engine) adaptersFit() bool {
+	table := e.controller.Table()
+	if table == nil || table.Services[e.service] == nil || table.Services[e.service].Engines == nil {
+		return false
+	}
+	service := table.Services[e.service]
+	used := e.modelMegabytes()
+	for key := range e.adapters {
+		if model := service.Model(key.model); model != nil {
+			used += model.AdapterMegabytes
+		}
 	}
-	return names
+	return len(e.adapters) <= service.Engines.AdapterSlots && used <= service.Engines.Megabytes
 }
 
 // makeRoom tells whether the engine has room for one adapter that is counted already, or else
 // which one gives way; none if all are in use.
 func (e *engine) makeRoom(key adapterKey) (fits bool, victim adapterKey) {
-	pool, model := e.controller.model(e.service, key.model)
-	if model == nil {
-		return false, victim
-	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	used := e.modelMegabytes()
+	if e.adaptersFit() {
+		return true, victim
+	}
 	now := time.Now()
 	var oldest time.Time
 	for other, state := range e.adapters {
-		if _, described := e.controller.model(e.service, other.model); described != nil {
-			used += described.AdapterMegabytes
-		}
 		if other == key || !e.idle(state, now) {
 			continue
 		}
@@ -247,9 +255,6 @@
 			victim, oldest = other, state.used
 		}
 	}
-	if len(e.adapters) <= pool.AdapterSlots && used <= pool.Megabytes {
-		return true, adapterKey{}
-	}
 	if victim.model != "" {
 		e.adapters[victim].phase = phaseLeaving
 		e.sequence++
@@ -260,11 +265,13 @@
 // unloadAdapter has an adapter dropped; its place is free when the next order is accepted.
 func (e *engine) unloadAdapter(ctx context.Context, key adapterKey) bool {
 	e.controller.announce(e)
-	result, _ := e.order(ctx, Order{Operation: Unload, Model: key.model, Adapter: key.adapter})
+	result, _ := e.order(ctx, Order{Operation: Unload, Model: key.model, Adapter: key.adapter}, nil)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if result != Accepted && result != Already {
-		e.adapters[key].phase = phaseUnsure
+		if state := e.adapters[key]; state != nil {
+			state.phase = phaseUnsure
+		}
 		e.known = false
 		return false
 	}
--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -15,8 +15,8 @@
 	"ospreymoor.example/ospreymoor/pkg/routes"
 )
 
-// Controller gives orders while its process holds the order lease. Set the fields before Run.
-type Controller struct {
+// Config is what a controller works with.
+type Config struct {
 	// Holder is this machine's name.
 	Holder    string
 	Directory *fleet.Directory
@@ -36,7 +36,13 @@
 	// PlanInterval is the time between plans; 0 takes 200 ms.
 	PlanInterval time.Duration
 	Log          *zap.Logger
+}
+
+// Controller gives orders while its process holds the order lease.
+type Controller struct {
+	Config
 
+	// ctx bounds the jobs; it is set by Run.
 	ctx context.Context
 
 	mu      sync.Mutex
@@ -66,14 +72,22 @@
 	missedTime = 10 * time.Second
 )
 
+// New returns a controller; Run starts it.
+func New(config Config) *Controller {
+	if config.PlanInterval == 0 {
+		config.PlanInterval = defaultPlanInterval
+	}
+	c := &Controller{Config: config, ctx: context.Background(), lastOrders: map[string]time.Time{}}
+	c.reset(0)
+	return c
+}
+
 // Run plans and orders until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
-	c.prepare(ctx)
-	interval := c.PlanInterval
-	if interval == 0 {
-		interval = defaultPlanInterval
-	}
-	ticker := time.NewTicker(interval)
+	c.mu.Lock()
+	c.ctx = ctx
+	c.mu.Unlock()
+	ticker := time.NewTicker(c.PlanInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -85,11 +99,11 @@
 	}
 }
 
-func (c *Controller) prepare(ctx context.Context) {
+// jobs is the context of jobs in the background.
+func (c *Controller) jobs() context.Context {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ctx = ctx
-	c.reset(0)
+	return c.ctx
 }
 
 // reset forgets everything learned under an older term: others may have given orders since. The
@@ -127,9 +141,6 @@
 			delete(c.lastOrders, id)
 		}
 	}
-	if c.lastOrders == nil {
-		c.lastOrders = map[string]time.Time{}
-	}
 	c.lastOrders[engine] = now
 }
 
@@ -147,12 +158,7 @@
 	if err != nil {
 		return
 	}
-	c.mu.Lock()
-	if term != c.term {
-		c.reset(term)
-		c.Log.Info("orders begin", zap.Int64("term", term))
-	}
-	c.mu.Unlock()
+	c.enter(term)
 	table := c.Table()
 	if table == nil {
 		return
@@ -164,6 +170,17 @@
 	}
 }
 
+// enter forgets what was learned under another term.
+func (c *Controller) enter(term int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if term == c.term {
+		return
+	}
+	c.reset(term)
+	c.Log.Info("orders begin", zap.Int64("term", term))
+}
+
 func (c *Controller) planService(name string, service *routes.Service, now time.Time) {
 	states := c.Directory.Of(name)
 	if len(states) == 0 {
--- /dev/null
+++ b/pkg/residency/controller_test.go
@@ -0,0 +1,282 @@
+package residency_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/residency"
+	"ospreymoor.example/ospreymoor/pkg/routes"
+)
+
+// Sizes of the engines in these specs.
+const (
+	engineMegabytes = 220
+	modelMegabytes  = 72
+	adapterSlots    = 3
+	loadTime        = 2 * time.Second
+)
+
+// fakeEngine carries orders out as the engines' protocol says, and notes when it was overfilled.
+type fakeEngine struct {
+	mu       sync.Mutex
+	taken    int64
+	busy     bool
+	models   map[string][]string
+	overfull []string
+	terms    []int64
+}
+
+// order answers an order: the sequence first, then whether another is under way.
+func (f *fakeEngine) order(order residency.Order) residency.Result {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.busy || order.Expected != f.taken {
+		return residency.Conflict
+	}
+	adapters, held := f.models[order.Model]
+	if order.Adapter != "" {
+		held = slices.Contains(adapters, order.Adapter)
+	}
+	if held == (order.Operation == residency.Load) {
+		return residency.Already
+	}
+	f.taken++
+	f.busy = true
+	f.terms = append(f.terms, order.Term)
+	if order.Operation == residency.Load {
+		f.check(order)
+	}
+	span := 5 * time.Millisecond
+	if order.Adapter == "" && order.Operation == residency.Load {
+		span = loadTime
+	}
+	time.AfterFunc(span, func() { f.finish(order) })
+	return residency.Accepted
+}
+
+func (f *fakeEngine) check(order residency.Order) {
+	used, adapters := 0, 0
+	for _, list := range f.models {
+		used += modelMegabytes
+		adapters += len(list)
+	}
+	if order.Adapter == "" {
+		used += modelMegabytes
+	} else {
+		adapters++
+	}
+	if used > engineMegabytes || adapters > adapterSlots {
+		dbgLog.Error("OVERFULL", zap.Any("order", order), zap.Any("models", f.models))
+		f.overfull = append(f.overfull, fmt.Sprintf("%+v on %v", order, f.models))
+	}
+}
+
+func (f *fakeEngine) finish(order residency.Order) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.busy = false
+	switch {
+	case order.Adapter == "" && order.Operation == residency.Load:
+		f.models[order.Model] = nil
+	case order.Adapter == "":
+		delete(f.models, order.Model)
+	case order.Operation == residency.Load:
+		f.models[order.Model] = append(f.models[order.Model], order.Adapter)
+	default:
+		f.models[order.Model] = slices.DeleteFunc(f.models[order.Model], func(a string) bool { return a == order.Adapter })
+	}
+}
+
+func (f *fakeEngine) report() residency.Report {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	report := residency.Report{Busy: f.busy, Taken: f.taken}
+	for model, adapters := range f.models {
+		report.Models = append(report.Models, fleet.Holding{Model: model, Adapters: slices.Clone(adapters)})
+	}
+	return report
+}
+
+// world is a few fake engines with a controller.
+type world struct {
+	engines    map[string]*fakeEngine
+	directory  *fleet.Directory
+	controller *residency.Controller
+	demand     *residency.Demand
+	revision   int64
+	random     *rand.Rand
+	mu         sync.Mutex
+	// faults is the share of orders that go wrong.
+	faults float64
+}
+
+var errLost = errors.New("no answer")
+
+func newWorld(seed uint64, faults float64) *world {
+	w := &world{
+		engines: map[string]*fakeEngine{}, directory: fleet.New(), demand: &residency.Demand{},
+		random: rand.New(rand.NewPCG(seed, 7)), faults: faults,
+	}
+	service := routes.Service{Name: "s", Engines: &routes.Engines{
+		Slots: 8, Megabytes: engineMegabytes, AdapterSlots: adapterSlots, LoadsPerSecond: 2, DiskMegabytes: 500,
+	}}
+	for n := range 7 {
+		service.Engines.Models = append(service.Engines.Models, routes.Model{
+			Name: fmt.Sprint("m", n), Megabytes: modelMegabytes, LoadTime: loadTime, Adapters: 5, AdapterMegabytes: 0.5,
+		})
+	}
+	table := routes.New(1, nil, []routes.Service{service}, routes.Limits{})
+	for n := range 3 {
+		w.engines[fmt.Sprint("e", n)] = &fakeEngine{models: map[string][]string{fmt.Sprint("m", n): nil}}
+	}
+	w.controller = residency.New(residency.Config{
+		Holder: "n", Directory: w.directory, Table: func() *routes.Table { return table },
+		Engines: residency.Engines{Order: w.order, Report: w.report},
+		Term:    func() (int64, error) { return 4, nil },
+		Demand:  w.demand, MoveCost: 0.03, Log: zap.NewNop(),
+	})
+	w.list()
+	return w
+}
+
+// list tells the directory what the engines hold.
+func (w *world) list() {
+	w.revision++
+	var list []fleet.Backend
+	for id, engine := range w.engines {
+		list = append(list, fleet.Backend{ID: id, Service: "s", Zone: id, Slots: 8, Models: engine.report().Models, Revision: w.revision})
+	}
+	w.directory.SetList(w.revision, list)
+}
+
+func (w *world) draw() float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.random.Float64()
+}
+
+// order passes an order on, or loses it, its answer, or has it done late.
+func (w *world) order(ctx context.Context, to fleet.Backend, order residency.Order) (residency.Result, error) {
+	engine := w.engines[to.ID]
+	if w.draw() >= w.faults {
+		return engine.order(order), nil
+	}
+	switch kind := w.draw(); {
+	case kind < 0.3:
+	case kind < 0.6:
+		engine.order(order)
+	default:
+		time.AfterFunc(time.Duration(2+10*w.draw())*time.Second, func() { engine.order(order) })
+	}
+	<-ctx.Done()
+	return residency.Unanswered, errLost
+}
+
+func (w *world) report(_ context.Context, of fleet.Backend) (residency.Report, error) {
+	return w.engines[of.ID].report(), nil
+}
+
+func (w *world) overfull() []string {
+	var all []string
+	for _, engine := range w.engines {
+		engine.mu.Lock()
+		all = append(all, engine.overfull...)
+		engine.mu.Unlock()
+	}
+	return all
+}
+
+// live has requests for models and adapters come for a while, the list lagging behind.
+func (w *world) live(span time.Duration, lag time.Duration) (served, asked int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { w.controller.Run(ctx); close(done) }()
+	var mu sync.Mutex
+	var asking sync.WaitGroup
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		model, adapter := fmt.Sprint("m", int(7*w.draw())), ""
+		if w.draw() < 0.6 {
+			adapter = fmt.Sprint("a", int(5*w.draw()))
+		}
+		asking.Go(func() {
+			callCtx, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
+			defer cancel()
+			ensured, _ := w.controller.Ensure(callCtx, "s", model, adapter)
+			mu.Lock()
+			defer mu.Unlock()
+			asked++
+			if ensured.Backend != "" {
+				served++
+			}
+		})
+		w.demand.Note(map[residency.ModelKey]float64{{Service: "s", Model: model}: 20}, time.Now())
+		time.AfterFunc(lag, w.listSafely)
+	}
+	asking.Wait()
+	cancel()
+	<-done
+	time.Sleep(time.Minute)
+	return served, asked
+}
+
+func (w *world) listSafely() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.list()
+}
+
+var _ = Describe("a controller", func() {
+	It("pages adapters and loads models, none twice at once and never more than fits", func() {
+		synctest.Test(suiteT, func(*testing.T) {
+			defer GinkgoRecover()
+			w := newWorld(1, 0)
+			served, asked := w.live(2*time.Minute, 100*time.Millisecond)
+			Expect(w.overfull()).To(BeEmpty())
+			Expect(served).To(BeNumerically(">", asked/4))
+			all := map[string]bool{}
+			for _, engine := range w.engines {
+				for model := range engine.models {
+					all[model] = true
+				}
+			}
+			Expect(all).To(HaveLen(7))
+		})
+	})
+
+	It("keeps to what fits while orders are lost, unanswered or carried out late, and the list lags", func() {
+		for seed := range uint64(12) {
+			synctest.Test(suiteT, func(*testing.T) {
+				defer GinkgoRecover()
+				w := newWorld(seed, 0.3)
+				w.live(2*time.Minute, time.Duration(seed)*300*time.Millisecond)
+				Expect(w.overfull()).To(BeEmpty(), "seed %d", seed)
+			})
+		}
+	})
+
+	It("gives no order without the lease", func() {
+		w := newWorld(1, 0)
+		w.controller.Term = func() (int64, error) { return 0, residency.ErrNotHolder }
+		_, err := w.controller.Ensure(context.Background(), "s", "m0", "a1")
+		Expect(err).To(MatchError(residency.ErrNotHolder))
+		Expect(w.engines["e0"].taken).To(BeZero())
+	})
+
+	It("says of a model that it does not know that it does not", func() {
+		w := newWorld(1, 0)
+		_, err := w.controller.Ensure(context.Background(), "s", "nobody", "")
+		Expect(err).To(MatchError(residency.ErrUnknownModel))
+	})
+})
--- a/pkg/residency/engine.go
+++ b/pkg/residency/engine.go
@@ -16,6 +16,8 @@
 	controller *Controller
 	id         string
 	service    string
+	// term under which this state was learned: no order goes out under another one.
+	term int64
 
 	// turn is held by the job that gives orders.
 	turn chan struct{}
@@ -44,6 +46,8 @@
 	seen map[string]time.Time
 	// sequence numbers the changes that peers are told of.
 	sequence int64
+	// told is what the engine said that it holds, models with no adapter named.
+	told map[adapterKey]bool
 	// coolUntil is until when an engine that failed orders gets none.
 	coolUntil time.Time
 }
@@ -79,11 +83,14 @@
 	running int
 }
 
+// newEngine returns the state of an engine of which nothing is known. The caller holds the
+// controller's lock.
 func newEngine(c *Controller, id, service string) *engine {
 	e := &engine{
 		controller: c,
 		id:         id,
 		service:    service,
+		term:       c.term,
 		turn:       make(chan struct{}, 1),
 		adapters:   map[adapterKey]*adapterState{},
 		seen:       map[string]time.Time{},
@@ -104,56 +111,66 @@
 
 func (e *engine) release() { <-e.turn }
 
-// order sends one order until the engine has answered it. The caller has the turn.
-func (e *engine) order(ctx context.Context, order Order) (Result, error) {
-	if err := e.sync(ctx); err != nil {
-		return Unanswered, err
+// order sends one order until the engine has answered it, or has come to hold what it asks for.
+// allowed tells whether the order may be given by what the engine holds now: its word may have
+// changed that; nil always allows it. The caller has the turn.
+func (e *engine) order(ctx context.Context, order Order, allowed func() bool) (Result, error) {
+	var last error
+	for range orderRounds {
+		if err := e.sync(ctx); err != nil {
+			return Unanswered, err
+		}
+		if last != nil && e.fulfilled(order) {
+			return Already, nil
+		}
+		if allowed != nil && !allowed() {
+			return NotAllowed, nil
+		}
+		result, err := e.sendUntilAnswered(ctx, order)
+		if result != Conflict && result != Unanswered {
+			return result, err
+		}
+		// Whether an unanswered order, this one or one before, was carried out is for the
+		// engine to say.
+		e.unsure()
+		if last = err; last == nil {
+			last = ErrFailed
+		}
 	}
+	return Unanswered, last
+}
+
+// sendUntilAnswered sends an order again while it gets no answer, and while one before it may
+// still be under way. The count of orders has at most one copy carried out.
+func (e *engine) sendUntilAnswered(ctx context.Context, order Order) (Result, error) {
 	wait := conflictPause
-	unanswered := 0
-	for {
+	for range orderTries {
 		result, err := e.send(ctx, order)
-		switch result {
-		case Accepted:
+		if result == Accepted {
 			e.mu.Lock()
 			e.taken++
 			e.mu.Unlock()
-			return Accepted, nil
-		case Already, Refused, Gone:
+		}
+		if result != Conflict && result != Unanswered {
 			return result, err
-		case Unanswered:
-			// The same order again: only one of the two can be carried out.
-			unanswered++
-		case Conflict:
-			if unanswered > 0 {
-				// The first one was carried out after all, or is now.
-				return e.settle(ctx, order)
-			}
 		}
-		// An order before may still be under way.
-		if unanswered == orderTries || wait > longConflictPause || pause(ctx, wait) != nil {
-			e.unsure()
-			return Unanswered, err
+		if pause(ctx, wait) != nil || wait > longConflictPause {
+			return result, err
 		}
-		wait *= 2
+		wait *= conflictGrowth
 	}
+	return Unanswered, ErrFailed
 }
 
-// settle finds out whether an unanswered order was carried out.
-func (e *engine) settle(ctx context.Context, order Order) (Result, error) {
-	e.mu.Lock()
-	before := e.taken
-	e.mu.Unlock()
-	e.unsure()
-	if err := e.sync(ctx); err != nil {
-		return Unanswered, err
-	}
+// fulfilled tells whether the engine's last word was what an order asks for.
+func (e *engine) fulfilled(order Order) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.taken == before+1 {
-		return Accepted, nil
+	wanted := order.Operation == Load
+	if order.Adapter != "" {
+		return e.told[adapterKey{order.Model, order.Adapter}] == wanted
 	}
-	return Unanswered, nil
+	return e.told[adapterKey{model: order.Model}] == wanted
 }
 
 // send gives the order once, if this process may.
@@ -173,6 +190,9 @@
 	if err != nil {
 		return Refused, err
 	}
+	if term != e.term {
+		return Refused, ErrNotHolder
+	}
 	if !e.mayOrder() {
 		return Refused, ErrWaiting
 	}
@@ -231,14 +251,16 @@
 		zap.Duration("lastOrder", time.Since(e.lastOrder)))
 	e.adoptModels(report)
 	reported := map[adapterKey]bool{}
+	e.told = reported
 	for _, holding := range report.Models {
 		e.seen[holding.Model] = time.Now()
+		reported[adapterKey{model: holding.Model}] = true
 		for _, adapter := range holding.Adapters {
 			reported[adapterKey{holding.Model, adapter}] = true
 		}
 	}
 	for key := range reported {
-		if e.adapters[key] == nil {
+		if key.adapter != "" && e.adapters[key] == nil {
 			e.adapters[key] = &adapterState{ready: closed, phase: phaseLoaded}
 		}
 	}
@@ -284,7 +306,7 @@
 	}
 	go func() {
 		defer e.release()
-		ctx, cancel := context.WithTimeout(e.controller.ctx, pageTimeout)
+		ctx, cancel := context.WithTimeout(e.controller.jobs(), pageTimeout)
 		defer cancel()
 		if e.sync(ctx) != nil {
 			e.mu.Lock()
--- a/pkg/residency/moves.go
+++ b/pkg/residency/moves.go
@@ -48,7 +48,7 @@
 
 // move makes room on the engine and loads a model.
 func (e *engine) move(described *routes.Service, move Move) {
-	ctx, cancel := context.WithTimeout(e.controller.ctx, moveTimeout)
+	ctx, cancel := context.WithTimeout(e.controller.jobs(), moveTimeout)
 	defer cancel()
 	done := e.carryOut(ctx, described, move)
 	e.change(func() {
@@ -81,10 +81,7 @@
 			return false
 		}
 	}
-	if !e.fitsModel(described, move.Model) {
-		return false
-	}
-	return e.loadModel(ctx, described.Model(move.Model), move)
+	return e.loadModel(ctx, described, move)
 }
 
 // drainTime is how long the runs of withdrawn models are waited for before the unload is
@@ -109,7 +106,7 @@
 	e.mu.Lock()
 	e.unloading = model
 	e.mu.Unlock()
-	result, _ := e.order(ctx, Order{Operation: Unload, Model: model})
+	result, _ := e.order(ctx, Order{Operation: Unload, Model: model}, nil)
 	if result != Accepted && result != Already {
 		return false
 	}
@@ -142,8 +139,10 @@
 	return used+described.Model(model).Megabytes <= described.Engines.Megabytes
 }
 
-func (e *engine) loadModel(ctx context.Context, model *routes.Model, move Move) bool {
-	result, _ := e.order(ctx, Order{Operation: Load, Model: model.Name})
+func (e *engine) loadModel(ctx context.Context, described *routes.Service, move Move) bool {
+	model := described.Model(move.Model)
+	fits := func() bool { return e.fitsModel(described, move.Model) }
+	result, _ := e.order(ctx, Order{Operation: Load, Model: model.Name}, fits)
 	if result != Accepted && result != Already {
 		return false
 	}
--- a/pkg/residency/orders.go
+++ b/pkg/residency/orders.go
@@ -53,11 +53,13 @@
 	Refused
 	// Gone: another engine, or none, is at the address.
 	Gone
+	// NotAllowed: the order was not given, since the engine turned out to hold something else.
+	NotAllowed
 )
 
 // String names a result for logs.
 func (r Result) String() string {
-	return [...]string{"unanswered", "accepted", "already", "conflict", "refused", "gone"}[r]
+	return [...]string{"unanswered", "accepted", "already", "conflict", "refused", "gone", "not allowed"}[r]
 }
 
 // Report is what an engine says of itself, some hundred milliseconds late.
@@ -102,10 +104,13 @@
 	reportTimeout = 500 * time.Millisecond
 	// reportLag is how old an engine's report may be.
 	reportLag = 600 * time.Millisecond
-	// orderTries bounds how often one order is sent.
-	orderTries = 4
-	// conflictPause is the first wait after an order met another under way; it doubles up to
-	// longConflictPause.
+	// orderTries bounds how often one order is sent under one count, and orderRounds how often
+	// the count is learned anew for it.
+	orderTries  = 6
+	orderRounds = 2
+	// conflictPause is the first wait after an order met another under way; it grows by
+	// conflictGrowth up to longConflictPause.
 	conflictPause     = 8 * time.Millisecond
+	conflictGrowth    = 3
 	longConflictPause = 600 * time.Millisecond
 )
--- /dev/null
+++ b/pkg/residency/plan_test.go
@@ -0,0 +1,149 @@
+package residency_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"ospreymoor.example/ospreymoor/pkg/residency"
+)
+
+func TestResidency(t *testing.T) {
+	suiteT = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Residency")
+}
+
+var suiteT *testing.T
+
+func planInput() residency.PlanInput {
+	return residency.PlanInput{Megabytes: 220, MoveCost: 0.03, Moves: 4, StoreLoads: 4}
+}
+
+func planModel(name string, demand float64) residency.PlanModel {
+	return residency.PlanModel{Name: name, Megabytes: 72, Demand: demand}
+}
+
+var _ = Describe("a plan", func() {
+	It("loads a model that no engine holds, that was asked for first", func() {
+		in := planInput()
+		in.Moves = 1
+		in.Engines = []residency.PlanEngine{{ID: "e1", Usable: true}}
+		missed := planModel("z", 0)
+		missed.Missed = true
+		in.Models = []residency.PlanModel{planModel("a", 0.5), missed}
+		moves := residency.Plan(in)
+		Expect(moves).To(HaveLen(1))
+		Expect(moves[0].Model).To(Equal("z"))
+	})
+
+	It("never takes a last confirmed copy away, though another is being loaded", func() {
+		in := planInput()
+		in.Engines = []residency.PlanEngine{
+			{ID: "e1", Usable: true, Models: []string{"a", "b", "c"}},
+			{ID: "e2", Usable: false, Models: []string{"d"}, Loading: "a"},
+		}
+		in.Models = []residency.PlanModel{planModel("a", 0), planModel("b", 0), planModel("c", 0), planModel("d", 3)}
+		for _, move := range residency.Plan(in) {
+			Expect(move.Evict).NotTo(ContainElement("a"))
+		}
+	})
+
+	It("adds copies of what is busy and takes spare ones of what is not", func() {
+		in := planInput()
+		in.Engines = []residency.PlanEngine{
+			{ID: "e1", Zone: "z1", Usable: true, Models: []string{"busy", "quiet", "x"}},
+			{ID: "e2", Zone: "z2", Usable: true, Models: []string{"quiet", "y", "z"}},
+		}
+		in.Models = []residency.PlanModel{planModel("busy", 1.2), planModel("quiet", 0), planModel("x", 0), planModel("y", 0), planModel("z", 0)}
+		moves := residency.Plan(in)
+		Expect(moves).To(HaveLen(1))
+		Expect(moves[0].Engine).To(Equal("e2"))
+		Expect(moves[0].Model).To(Equal("busy"))
+		Expect(moves[0].Evict).To(Equal([]string{"quiet"}))
+	})
+
+	It("leaves things as they are where a move gains little, or was made just now", func() {
+		in := planInput()
+		in.Engines = []residency.PlanEngine{
+			{ID: "e1", Usable: true, Models: []string{"a"}},
+			{ID: "e2", Usable: true, Models: []string{"b", "c", "d"}, Fresh: map[string]bool{"b": true, "c": true, "d": true}},
+		}
+		in.Models = []residency.PlanModel{planModel("a", 0.1), planModel("b", 0.1), planModel("c", 0), planModel("d", 0)}
+		Expect(residency.Plan(in)).To(BeEmpty())
+	})
+
+	It("loads from the weight store only as often as it may", func() {
+		in := planInput()
+		in.StoreLoads = 1
+		in.Engines = []residency.PlanEngine{{ID: "e1", Usable: true}, {ID: "e2", Usable: true}, {ID: "e3", Usable: true, Seen: map[string]bool{"c": true}}}
+		in.Models = []residency.PlanModel{planModel("a", 0), planModel("b", 0), planModel("c", 0)}
+		fromStore := 0
+		for _, move := range residency.Plan(in) {
+			if !move.FromDisk {
+				fromStore++
+			}
+		}
+		Expect(fromStore).To(Equal(1))
+	})
+
+	It("never overfills an engine nor loses a model, whatever is asked", func() {
+		rapid.Check(suiteT, func(t *rapid.T) {
+			in := planInput()
+			models := rapid.IntRange(1, 12).Draw(t, "models")
+			for n := range models {
+				in.Models = append(in.Models, residency.PlanModel{
+					Name: fmt.Sprint("m", n), Megabytes: rapid.Float64Range(30, 120).Draw(t, "size"),
+					Demand: rapid.Float64Range(0, 2).Draw(t, "demand"), Missed: rapid.Bool().Draw(t, "missed"),
+				})
+			}
+			size := map[string]float64{}
+			for _, model := range in.Models {
+				size[model.Name] = model.Megabytes
+			}
+			held := map[string]int{}
+			for n := range rapid.IntRange(1, 6).Draw(t, "engines") {
+				e := residency.PlanEngine{ID: fmt.Sprint("e", n), Zone: fmt.Sprint("z", n%2), Usable: rapid.Bool().Draw(t, "usable"), Leaving: rapid.Bool().Draw(t, "leaving")}
+				free := in.Megabytes
+				for m := range models {
+					name := fmt.Sprint("m", m)
+					if rapid.Bool().Draw(t, "holds") && free >= size[name] {
+						e.Models = append(e.Models, name)
+						free -= size[name]
+						if !e.Leaving {
+							held[name]++
+						}
+					}
+				}
+				in.Engines = append(in.Engines, e)
+			}
+			for _, move := range residency.Plan(in) {
+				used := size[move.Model]
+				for _, e := range in.Engines {
+					if e.ID != move.Engine {
+						continue
+					}
+					if !e.Usable || e.Leaving {
+						t.Fatalf("move on engine %+v", e)
+					}
+					for _, name := range e.Models {
+						used += size[name]
+					}
+				}
+				for _, name := range move.Evict {
+					used -= size[name]
+					held[name]--
+					if held[name] < 1 {
+						t.Fatalf("last copy of %s lost by %+v", name, move)
+					}
+				}
+				if used > in.Megabytes {
+					t.Fatalf("%.0f MB on %s", used, move.Engine)
+				}
+			}
+		})
+	})
+})
--- /dev/null
+++ b/pkg/routes/routes_test.go
@@ -0,0 +1,62 @@
+package routes_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreymoor.example/ospreymoor/pkg/routes"
+)
+
+func TestRoutes(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Routes")
+}
+
+var _ = Describe("a table", func() {
+	table := routes.New(3, []routes.Route{
+		{Name: "all", Host: "a.example", PathPrefix: "/"},
+		{Name: "deep", Host: "a.example", PathPrefix: "/x/y/"},
+		{Name: "short", Host: "A.example", PathPrefix: "/x/"},
+	}, []routes.Service{{Name: "s", Engines: &routes.Engines{Models: []routes.Model{{Name: "m"}}}}}, routes.Limits{})
+
+	DescribeTable("matches the longest prefix of the host", func(host, path, name string) {
+		route := table.Match(host, path)
+		if name == "" {
+			Expect(route).To(BeNil())
+			return
+		}
+		Expect(route.Name).To(Equal(name))
+	},
+		Entry("the longest", "a.example", "/x/y/z", "deep"),
+		Entry("a shorter one", "a.example:80", "/x/yy", "short"),
+		Entry("the host's case does not matter", "A.EXAMPLE", "/q", "all"),
+		Entry("another host", "b.example", "/x/y/z", ""),
+	)
+
+	It("knows its services' models", func() {
+		Expect(table.Services["s"].Model("m")).NotTo(BeNil())
+		Expect(table.Services["s"].Model("n")).To(BeNil())
+	})
+})
+
+var _ = Describe("a route", func() {
+	It("splits requests by weight and sends one request's attempts to one service", func() {
+		route := routes.Route{Shares: []routes.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+		counts := map[string]int{}
+		for point := range uint64(1000) {
+			counts[route.Pick(point)]++
+			Expect(route.Pick(point)).To(Equal(route.Pick(point)))
+		}
+		Expect(counts).To(Equal(map[string]int{"a": 900, "b": 100}))
+		Expect((&routes.Route{}).Pick(1)).To(BeEmpty())
+	})
+
+	It("says what may run more than once", func() {
+		Expect((&routes.Route{Kind: routes.Once}).Idempotent()).To(BeFalse())
+		Expect((&routes.Route{Kind: routes.Repeatable}).Idempotent()).To(BeTrue())
+		Expect((&routes.Route{Kind: routes.Stream}).Idempotent()).To(BeFalse())
+		Expect((&routes.Route{Kind: routes.Stream, Resumable: true}).Idempotent()).To(BeTrue())
+	})
+})
