--- a/internal/cmd/node.go
+++ b/internal/cmd/node.go
@@ -7,6 +7,10 @@
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap/zapcore"
+
+	"ospreymoor.example/ospreymoor/internal/logging"
 	"ospreymoor.example/ospreymoor/platform"
 )
 
@@ -33,11 +37,13 @@
 	if c.MetricsPort < 0 || c.MetricsPort > 65535 {
 		return wrong("metrics-port", c.MetricsPort, "give a port, or 0")
 	}
-	log, err := newLogger(c.LogLevel)
+	level, err := zapcore.ParseLevel(c.LogLevel)
 	if err != nil {
-		return err
+		return wrong("node-log-level", c.LogLevel, "give debug, info, warn or error")
 	}
-	defer func() { _ = log.Sync() }()
+	set := metrics.NewSet()
+	sink := logging.NewSink(os.Stdout, set)
+	defer sink.Close()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	return platform.Run(ctx, platform.Options{
@@ -45,7 +51,9 @@
 		MetricsPort:  c.MetricsPort,
 		LeaseTTL:     c.LeaseTTL,
 		MoveCost:     c.MoveCost,
-		Log:          log,
+		Log:          logging.New(level, sink, set),
+		Lifecycle:    logging.Lifecycle(sink),
+		Set:          set,
 		Reload:       reload,
 	})
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,8 +79,15 @@
 	// avoid are the back ends that it was sent to, last the latest of them.
 	avoid []string
 	last  string
+	// uncached is the prompt tokens that the engine of the latest sending had to read.
+	uncached int
+	// predicted is the time to its first token when the latest sending was made.
+	predicted time.Duration
 	// noted tells that the work was told as missed.
 	noted bool
+	// longestGap is the longest pause between two events, and lastEvent when the last one came.
+	longestGap time.Duration
+	lastEvent  time.Time
 	// firstByte is when the first part of the answer was passed on.
 	firstByte time.Time
 }
@@ -312,6 +319,7 @@
 func (r *run) send(ctx context.Context, choice dispatch.Choice, lastEventID string) (*Answer, *dispatch.Ticket, error) {
 	r.sends++
 	r.last = choice.Backend.ID
+	r.uncached, r.predicted = choice.Uncached, choice.Wait
 	r.avoid = append(r.avoid, r.last)
 	r.noteWork(choice.Uncached)
 	ticket := r.gateway.Book.Begin(choice, r.need)
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -75,6 +75,9 @@
 		zap.Int("status", status),
 		zap.String("reason", string(why)),
 		zap.Duration("first", first),
+		zap.Duration("gap", r.longestGap),
+		zap.Duration("predicted", r.predicted),
+		zap.Int("uncached", r.uncached),
 		zap.Duration("took", took),
 		zap.Int64("configVersion", g.tableVersion()),
 		zap.Error(err))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -140,6 +140,11 @@
 	if err := http.NewResponseController(s.w).Flush(); err != nil {
 		return errors.WithType(err, errCallerGone)
 	}
+	now := time.Now()
+	if s.events > 0 {
+		s.longestGap = max(s.longestGap, now.Sub(s.lastEvent))
+	}
+	s.lastEvent = now
 	s.events++
 	if event.ID != "" {
 		s.lastEventID = event.ID
--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -56,8 +56,10 @@
 	lastOrders map[string]time.Time
 	// uses is what each machine has running with adapters.
 	uses map[string]map[Use]int
-	// loads bounds the loads from the weight store.
-	loads *rate.Limiter
+	// loads bounds the loads from the weight store, and planned counts those that were planned
+	// and have not been ordered yet.
+	loads   *rate.Limiter
+	planned int
 }
 
 const (
@@ -115,6 +117,7 @@
 	c.coming = map[ModelKey]time.Time{}
 	c.uses = map[string]map[Use]int{}
 	c.loads = nil
+	c.planned = 0
 }
 
 // keptOrders is how long the time of an engine's last order is kept.
@@ -195,15 +198,41 @@
 	input := c.planInput(name, service, states, now)
 	loads := c.loads
 	c.mu.Unlock()
-	input.StoreLoads = int(loads.TokensAt(now))
+	input.StoreLoads = int(loads.TokensAt(now)) - c.unspentLoads()
 	for _, move := range Plan(input) {
-		if !move.FromDisk && !loads.AllowN(now, 1) {
-			return
-		}
 		c.start(name, service, move)
 	}
 }
 
+func (c *Controller) unspentLoads() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.planned
+}
+
+// spendLoad waits until the weight store allows one more load, at the moment of its order: the
+// unloads before it may have taken long.
+func (c *Controller) spendLoad(ctx context.Context, term int64) bool {
+	c.mu.Lock()
+	loads := c.loads
+	if c.term != term || loads == nil {
+		c.mu.Unlock()
+		return false
+	}
+	c.planned--
+	c.mu.Unlock()
+	return loads.Wait(ctx) == nil
+}
+
+// unplan forgets a planned load that is not ordered after all.
+func (c *Controller) unplan(term int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.term == term {
+		c.planned--
+	}
+}
+
 // planInput describes a service's engines and models to the planner. The caller holds the lock.
 func (c *Controller) planInput(name string, service *routes.Service, states []*fleet.State, now time.Time) PlanInput {
 	input := PlanInput{Megabytes: service.Engines.Megabytes, MoveCost: c.MoveCost, Moves: maxMoves}
--- a/pkg/residency/controller_test.go
+++ b/pkg/residency/controller_test.go
@@ -78,7 +78,6 @@
 		adapters++
 	}
 	if used > engineMegabytes || adapters > adapterSlots {
-		dbgLog.Error("OVERFULL", zap.Any("order", order), zap.Any("models", f.models))
 		f.overfull = append(f.overfull, fmt.Sprintf("%+v on %v", order, f.models))
 	}
 }
--- a/pkg/residency/moves.go
+++ b/pkg/residency/moves.go
@@ -27,6 +27,9 @@
 	key := ModelKey{service, move.Model}
 	c.mu.Lock()
 	e := c.engine(move.Engine, service)
+	if !move.FromDisk {
+		c.planned++
+	}
 	c.coming[key] = time.Now().Add(described.Model(move.Model).LoadTime + noticeTime)
 	c.mu.Unlock()
 	c.Log.Info("move",
@@ -50,7 +53,11 @@
 func (e *engine) move(described *routes.Service, move Move) {
 	ctx, cancel := context.WithTimeout(e.controller.jobs(), moveTimeout)
 	defer cancel()
-	done := e.carryOut(ctx, described, move)
+	spent := move.FromDisk
+	done := e.carryOut(ctx, described, move, &spent)
+	if !spent {
+		e.controller.unplan(e.term)
+	}
 	e.change(func() {
 		e.loading, e.unloading, e.withdrawn, e.ordering = "", "", nil, false
 		if !done {
@@ -61,7 +68,8 @@
 	e.controller.Log.Info("move over", zap.String("engine", e.id), zap.String("model", move.Model), zap.Bool("done", done))
 }
 
-func (e *engine) carryOut(ctx context.Context, described *routes.Service, move Move) bool {
+// carryOut gives a move's orders; spent is set when the weight store's rate was drawn upon.
+func (e *engine) carryOut(ctx context.Context, described *routes.Service, move Move, spent *bool) bool {
 	if len(move.Evict) > 0 && pause(ctx, noticeTime) != nil {
 		return false
 	}
@@ -81,6 +89,12 @@
 			return false
 		}
 	}
+	if !*spent {
+		*spent = true
+		if !e.controller.spendLoad(ctx, e.term) {
+			return false
+		}
+	}
 	return e.loadModel(ctx, described, move)
 }
 
