--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,10 +79,8 @@
 	// avoid are the back ends that it was sent to, last the latest of them.
 	avoid []string
 	last  string
-	// uncached is the prompt tokens that the engine of the latest sending had to read.
-	uncached int
-	// predicted is the time to its first token when the latest sending was made.
-	predicted time.Duration
+	// choice is what the latest sending was made by.
+	choice dispatch.Choice
 	// noted tells that the work was told as missed.
 	noted bool
 	// longestGap is the longest pause between two events, and lastEvent when the last one came.
@@ -129,7 +127,7 @@
 func (g *Gateway) newRun(table *routes.Table, route *routes.Route, request *Request) *run {
 	r := &run{gateway: g, request: request, route: route}
 	r.service = route.Pick(xxhash.Sum64String(request.ID))
-	r.need = dispatch.Need{Service: r.service}
+	r.need = dispatch.Need{Service: r.service, Urgency: route.Priority}
 	if service := table.Services[r.service]; service != nil && service.Engines != nil && request.Model != "" {
 		r.need.Model, r.need.Adapter = request.Model, request.Adapter
 		r.need.Pieces = dispatch.Pieces(request.Model, request.Adapter, request.Prompt)
@@ -163,9 +161,12 @@
 func (r *run) pick(ctx context.Context) (dispatch.Choice, *refusal) {
 	for {
 		choice, why := r.choose()
-		if why == "" {
+		if why == "" && r.admits(choice) {
 			return choice, nil
 		}
+		if why == "" {
+			return choice, r.giveUp(reasonFull, r.comeBack(choice))
+		}
 		wait, refused := r.provide(ctx, why)
 		if refused != nil {
 			return choice, refused
@@ -176,6 +177,28 @@
 	}
 }
 
+const (
+	// admitShare is how long a first token may take, by the target, for a request to be admitted:
+	// what comes later than that only holds up the others.
+	admitShare = 1.15
+	// leastComeBack is the least time to come back when engines are full.
+	leastComeBack = 150 * time.Millisecond
+)
+
+// admits tells whether the best back end will answer soon enough. A stream that goes on is not
+// turned away.
+func (r *run) admits(choice dispatch.Choice) bool {
+	if r.need.Model == "" || r.route.Target <= 0 || r.tries > 0 {
+		return true
+	}
+	return choice.Wait <= time.Duration(admitShare*float64(r.route.Target))
+}
+
+// comeBack is when the best back end will probably have room.
+func (r *run) comeBack(choice dispatch.Choice) time.Duration {
+	return max(leastComeBack, choice.Wait-r.route.Target/2)
+}
+
 // choose picks among the back ends that have what the request needs; why tells what is lacking.
 func (r *run) choose() (dispatch.Choice, reason) {
 	all := r.gateway.Directory.Of(r.service)
@@ -319,7 +342,7 @@
 func (r *run) send(ctx context.Context, choice dispatch.Choice, lastEventID string) (*Answer, *dispatch.Ticket, error) {
 	r.sends++
 	r.last = choice.Backend.ID
-	r.uncached, r.predicted = choice.Uncached, choice.Wait
+	r.choice = choice
 	r.avoid = append(r.avoid, r.last)
 	r.noteWork(choice.Uncached)
 	ticket := r.gateway.Book.Begin(choice, r.need)
--- a/internal/gateway/storeview.go
+++ b/internal/gateway/storeview.go
@@ -152,7 +152,9 @@
 	}
 	v.own = stamp
 	v.node.cluster.setNodes(state, v.platform.OwnPrefix+nodePart)
-	if _, held := state.Records[v.node.orderKey()]; !held {
+	record, held := state.Records[v.node.orderKey()]
+	ours := held && string(record.Value) == v.node.config.Name && v.node.lease.Claim().Term == 0
+	if !held || ours {
 		v.node.wakeLease()
 	}
 }
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -57,7 +57,7 @@
 func New(level zapcore.Level, sink *Sink, set *metrics.Set) *zap.Logger {
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	config.EncodeDuration = zapcore.StringDurationEncoder
+	config.EncodeDuration = zapcore.SecondsDurationEncoder
 	encoder := zapcore.NewJSONEncoder(config)
 	thinned := set.GetOrCreateCounter(`ospreymoor_log_lines_dropped_total{reason="too many of one kind"}`)
 	ordinary := zapcore.NewSamplerWithOptions(
@@ -77,7 +77,7 @@
 func Lifecycle(sink *Sink) *zap.Logger {
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	config.EncodeDuration = zapcore.StringDurationEncoder
+	config.EncodeDuration = zapcore.SecondsDurationEncoder
 	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), queue{sink, sink.important}, zapcore.InfoLevel))
 }
 
--- a/pkg/dispatch/book.go
+++ b/pkg/dispatch/book.go
@@ -11,12 +11,24 @@
 	"time"
 )
 
+// Urgencies is how many ranks of urgency are told apart; 0 is the most urgent.
+const Urgencies = 3
+
+// ahead is the prompt tokens that are read before those of a new request.
+func (l *Load) ahead(urgency int) int {
+	tokens := 0
+	for rank := range min(urgency, Urgencies-1) + 1 {
+		tokens += l.Prefill[rank]
+	}
+	return tokens
+}
+
 // Load is what one process has under way at one back end.
 type Load struct {
 	// Running requests, from the sending to the end of the answer.
 	Running int `json:"r,omitempty"`
-	// Prefill is the prompt tokens that the back end has still to read.
-	Prefill int `json:"p,omitempty"`
+	// Prefill is the prompt tokens that the back end has still to read, by their urgency.
+	Prefill [Urgencies]int `json:"p,omitzero"`
 	// Tokens of memory that the running requests take or will take.
 	Tokens int `json:"t,omitempty"`
 	// Waiting requests have no first token yet.
@@ -25,11 +37,21 @@
 
 func (l *Load) add(other Load) {
 	l.Running += other.Running
-	l.Prefill += other.Prefill
+	for urgency, tokens := range other.Prefill {
+		l.Prefill[urgency] += tokens
+	}
 	l.Tokens += other.Tokens
 	l.Waiting += other.Waiting
 }
 
+// read takes a request's prompt off what is still to be read.
+func (l *Load) read(request Load) {
+	for urgency, tokens := range request.Prefill {
+		l.Prefill[urgency] -= tokens
+	}
+	l.Waiting--
+}
+
 // Sent is a prompt that a process sent to an engine.
 type Sent struct {
 	Backend string  `json:"b"`
@@ -123,7 +145,7 @@
 	entry := b.of(choice.Backend.ID)
 	load := Load{Running: 1, Waiting: 1}
 	if len(need.Pieces) > 0 || need.PromptTokens > 0 {
-		load.Prefill = choice.Uncached
+		load.Prefill[min(need.Urgency, Urgencies-1)] = choice.Uncached
 		load.Tokens = need.PromptTokens + need.AnswerTokens
 		b.notePrompt(entry, choice.Backend.ID, need)
 	}
@@ -152,8 +174,7 @@
 	}
 	t.started = true
 	entry := t.book.of(t.backend)
-	entry.own.Prefill -= t.load.Prefill
-	entry.own.Waiting--
+	entry.own.read(t.load)
 	t.book.observe(entry, t.model, t.predicted, time.Since(t.sentAt))
 }
 
@@ -170,8 +191,7 @@
 	}
 	entry := t.book.of(t.backend)
 	if !t.started {
-		entry.own.Prefill -= t.load.Prefill
-		entry.own.Waiting--
+		entry.own.read(t.load)
 	}
 	entry.own.Running--
 	entry.own.Tokens -= t.load.Tokens
--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -20,6 +20,8 @@
 	Pieces       []Piece
 	PromptTokens int
 	AnswerTokens int
+	// Urgency ranks the request; 0 is the most urgent.
+	Urgency int
 	// CacheTokens is an engine's memory for prompts and answers.
 	CacheTokens int
 }
@@ -31,6 +33,8 @@
 	Wait time.Duration
 	// Uncached is the prompt tokens that the engine has to read.
 	Uncached int
+	// Load of the back end as it was known.
+	Load Load
 	// Full tells that the back end has no free place or memory now.
 	Full bool
 }
@@ -107,7 +111,7 @@
 
 func (c *Chooser) predict(need Need, state *fleet.State, entry *backendBook, now time.Time) Choice {
 	load := c.Book.total(state.ID, entry, now)
-	choice := Choice{Backend: state}
+	choice := Choice{Backend: state, Load: load}
 	if need.Model == "" {
 		choice.Full = state.Slots > 0 && load.Running >= state.Slots
 		perSlot := float64(load.Running) / float64(max(1, state.Slots))
@@ -135,7 +139,7 @@
 		kept = entry.cache.kept(need.Pieces)
 	}
 	choice.Uncached = max(1, need.PromptTokens-kept)
-	work := prefillTime(load.Prefill + choice.Uncached)
+	work := prefillTime(load.ahead(need.Urgency) + choice.Uncached)
 	work += time.Duration(load.Running) * tokenTime
 	step := stepTime + time.Duration(load.Running)*stepTimePerRunning
 	choice.Wait = time.Duration(c.Book.paceOf(need.Model)*float64(work)) + step
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -104,10 +104,18 @@
 	residency map[string]Residency
 	term      int64
 	revision  int64
+	// disks tell when a model was last seen on the engine at an address: a restart keeps the
+	// disk, though the engine gets a new id.
+	disks map[disk]map[string]time.Time
 	// misses are models or adapters that an engine said it lacks, until when that is believed.
 	misses map[miss]time.Time
 }
 
+// disk names what outlives an engine's restart.
+type disk struct {
+	service, address string
+}
+
 type miss struct {
 	backend, model, adapter string
 }
@@ -127,6 +135,7 @@
 		states:    map[string]*State{},
 		byService: map[string][]*State{},
 		residency: map[string]Residency{},
+		disks:     map[disk]map[string]time.Time{},
 		misses:    map[miss]time.Time{},
 	}
 }
@@ -168,6 +177,7 @@
 			changes = append(changes, Change{Backend: backend, What: what})
 		}
 		d.states[backend.ID] = d.join(backend, old)
+		d.noteDisk(backend)
 	}
 	for id, state := range d.states {
 		if listed[id] {
@@ -181,6 +191,25 @@
 	return changes
 }
 
+// noteDisk notes what an engine holds. The caller holds the lock.
+func (d *Directory) noteDisk(backend Backend) {
+	key := disk{backend.Service, backend.Address}
+	for _, holding := range backend.Models {
+		if d.disks[key] == nil {
+			d.disks[key] = map[string]time.Time{}
+		}
+		d.disks[key][holding.Model] = time.Now()
+	}
+}
+
+// Disk returns when models were last seen on the engine at a back end's address, also before
+// its latest restart.
+func (d *Directory) Disk(backend Backend) map[string]time.Time {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return maps.Clone(d.disks[disk{backend.Service, backend.Address}])
+}
+
 func changeOf(old *State, now Backend) ChangeKind {
 	switch {
 	case old == nil:
--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -299,7 +299,7 @@
 	}
 	view.Loading = e.loading
 	view.Fresh = e.fresh(time.Now())
-	view.Seen = e.onDisk(service)
+	view.Seen = onDisk(service, e.lastHeld(state))
 	for key := range e.adapters {
 		if model := service.Model(key.model); model != nil {
 			view.AdapterMegabytes += model.AdapterMegabytes
@@ -314,11 +314,26 @@
 // diskShare is the part of an engine's disk that is counted on.
 const diskShare = 0.85
 
-// onDisk are the models that the engine's disk should still have: those held last, as far as
-// they fit. The caller holds the lock.
-func (e *engine) onDisk(service *routes.Service) map[string]bool {
-	models := slices.SortedFunc(maps.Keys(e.seen), func(a, b string) int {
-		return cmp.Or(e.seen[b].Compare(e.seen[a]), cmp.Compare(a, b))
+// lastHeld is when the engine last held each model, by the list and by its own word. The caller
+// holds the lock.
+func (e *engine) lastHeld(state *fleet.State) map[string]time.Time {
+	last := e.controller.Directory.Disk(state.Backend)
+	if last == nil {
+		last = map[string]time.Time{}
+	}
+	for model, at := range e.seen {
+		if at.After(last[model]) {
+			last[model] = at
+		}
+	}
+	return last
+}
+
+// onDisk are the models that an engine's disk should still have: those held last, as far as
+// they fit.
+func onDisk(service *routes.Service, last map[string]time.Time) map[string]bool {
+	models := slices.SortedFunc(maps.Keys(last), func(a, b string) int {
+		return cmp.Or(last[b].Compare(last[a]), cmp.Compare(a, b))
 	})
 	kept := map[string]bool{}
 	room := diskShare * service.Engines.DiskMegabytes
--- a/pkg/residency/plan.go
+++ b/pkg/residency/plan.go
@@ -236,9 +236,14 @@
 		if !ok {
 			continue
 		}
-		cost := p.work(e) + p.lossOf(evict)
-		if e.Seen[model.Name] {
-			cost -= 1
+		harm := p.harm(e, evict)
+		if harm > mostHarm(model) {
+			continue
+		}
+		// The model's own work weighs less on an engine that has little.
+		cost := harm + 2*p.work(e)*model.Demand
+		if !e.Seen[model.Name] {
+			cost += p.in.MoveCost
 		}
 		if !found || cost < bestCost {
 			best, bestCost, found = Move{Engine: e.ID, Model: model.Name, Evict: evict, FromDisk: e.Seen[model.Name], Reason: "no engine holds it"}, cost, true
@@ -247,6 +252,39 @@
 	return best, found
 }
 
+const (
+	// missedHarm is how much the others' squared work may grow for a model that was asked for,
+	// and idleHarm for one that was not.
+	missedHarm = 0.7
+	idleHarm   = 0.05
+)
+
+// mostHarm is how much the others' squared work may grow for a model's first copy.
+func mostHarm(model *PlanModel) float64 {
+	if model.Missed || model.Demand > 0 {
+		return missedHarm + model.Demand
+	}
+	return idleHarm
+}
+
+// harm is how much the squared work of other engines grows when copies leave one.
+func (p *planner) harm(target *planEngine, evict []string) float64 {
+	harm := 0.0
+	for _, e := range p.engines {
+		if e.Leaving || e == target {
+			continue
+		}
+		work, growth := p.work(e), 0.0
+		for _, name := range evict {
+			if slices.Contains(e.Models, name) {
+				growth += p.growth(name)
+			}
+		}
+		harm += (work+growth)*(work+growth) - work*work
+	}
+	return harm
+}
+
 func (p *planner) mayMove(e *planEngine, model *PlanModel) bool {
 	if !e.Usable || e.Leaving || e.moved || slices.Contains(e.Models, model.Name) {
 		return false
@@ -280,24 +318,17 @@
 	return nil, false
 }
 
-// growth is how much work one copy less brings to each other copy.
+// growth is how much work one copy less brings to each other copy: loads under way do not help
+// yet.
 func (p *planner) growth(model string) float64 {
-	copies := p.copies[model]
+	copies := p.confirmed[model]
 	return p.share(model, copies-1) - p.share(model, copies)
 }
 
-func (p *planner) lossOf(evict []string) float64 {
-	loss := 0.0
-	for _, name := range evict {
-		loss += p.share(name, p.copies[name])
-	}
-	return loss
-}
-
 // relieve adds the copy that evens out the engines' work most, if it is worth a move.
 func (p *planner) relieve() (Move, bool) {
 	var best Move
-	bestGain := p.in.MoveCost
+	bestGain := 0.0
 	for _, model := range p.busiest() {
 		for _, e := range p.engines {
 			if !p.mayMove(e, model) {
@@ -307,10 +338,7 @@
 			if !ok {
 				continue
 			}
-			gain := p.gain(model, e, evict)
-			if e.Seen[model.Name] {
-				gain += p.in.MoveCost / 2
-			}
+			gain := p.gain(model, e, evict) - p.cost(evict, e.Seen[model.Name])
 			if gain > bestGain {
 				bestGain = gain
 				best = Move{Engine: e.ID, Model: model.Name, Evict: evict, FromDisk: e.Seen[model.Name], Reason: "demand", Gain: gain}
@@ -320,6 +348,25 @@
 	return best, best.Model != ""
 }
 
+const (
+	// fillShare is the part of a move's cost that a load into free memory has, and diskCost that
+	// of a load from the engine's disk.
+	fillShare = 0.35
+	diskCost  = 0.4
+)
+
+// cost is what a move must gain at least.
+func (p *planner) cost(evict []string, fromDisk bool) float64 {
+	cost := p.in.MoveCost
+	if len(evict) == 0 {
+		cost *= fillShare
+	}
+	if fromDisk {
+		cost *= diskCost
+	}
+	return cost
+}
+
 // triedModels bounds how many busy models are tried for one more copy.
 const triedModels = 12
 
