--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,316 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"ospreymoor.example/ospreymoor/pkg/dispatch"
+	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/residency"
+	"ospreymoor.example/ospreymoor/pkg/routes"
+)
+
+var suiteT *testing.T
+
+func TestGateway(t *testing.T) {
+	suiteT = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Gateway")
+}
+
+// fate is how one sending ends at a fake back end.
+type fate int
+
+const (
+	whole fate = iota
+	notSent
+	refuses
+	brokenBeforeHead
+	brokenBody
+	fails
+	hangs
+	fates
+)
+
+// fakeBackends notes what ran, and has sendings end as chosen.
+type fakeBackends struct {
+	mu sync.Mutex
+	// choose picks the fate of a sending; n counts those of the request.
+	choose func(id string, n int) fate
+	sends  map[string]int
+	runs   map[string]int
+	left   []time.Duration
+	on     []string
+}
+
+const plainBody = "the whole answer"
+
+func (f *fakeBackends) send(ctx context.Context, to fleet.Backend, attempt Attempt) (*Answer, error) {
+	id := attempt.Request.ID
+	f.mu.Lock()
+	f.sends[id]++
+	n := f.sends[id]
+	f.left = append(f.left, attempt.Left)
+	f.on = append(f.on, to.ID)
+	f.mu.Unlock()
+	chosen := f.choose(id, n)
+	switch chosen {
+	case notSent:
+		return nil, ErrNotSent
+	case refuses:
+		return &Answer{Status: http.StatusServiceUnavailable, NotExecuted: true, Body: io.NopCloser(strings.NewReader("")), Header: http.Header{}}, nil
+	}
+	f.mu.Lock()
+	f.runs[id]++
+	f.mu.Unlock()
+	switch chosen {
+	case brokenBeforeHead:
+		return nil, ErrBroken
+	case fails:
+		return &Answer{Status: http.StatusInternalServerError, Header: http.Header{"Seal": {"s"}}, Body: io.NopCloser(strings.NewReader("failed"))}, nil
+	case hangs:
+		<-ctx.Done()
+		return nil, ErrBroken
+	}
+	text := plainBody
+	if attempt.Request.Model != "" {
+		text = events(attempt.LastEventID)
+	}
+	var body io.Reader = strings.NewReader(text)
+	if chosen == brokenBody {
+		body = io.MultiReader(strings.NewReader(text[:len(text)/2]), brokenReader{})
+	}
+	return &Answer{Status: http.StatusOK, Header: http.Header{"Seal": {to.ID}}, Body: io.NopCloser(body)}, nil
+}
+
+// eventCount is how many events answer a stream.
+const eventCount = 6
+
+func events(last string) string {
+	first, _ := strconv.Atoi(last)
+	text := ""
+	for n := first + 1; n <= eventCount; n++ {
+		text += fmt.Sprintf("id: %d\ndata: %d\n\n", n, n)
+	}
+	return text
+}
+
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, errors.New("connection reset") }
+
+// fixture is a gateway on fakes.
+type fixture struct {
+	*Gateway
+	backends *fakeBackends
+}
+
+func newFixture(choose func(id string, n int) fate, machines int) *fixture {
+	f := &fakeBackends{choose: choose, sends: map[string]int{}, runs: map[string]int{}}
+	book := dispatch.NewBook()
+	g := &Gateway{
+		Directory: fleet.New(),
+		Book:      book,
+		Chooser:   &dispatch.Chooser{Book: book},
+		Backends:  Backends{Send: f.send},
+		Ensure: func(context.Context, string, string, string) (residency.Ensured, error) {
+			return residency.Ensured{Ready: 2 * time.Second}, residency.ErrNoPlace
+		},
+		Log: zap.NewNop(),
+		Set: metrics.NewSet(),
+	}
+	g.uses.running = map[residency.Use]int{}
+	g.budget = newRepeatBudget(RetryLimits{Ratio: 0.2, Slack: 50}, func() int { return machines })
+	route := func(path string, kind routes.Kind, service string, resumable bool) routes.Route {
+		return routes.Route{
+			Name: path, Host: "h", PathPrefix: path, Kind: kind, Resumable: resumable, Timeout: 3 * time.Second,
+			Target: 800 * time.Millisecond, MaxAttempts: 2, Shares: []routes.Share{{Service: service, Weight: 1}},
+		}
+	}
+	engines := &routes.Engines{Slots: 8, CacheTokens: 100_000, Models: []routes.Model{{Name: "m"}, {Name: "nowhere"}}}
+	g.SetTable(routes.New(1, []routes.Route{
+		route("/once/", routes.Once, "plain", false),
+		route("/safe/", routes.Repeatable, "plain", false),
+		route("/stream/", routes.Stream, "engines", true),
+		route("/strict/", routes.Stream, "engines", false),
+	}, []routes.Service{{Name: "plain"}, {Name: "engines", Engines: engines}}, routes.Limits{}))
+	var list []fleet.Backend
+	for n := range 4 {
+		list = append(list, fleet.Backend{ID: fmt.Sprint("p", n), Service: "plain", Slots: 8, Revision: 1})
+		list = append(list, fleet.Backend{ID: fmt.Sprint("e", n), Service: "engines", Slots: 8, Revision: 1, Models: []fleet.Holding{{Model: "m"}}})
+	}
+	g.Directory.SetList(1, list)
+	return &fixture{Gateway: g, backends: f}
+}
+
+// caller is a response writer that knows whether the answer was broken off.
+type caller struct {
+	*httptest.ResponseRecorder
+	aborted bool
+}
+
+func (f *fixture) ask(ctx context.Context, id, path, model string) *caller {
+	c := &caller{ResponseRecorder: httptest.NewRecorder()}
+	request := &Request{
+		ID: id, Arrived: time.Now(), Deadline: time.Now().Add(4 * time.Second), Method: http.MethodPost, URI: path, Path: path,
+		Host: "h", Header: http.Header{}, Model: model, PromptTokens: 200, AnswerTokens: 20,
+	}
+	err := f.Serve(ctx, c, request)
+	c.aborted = errors.Is(err, ErrAborted)
+	return c
+}
+
+// refused tells whether a status promises that the request never runs.
+func refused(status int) bool { return status == http.StatusServiceUnavailable }
+
+var _ = Describe("a gateway", func() {
+	It("runs what may run once at most once, and never what it said was not run", func() {
+		synctest.Test(suiteT, func(*testing.T) {
+			defer GinkgoRecover()
+			for seed := range uint64(40) {
+				random := rand.New(rand.NewPCG(seed, 3))
+				f := newFixture(func(string, int) fate { return fate(random.IntN(int(fates))) }, 1)
+				for n := range 20 {
+					id := fmt.Sprint(seed, "-", n)
+					path, model := "/once/x", ""
+					if n%2 == 0 {
+						path, model = "/strict/x", "m"
+					}
+					got := f.ask(context.Background(), id, path, model)
+					Expect(f.backends.runs[id]).To(BeNumerically("<=", 1), id)
+					if refused(got.Code) {
+						Expect(f.backends.runs[id]).To(BeZero(), id)
+						Expect(got.Header().Get("Retry-After")).NotTo(BeEmpty())
+					}
+					if got.Code == http.StatusOK && !got.aborted {
+						Expect(got.Body.String()).To(Or(Equal(plainBody), Equal(events(""))))
+					}
+				}
+			}
+		})
+	})
+
+	It("joins resumable streams cleanly, under the first back end's head, or breaks them off", func() {
+		synctest.Test(suiteT, func(*testing.T) {
+			defer GinkgoRecover()
+			for seed := range uint64(60) {
+				random := rand.New(rand.NewPCG(seed, 4))
+				f := newFixture(func(string, int) fate { return fate(random.IntN(int(fates))) }, 1)
+				got := f.ask(context.Background(), "r", "/stream/x", "m")
+				if got.Code != http.StatusOK {
+					continue
+				}
+				if got.aborted {
+					Expect(events("")).To(HavePrefix(got.Body.String()))
+				} else {
+					Expect(got.Body.String()).To(Equal(events("")))
+				}
+				Expect(f.backends.on).To(ContainElement(got.Header().Get("Seal")))
+			}
+		})
+	})
+
+	It("sends a request again only within the route's attempts", func() {
+		synctest.Test(suiteT, func(*testing.T) {
+			defer GinkgoRecover()
+			f := newFixture(func(string, int) fate { return brokenBeforeHead }, 1)
+			got := f.ask(context.Background(), "r", "/safe/x", "")
+			Expect(f.backends.runs["r"]).To(Equal(2))
+			Expect(got.Code).To(Equal(http.StatusServiceUnavailable))
+		})
+	})
+
+	It("passes a back end's failure on when no other one does better", func() {
+		f := newFixture(func(string, int) fate { return fails }, 1)
+		got := f.ask(context.Background(), "r", "/safe/x", "")
+		Expect(got.Code).To(Equal(http.StatusInternalServerError))
+		Expect(got.Header().Get("Seal")).To(Equal("s"))
+		Expect(got.Body.String()).To(Equal("failed"))
+	})
+
+	It("gives its final answer at the route's time, and tells back ends what is left", func() {
+		synctest.Test(suiteT, func(*testing.T) {
+			defer GinkgoRecover()
+			f := newFixture(func(string, int) fate { return hangs }, 1)
+			begun := time.Now()
+			got := f.ask(context.Background(), "r", "/once/x", "")
+			Expect(got.Code).To(Equal(http.StatusGatewayTimeout))
+			Expect(time.Since(begun)).To(Equal(3 * time.Second))
+			Expect(f.backends.left[0]).To(BeNumerically("<=", 3*time.Second))
+		})
+	})
+
+	It("refuses at once what no engine can be given in time, with when to come back", func() {
+		synctest.Test(suiteT, func(*testing.T) {
+			defer GinkgoRecover()
+			f := newFixture(func(string, int) fate { return whole }, 1)
+			begun := time.Now()
+			got := f.ask(context.Background(), "r", "/stream/x", "nowhere")
+			Expect(got.Code).To(Equal(http.StatusServiceUnavailable))
+			Expect(got.Header().Get("Retry-After")).To(Equal("2.000"))
+			Expect(time.Since(begun)).To(BeNumerically("<", 200*time.Millisecond))
+		})
+	})
+
+	It("answers 503, never 404, while it knows no configuration", func() {
+		f := newFixture(func(string, int) fate { return whole }, 1)
+		f.table.Store(nil)
+		Expect(f.ask(context.Background(), "r", "/once/x", "").Code).To(Equal(http.StatusServiceUnavailable))
+		Expect(f.ask(context.Background(), "r", "/nowhere/x", "").Code).To(Equal(http.StatusServiceUnavailable))
+	})
+
+	It("never goes back to an older configuration", func() {
+		f := newFixture(func(string, int) fate { return whole }, 1)
+		Expect(f.SetTable(routes.New(1, nil, nil, routes.Limits{}))).To(BeFalse())
+		Expect(f.SetTable(routes.New(2, nil, nil, routes.Limits{}))).To(BeTrue())
+		Expect(f.SetTable(routes.New(1, nil, nil, routes.Limits{}))).To(BeFalse())
+		Expect(f.Table().Version).To(Equal(int64(2)))
+	})
+
+	It("keeps repeats within its share of the budget, whatever fails", func() {
+		const machines = 5
+		f := newFixture(func(string, int) fate { return brokenBeforeHead }, machines)
+		const requests = 400
+		for n := range requests {
+			f.ask(context.Background(), fmt.Sprint(n), "/safe/x", "")
+		}
+		total := 0
+		for _, n := range f.backends.sends {
+			total += n
+		}
+		Expect(total - requests).To(BeNumerically(">", 0))
+		Expect(float64(total - requests)).To(BeNumerically("<=", 0.2*requests+50.0/machines))
+	})
+
+	It("does not count as a repeat what never reached a back end", func() {
+		synctest.Test(suiteT, func(*testing.T) {
+			defer GinkgoRecover()
+			f := newFixture(func(_ string, n int) fate {
+				if n == 1 {
+					return notSent
+				}
+				return whole
+			}, 1000)
+			for n := range 50 {
+				Expect(f.ask(context.Background(), fmt.Sprint(n), "/once/x", "").Code).To(Equal(http.StatusOK))
+				time.Sleep(time.Second) // The back end that took no connection is tried again.
+			}
+		})
+	})
+})
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -182,7 +182,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	answer := yieldAnswer{Ages: ages, Others: min(now.Sub(g.started), g.turn-g.fromOthers.Sub(now))}
+	answer := yieldAnswer{Ages: ages, Others: now.Sub(g.started)}
+	if !g.fromOthers.IsZero() {
+		answer.Others = min(answer.Others, g.turn-g.fromOthers.Sub(now))
+	}
 	for engine, at := range g.from {
 		age := g.turn - at.Sub(now)
 		if known, ok := ages[engine]; !ok || age < known {
--- /dev/null
+++ b/pkg/dispatch/dispatch_test.go
@@ -0,0 +1,155 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreymoor.example/ospreymoor/pkg/dispatch"
+	"ospreymoor.example/ospreymoor/pkg/fleet"
+)
+
+func TestDispatch(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Dispatch")
+}
+
+func engines(n int) []*fleet.State {
+	directory := fleet.New()
+	var list []fleet.Backend
+	for i := range n {
+		list = append(list, fleet.Backend{ID: fmt.Sprint("e", i), Service: "s", Zone: "z", Slots: 8, Revision: 1})
+	}
+	directory.SetList(1, list)
+	return directory.Of("s")
+}
+
+func need(own string) dispatch.Need {
+	parts := []dispatch.Part{{ID: "a", Tokens: 3000}, {ID: "b", Tokens: 3000}, {ID: own, Tokens: 500}}
+	return dispatch.Need{
+		Service: "s", Model: "m", Pieces: dispatch.Pieces("m", "", parts), PromptTokens: 6500, AnswerTokens: 50, CacheTokens: 200_000,
+	}
+}
+
+var _ = Describe("a chooser", func() {
+	var book *dispatch.Book
+	var chooser *dispatch.Chooser
+	BeforeEach(func() {
+		book = dispatch.NewBook()
+		chooser = &dispatch.Chooser{Book: book, Zone: "z"}
+	})
+
+	It("sends prompts that share a beginning where it is kept, until waiting there costs more", func() {
+		states := engines(4)
+		first, ok := chooser.Choose(need("x"), states)
+		Expect(ok).To(BeTrue())
+		book.Begin(first, need("x")).End()
+		second, _ := chooser.Choose(need("y"), states)
+		Expect(second.Backend.ID).To(Equal(first.Backend.ID))
+		Expect(second.Uncached).To(Equal(500))
+		for n := range 20 {
+			book.Begin(second, need(fmt.Sprint("z", n)))
+		}
+		third, _ := chooser.Choose(need("q"), states)
+		Expect(third.Backend.ID).NotTo(Equal(first.Backend.ID))
+	})
+
+	It("has all machines prefer one engine for a prompt that none keeps", func() {
+		states := engines(6)
+		first, _ := chooser.Choose(need("x"), states)
+		for range 5 {
+			other := dispatch.NewBook()
+			choice, _ := (&dispatch.Chooser{Book: other, Zone: "z"}).Choose(need("y"), states)
+			Expect(choice.Backend.ID).To(Equal(first.Backend.ID))
+		}
+	})
+
+	It("counts what peers have under way, and forgets it after a while", func() {
+		states := engines(2)
+		book.Hear("peer", dispatch.News{Loads: map[string]dispatch.Load{"e0": {Running: 8}, "e1": {}}})
+		for range 5 {
+			choice, _ := chooser.Choose(dispatch.Need{Service: "s"}, states)
+			Expect(choice.Backend.ID).To(Equal("e1"))
+		}
+		Expect(book.Total("e0").Running).To(Equal(8))
+	})
+
+	It("looks only at prompts that are at least as urgent", func() {
+		states := engines(1)
+		for n := range 10 {
+			less := need(fmt.Sprint("l", n))
+			less.Urgency = 2
+			choice, _ := chooser.Choose(less, states)
+			book.Begin(choice, less)
+		}
+		urgent, _ := chooser.Choose(need("u"), states)
+		patient := need("p")
+		patient.Urgency = 2
+		later, _ := chooser.Choose(patient, states)
+		Expect(later.Wait).To(BeNumerically(">", urgent.Wait+20*time.Millisecond))
+	})
+
+	It("leaves back ends alone that fail more than the others, and tries them again later", func() {
+		states := engines(4)
+		for range 12 {
+			book.Verdict("e0", false)
+			for _, id := range []string{"e1", "e2", "e3"} {
+				book.Verdict(id, true)
+			}
+		}
+		for range 50 {
+			choice, _ := chooser.Choose(dispatch.Need{Service: "s"}, states)
+			Expect(choice.Backend.ID).NotTo(Equal("e0"))
+		}
+		only, ok := chooser.Choose(dispatch.Need{Service: "s"}, states[:1])
+		Expect(ok).To(BeTrue())
+		Expect(only.Backend.ID).To(Equal("e0"))
+	})
+
+	It("does not eject anybody when all fail alike", func() {
+		states := engines(2)
+		for range 30 {
+			book.Verdict("e0", false)
+			book.Verdict("e1", false)
+		}
+		seen := map[string]bool{}
+		for range 100 {
+			choice, ok := chooser.Choose(dispatch.Need{Service: "s"}, states)
+			Expect(ok).To(BeTrue())
+			seen[choice.Backend.ID] = true
+		}
+		Expect(seen).To(HaveLen(2))
+	})
+
+	It("gives back all that a request took, however it ends", func() {
+		states := engines(1)
+		choice, _ := chooser.Choose(need("x"), states)
+		for n := range 4 {
+			ticket := book.Begin(choice, need("x"))
+			if n%2 == 0 {
+				ticket.Started()
+			}
+			ticket.End()
+			ticket.End()
+			ticket.Started()
+		}
+		Expect(book.Loads()).To(BeEmpty())
+	})
+})
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{18, 140, 600} {
+		b.Run(fmt.Sprint(n, "engines"), func(b *testing.B) {
+			states := engines(n)
+			chooser := &dispatch.Chooser{Book: dispatch.NewBook(), Zone: "z"}
+			request := need("x")
+			b.ReportAllocs()
+			for b.Loop() {
+				chooser.Choose(request, states)
+			}
+		})
+	}
+}
