--- a/internal/cmd/dev.go
+++ b/internal/cmd/dev.go
@@ -11,13 +11,15 @@
 	"ospreymoor.example/ospreymoor/internal/dev"
 )
 
-// ospreymoor dev [--once]
+// ospreymoor dev [--once] [--platform]
 //
 // Runs a platform, engines, plain services and the entry boxes of two halls in this
 // process, on free ports of loopback, with an example bundle of each user in force.
 type devCommand struct {
 	Once bool `name:"once" help:"Send a few requests, print the answers and exit: 0 if all went well."`
 	Logs bool `name:"logs" help:"Print the boxes' log lines too."`
+	// Platform shows the path on the users' platform instead.
+	Platform bool `name:"platform" help:"Show the path on the users' platform, on stand-ins of it."`
 }
 
 // devStartTime bounds the time until all models are loaded.
@@ -37,6 +39,9 @@
 			return err
 		}
 	}
+	if c.Platform {
+		return c.runOnPlatform(ctx, log, out)
+	}
 	fleet, err := dev.Start(dev.Options{FirstToken: devFirstToken, TokenTime: devTokenTime, Log: log})
 	if err != nil {
 		return err
