--- a/internal/gateway/cluster.go
+++ b/internal/gateway/cluster.go
@@ -18,6 +18,7 @@
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
 	"ospreymoor.example/ospreymoor/pkg/fleet"
 	"ospreymoor.example/ospreymoor/pkg/kv"
+	"ospreymoor.example/ospreymoor/pkg/logfield"
 	"ospreymoor.example/ospreymoor/pkg/mirror"
 	"ospreymoor.example/ospreymoor/pkg/residency"
 )
@@ -187,7 +188,7 @@
 		first := m.failures == 1
 		c.mu.Unlock()
 		if first && ctx.Err() == nil {
-			c.log.Info("peer lost", zap.String("peer", name), zap.Error(err))
+			c.log.Info("peer lost", zap.String("peer", name), logfield.Error(err))
 		}
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
 	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/logfield"
 	"ospreymoor.example/ospreymoor/pkg/residency"
 	"ospreymoor.example/ospreymoor/pkg/routes"
 )
@@ -274,8 +275,9 @@
 	left = time.Until(r.patience)
 	wait := max(retryWait, min(ensured.Ready, left/2))
 	if ensured.Ready > left || left < retryWait {
-		r.gateway.Log.Debug("not provided", zap.String("id", r.request.ID), zap.String("model", r.need.Model),
-			zap.String("adapter", r.need.Adapter), zap.Duration("ready", ensured.Ready), zap.Error(err))
+		r.gateway.Log.Info("not provided", zap.String("id", r.request.ID), zap.String("model", r.need.Model),
+			zap.String("adapter", r.need.Adapter), zap.Duration("ready", ensured.Ready),
+			zap.Int64("term", ensured.Term), logfield.Error(err))
 		return 0, r.giveUp(why, max(soon, ensured.Ready))
 	}
 	return wait, nil
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
+	"ospreymoor.example/ospreymoor/pkg/logfield"
 )
 
 // refuse gives a final answer of our own.
@@ -49,7 +50,7 @@
 		zap.Ints("prefill", load.Prefill[:]),
 		zap.Int64("listRevision", choice.Backend.Revision),
 		zap.Duration("listAge", time.Since(choice.Backend.Listed)),
-		zap.Error(err))
+		logfield.Error(err))
 }
 
 // logEnd tells how a request ended.
@@ -83,7 +84,8 @@
 		zap.Int("memory", r.choice.Load.Tokens),
 		zap.Duration("took", took),
 		zap.Int64("configVersion", g.tableVersion()),
-		zap.Error(err))
+		zap.Int64("listRevision", g.Directory.Revision()),
+		logfield.Error(err))
 }
 
 func (g *Gateway) tableVersion() int64 {
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -15,6 +15,7 @@
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
 	"ospreymoor.example/ospreymoor/pkg/fleet"
 	"ospreymoor.example/ospreymoor/pkg/lease"
+	"ospreymoor.example/ospreymoor/pkg/logfield"
 	"ospreymoor.example/ospreymoor/pkg/mirror"
 	"ospreymoor.example/ospreymoor/pkg/residency"
 	"ospreymoor.example/ospreymoor/pkg/routes"
@@ -121,7 +122,7 @@
 		Idle:    n.watchIdle,
 		Reached: func(err error) {
 			if err != nil {
-				n.config.Log.Warn("store lost", zap.Error(err))
+				n.config.Log.Warn("store lost", logfield.Error(err))
 			} else {
 				n.config.Log.Info("store regained")
 			}
--- a/internal/gateway/orderlease.go
+++ b/internal/gateway/orderlease.go
@@ -11,6 +11,7 @@
 
 	"ospreymoor.example/ospreymoor/internal/peer"
 	"ospreymoor.example/ospreymoor/pkg/kv"
+	"ospreymoor.example/ospreymoor/pkg/logfield"
 	"ospreymoor.example/ospreymoor/pkg/residency"
 )
 
@@ -95,7 +96,7 @@
 	defer cancel()
 	_, err := peer.Call[peer.Empty](callCtx, n.cluster.client, address, methodRevoke, revokeRequest{Lease: id})
 	if err != nil {
-		n.config.Log.Info("order lease not revoked: it runs out", zap.Error(err))
+		n.config.Log.Info("order lease not revoked: it runs out", logfield.Error(err))
 	}
 }
 
--- a/internal/gateway/storeview.go
+++ b/internal/gateway/storeview.go
@@ -8,6 +8,7 @@
 
 	"ospreymoor.example/ospreymoor/pkg/fleet"
 	"ospreymoor.example/ospreymoor/pkg/kv"
+	"ospreymoor.example/ospreymoor/pkg/logfield"
 	"ospreymoor.example/ospreymoor/pkg/mirror"
 )
 
@@ -88,7 +89,7 @@
 	v.config = newest
 	table, err := v.platform.Table(state.Records)
 	if err != nil {
-		log.Error("configuration not understood", zap.Int64("revision", newest), zap.Error(err))
+		log.Error("configuration not understood", zap.Int64("revision", newest), logfield.Error(err))
 		return
 	}
 	if table != nil && v.node.Gateway.SetTable(table) {
@@ -125,7 +126,7 @@
 func (v *storeView) decode(record kv.Record) (fleet.Backend, bool) {
 	backend, err := v.platform.Backend(record)
 	if err != nil {
-		v.node.config.Log.Warn("back end not understood", zap.String("key", record.Key), zap.Error(err))
+		v.node.config.Log.Warn("back end not understood", zap.String("key", record.Key), logfield.Error(err))
 	}
 	return backend, err == nil
 }
--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/logfield"
 	"ospreymoor.example/ospreymoor/pkg/routes"
 )
 
@@ -483,5 +484,5 @@
 		zap.Int64("expected", order.Expected),
 		zap.Int64("term", order.Term),
 		zap.Stringer("result", result),
-		zap.Error(err))
+		logfield.Error(err))
 }
