--- a/pkg/dispatch/book.go
+++ b/pkg/dispatch/book.go
@@ -69,6 +69,8 @@
 	mu       sync.Mutex
 	backends map[string]*backendBook
 	peers    map[string]peerLoad
+	// peerCount is how many other processes send to the same back ends.
+	peerCount int
 	// pace is how fast models work, by name: 1 is what the prediction goes by.
 	pace map[string]float64
 	// sent and verdicts are what the peers have not been told yet.
@@ -333,15 +335,39 @@
 	}
 }
 
+// SetPeers tells how many other processes send to the same back ends: where only some of them
+// were heard, theirs stand for all.
+func (b *Book) SetPeers(count int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.peerCount = count
+}
+
 // total is the load of a back end from all processes. The caller holds the lock.
 func (b *Book) total(id string, entry *backendBook, now time.Time) Load {
-	load := entry.own
+	var others Load
+	heard := 0
 	for _, peer := range b.peers {
 		if now.Sub(peer.at) < peerLoadTime {
-			load.add(peer.loads[id])
+			heard++
+			others.add(peer.loads[id])
 		}
 	}
-	return load
+	if heard > 0 && b.peerCount > 2*heard {
+		others.scale(float64(b.peerCount) / float64(heard))
+	}
+	others.add(entry.own)
+	return others
+}
+
+// scale multiplies a load.
+func (l *Load) scale(by float64) {
+	l.Running = int(by * float64(l.Running))
+	l.Waiting = int(by * float64(l.Waiting))
+	l.Tokens = int(by * float64(l.Tokens))
+	for urgency := range l.Prefill {
+		l.Prefill[urgency] = int(by * float64(l.Prefill[urgency]))
+	}
 }
 
 // Total is the load of a back end from all processes.
