--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -134,8 +134,9 @@
 			return nil, now.Add(g.turn), true
 		}
 	}
-	if over := gained.Add(g.held); time.Now().After(over) {
-		return nil, over.Add(g.turn), true
+	// It is asked again and again meanwhile: a machine that was frozen or cut off comes back.
+	if over := gained.Add(g.held + g.turn); time.Now().After(over) {
+		return nil, over, true
 	}
 	return nil, time.Time{}, false
 }
--- a/internal/gateway/turn_test.go
+++ b/internal/gateway/turn_test.go
@@ -74,11 +74,28 @@
 		guard.cluster.nodes = map[string]*member{}
 		begun := time.Now()
 		guard.changed(7)
-		Consistently(func() bool { return guard.isOpen(7) }).WithTimeout(250 * time.Millisecond).Should(BeFalse())
-		Eventually(func() bool { return guard.isOpen(7) }).Should(BeTrue())
+		Consistently(func() bool { return guard.isOpen(7) }).WithTimeout(500 * time.Millisecond).Should(BeFalse())
+		Eventually(func() bool { return guard.isOpen(7) }).WithTimeout(2 * time.Second).Should(BeTrue())
+		Expect(time.Now()).To(BeTemporally(">=", begun.Add(300*time.Millisecond+turnTime)))
 		Expect(guard.notBefore("any")).To(BeTemporally(">=", begun.Add(300*time.Millisecond+turnTime)))
 	})
 
+	It("begins as soon as the former one can be asked after all", func() {
+		guard, _ := formerHolder(func(yieldRequest) yieldAnswer {
+			return yieldAnswer{Ages: map[string]time.Duration{}, Others: time.Hour}
+		})
+		guard.held = time.Hour
+		old := guard.cluster.nodes["old"]
+		guard.cluster.nodes = map[string]*member{}
+		guard.changed(7)
+		Consistently(func() bool { return guard.isOpen(7) }).WithTimeout(300 * time.Millisecond).Should(BeFalse())
+		guard.cluster.mu.Lock()
+		guard.cluster.nodes["old"] = old
+		guard.cluster.mu.Unlock()
+		Eventually(func() bool { return guard.isOpen(7) }).WithTimeout(2 * time.Second).Should(BeTrue())
+		Expect(guard.notBefore("any")).To(BeTemporally("<=", time.Now()))
+	})
+
 	It("begins at once when it was the last to give orders itself", func() {
 		guard, store := formerHolder(nil)
 		value, err := json.Marshal(lastHolder{Name: "new"})
--- a/pkg/dispatch/book.go
+++ b/pkg/dispatch/book.go
@@ -99,6 +99,9 @@
 	peerLoadTime = 2 * time.Second
 	// keptShare is the part of an engine's memory that is counted on for kept prompts.
 	keptShare = 0.7
+	// allHeard is up to how many peers all of them are heard: one that is silent is cut off or
+	// gone then, and the others do not stand for it.
+	allHeard = 16
 	// maxSentKept bounds what is remembered for the peers between two exchanges.
 	maxSentKept = 2000
 )
@@ -353,7 +356,7 @@
 			others.add(peer.loads[id])
 		}
 	}
-	if heard > 0 && b.peerCount > 2*heard {
+	if heard > 0 && b.peerCount > allHeard && b.peerCount > 2*heard {
 		others.scale(float64(b.peerCount) / float64(heard))
 	}
 	others.add(entry.own)
