--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -203,6 +203,7 @@
 	for _, move := range Plan(input) {
 		c.start(name, service, move)
 	}
+	c.prefetch(name, service, now)
 }
 
 func (c *Controller) unspentLoads() int {
--- a/pkg/residency/controller_test.go
+++ b/pkg/residency/controller_test.go
@@ -133,7 +133,7 @@
 	}}
 	for n := range 7 {
 		service.Engines.Models = append(service.Engines.Models, routes.Model{
-			Name: fmt.Sprint("m", n), Megabytes: modelMegabytes, LoadTime: loadTime, Adapters: 5, AdapterMegabytes: 0.5,
+			Name: fmt.Sprint("m", n), Megabytes: modelMegabytes, LoadTime: loadTime, Adapters: []string{"a0", "a1", "a2", "a3", "a4"}, AdapterMegabytes: 0.5,
 		})
 	}
 	table := routes.New(1, nil, []routes.Service{service}, routes.Limits{})
--- a/pkg/routes/routes.go
+++ b/pkg/routes/routes.go
@@ -64,7 +64,8 @@
 	// LoadTime is how long a load from the weight store takes, DiskLoadTime one from the engine's disk.
 	LoadTime     time.Duration
 	DiskLoadTime time.Duration
-	Adapters     int
+	// Adapters are the names of its adapters.
+	Adapters []string
 	// AdapterMegabytes is the memory of one adapter.
 	AdapterMegabytes float64
 }
