Ask the store less often where there are many machines

Beyond 17 machines those that do not watch for all ask every 10 to 20 s and hear of changes by the exchange.

--- a/internal/gateway/storeview.go
+++ b/internal/gateway/storeview.go
@@ -31,6 +31,10 @@
 	firstIdle  = 400 * time.Millisecond
 	secondIdle = 800 * time.Millisecond
 	otherIdle  = 5 * time.Second
+	// manyQuiet and manyIdle are those of the others where there are many machines: what these
+	// ask must not grow with the fleet.
+	manyQuiet = 10 * time.Second
+	manyIdle  = 20 * time.Second
 )
 
 func (n *Node) watchQuiet() time.Duration {
@@ -40,6 +44,9 @@
 	if n.cluster.watchRank() < 2 {
 		return watcherQuiet
 	}
+	if n.cluster.machines() > fullMesh {
+		return manyQuiet
+	}
 	return otherQuiet
 }
 
@@ -50,6 +57,9 @@
 	case 1:
 		return secondIdle
 	}
+	if n.cluster.machines() > fullMesh {
+		return manyIdle
+	}
 	return otherIdle
 }
 
