--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -125,10 +125,14 @@
 }
 
 // SettingsTable lists the flags of serve as a table for the page of settings.
-func SettingsTable() string {
+func SettingsTable() string { return settingsTable(reflect.TypeFor[serveCommand]()) }
+
+// NodeSettingsTable lists the flags of node as a table for the page of settings.
+func NodeSettingsTable() string { return settingsTable(reflect.TypeFor[nodeCommand]()) }
+
+func settingsTable(command reflect.Type) string {
 	var table strings.Builder
 	table.WriteString("| flag | variable | default | meaning |\n| --- | --- | --- | --- |\n")
-	command := reflect.TypeFor[serveCommand]()
 	for i := range command.NumField() {
 		tag := command.Field(i).Tag
 		initial := tag.Get("default")
--- a/internal/cmd/settings_test.go
+++ b/internal/cmd/settings_test.go
@@ -19,4 +19,10 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(page)).To(ContainSubstring(SettingsTable()), "put this table into the page:\n"+SettingsTable())
 	})
+
+	It("lists each flag of node with its variable, default and meaning", func() {
+		page, err := os.ReadFile("../../docs/operating/settings.md")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(page)).To(ContainSubstring(NodeSettingsTable()), "put this table into the page:\n"+NodeSettingsTable())
+	})
 })
