Plan by the engines that a move touches

Cause: a plan for 600 engines and 440 models took 3.75 s, for 140 and 305 10.7 ms five times a second: each candidate move summed the work of all engines anew. Now work and holders are kept and only what a move touches is looked at.

--- a/pkg/residency/plan.go
+++ b/pkg/residency/plan.go
@@ -98,7 +98,9 @@
 	copies    map[string]int
 	confirmed map[string]int
 	// zones counts a model's copies by zone.
-	zones      map[string]map[string]int
+	zones map[string]map[string]int
+	// holders are the engines that hold a model, but for those that leave.
+	holders    map[string][]*planEngine
 	storeLoads int
 }
 
@@ -106,6 +108,8 @@
 	PlanEngine
 	free  float64
 	moved bool
+	// work is what the engine has to do; see refresh.
+	work float64
 }
 
 func newPlanner(in PlanInput) *planner {
@@ -144,9 +148,24 @@
 		p.byID[e.ID] = e
 	}
 	slices.SortFunc(p.engines, func(a, b *planEngine) int { return strings.Compare(a.ID, b.ID) })
+	p.refresh()
 	return p
 }
 
+// refresh computes the engines' work and who holds what, after a move.
+func (p *planner) refresh() {
+	p.holders = make(map[string][]*planEngine, len(p.models))
+	for _, e := range p.engines {
+		e.work = 0
+		for _, model := range e.Models {
+			e.work += p.share(model, p.copies[model])
+			if !e.Leaving {
+				p.holders[model] = append(p.holders[model], e)
+			}
+		}
+	}
+}
+
 func (p *planner) count(model string, e *planEngine, by int) {
 	if e.Leaving {
 		return
@@ -178,6 +197,7 @@
 	if !move.FromDisk {
 		p.storeLoads--
 	}
+	p.refresh()
 	return move
 }
 
@@ -190,15 +210,6 @@
 	return described.Demand / float64(copies)
 }
 
-// work is what an engine has to do.
-func (p *planner) work(e *planEngine) float64 {
-	total := 0.0
-	for _, model := range e.Models {
-		total += p.share(model, p.copies[model])
-	}
-	return total
-}
-
 // cover loads a model that no engine holds: those asked for first.
 func (p *planner) cover() (Move, bool) {
 	var missing []*PlanModel
@@ -241,7 +252,7 @@
 			continue
 		}
 		// The model's own work weighs less on an engine that has little.
-		cost := harm + 2*p.work(e)*model.Demand
+		cost := harm + 2*e.work*model.Demand
 		if !e.Seen[model.Name] {
 			cost += p.in.MoveCost
 		}
@@ -267,20 +278,37 @@
 	return idleHarm
 }
 
+// affected are the engines whose work changes when models come to or leave a target, but for
+// the target itself and for those that leave.
+func (p *planner) affected(target *planEngine, models ...string) []*planEngine {
+	var list []*planEngine
+	for _, model := range models {
+		for _, e := range p.holders[model] {
+			if e != target && !slices.Contains(list, e) {
+				list = append(list, e)
+			}
+		}
+	}
+	return list
+}
+
+// grown is how much work models that leave a target bring to another engine.
+func (p *planner) grown(e *planEngine, evict []string) float64 {
+	growth := 0.0
+	for _, name := range evict {
+		if slices.Contains(e.Models, name) {
+			growth += p.growth(name)
+		}
+	}
+	return growth
+}
+
 // harm is how much the squared work of other engines grows when copies leave one.
 func (p *planner) harm(target *planEngine, evict []string) float64 {
 	harm := 0.0
-	for _, e := range p.engines {
-		if e.Leaving || e == target {
-			continue
-		}
-		work, growth := p.work(e), 0.0
-		for _, name := range evict {
-			if slices.Contains(e.Models, name) {
-				growth += p.growth(name)
-			}
-		}
-		harm += (work+growth)*(work+growth) - work*work
+	for _, e := range p.affected(target, evict...) {
+		after := e.work + p.grown(e, evict)
+		harm += after*after - e.work*e.work
 	}
 	return harm
 }
@@ -388,27 +416,19 @@
 // gain is how much the sum of the engines' squared work falls with a move.
 func (p *planner) gain(model *PlanModel, target *planEngine, evict []string) float64 {
 	copies := p.copies[model.Name]
-	relief := p.share(model.Name, copies) - p.share(model.Name, copies+1)
-	gain := 0.0
-	for _, e := range p.engines {
-		if e.Leaving {
-			continue
-		}
-		before := p.work(e)
-		after := before
-		if e == target {
-			after += p.share(model.Name, copies+1)
-		} else if slices.Contains(e.Models, model.Name) {
+	share := p.share(model.Name, copies+1)
+	relief := p.share(model.Name, copies) - share
+	after := target.work + share
+	for _, name := range evict {
+		after -= p.share(name, p.copies[name])
+	}
+	gain := target.work*target.work - after*after
+	for _, e := range p.affected(target, append(slices.Clone(evict), model.Name)...) {
+		after := e.work + p.grown(e, evict)
+		if slices.Contains(e.Models, model.Name) {
 			after -= relief
 		}
-		for _, name := range evict {
-			if e == target {
-				after -= p.share(name, p.copies[name])
-			} else if slices.Contains(e.Models, name) {
-				after += p.growth(name)
-			}
-		}
-		gain += before*before - after*after
+		gain += e.work*e.work - after*after
 	}
 	if p.zones[model.Name][target.Zone] == 0 {
 		gain += zoneGain * model.Demand
