--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -45,8 +45,13 @@
 	errors io.Writer
 }
 
+// hangUps takes SIGHUP, which would end a process that does not ask for it.
+var hangUps = make(chan os.Signal, 1)
+
 // Main runs one command and returns the process's exit code.
 func Main(args []string, out, errOut io.Writer) int {
+	// Before anything else: a settings file may change while the process starts.
+	signal.Notify(hangUps, syscall.SIGHUP)
 	var line commandLine
 	exited := -1
 	parser, err := kong.New(&line,
--- a/internal/cmd/node.go
+++ b/internal/cmd/node.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -44,8 +42,6 @@
 	set := metrics.NewSet()
 	sink := logging.NewSink(os.Stdout, set)
 	defer sink.Close()
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	return platform.Run(ctx, platform.Options{
 		SettingsFile: c.Settings,
 		MetricsPort:  c.MetricsPort,
@@ -54,6 +50,6 @@
 		Log:          logging.New(level, sink, set),
 		Lifecycle:    logging.Lifecycle(sink),
 		Set:          set,
-		Reload:       reload,
+		Reload:       hangUps,
 	})
 }
