--- a/internal/cmd/dev_platform.go
+++ b/internal/cmd/dev_platform.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -107,8 +106,8 @@
 
 func (c *devCommand) tryPlatform(ctx context.Context, front string, out output) error {
 	for n, example := range platformExamples {
-		_, _ = fmt.Fprintf(out, "%s:\n  curl -sN -H 'Host: %s' -H 'X-Ospreymoor-Request-Id: try-%d' -H 'X-Ospreymoor-Model: %s' -X POST http://%s%s\n",
-			example.about, standin.Host, n, example.model, front, example.path)
+		curl := standin.Curl(front, fmt.Sprint("try-", n), example.path, example.model)
+		_, _ = fmt.Fprintf(out, "%s:\n  %s\n", example.about, curl)
 		if !c.Once {
 			continue
 		}
@@ -130,29 +129,14 @@
 	defer cancel()
 	last := errors.New("not tried")
 	for try := 0; ctx.Err() == nil; try++ {
-		request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front+e.path, nil)
+		reply, err := standin.Ask(ctx, front, fmt.Sprintf("dev-%d-%d", n, try), e.path, e.model)
 		if err != nil {
 			return "", errors.Trace(err)
 		}
-		request.Host = standin.Host
-		request.Header.Set("X-Ospreymoor-Request-Id", fmt.Sprintf("dev-%d-%d", n, try))
-		if e.model != "" {
-			request.Header.Set("X-Ospreymoor-Model", e.model)
-			request.Header.Set("X-Ospreymoor-Token-Count", "100,20")
+		if reply.Status == http.StatusOK {
+			return reply.Body, nil
 		}
-		response, err := http.DefaultClient.Do(request)
-		if err != nil {
-			return "", errors.Trace(err)
-		}
-		text, err := io.ReadAll(response.Body)
-		_ = response.Body.Close()
-		if err != nil {
-			return "", errors.Trace(err)
-		}
-		if response.StatusCode == http.StatusOK {
-			return string(text), nil
-		}
-		last = errors.Errorf("status %d: %s", response.StatusCode, strings.TrimSpace(string(text)))
+		last = errors.Errorf("status %d: %s", reply.Status, strings.TrimSpace(reply.Body))
 		time.Sleep(200 * time.Millisecond)
 	}
 	return "", last
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -14,7 +13,6 @@
 
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
 	"ospreymoor.example/ospreymoor/pkg/fleet"
-	"ospreymoor.example/ospreymoor/pkg/logfield"
 	"ospreymoor.example/ospreymoor/pkg/residency"
 	"ospreymoor.example/ospreymoor/pkg/routes"
 )
@@ -158,149 +156,6 @@
 	return max(parts, request.PromptTokens)
 }
 
-// pick chooses the back end of the next sending, and waits for what has to be loaded first.
-func (r *run) pick(ctx context.Context) (dispatch.Choice, *refusal) {
-	for {
-		choice, why := r.choose()
-		if why == "" && r.admits(choice) {
-			return choice, nil
-		}
-		if why == "" {
-			return choice, r.giveUp(reasonFull, r.comeBack(choice))
-		}
-		wait, refused := r.provide(ctx, why)
-		if refused != nil {
-			return choice, refused
-		}
-		if err := sleep(ctx, wait); err != nil {
-			return choice, r.over(ctx)
-		}
-	}
-}
-
-const (
-	// admitShare is how long a first token may take, by the target, for a request to be admitted:
-	// what comes later than that only holds up the others.
-	admitShare = 1.15
-	// leastComeBack is the least time to come back when engines are full.
-	leastComeBack = 150 * time.Millisecond
-)
-
-// admits tells whether the best back end will answer soon enough. A stream that goes on is not
-// turned away.
-func (r *run) admits(choice dispatch.Choice) bool {
-	if r.need.Model == "" || r.route.Target <= 0 || r.tries > 0 {
-		return true
-	}
-	return choice.Wait <= time.Duration(admitShare*float64(r.route.Target))
-}
-
-// comeBack is when the best back end will probably have room.
-func (r *run) comeBack(choice dispatch.Choice) time.Duration {
-	return max(leastComeBack, choice.Wait-r.route.Target/2)
-}
-
-// choose picks among the back ends that have what the request needs; why tells what is lacking.
-func (r *run) choose() (dispatch.Choice, reason) {
-	all := r.gateway.Directory.Of(r.service)
-	candidates := make([]*fleet.State, 0, len(all))
-	holdModel := false
-	present := false
-	for _, state := range all {
-		if state.Leaving || r.avoids(state.ID) {
-			continue
-		}
-		present = true
-		if r.need.Model != "" {
-			if !state.Holds(r.need.Model) {
-				continue
-			}
-			holdModel = true
-			if !state.HoldsAdapter(r.need.Model, r.need.Adapter) {
-				continue
-			}
-		}
-		if r.gateway.Directory.Missing(state.ID, r.need.Model, r.need.Adapter) {
-			continue
-		}
-		candidates = append(candidates, state)
-	}
-	if choice, ok := r.gateway.Chooser.Choose(r.need, candidates); ok {
-		return choice, ""
-	}
-	switch {
-	case !present:
-		return dispatch.Choice{}, reasonNoBackend
-	case r.need.Model == "":
-		return dispatch.Choice{}, reasonNoBackend
-	case !holdModel:
-		return dispatch.Choice{}, reasonNoModel
-	}
-	return dispatch.Choice{}, reasonNoAdapter
-}
-
-func (r *run) avoids(backend string) bool {
-	return slices.Contains(r.avoid, backend)
-}
-
-// retryWait is the pause before another look at the directory.
-const retryWait = 20 * time.Millisecond
-
-// provide has what is lacking loaded, and tells how long to wait before looking again; it
-// refuses the request if that is longer than it may wait.
-func (r *run) provide(ctx context.Context, why reason) (time.Duration, *refusal) {
-	left := time.Until(r.patience)
-	if why == reasonNoBackend {
-		if left < retryWait {
-			return 0, r.giveUp(why, soon)
-		}
-		return retryWait, nil
-	}
-	if why == reasonNoModel {
-		r.missed()
-	}
-	if left <= 0 {
-		return 0, r.giveUp(why, soon)
-	}
-	askCtx, cancel := context.WithTimeout(ctx, left)
-	defer cancel()
-	ensured, err := r.gateway.Ensure(askCtx, r.service, r.need.Model, r.need.Adapter)
-	if ensured.Backend != "" {
-		r.gateway.Directory.SetResidency(ensured.Term, map[string]fleet.Residency{ensured.Backend: ensured.Residency})
-		return 0, nil
-	}
-	if ctx.Err() != nil {
-		return 0, r.over(ctx)
-	}
-	left = time.Until(r.patience)
-	wait := max(retryWait, min(ensured.Ready, left/2))
-	if ensured.Ready > left || left < retryWait {
-		r.gateway.Log.Info("not provided", zap.String("id", r.request.ID), zap.String("model", r.need.Model),
-			zap.String("adapter", r.need.Adapter), zap.Duration("ready", ensured.Ready),
-			zap.Int64("term", ensured.Term), logfield.Error(err))
-		return 0, r.giveUp(why, max(soon, ensured.Ready))
-	}
-	return wait, nil
-}
-
-// missed tells the order holder of work that no engine could take.
-func (r *run) missed() {
-	if r.noted {
-		return
-	}
-	r.noted = true
-	r.noteWork(r.need.PromptTokens)
-}
-
-func (r *run) noteWork(uncached int) {
-	if r.need.Model == "" || r.gateway.Note == nil {
-		return
-	}
-	work := r.gateway.Book.Work(r.need, uncached)
-	key := residency.ModelKey{Service: r.service, Model: r.need.Model}
-	r.gateway.Note(map[residency.ModelKey]float64{key: float64(work) / float64(time.Millisecond)})
-}
-
 // giveUp is the final answer to a request that goes to no back end any more.
 func (r *run) giveUp(why reason, retryAfter time.Duration) *refusal {
 	if r.tries > 0 && !r.route.Idempotent() {
