Gather changes for two seconds at most, in large fleets too

Ruled out: the exchange (it brings what its partners know). Two seconds lie inside the bound on configuration. Fleets of up to 17 machines run the same code path as before.

--- a/internal/gateway/storeview.go
+++ b/internal/gateway/storeview.go
@@ -31,10 +31,10 @@
 	firstIdle  = 400 * time.Millisecond
 	secondIdle = 800 * time.Millisecond
 	otherIdle  = 5 * time.Second
-	// manyQuiet and manyIdle are those of the others where there are many machines: what these
-	// ask must not grow with the fleet.
-	manyQuiet = 10 * time.Second
-	manyIdle  = 20 * time.Second
+	// manyIdle is that of the others where there are many machines. Their changes are still
+	// gathered for otherQuiet only: a machine hears of them in time by itself, also when those
+	// that watch for all are turned away and not all machines know it yet.
+	manyIdle = 20 * time.Second
 )
 
 func (n *Node) watchQuiet() time.Duration {
@@ -44,9 +44,6 @@
 	if n.cluster.watchRank() < 2 {
 		return watcherQuiet
 	}
-	if n.cluster.machines() > fullMesh {
-		return manyQuiet
-	}
 	return otherQuiet
 }
 
