Let one piece of code wait, sum adapters and ask an engine; no list where a yes will do

Found on reading the whole change again: three copies of a wait that ends with its context (now pkg/pause); the sum of adapters' memory written three times; an engine's report asked for in two ways; the table's version read in two ways. Each exchange between machines built the list of all residencies only to learn whether this machine gives orders: the lease's term says so. Two functions that nothing called any more are gone. Behaviour is as before; specs of the gateway, residency and mirror pass with the race detector.

--- a/internal/gateway/cluster.go
+++ b/internal/gateway/cluster.go
@@ -16,6 +16,7 @@
 	"ospreymoor.example/ospreymoor/pkg/fleet"
 	"ospreymoor.example/ospreymoor/pkg/logfield"
 	"ospreymoor.example/ospreymoor/pkg/mirror"
+	"ospreymoor.example/ospreymoor/pkg/pause"
 	"ospreymoor.example/ospreymoor/pkg/residency"
 )
 
@@ -126,7 +127,7 @@
 	c.askSeeds(ctx)
 	for {
 		c.round(ctx)
-		if sleep(ctx, c.interval()) != nil {
+		if pause.For(ctx, c.interval()) != nil {
 			return
 		}
 	}
@@ -167,14 +168,14 @@
 // message is what one peer is told now. Residencies go along if the peer is known to know less.
 func (c *cluster) message(to string, known fleet.Stamp, withResidencies bool) exchange {
 	box := c.boxes.take(to)
-	_, holding := c.controller.Residencies()
+	_, notHolder := c.controller.Term()
 	message := exchange{
 		From:      c.self,
 		Leaving:   c.leaving(),
 		StoreLost: c.storeLost(),
 		StoreAge:  c.mirror.Age(),
 		Revision:  c.mirror.State().Revision,
-		Holder:    holding != nil,
+		Holder:    notHolder == nil,
 		Stamp:     c.gateway.Directory.Stamp(),
 		News:      dispatch.News{Loads: c.gateway.Book.Loads(), Sent: box.sent, Verdicts: box.verdicts},
 		Uses:      c.gateway.uses.list(),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -255,17 +255,3 @@
 		r.tries++
 	}
 }
-
-func sleep(ctx context.Context, span time.Duration) error {
-	if span <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -17,17 +17,13 @@
 	if r != nil {
 		r.logEnd(refused.status, refused.reason, nil)
 	} else {
-		version := int64(0)
-		if table := g.table.Load(); table != nil {
-			version = table.Version
-		}
 		g.Log.Info("request over",
 			zap.String("id", request.ID),
 			zap.Int("status", refused.status),
 			zap.String("reason", string(refused.reason)),
 			zap.String("host", request.Host),
 			zap.String("path", request.Path),
-			zap.Int64("configVersion", version))
+			zap.Int64("configVersion", g.tableVersion()))
 	}
 	if refused.reason != reasonCallerLeft {
 		refused.write(w)
--- a/internal/gateway/orderlease.go
+++ b/internal/gateway/orderlease.go
@@ -12,6 +12,7 @@
 	"ospreymoor.example/ospreymoor/internal/peer"
 	"ospreymoor.example/ospreymoor/pkg/kv"
 	"ospreymoor.example/ospreymoor/pkg/logfield"
+	"ospreymoor.example/ospreymoor/pkg/pause"
 	"ospreymoor.example/ospreymoor/pkg/residency"
 )
 
@@ -75,7 +76,7 @@
 
 // watchLease has this machine resign when it can't renew the order lease and others could.
 func (n *Node) watchLease(ctx context.Context) {
-	for sleep(ctx, leaseCheck) == nil {
+	for pause.For(ctx, leaseCheck) == nil {
 		claim := n.lease.Claim()
 		if claim.Term == 0 || time.Since(claim.Renewed) < fadingTime {
 			continue
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -10,6 +10,7 @@
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
 	"ospreymoor.example/ospreymoor/pkg/fleet"
 	"ospreymoor.example/ospreymoor/pkg/logfield"
+	"ospreymoor.example/ospreymoor/pkg/pause"
 	"ospreymoor.example/ospreymoor/pkg/residency"
 )
 
@@ -27,7 +28,7 @@
 		if refused != nil {
 			return choice, refused
 		}
-		if err := sleep(ctx, wait); err != nil {
+		if err := pause.For(ctx, wait); err != nil {
 			return choice, r.over(ctx)
 		}
 	}
--- a/internal/gateway/registration.go
+++ b/internal/gateway/registration.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"ospreymoor.example/ospreymoor/pkg/kv"
+	"ospreymoor.example/ospreymoor/pkg/pause"
 )
 
 // registration keeps this machine listed in the store.
@@ -37,7 +38,7 @@
 		if err := r.step(ctx); err != nil {
 			span = registrationRetry
 		}
-		_ = sleep(ctx, span)
+		_ = pause.For(ctx, span)
 	}
 	if r.lease != 0 {
 		ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), registrationRetry)
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"ospreymoor.example/ospreymoor/pkg/kv"
+	"ospreymoor.example/ospreymoor/pkg/pause"
 )
 
 const (
@@ -125,7 +126,7 @@
 		if time.Since(begun) > longPause {
 			wait = firstPause
 		}
-		if pause(ctx, wait) != nil {
+		if pause.For(ctx, wait) != nil {
 			return
 		}
 		wait = min(2*wait, longPause)
@@ -151,23 +152,12 @@
 		if len(batch) == 0 {
 			continue
 		}
-		if m.Quiet != nil && pause(ctx, m.Quiet()) != nil {
+		if m.Quiet != nil && pause.For(ctx, m.Quiet()) != nil {
 			return
 		}
 	}
 }
 
-func pause(ctx context.Context, span time.Duration) error {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Lost tells whether the service could not be reached at the last try.
 func (m *Mirror) Lost() bool {
 	m.mu.Lock()
--- a/pkg/residency/adapters.go
+++ b/pkg/residency/adapters.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/pause"
 	"ospreymoor.example/ospreymoor/pkg/routes"
 )
 
@@ -203,7 +204,7 @@
 		result, _ := e.order(ctx, Order{Operation: Load, Model: key.model, Adapter: key.adapter}, e.hasRoom)
 		switch result {
 		case Accepted:
-			_ = pause(ctx, adapterTime)
+			_ = pause.For(ctx, adapterTime)
 			return pageDone
 		case Already:
 			return pageDone
@@ -228,13 +229,20 @@
 		return false
 	}
 	service := table.Services[e.service]
-	used := e.modelMegabytes()
+	used := e.modelMegabytes() + e.adapterMegabytes(service)
+	return len(e.adapters) <= service.Engines.AdapterSlots && used <= service.Engines.Megabytes
+}
+
+// adapterMegabytes is the memory that the adapters take which are counted. The caller holds the
+// lock.
+func (e *engine) adapterMegabytes(service *routes.Service) float64 {
+	used := 0.0
 	for key := range e.adapters {
 		if model := service.Model(key.model); model != nil {
 			used += model.AdapterMegabytes
 		}
 	}
-	return len(e.adapters) <= service.Engines.AdapterSlots && used <= service.Engines.Megabytes
+	return used
 }
 
 // makeRoom tells whether the engine has room for one adapter that is counted already, or else
--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -192,21 +192,14 @@
 		c.loads.AllowN(now, storeBurst)
 	}
 	input := c.planInput(name, service, states, now)
-	loads := c.loads
+	input.StoreLoads = int(c.loads.TokensAt(now)) - c.planned
 	c.mu.Unlock()
-	input.StoreLoads = int(loads.TokensAt(now)) - c.unspentLoads()
 	for _, move := range Plan(input) {
 		c.start(name, service, move)
 	}
 	c.prefetch(name, service, now)
 }
 
-func (c *Controller) unspentLoads() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.planned
-}
-
 // spendLoad waits until the weight store allows one more load, at the moment of its order: the
 // unloads before it may have taken long.
 func (c *Controller) spendLoad(ctx context.Context, term int64) bool {
@@ -307,30 +300,6 @@
 	c.Directory.SetResidency(term, map[string]fleet.Residency{e.id: e.residency()})
 }
 
-// Residencies returns what this process knows of all engines as the holder, with its term; the
-// term is 0 if it is not the holder.
-func (c *Controller) Residencies() (int64, map[string]fleet.Residency) {
-	term, err := c.Term()
-	if err != nil {
-		return 0, nil
-	}
-	c.mu.Lock()
-	list := make([]*engine, 0, len(c.engines))
-	if term == c.term {
-		for _, e := range c.engines {
-			list = append(list, e)
-		}
-	}
-	c.mu.Unlock()
-	said := make(map[string]fleet.Residency, len(list))
-	for _, e := range list {
-		if residency := e.residency(); residency.Sequence > 0 {
-			said[e.id] = residency
-		}
-	}
-	return term, said
-}
-
 func (c *Controller) logOrder(engine string, order Order, result Result, err error) {
 	c.Log.Info("order",
 		zap.String("engine", engine),
--- a/pkg/residency/engine.go
+++ b/pkg/residency/engine.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/pause"
 )
 
 // engine gives one engine its orders, one at a time.
@@ -69,11 +70,6 @@
 	phaseUnsure
 )
 
-// String names a phase for logs.
-func (p phase) String() string {
-	return [...]string{"loading", "loaded", "leaving", "unsure"}[p]
-}
-
 type adapterState struct {
 	// ready is closed when the load is over; phase then tells how.
 	ready chan struct{}
@@ -154,7 +150,7 @@
 		if result != Conflict && result != Unanswered {
 			return result, err
 		}
-		if pause(ctx, wait) != nil || wait > longConflictPause {
+		if pause.For(ctx, wait) != nil || wait > longConflictPause {
 			return result, err
 		}
 		wait *= conflictGrowth
@@ -218,7 +214,7 @@
 		return nil
 	}
 	if since < reportLag {
-		if err := pause(ctx, reportLag-since); err != nil {
+		if err := pause.For(ctx, reportLag-since); err != nil {
 			return err
 		}
 	}
@@ -226,9 +222,7 @@
 	if state == nil {
 		return ErrFailed
 	}
-	callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	report, err := e.controller.Engines.Report(callCtx, state.Backend)
+	report, err := e.ask(ctx, state.Backend)
 	if err != nil {
 		return err
 	}
@@ -359,14 +353,3 @@
 	e.mu.Unlock()
 	e.controller.announce(e)
 }
-
-func pause(ctx context.Context, span time.Duration) error {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/pkg/residency/moves.go
+++ b/pkg/residency/moves.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/pause"
 	"ospreymoor.example/ospreymoor/pkg/routes"
 )
 
@@ -70,7 +71,7 @@
 
 // carryOut gives a move's orders; spent is set when the weight store's rate was drawn upon.
 func (e *engine) carryOut(ctx context.Context, described *routes.Service, move Move, spent *bool) bool {
-	if len(move.Evict) > 0 && pause(ctx, noticeTime) != nil {
+	if len(move.Evict) > 0 && pause.For(ctx, noticeTime) != nil {
 		return false
 	}
 	e.awaitIdle(ctx, move.Evict)
@@ -110,7 +111,7 @@
 		for _, model := range models {
 			running += e.controller.runningModel(e.id, model)
 		}
-		if running == 0 || pause(ctx, pollInterval) != nil {
+		if running == 0 || pause.For(ctx, pollInterval) != nil {
 			return
 		}
 	}
@@ -144,12 +145,7 @@
 func (e *engine) fitsModel(described *routes.Service, model string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	used := e.modelMegabytes()
-	for key := range e.adapters {
-		if other := described.Model(key.model); other != nil {
-			used += other.AdapterMegabytes
-		}
-	}
+	used := e.modelMegabytes() + e.adapterMegabytes(described)
 	return used+described.Model(model).Megabytes <= described.Engines.Megabytes
 }
 
@@ -201,7 +197,7 @@
 			}
 			ask = time.Now().Add(listLag)
 		}
-		if pause(ctx, pollInterval) != nil {
+		if pause.For(ctx, pollInterval) != nil {
 			return false
 		}
 	}
--- a/pkg/residency/view.go
+++ b/pkg/residency/view.go
@@ -67,11 +67,7 @@
 	view.Loading = e.loading
 	view.Fresh = e.fresh(time.Now())
 	view.Seen = onDisk(service, e.lastHeld(state))
-	for key := range e.adapters {
-		if model := service.Model(key.model); model != nil {
-			view.AdapterMegabytes += model.AdapterMegabytes
-		}
-	}
+	view.AdapterMegabytes = e.adapterMegabytes(service)
 	return view
 }
 
