Have one relay a zone sum up its zone; tell peers differences; rest from the store

Change: beyond 17 machines the strongest machine of a zone is its relay; machines tell it what they have under way and hear the sum of all others; relays tell each other their zones' sums and pass prompts and verdicts on. Words of the order holder carry one number each, so that a peer gets what it lacks; deltas of the store's copy name removed keys. A machine whose copy is vouched for by peers does not ask the store. What an older order holder said of an engine holds until the new one speaks of it.

--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -26,6 +27,8 @@
 	// Name of this machine, the same after a restart.
 	Name string
 	Zone string
+	// Cores is the processor time that this machine may use, in cores.
+	Cores float64
 	// PeerAddress is where other machines call this one, IP:PORT.
 	PeerAddress string
 	// Seeds are peer addresses to ask when the store is away at the start.
@@ -58,6 +61,8 @@
 	// mirror is the copy of all that the store holds.
 	mirror *mirror.Mirror
 	view   storeView
+	// restSpread is this machine's part of restSpread.
+	restSpread time.Duration
 	// leaseWake has the order lease looked after at once.
 	leaseWake chan struct{}
 	server    *peer.Server
@@ -69,7 +74,7 @@
 
 // NewNode puts a machine together; Run starts it.
 func NewNode(config Config) *Node {
-	n := &Node{config: config}
+	n := &Node{config: config, restSpread: rand.N(restSpread)}
 	directory := fleet.New()
 	book := dispatch.NewBook()
 	demand := &residency.Demand{}
@@ -87,7 +92,7 @@
 	n.makeMirror()
 	n.makeController(demand)
 	n.cluster = &cluster{
-		self:       node{Name: config.Name, Zone: config.Zone, Address: config.PeerAddress, Incarnation: uuid.NewString()},
+		self:       node{Name: config.Name, Zone: config.Zone, Address: config.PeerAddress, Incarnation: uuid.NewString(), Cores: config.Cores},
 		seeds:      config.Seeds,
 		client:     peer.NewClient(config.PeerSecret, config.Dial, config.Set),
 		gateway:    n.Gateway,
@@ -120,6 +125,7 @@
 		Changed: n.view.take,
 		Quiet:   n.watchQuiet,
 		Idle:    n.watchIdle,
+		Resting: n.watchResting,
 		Reached: func(err error) {
 			if err != nil {
 				n.config.Log.Warn("store lost", logfield.Error(err))
--- a/internal/gateway/orderlease.go
+++ b/internal/gateway/orderlease.go
@@ -21,6 +21,9 @@
 	marginsPerTTL = 4
 	// wakeSpread spreads the machines that see the order lease free, so that one takes it.
 	wakeSpread = 250 * time.Millisecond
+	// relaysFirst is by how much longer machines wait in a large fleet that are no relays: relays
+	// know already what is asked for, and are the stronger machines.
+	relaysFirst = 400 * time.Millisecond
 	// leaseCheck is how often a holder looks whether it should resign.
 	leaseCheck = 250 * time.Millisecond
 	// fadingTime is how long a holder may be without a renewal, while others reach the store,
@@ -45,7 +48,11 @@
 
 // wakeLease has the order lease contended for, after a moment that differs between machines.
 func (n *Node) wakeLease() {
-	time.AfterFunc(rand.N(wakeSpread), func() {
+	wait := rand.N(wakeSpread)
+	if n.cluster.followsRelay() {
+		wait += relaysFirst
+	}
+	time.AfterFunc(wait, func() {
 		select {
 		case n.leaseWake <- struct{}{}:
 		default:
--- a/internal/gateway/others.go
+++ b/internal/gateway/others.go
@@ -9,19 +9,42 @@
 func (c *cluster) holder() (string, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var best *member
-	for _, m := range c.nodes {
-		if !m.holder || time.Since(m.heard) > holderTime {
-			continue
-		}
-		if best == nil || m.term > best.term {
-			best = m
-		}
-	}
-	if best == nil {
+	if c.told.Name == "" || time.Since(c.told.said) > holderTime {
 		return "", false
 	}
-	return best.Address, true
+	return c.told.Address, true
+}
+
+// orderHolder is the machine that holds the order lease, as far as this one knows; nil if none is
+// known.
+func (c *cluster) orderHolder() *orderHolder {
+	if term, err := c.controller.Term(); err == nil {
+		return &orderHolder{Name: c.self.Name, Address: c.self.Address, Term: term}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.told.Name == "" || time.Since(c.told.said) > holderTime {
+		return nil
+	}
+	told := c.told.orderHolder
+	told.Age = time.Since(c.told.said)
+	return &told
+}
+
+// noteHolder takes a peer's word on the order holder: the highest term counts, and of one term
+// the latest word. The caller holds the lock.
+func (c *cluster) noteHolder(from string, said *orderHolder, now time.Time) {
+	if c.told.Name == from && (said == nil || said.Name != from) {
+		c.told = heardHolder{} // It says itself that it is not the holder any more.
+	}
+	if said == nil || said.Name == c.self.Name {
+		return
+	}
+	at := now.Add(-said.Age)
+	stale := now.Sub(c.told.said) > holderTime
+	if stale || said.Term > c.told.Term || (said.Term == c.told.Term && at.After(c.told.said)) {
+		c.told = heardHolder{orderHolder: *said, said: at}
+	}
 }
 
 // addressOf returns the peer address of a machine, if it is known.
@@ -38,22 +61,6 @@
 // wordTime is how long a peer's word on the store is believed.
 const wordTime = 1500 * time.Millisecond
 
-// storeLostByAll tells whether this machine and every other one that is known said lately that
-// they do not reach the store.
-func (c *cluster) storeLostByAll() bool {
-	if !c.storeLost() {
-		return false
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, m := range c.nodes {
-		if !m.storeLost || time.Since(m.heard) > wordTime {
-			return false
-		}
-	}
-	return len(c.nodes) > 0
-}
-
 // reachesStore returns a machine that heard the store lately.
 func (c *cluster) reachesStore() (address string, ok bool) {
 	c.mu.Lock()
@@ -66,34 +73,40 @@
 	return "", false
 }
 
-// lostFailures is after how many failed exchanges in a row a machine counts as lost.
-const lostFailures = 2
+// watchers is how many machines watch the store for all.
+const watchers = 2
 
-// heardTime is how long a machine that says nothing counts as there. Where not all machines
-// exchange news with each other, one that is registered counts for longer. The caller holds the
-// lock.
-func (c *cluster) heardTime() time.Duration {
-	if len(c.nodes) > fullMesh {
-		return memberTime
-	}
-	return wordTime
-}
-
-// notWatching is the rank of a machine that can't watch.
+// notWatching is the rank of a machine that does not watch the store for others.
 const notWatching = math.MaxInt
 
-// watchRank is this machine's place among those that watch the store for all: 0 and 1 do.
+// watchRank is this machine's place among those that watch the store for all: 0 and 1 do, and all
+// relays of a large fleet.
 func (c *cluster) watchRank() int {
 	if c.storeLost() {
 		return notWatching
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := time.Now()
+	if c.large() {
+		return c.relayRank(now)
+	}
 	rank := 0
 	for name, m := range c.nodes {
-		if name < c.self.Name && !m.storeLost && !m.leaving && m.failures < lostFailures && time.Since(m.heard) < c.heardTime() {
+		if name < c.self.Name && !m.storeLost && !m.leaving && m.failures < lostFailures && now.Sub(m.heard) < wordTime {
 			rank++
 		}
 	}
 	return rank
 }
+
+// relayRank is 0 for the relay of the first zone and 1 for the others. The caller holds the lock.
+func (c *cluster) relayRank(now time.Time) int {
+	switch {
+	case !c.relaying(now):
+		return notWatching
+	case c.zones()[0] == c.self.Zone:
+		return 0
+	}
+	return 1
+}
--- a/internal/gateway/outbox.go
+++ b/internal/gateway/outbox.go
@@ -16,10 +16,19 @@
 	work map[residency.ModelKey]float64
 }
 
+// target is a peer that news are gathered for.
+type target struct {
+	name string
+	// work tells that it wants to know of work that is asked for, and relay that it passes news
+	// on to the machines of its zone.
+	work, relay bool
+}
+
 type outbox struct {
+	target
 	sent     []dispatch.Sent
 	verdicts map[string]dispatch.Verdicts
-	work     map[residency.ModelKey]float64
+	asked    map[residency.ModelKey]float64
 }
 
 // maxOutbox bounds each list for a peer that does not answer; the oldest entries go first.
@@ -29,8 +38,32 @@
 	return &outboxes{boxes: map[string]*outbox{}, work: map[residency.ModelKey]float64{}}
 }
 
-func newOutbox() *outbox {
-	return &outbox{verdicts: map[string]dispatch.Verdicts{}, work: map[residency.ModelKey]float64{}}
+func newOutbox(to target) *outbox {
+	return &outbox{target: to, verdicts: map[string]dispatch.Verdicts{}, asked: map[residency.ModelKey]float64{}}
+}
+
+// news is what the box holds for routing.
+func (o *outbox) news() dispatch.News {
+	return dispatch.News{Sent: o.sent, Verdicts: o.verdicts}
+}
+
+// put adds news to the box.
+func (o *outbox) put(news dispatch.News, work map[residency.ModelKey]float64) {
+	o.sent = lastOf(append(o.sent, news.Sent...))
+	for id, counts := range news.Verdicts {
+		old := o.verdicts[id]
+		o.verdicts[id] = dispatch.Verdicts{Good: old.Good + counts.Good, Bad: old.Bad + counts.Bad}
+	}
+	if !o.target.work {
+		return
+	}
+	for key, milliseconds := range work {
+		o.asked[key] += milliseconds
+	}
+}
+
+func lastOf[T any](list []T) []T {
+	return list[max(0, len(list)-maxOutbox):]
 }
 
 func (o *outboxes) note(work map[residency.ModelKey]float64) {
@@ -41,39 +74,43 @@
 	}
 }
 
-// collect puts what happened since the last call into all peers' boxes, and returns the work
-// for this machine itself.
-func (o *outboxes) collect(book *dispatch.Book, peers []string) map[residency.ModelKey]float64 {
+// collect puts what happened here since the last call into the boxes of the targets, drops those
+// of others, and returns the work for this machine itself.
+func (o *outboxes) collect(book *dispatch.Book, targets []target) map[residency.ModelKey]float64 {
 	sent, verdicts := book.TakeNews()
+	news := dispatch.News{Sent: sent, Verdicts: verdicts}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	work := o.work
 	o.work = map[residency.ModelKey]float64{}
 	for name := range o.boxes {
-		if !slices.Contains(peers, name) {
+		if !slices.ContainsFunc(targets, func(t target) bool { return t.name == name }) {
 			delete(o.boxes, name)
 		}
 	}
-	for _, name := range peers {
-		box := o.boxes[name]
+	for _, to := range targets {
+		box := o.boxes[to.name]
 		if box == nil {
-			box = newOutbox()
-			o.boxes[name] = box
-		}
-		box.sent = lastOf(append(box.sent, sent...))
-		for id, counts := range verdicts {
-			old := box.verdicts[id]
-			box.verdicts[id] = dispatch.Verdicts{Good: old.Good + counts.Good, Bad: old.Bad + counts.Bad}
-		}
-		for key, milliseconds := range work {
-			box.work[key] += milliseconds
+			box = newOutbox(to)
+			o.boxes[to.name] = box
 		}
+		box.target = to
+		box.put(news, work)
 	}
 	return work
 }
 
-func lastOf[T any](list []T) []T {
-	return list[max(0, len(list)-maxOutbox):]
+// forward passes on what a peer told: what a machine of the zone said goes to all, what another
+// relay said to the machines of the zone.
+func (o *outboxes) forward(from string, said voice, news dispatch.News, work map[residency.ModelKey]float64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for name, box := range o.boxes {
+		if name == from || (said == zoneVoice && box.relay) {
+			continue
+		}
+		box.put(news, work)
+	}
 }
 
 // take empties one peer's box.
@@ -82,8 +119,8 @@
 	defer o.mu.Unlock()
 	box := o.boxes[peer]
 	if box == nil {
-		return newOutbox()
+		return newOutbox(target{name: peer})
 	}
-	o.boxes[peer] = newOutbox()
+	o.boxes[peer] = newOutbox(box.target)
 	return box
 }
--- a/internal/gateway/storeview.go
+++ b/internal/gateway/storeview.go
@@ -20,44 +20,51 @@
 )
 
 // Times of the store's watch. A few machines ask often, so that changes that a silent watch
-// did not tell are found soon; the others hear of them by the exchange.
+// did not tell are found soon; the others hear of them by the exchange and rest meanwhile.
 const (
 	// holderQuiet is how long changes are gathered on the machine that gives orders, which waits
-	// for their ends; watcherQuiet on the machines that watch for the others; otherQuiet on those.
-	holderQuiet  = 150 * time.Millisecond
-	watcherQuiet = 250 * time.Millisecond
-	otherQuiet   = 2 * time.Second
-	// firstIdle, secondIdle and otherIdle are how long a watch may be silent.
-	firstIdle  = 400 * time.Millisecond
-	secondIdle = 800 * time.Millisecond
-	otherIdle  = 5 * time.Second
-	// manyIdle is that of the others where there are many machines. Their changes are still
-	// gathered for otherQuiet only: a machine hears of them in time by itself, also when those
-	// that watch for all are turned away and not all machines know it yet.
-	manyIdle = 20 * time.Second
+	// for their ends, and otherQuiet on the others.
+	holderQuiet = 150 * time.Millisecond
+	otherQuiet  = 250 * time.Millisecond
+	// firstIdle and otherIdle are how long a watch may be silent.
+	firstIdle = 400 * time.Millisecond
+	otherIdle = 800 * time.Millisecond
+	// restTime is how old the news of the store may be on a machine that rests, and largeRestTime
+	// where news come by way of relays. Up to restSpread is added, another time on each machine,
+	// so that not all ask at once.
+	restTime      = 900 * time.Millisecond
+	largeRestTime = 1300 * time.Millisecond
+	restSpread    = 600 * time.Millisecond
 )
 
 func (n *Node) watchQuiet() time.Duration {
 	if _, err := n.lease.Term(); err == nil {
 		return holderQuiet
 	}
-	if n.cluster.watchRank() < 2 {
-		return watcherQuiet
-	}
 	return otherQuiet
 }
 
 func (n *Node) watchIdle() time.Duration {
-	switch n.cluster.watchRank() {
-	case 0:
+	if n.cluster.watchRank() == 0 {
 		return firstIdle
-	case 1:
-		return secondIdle
 	}
+	return otherIdle
+}
+
+// watchResting tells whether peers tell this machine of the store in good time.
+func (n *Node) watchResting() bool {
+	if n.cluster.watchRank() < watchers {
+		return false
+	}
+	if _, err := n.lease.Term(); err == nil {
+		return false
+	}
+	limit := restTime
 	if n.cluster.machines() > fullMesh {
-		return manyIdle
+		limit = largeRestTime
 	}
-	return otherIdle
+	staleness := n.mirror.Staleness()
+	return staleness >= 0 && staleness < limit+n.restSpread
 }
 
 // storeView turns the copy of the store into the table, the directory and the other machines.
--- a/pkg/dispatch/book.go
+++ b/pkg/dispatch/book.go
@@ -35,7 +35,8 @@
 	Waiting int `json:"w,omitempty"`
 }
 
-func (l *Load) add(other Load) {
+// Add adds another process's load at the same back end.
+func (l *Load) Add(other Load) {
 	l.Running += other.Running
 	for urgency, tokens := range other.Prefill {
 		l.Prefill[urgency] += tokens
@@ -68,9 +69,8 @@
 type Book struct {
 	mu       sync.Mutex
 	backends map[string]*backendBook
-	peers    map[string]peerLoad
-	// peerCount is how many other processes send to the same back ends.
-	peerCount int
+	// others is what all other processes have under way, as far as they were heard.
+	others map[string]Load
 	// pace is how fast models work, by name: 1 is what the prediction goes by.
 	pace map[string]float64
 	// sent and verdicts are what the peers have not been told yet.
@@ -89,19 +89,9 @@
 	capacity int
 }
 
-type peerLoad struct {
-	at    time.Time
-	loads map[string]Load
-}
-
 const (
-	// peerLoadTime is how long a peer's word on its loads is believed.
-	peerLoadTime = 2 * time.Second
 	// keptShare is the part of an engine's memory that is counted on for kept prompts.
 	keptShare = 0.7
-	// allHeard is up to how many peers all of them are heard: one that is silent is cut off or
-	// gone then, and the others do not stand for it.
-	allHeard = 16
 	// maxSentKept bounds what is remembered for the peers between two exchanges.
 	maxSentKept = 2000
 )
@@ -110,7 +100,6 @@
 func NewBook() *Book {
 	return &Book{
 		backends: map[string]*backendBook{},
-		peers:    map[string]peerLoad{},
 		pace:     map[string]float64{},
 		verdicts: map[string]Verdicts{},
 	}
@@ -154,7 +143,7 @@
 		load.Tokens = need.PromptTokens + need.AnswerTokens
 		b.notePrompt(entry, choice.Backend.ID, need)
 	}
-	entry.own.add(load)
+	entry.own.Add(load)
 	return &Ticket{book: b, backend: choice.Backend.ID, model: need.Model, load: load, sentAt: time.Now(), predicted: choice.Wait}
 }
 
@@ -165,8 +154,9 @@
 	}
 	entry.cache.use(need.Pieces)
 	// The last part is the request's own: the peers have no use for it.
-	if shared := len(need.Pieces) - 1; shared > 0 && len(b.sent) < maxSentKept {
-		b.sent = append(b.sent, Sent{Backend: id, Pieces: need.Pieces[:shared]})
+	shared := need.Pieces[:max(0, len(need.Pieces)-1)]
+	if len(shared) > 0 && len(b.sent) < maxSentKept && entry.cache.tell(shared, time.Now()) {
+		b.sent = append(b.sent, Sent{Backend: id, Pieces: shared})
 	}
 }
 
@@ -263,7 +253,6 @@
 
 // News is what a process tells its peers.
 type News struct {
-	Loads    map[string]Load     `json:"loads,omitempty"`
 	Sent     []Sent              `json:"sent,omitempty"`
 	Verdicts map[string]Verdicts `json:"verdicts,omitempty"`
 }
@@ -291,11 +280,9 @@
 }
 
 // Hear takes in a peer's news.
-func (b *Book) Hear(peer string, news News) {
+func (b *Book) Hear(news News) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
-	b.peers[peer] = peerLoad{at: now, loads: news.Loads}
 	for _, sent := range news.Sent {
 		entry := b.of(sent.Backend)
 		if entry.cache == nil {
@@ -305,6 +292,7 @@
 			entry.cache = newPrefixCache(entry.capacity)
 		}
 		entry.cache.use(sent.Pieces)
+		entry.cache.tell(sent.Pieces, time.Now())
 	}
 	for id, counts := range news.Verdicts {
 		entry := b.of(id)
@@ -338,44 +326,23 @@
 	}
 }
 
-// SetPeers tells how many other processes send to the same back ends: where only some of them
-// were heard, theirs stand for all.
-func (b *Book) SetPeers(count int) {
+// SetOthers takes what all other processes have under way at the back ends.
+func (b *Book) SetOthers(loads map[string]Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.peerCount = count
+	b.others = loads
 }
 
 // total is the load of a back end from all processes. The caller holds the lock.
-func (b *Book) total(id string, entry *backendBook, now time.Time) Load {
-	var others Load
-	heard := 0
-	for _, peer := range b.peers {
-		if now.Sub(peer.at) < peerLoadTime {
-			heard++
-			others.add(peer.loads[id])
-		}
-	}
-	if heard > 0 && b.peerCount > allHeard && b.peerCount > 2*heard {
-		others.scale(float64(b.peerCount) / float64(heard))
-	}
-	others.add(entry.own)
-	return others
-}
-
-// scale multiplies a load.
-func (l *Load) scale(by float64) {
-	l.Running = int(by * float64(l.Running))
-	l.Waiting = int(by * float64(l.Waiting))
-	l.Tokens = int(by * float64(l.Tokens))
-	for urgency := range l.Prefill {
-		l.Prefill[urgency] = int(by * float64(l.Prefill[urgency]))
-	}
+func (b *Book) total(id string, entry *backendBook) Load {
+	load := b.others[id]
+	load.Add(entry.own)
+	return load
 }
 
 // Total is the load of a back end from all processes.
 func (b *Book) Total(id string) Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.total(id, b.of(id), time.Now())
+	return b.total(id, b.of(id))
 }
--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -85,7 +85,7 @@
 	for _, state := range candidates {
 		entry := c.Book.of(state.ID)
 		ejected := entry.health.ejected(usual, now)
-		choice := c.predict(need, state, entry, now)
+		choice := c.predict(need, state, entry)
 		score := c.score(choice, entry, state.ID == home, usual)
 		better := !ok || (bestEjected && !ejected) || (bestEjected == ejected && score < bestScore)
 		if better {
@@ -109,8 +109,8 @@
 	return score
 }
 
-func (c *Chooser) predict(need Need, state *fleet.State, entry *backendBook, now time.Time) Choice {
-	load := c.Book.total(state.ID, entry, now)
+func (c *Chooser) predict(need Need, state *fleet.State, entry *backendBook) Choice {
+	load := c.Book.total(state.ID, entry)
 	choice := Choice{Backend: state, Load: load}
 	if need.Model == "" {
 		choice.Full = state.Slots > 0 && load.Running >= state.Slots
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -69,7 +69,7 @@
 
 	It("counts what peers have under way, and forgets it after a while", func() {
 		states := engines(2)
-		book.Hear("peer", dispatch.News{Loads: map[string]dispatch.Load{"e0": {Running: 8}, "e1": {}}})
+		book.SetOthers(map[string]dispatch.Load{"e0": {Running: 8}, "e1": {}})
 		for range 5 {
 			choice, _ := chooser.Choose(dispatch.Need{Service: "s"}, states)
 			Expect(choice.Backend.ID).To(Equal("e1"))
--- a/pkg/dispatch/prefixes.go
+++ b/pkg/dispatch/prefixes.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -44,6 +45,17 @@
 	entries  map[uint64]*list.Element
 }
 
+// keptPiece is a piece in the cache.
+type keptPiece struct {
+	Piece
+	// told is when the peers last heard that a prompt with the piece was sent.
+	told time.Time
+}
+
+// tellAgain is after how long the peers are told again that a prompt was sent to the same engine:
+// it is kept for longer then, but is as well known as before.
+const tellAgain = 5 * time.Second
+
 func newPrefixCache(capacity int) *prefixCache {
 	return &prefixCache{capacity: capacity, order: list.New(), entries: map[uint64]*list.Element{}}
 }
@@ -67,14 +79,32 @@
 			c.order.MoveToFront(element)
 			continue
 		}
-		c.entries[piece.Key] = c.order.PushFront(piece)
+		c.entries[piece.Key] = c.order.PushFront(&keptPiece{Piece: piece})
 		c.tokens += piece.Tokens
 	}
 	for c.tokens > c.capacity && c.order.Len() > 0 {
 		oldest := c.order.Back()
-		piece := oldest.Value.(Piece)
+		piece := oldest.Value.(*keptPiece)
 		c.order.Remove(oldest)
 		delete(c.entries, piece.Key)
 		c.tokens -= piece.Tokens
 	}
 }
+
+// tell tells whether the peers should hear now that a prompt was sent, and notes that they do.
+func (c *prefixCache) tell(pieces []Piece, now time.Time) bool {
+	due := false
+	for _, piece := range pieces {
+		element, ok := c.entries[piece.Key]
+		if !ok {
+			due = true
+			continue
+		}
+		kept := element.Value.(*keptPiece)
+		if now.Sub(kept.told) >= tellAgain {
+			due = true
+			kept.told = now
+		}
+	}
+	return due
+}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -50,7 +50,7 @@
 	Loaded []string `json:"loaded,omitempty"`
 	// Dropped models that the platform's list may still tell of.
 	Dropped []string `json:"dropped,omitempty"`
-	// Sequence grows with each change of this engine under one term.
+	// Sequence numbers what the order holder says, of all engines, under one term.
 	Sequence int64 `json:"sequence"`
 	// Busy tells that the engine loads a model.
 	Busy bool `json:"busy,omitempty"`
@@ -100,10 +100,11 @@
 	states map[string]*State
 	// byService holds the states of a service in the order of their ids.
 	byService map[string][]*State
-	// residency is what the order holder said last, by engine.
-	residency map[string]Residency
-	term      int64
-	revision  int64
+	// words are what the order holder said last, by engine.
+	words map[string]word
+	// known is up to where all of the order holder's words are known.
+	known    Stamp
+	revision int64
 	// disks tell when a model was last seen on the engine at an address: a restart keeps the
 	// disk, though the engine gets a new id.
 	disks map[disk]map[string]time.Time
@@ -134,7 +135,7 @@
 	return &Directory{
 		states:    map[string]*State{},
 		byService: map[string][]*State{},
-		residency: map[string]Residency{},
+		words:     map[string]word{},
 		disks:     map[disk]map[string]time.Time{},
 		misses:    map[miss]time.Time{},
 	}
@@ -185,7 +186,7 @@
 		}
 		changes = append(changes, Change{Backend: state.Backend, What: Removed})
 		delete(d.states, id)
-		delete(d.residency, id)
+		delete(d.words, id)
 	}
 	d.index()
 	return changes
@@ -232,7 +233,7 @@
 	for _, holding := range backend.Models {
 		state.adapters[holding.Model] = holding.Adapters
 	}
-	if residency, ok := d.residency[backend.ID]; ok {
+	if residency, ok := d.words[backend.ID]; ok {
 		for model, adapters := range residency.Adapters {
 			state.adapters[model] = adapters
 		}
@@ -255,63 +256,6 @@
 	}
 }
 
-// SetResidency takes the order holder's word on engines. Words of an older term are dropped;
-// the first of a new term replace all that were said before.
-func (d *Directory) SetResidency(term int64, engines map[string]Residency) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if term < d.term {
-		return
-	}
-	if term > d.term {
-		d.term = term
-		d.residency = map[string]Residency{}
-	}
-	for id, said := range engines {
-		known, ok := d.residency[id]
-		if ok && said.Sequence <= known.Sequence {
-			continue
-		}
-		d.residency[id] = said
-		if state := d.states[id]; state != nil {
-			next := d.join(state.Backend, state)
-			next.Listed = state.Listed
-			d.states[id] = next
-		}
-	}
-	d.index()
-}
-
-// Residencies returns what was said of engines under the latest term.
-func (d *Directory) Residencies() (term int64, engines map[string]Residency) {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	return d.term, maps.Clone(d.residency)
-}
-
-// Stamp tells how new the word on engines is.
-func (d *Directory) Stamp() Stamp {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	stamp := Stamp{Term: d.term}
-	for _, said := range d.residency {
-		stamp.Sum += said.Sequence
-	}
-	return stamp
-}
-
-// Stamp orders the states of knowledge of the order holder's word.
-type Stamp struct {
-	Term int64 `json:"term,omitempty"`
-	// Sum of the engines' sequences.
-	Sum int64 `json:"sum,omitempty"`
-}
-
-// Before tells whether s knows less than other.
-func (s Stamp) Before(other Stamp) bool {
-	return s.Term < other.Term || (s.Term == other.Term && s.Sum < other.Sum)
-}
-
 // Get returns one back end, or nil.
 func (d *Directory) Get(id string) *State {
 	d.mu.RLock()
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -59,7 +59,38 @@
 		Expect(d.Get("e1").Holds("m1")).To(BeFalse())
 		d.SetResidency(6, map[string]fleet.Residency{"e1": {Sequence: 1}})
 		Expect(d.Get("e1").Holds("m1")).To(BeTrue())
-		Expect(fleet.Stamp{Term: 5, Sum: 9}.Before(d.Stamp())).To(BeTrue())
+		Expect(fleet.Stamp{Term: 5, Sequence: 9}.Before(d.Stamp())).To(BeTrue())
+	})
+
+	It("passes on only what a peer does not know, and loses nothing of it", func() {
+		peer := fleet.New()
+		peer.SetList(10, []fleet.Backend{engine("e1", 8, "m1", "m2"), engine("e2", 9)})
+		catchUp := func() map[string]fleet.Residency {
+			words := d.WordsSince(peer.Stamp())
+			if words == nil {
+				return nil
+			}
+			peer.Update(*words)
+			return words.Engines
+		}
+		d.Announce(5, "e1", fleet.Residency{Busy: true})
+		d.Announce(5, "e2", fleet.Residency{Busy: true})
+		Expect(catchUp()).To(HaveLen(2))
+		Expect(catchUp()).To(BeNil())
+		d.Announce(5, "e1", fleet.Residency{Loaded: []string{"m3"}})
+		number := d.Announce(5, "e2", fleet.Residency{Loaded: []string{"m3"}})
+		// A single word that comes ahead must not hide the ones before it.
+		peer.SetResidency(5, map[string]fleet.Residency{"e2": {Loaded: []string{"m3"}, Sequence: number}})
+		Expect(peer.Get("e2").Holds("m3")).To(BeTrue())
+		Expect(peer.Get("e1").Holds("m3")).To(BeFalse())
+		Expect(catchUp()).To(HaveLen(2))
+		Expect(peer.Get("e1").Holds("m3")).To(BeTrue())
+		d.Announce(7, "e1", fleet.Residency{})
+		Expect(d.Announce(6, "e1", fleet.Residency{Loaded: []string{"m4"}})).To(BeZero())
+		Expect(catchUp()).To(HaveLen(1))
+		Expect(peer.Get("e1").Holds("m3")).To(BeFalse())
+		// The new holder has not spoken of this engine yet: the former one's word holds.
+		Expect(peer.Get("e2").Holds("m3")).To(BeTrue())
 	})
 
 	It("believes for a while that an engine lacks something or takes no connection", func() {
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -38,14 +38,22 @@
 	Quiet func() time.Duration
 	// Idle is how long the service may hold a question of the watch back; see kv.Watching.
 	Idle func() time.Duration
+	// Resting tells whether the service need not be asked now, because other processes tell of its
+	// changes; nil asks it always.
+	Resting func() bool
 	// Reached is called when the service is lost (with the error) and regained (with nil).
 	Reached func(error)
 
 	mu    sync.Mutex
 	state Copy
-	// heard is when the state was last known to be current.
-	heard time.Time
-	lost  bool
+	// heard is when the service itself last told that the state is current, and current when it
+	// was so by any source.
+	heard   time.Time
+	current time.Time
+	lost    bool
+	// tried is when the service was last asked.
+	tried    time.Time
+	removals removals
 }
 
 // State returns the latest copy.
@@ -55,74 +63,52 @@
 	return m.state
 }
 
-// Age is how long ago the copy was last known to be current; negative if it never was.
+// never is the age of what was never known.
+const never = -1
+
+// Age is how long ago the service itself told that the copy is current; negative if it never did.
 func (m *Mirror) Age() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.heard.IsZero() {
-		return -1
+		return never
 	}
 	return time.Since(m.heard)
 }
 
-// Delta is what brings a copy of an older revision up to date.
-type Delta struct {
-	// From is the revision of the older copy, and Revision that of the newer one.
-	From     int64 `json:"from"`
-	Revision int64 `json:"revision"`
-	// Changed records, and the Keys of all records that there are.
-	Changed []kv.Record `json:"changed,omitempty"`
-	Keys    []string    `json:"keys"`
-}
-
-// Since returns what a copy of an older revision lacks; nil if there is nothing newer.
-func (m *Mirror) Since(revision int64) *Delta {
-	state := m.State()
-	if state.Revision <= revision {
-		return nil
-	}
-	delta := &Delta{From: revision, Revision: state.Revision, Keys: make([]string, 0, len(state.Records))}
-	for key, record := range state.Records {
-		delta.Keys = append(delta.Keys, key)
-		if record.Revision > revision {
-			delta.Changed = append(delta.Changed, record)
-		}
+// Staleness is how long ago the copy was current by any source's word; negative if it never was.
+func (m *Mirror) Staleness() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.current.IsZero() {
+		return never
 	}
-	return delta
+	return time.Since(m.current)
 }
 
-// Offer takes what another process's copy has newer, and tells whether it brought anything.
-func (m *Mirror) Offer(delta Delta) bool {
+// Vouch takes another process's word that a copy of a revision was current at some time.
+func (m *Mirror) Vouch(revision int64, current time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if delta.Revision <= m.state.Revision || delta.From > m.state.Revision {
-		return false
+	if m.state.Revision >= revision && current.After(m.current) {
+		m.current = current
 	}
-	changed := make(map[string]kv.Record, len(delta.Changed))
-	for _, record := range delta.Changed {
-		changed[record.Key] = record
-	}
-	next := Copy{Revision: delta.Revision, Records: make(map[string]kv.Record, len(delta.Keys))}
-	for _, key := range delta.Keys {
-		record, ok := changed[key]
-		if old, held := m.state.Records[key]; !ok && held {
-			record, ok = old, true
-		}
-		if !ok {
-			return false // Ours lacks a record that the other one thinks we have.
-		}
-		next.Records[key] = record
-	}
-	m.set(next)
-	return true
 }
 
 // Run follows the prefix until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
 	wait := firstPause
+	whole := false
 	for ctx.Err() == nil {
+		if m.resting() {
+			_ = pause.For(ctx, restPause)
+			continue
+		}
 		begun := time.Now()
-		m.follow(ctx)
+		whole = m.follow(ctx, whole)
+		if whole {
+			continue
+		}
 		if time.Since(begun) > longPause {
 			wait = firstPause
 		}
@@ -133,29 +119,56 @@
 	}
 }
 
-// follow reads the prefix and takes in changes until the service breaks off.
-func (m *Mirror) follow(ctx context.Context) {
-	snapshot, err := m.Store.Snapshot(ctx, m.Prefix)
-	if err != nil {
+const (
+	// restPause is how often a resting mirror looks whether it should ask again.
+	restPause = 100 * time.Millisecond
+	// lostRetry is how often a resting mirror asks a service that it lost.
+	lostRetry = 2 * time.Second
+)
+
+// resting tells whether the service need not be asked now.
+func (m *Mirror) resting() bool {
+	m.mu.Lock()
+	due := m.state.Revision == 0 || (m.lost && time.Since(m.tried) > lostRetry)
+	m.mu.Unlock()
+	return !due && m.Resting != nil && m.Resting()
+}
+
+// follow takes in changes until the service breaks off, or until it need not be asked any more.
+// whole tells that nothing was missed since the copy that there is; if not, the prefix is read
+// first. It returns whether that holds at the end.
+func (m *Mirror) follow(ctx context.Context, whole bool) bool {
+	m.mu.Lock()
+	m.tried = time.Now()
+	from := m.state.Revision
+	m.mu.Unlock()
+	if !whole {
+		snapshot, err := m.Store.Snapshot(ctx, m.Prefix)
 		m.report(err)
-		return
+		if err != nil {
+			return false
+		}
+		m.take(snapshot)
+		from = snapshot.Revision
 	}
-	m.report(nil)
-	m.take(snapshot)
-	events, err := m.Store.Watch(ctx, kv.Watching{Prefix: m.Prefix, From: snapshot.Revision + 1, Idle: m.Idle})
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	events, err := m.Store.Watch(ctx, kv.Watching{Prefix: m.Prefix, From: from + 1, Idle: m.Idle})
 	if err != nil {
 		m.report(err)
-		return
+		return false
 	}
 	for batch := range events {
+		m.report(nil)
 		m.apply(batch)
-		if len(batch) == 0 {
-			continue
+		if len(batch) > 0 && m.Quiet != nil && pause.For(ctx, m.Quiet()) != nil {
+			return false
 		}
-		if m.Quiet != nil && pause.For(ctx, m.Quiet()) != nil {
-			return
+		if m.resting() {
+			return true
 		}
 	}
+	return false
 }
 
 // Lost tells whether the service could not be reached at the last try.
@@ -173,17 +186,24 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.heard = time.Now()
+	m.hear()
 	if snapshot.Revision < m.state.Revision {
 		return
 	}
+	m.removals.replace(m.state, records, snapshot.Revision)
 	m.set(Copy{Revision: snapshot.Revision, Records: records})
 }
 
+// hear notes that the service itself told of its state. The caller holds the lock.
+func (m *Mirror) hear() {
+	m.heard = time.Now()
+	m.current = m.heard
+}
+
 func (m *Mirror) apply(events []kv.Event) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.heard = time.Now()
+	m.hear()
 	next := Copy{Revision: m.state.Revision, Records: maps.Clone(m.state.Records)}
 	if next.Records == nil {
 		next.Records = map[string]kv.Record{}
@@ -197,6 +217,7 @@
 		changed = true
 		if event.Deleted {
 			delete(next.Records, record.Key)
+			m.removals.add(record.Key, record.Revision)
 		} else {
 			next.Records[record.Key] = record
 		}
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -88,10 +88,103 @@
 
 	It("refuses a delta for a copy that is newer than its own", func() {
 		m := &mirror.Mirror{}
-		Expect(m.Offer(mirror.Delta{From: 5, Revision: 9, Keys: []string{"a"}})).To(BeFalse())
+		Expect(m.Offer(mirror.Delta{From: 5, Revision: 9, Whole: true, Keys: []string{"a"}})).To(BeFalse())
 		Expect(m.State().Revision).To(BeZero())
 	})
 
+	It("tells removals only, also of keys that were made again and after many of them", func() {
+		synctest.Test(suiteT, func(*testing.T) {
+			defer GinkgoRecover()
+			store := kv.NewMemory().Store()
+			put(store, "a", "1")
+			put(store, "b", "1")
+			ctx, cancel := context.WithCancel(context.Background())
+			m := &mirror.Mirror{Store: store}
+			done := make(chan struct{})
+			go func() { m.Run(ctx); close(done) }()
+			synctest.Wait()
+			early := &mirror.Mirror{}
+			Expect(early.Offer(*m.Since(0))).To(BeTrue())
+			lagging := &mirror.Mirror{}
+			Expect(lagging.Offer(*m.Since(0))).To(BeTrue())
+			remove := func(key string) {
+				record, err := store.Get(ctx, key)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(store.Delete(ctx, key, record.Revision)).To(Succeed())
+			}
+			remove("a")
+			remove("b")
+			put(store, "b", "2")
+			synctest.Wait()
+			delta := m.Since(early.State().Revision)
+			Expect(delta.Whole).To(BeFalse())
+			Expect(delta.Removed).To(Equal([]string{"a"}))
+			Expect(early.Offer(*delta)).To(BeTrue())
+			Expect(values(early.State())).To(Equal(map[string]string{"b": "2"}))
+			for n := range 1500 {
+				put(store, fmt.Sprint("k", n), "1")
+				remove(fmt.Sprint("k", n))
+			}
+			synctest.Wait()
+			delta = m.Since(lagging.State().Revision)
+			Expect(delta.Whole).To(BeTrue())
+			Expect(lagging.Offer(*delta)).To(BeTrue())
+			Expect(values(lagging.State())).To(Equal(map[string]string{"b": "2"}))
+			cancel()
+			<-done
+		})
+	})
+
+	It("asks nothing while it rests, and goes on from where peers brought it", func() {
+		synctest.Test(suiteT, func(*testing.T) {
+			defer GinkgoRecover()
+			store := kv.NewMemory().Store()
+			put(store, "a", "1")
+			calls := 0
+			counted := store
+			counted.Snapshot = func(ctx context.Context, prefix string) (kv.Snapshot, error) {
+				calls++
+				return store.Snapshot(ctx, prefix)
+			}
+			counted.Watch = func(ctx context.Context, watching kv.Watching) (<-chan []kv.Event, error) {
+				calls++
+				return store.Watch(ctx, watching)
+			}
+			resting := true
+			ctx, cancel := context.WithCancel(context.Background())
+			m := &mirror.Mirror{Store: counted, Resting: func() bool { return resting }}
+			done := make(chan struct{})
+			go func() { m.Run(ctx); close(done) }()
+			time.Sleep(time.Second)
+			Expect(values(m.State())).To(Equal(map[string]string{"a": "1"}), "a mirror without a copy does not rest")
+			put(store, "a", "2")
+			time.Sleep(time.Second)
+			Expect(values(m.State())).To(Equal(map[string]string{"a": "2"}))
+			calls = 0
+			put(store, "a", "3")
+			time.Sleep(time.Minute)
+			Expect(calls).To(BeZero())
+			Expect(m.Staleness()).To(BeNumerically(">", 50*time.Second))
+			peer := &mirror.Mirror{Store: store}
+			peerCtx, stopPeer := context.WithCancel(ctx)
+			go peer.Run(peerCtx)
+			synctest.Wait()
+			stopPeer()
+			Expect(m.Offer(*peer.Since(m.State().Revision))).To(BeTrue())
+			m.Vouch(peer.State().Revision, time.Now())
+			Expect(m.Staleness()).To(BeZero())
+			m.Vouch(peer.State().Revision+1, time.Now().Add(time.Hour))
+			Expect(m.Staleness()).To(BeZero())
+			put(store, "b", "1")
+			resting = false
+			time.Sleep(time.Second)
+			Expect(values(m.State())).To(Equal(map[string]string{"a": "3", "b": "1"}))
+			Expect(calls).To(Equal(1), "it watches on from where it was brought")
+			cancel()
+			<-done
+		})
+	})
+
 	It("ends at the store's state under lost calls and broken watches", func() {
 		for seed := range uint64(20) {
 			synctest.Test(suiteT, func(*testing.T) {
--- a/pkg/residency/adapters.go
+++ b/pkg/residency/adapters.go
@@ -265,7 +265,6 @@
 	}
 	if victim.model != "" {
 		e.adapters[victim].phase = phaseLeaving
-		e.sequence++
 	}
 	return false, victim
 }
@@ -287,12 +286,12 @@
 	return true
 }
 
-// Use is what one machine has running with an adapter on an engine.
+// Use is what runs with an adapter on an engine.
 type Use struct {
 	Backend string `json:"b"`
 	Model   string `json:"m"`
 	Adapter string `json:"a"`
-	// Running requests; 0 tells that the last one has ended since it was told before.
+	// Running requests.
 	Running int `json:"r,omitempty"`
 }
 
@@ -301,45 +300,34 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	total := 0
-	for _, uses := range c.uses {
-		for use, running := range uses {
-			if use.Backend == backend && use.Model == model {
-				total += running
-			}
+	for use, running := range c.uses {
+		if use.Backend == backend && use.Model == model {
+			total += running
 		}
 	}
 	return total
 }
 
-// Used takes what a machine has running with adapters, so that the one unused longest gives
+// Used takes what all machines have running with adapters, so that the one unused longest gives
 // way and none that is in use.
-func (c *Controller) Used(machine string, uses []Use) {
+func (c *Controller) Used(uses []Use) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	running := make(map[Use]int, len(uses))
 	for _, use := range uses {
-		running[Use{Backend: use.Backend, Model: use.Model, Adapter: use.Adapter}] = use.Running
+		running[Use{Backend: use.Backend, Model: use.Model, Adapter: use.Adapter}] += use.Running
 	}
 	changed := maps.Clone(running)
-	maps.Copy(changed, c.uses[machine])
-	c.uses[machine] = running
+	maps.Copy(changed, c.uses)
+	c.uses = running
 	for use := range changed {
 		if e := c.engines[use.Backend]; e != nil {
-			e.use(use, c.runningWith(use), now)
+			e.use(use, running[use], now)
 		}
 	}
 }
 
-// runningWith sums what all machines have running with an adapter. The caller holds the lock.
-func (c *Controller) runningWith(use Use) int {
-	total := 0
-	for _, running := range c.uses {
-		total += running[use]
-	}
-	return total
-}
-
 func (e *engine) use(use Use, running int, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -50,8 +50,8 @@
 	term   int64
 	// lastOrders is when each engine was last given an order, under any term.
 	lastOrders map[string]time.Time
-	// uses is what each machine has running with adapters.
-	uses map[string]map[Use]int
+	// uses is what all machines have running with adapters.
+	uses map[Use]int
 	// loads bounds the loads from the weight store, and planned counts those that were planned
 	// and have not been ordered yet.
 	loads   *rate.Limiter
@@ -111,7 +111,7 @@
 	c.engines = map[string]*engine{}
 	c.missed = map[ModelKey]time.Time{}
 	c.coming = map[ModelKey]time.Time{}
-	c.uses = map[string]map[Use]int{}
+	c.uses = map[Use]int{}
 	c.loads = nil
 	c.planned = 0
 }
@@ -297,7 +297,13 @@
 	if err != nil {
 		return
 	}
-	c.Directory.SetResidency(term, map[string]fleet.Residency{e.id: e.residency()})
+	// An older state of the engine must not follow a newer one.
+	e.announcing.Lock()
+	defer e.announcing.Unlock()
+	sequence := c.Directory.Announce(term, e.id, e.residency())
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sequence = sequence
 }
 
 func (c *Controller) logOrder(engine string, order Order, result Result, err error) {
--- a/pkg/residency/engine.go
+++ b/pkg/residency/engine.go
@@ -22,6 +22,8 @@
 
 	// turn is held by the job that gives orders.
 	turn chan struct{}
+	// announcing is held while peers are told of the engine.
+	announcing sync.Mutex
 
 	mu sync.Mutex
 	// taken is the number of orders that the engine has taken; known tells that we know it.
@@ -45,7 +47,7 @@
 	loadedAt map[string]time.Time
 	// seen is when the engine last held each model.
 	seen map[string]time.Time
-	// sequence numbers the changes that peers are told of.
+	// sequence is that of the latest word on this engine that peers were told.
 	sequence int64
 	// told is what the engine said that it holds, models with no adapter named.
 	told map[adapterKey]bool
@@ -268,7 +270,6 @@
 			delete(e.adapters, key)
 		}
 	}
-	e.sequence++
 }
 
 // adoptModels notes where the platform's list differs from what the engine says. The caller
@@ -349,7 +350,6 @@
 func (e *engine) change(alter func()) {
 	e.mu.Lock()
 	alter()
-	e.sequence++
 	e.mu.Unlock()
 	e.controller.announce(e)
 }
