--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -159,6 +159,7 @@
 		Term:      n.orderTerm,
 		NotBefore: n.turn.notBefore,
 		Running:   func(backend string) int { return n.Gateway.Book.Total(backend).Running },
+		Silent:    n.Gateway.Book.Silent,
 		Demand:    demand,
 		MoveCost:  n.config.MoveCost,
 		Log:       n.config.Log,
--- a/internal/gateway/others.go
+++ b/internal/gateway/others.go
@@ -79,8 +79,8 @@
 // notWatching is the rank of a machine that does not watch the store for others.
 const notWatching = math.MaxInt
 
-// watchRank is this machine's place among those that watch the store for all: 0 and 1 do, and all
-// relays of a large fleet.
+// watchRank is this machine's place among those that watch the store for all: 0 and 1 do. In a
+// large fleet they are relays.
 func (c *cluster) watchRank() int {
 	if c.storeLost() {
 		return notWatching
@@ -100,13 +100,17 @@
 	return rank
 }
 
-// relayRank is 0 for the relay of the first zone and 1 for the others. The caller holds the lock.
+// relayRank is a relay's place among the relays that reach the store, by zone. The caller holds the
+// lock.
 func (c *cluster) relayRank(now time.Time) int {
-	switch {
-	case !c.relaying(now):
+	if !c.relaying(now) {
 		return notWatching
-	case c.zones()[0] == c.self.Zone:
-		return 0
 	}
-	return 1
+	rank := 0
+	for _, m := range c.nodes {
+		if m.Zone < c.self.Zone && m.voice == zoneVoice && m.fresh(now) && !m.storeLost && !m.leaving {
+			rank++
+		}
+	}
+	return rank
 }
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -16,6 +16,7 @@
 	reasonNoBackend   reason = "no back end"
 	reasonNoModel     reason = "model not loaded"
 	reasonNoAdapter   reason = "adapter not loaded"
+	reasonUnreachable reason = "back ends that have it do not answer"
 	reasonFull        reason = "back ends full"
 	reasonBroken      reason = "answer broken"
 	reasonBudget      reason = "retry budget used up"
--- a/internal/gateway/storeview.go
+++ b/internal/gateway/storeview.go
@@ -60,7 +60,7 @@
 		return false
 	}
 	limit := restTime
-	if n.cluster.machines() > fullMesh {
+	if n.cluster.followsRelay() {
 		limit = largeRestTime
 	}
 	staleness := n.mirror.Staleness()
--- a/pkg/dispatch/book.go
+++ b/pkg/dispatch/book.go
@@ -251,6 +251,14 @@
 	b.of(backend).health.note(good)
 }
 
+// Silent tells whether nobody got an answer from a back end lately, though several tried.
+func (b *Book) Silent(backend string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	entry := b.backends[backend]
+	return entry != nil && entry.health.silent(time.Now())
+}
+
 // News is what a process tells its peers.
 type News struct {
 	Sent     []Sent              `json:"sent,omitempty"`
--- a/pkg/dispatch/health.go
+++ b/pkg/dispatch/health.go
@@ -23,9 +23,40 @@
 	// until is the end of the latest ejection, and span its length.
 	until time.Time
 	span  time.Duration
+	// bad counts the failures since the last good verdict, firstBad and lastBad are when the
+	// first and the last of them came.
+	bad               int
+	firstBad, lastBad time.Time
+}
+
+const (
+	// silentVerdicts failures in a row, over at least silentTime, have a back end taken for gone;
+	// that is forgotten when none came for silentMemory.
+	silentVerdicts = 3
+	silentTime     = 300 * time.Millisecond
+	silentMemory   = 4 * time.Second
+)
+
+// silent tells whether nobody got an answer from the back end lately, though several tried.
+func (h *health) silent(now time.Time) bool {
+	return h.bad >= silentVerdicts && h.lastBad.Sub(h.firstBad) >= silentTime && now.Sub(h.lastBad) < silentMemory
+}
+
+// count follows the failures in a row.
+func (h *health) count(good bool, now time.Time) {
+	if good {
+		h.bad = 0
+		return
+	}
+	if h.bad == 0 || now.Sub(h.lastBad) >= silentMemory {
+		h.bad, h.firstBad = 0, now
+	}
+	h.bad++
+	h.lastBad = now
 }
 
 func (h *health) note(good bool) {
+	h.count(good, time.Now())
 	h.verdicts++
 	failed := 0.0
 	if !good {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -110,6 +110,8 @@
 	disks map[disk]map[string]time.Time
 	// misses are models or adapters that an engine said it lacks, until when that is believed.
 	misses map[miss]time.Time
+	// unreachable counts how often in a row back ends took no connection.
+	unreachable map[string]int
 }
 
 // disk names what outlives an engine's restart.
@@ -124,8 +126,10 @@
 const (
 	// missTime is how long an engine's word that it lacks something is believed.
 	missTime = 400 * time.Millisecond
-	// unreachableTime is how long a back end that took no connection is left alone.
-	unreachableTime = 700 * time.Millisecond
+	// unreachableTime is how long a back end that took no connection is left alone the first time;
+	// it doubles with each further time up to longUnreachableTime.
+	unreachableTime     = 500 * time.Millisecond
+	longUnreachableTime = 2 * time.Second
 	// goneTime is how long a back end that is not at its address any more is left alone.
 	goneTime = 5 * time.Second
 )
@@ -138,6 +142,8 @@
 		words:     map[string]word{},
 		disks:     map[disk]map[string]time.Time{},
 		misses:    map[miss]time.Time{},
+
+		unreachable: map[string]int{},
 	}
 }
 
@@ -168,7 +174,7 @@
 	d.revision = revision
 	var changes []Change
 	listed := make(map[string]bool, len(list))
-	for _, backend := range list {
+	for _, backend := range current(list) {
 		listed[backend.ID] = true
 		old := d.states[backend.ID]
 		if old != nil && old.Revision == backend.Revision {
@@ -187,11 +193,24 @@
 		changes = append(changes, Change{Backend: state.Backend, What: Removed})
 		delete(d.states, id)
 		delete(d.words, id)
+		delete(d.unreachable, id)
 	}
 	d.index()
 	return changes
 }
 
+// current drops the back ends at whose address a newer one is listed: their processes are gone,
+// though the list still has them until their heartbeats are missed.
+func current(list []Backend) []Backend {
+	newest := make(map[string]int64, len(list))
+	for _, backend := range list {
+		newest[backend.Address] = max(newest[backend.Address], backend.Revision)
+	}
+	return slices.DeleteFunc(slices.Clone(list), func(backend Backend) bool {
+		return backend.Address != "" && backend.Revision < newest[backend.Address]
+	})
+}
+
 // noteDisk notes what an engine holds. The caller holds the lock.
 func (d *Directory) noteDisk(backend Backend) {
 	key := disk{backend.Service, backend.Address}
@@ -294,9 +313,28 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	key := miss{backend: backend}
-	if until := time.Now().Add(unreachableTime); until.After(d.misses[key]) {
-		d.misses[key] = until
+	if time.Now().Before(d.misses[key]) {
+		return // One of several sendings that were under way at once.
 	}
+	span := min(longUnreachableTime, unreachableTime<<min(d.unreachable[backend], maxDoublings))
+	d.unreachable[backend]++
+	d.misses[key] = time.Now().Add(span)
+}
+
+// maxDoublings is more than enough to reach longUnreachableTime.
+const maxDoublings = 8
+
+// Reached notes that a back end answered.
+func (d *Directory) Reached(backend string) {
+	d.mu.RLock()
+	known := d.unreachable[backend] > 0
+	d.mu.RUnlock()
+	if !known {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.unreachable, backend)
 }
 
 // Missing tells whether an engine said lately that it lacks what a request needs.
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -10,7 +11,10 @@
 	"ospreymoor.example/ospreymoor/pkg/fleet"
 )
 
+var suiteT *testing.T
+
 func TestFleet(t *testing.T) {
+	suiteT = t
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "Fleet")
 }
@@ -93,6 +97,36 @@
 		Expect(peer.Get("e2").Holds("m3")).To(BeTrue())
 	})
 
+	It("drops a back end at whose address a newer one is listed", func() {
+		old, restarted := engine("e1", 11, "m1"), engine("e9", 12)
+		old.Address, restarted.Address = "10.0.0.1:1", "10.0.0.1:1"
+		Expect(d.SetList(11, []fleet.Backend{old})).NotTo(BeEmpty())
+		d.SetList(12, []fleet.Backend{restarted, old})
+		Expect(d.Get("e1")).To(BeNil())
+		Expect(d.Get("e9")).NotTo(BeNil())
+		d.SetList(13, []fleet.Backend{old, restarted})
+		Expect(d.Get("e1")).To(BeNil())
+	})
+
+	It("leaves a back end alone for longer each time that it takes no connection", func() {
+		synctest.Test(suiteT, func(*testing.T) {
+			defer GinkgoRecover()
+			span := func() time.Duration {
+				d.Unreachable("e1")
+				d.Unreachable("e1") // Another sending that was under way does not count.
+				begun := time.Now()
+				for d.Missing("e1", "", "") {
+					time.Sleep(10 * time.Millisecond)
+				}
+				return time.Since(begun)
+			}
+			Expect([]time.Duration{span(), span(), span(), span()}).To(Equal([]time.Duration{
+				500 * time.Millisecond, time.Second, 2 * time.Second, 2 * time.Second}))
+			d.Reached("e1")
+			Expect(span()).To(Equal(500 * time.Millisecond))
+		})
+	})
+
 	It("believes for a while that an engine lacks something or takes no connection", func() {
 		d.Miss("e1", "m1", "a1")
 		Expect(d.Missing("e1", "m1", "a1")).To(BeTrue())
--- a/pkg/residency/adapters.go
+++ b/pkg/residency/adapters.go
@@ -5,7 +5,6 @@
 	"maps"
 	"time"
 
-	"ospreymoor.example/ospreymoor/pkg/fleet"
 	"ospreymoor.example/ospreymoor/pkg/pause"
 	"ospreymoor.example/ospreymoor/pkg/routes"
 )
@@ -22,97 +21,23 @@
 	crowdedWork = 60
 	// fullCost is the cost, in running requests, of having to evict an adapter first.
 	fullCost = 6
+	// doubtCost is that of an engine which did not answer its last order.
+	doubtCost = 40
 	// queueCost is the cost of each job that waits for an engine's turn.
 	queueCost = 8
 )
 
-// Ensured tells where what was asked for is, or when it will be.
-type Ensured struct {
-	// Backend has it now; empty if none does yet.
-	Backend string `json:"backend,omitempty"`
-	// Residency of that engine.
-	Residency fleet.Residency `json:"residency,omitzero"`
-	Term      int64           `json:"term,omitempty"`
-	// Ready is after how long it is probably there; 0 if that is not known.
-	Ready time.Duration `json:"ready,omitempty"`
-}
-
-// Ensure has an adapter of a model loaded on an engine that holds the model, and returns where.
-// For a model that no engine holds it returns at once when the load will be done.
-func (c *Controller) Ensure(ctx context.Context, service, model, adapter string) (Ensured, error) {
-	term, err := c.mayOrder()
-	if err != nil {
-		return Ensured{}, err
-	}
-	c.enter(term)
-	pool, described := c.model(service, model)
-	if described == nil {
-		return Ensured{}, ErrUnknownModel
-	}
-	if c.copies(service, model) == 0 {
-		return Ensured{Ready: c.wantModel(service, model), Term: term}, ErrNoPlace
-	}
-	if adapter == "" {
-		return Ensured{Term: term}, nil
-	}
-	target, state := c.placeAdapter(service, pool, adapterKey{model, adapter})
-	if target == nil {
-		c.Demand.Note(map[ModelKey]float64{{service, model}: crowdedWork}, time.Now())
-		return Ensured{Ready: idleTime / 2, Term: term}, ErrNoPlace
-	}
-	select {
-	case <-state.ready:
-	case <-ctx.Done():
-		return Ensured{Ready: adapterTime, Term: term}, ctx.Err()
-	}
-	target.mu.Lock()
-	loaded := state.phase == phaseLoaded
-	target.mu.Unlock()
-	if !loaded {
-		return Ensured{Term: term}, ErrFailed
-	}
-	return Ensured{Backend: target.id, Residency: target.residency(), Term: term}, nil
-}
-
-// placeAdapter finds the engine that has or will have an adapter; nil if none can now.
-func (c *Controller) placeAdapter(service string, pool *routes.Engines, key adapterKey) (*engine, *adapterState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var best *engine
-	bestCost := 0
-	for _, state := range c.Directory.Of(service) {
-		if state.Leaving || !state.Holds(key.model) {
-			continue
-		}
-		e := c.engine(state.ID, service)
-		if there := e.findAdapter(key); there != nil {
-			return e, there
-		}
-		cost, ok := e.adapterCost(pool, key)
-		if !ok {
-			continue
-		}
-		cost += c.load(state.ID)
-		if best == nil || cost < bestCost {
-			best, bestCost = e, cost
-		}
-	}
-	if best == nil {
-		return nil, nil
-	}
-	return best, best.startAdapter(key)
-}
-
-// findAdapter returns an adapter that the engine has or is loading; nil if it has not.
-func (e *engine) findAdapter(key adapterKey) *adapterState {
+// findAdapter returns an adapter that the engine has or is loading, nil if it has not, and whether
+// its load takes longer than loads do.
+func (e *engine) findAdapter(key adapterKey) (state *adapterState, slow bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	state := e.adapters[key]
+	state = e.adapters[key]
 	if state == nil || (state.phase != phaseLoading && state.phase != phaseLoaded) || e.unloading == key.model {
-		return nil
+		return nil, false
 	}
 	state.used = time.Now()
-	return state
+	return state, state.phase == phaseLoading && time.Since(state.begun) > slowPaging
 }
 
 // adapterCost tells what it costs to load one more adapter here; ok is false if that can't be
@@ -124,6 +49,9 @@
 	if e.ordering || e.adapters[key] != nil || now.Before(e.coolUntil) || !e.mayOrder() {
 		return 0, false
 	}
+	if now.Before(e.doubtUntil) {
+		cost += doubtCost
+	}
 	idle := 0
 	for _, state := range e.adapters {
 		switch {
@@ -146,7 +74,8 @@
 
 // startAdapter begins the load of an adapter.
 func (e *engine) startAdapter(key adapterKey) *adapterState {
-	state := &adapterState{ready: make(chan struct{}), used: time.Now(), phase: phaseLoading}
+	now := time.Now()
+	state := &adapterState{ready: make(chan struct{}), begun: now, used: now, phase: phaseLoading}
 	e.mu.Lock()
 	e.adapters[key] = state
 	e.mu.Unlock()
--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -26,7 +26,9 @@
 	NotBefore func(engine string) time.Time
 	// Running tells how many requests are under way at a back end.
 	Running func(backend string) int
-	Demand  *Demand
+	// Silent tells whether nobody gets an answer from a back end lately; nil takes none for that.
+	Silent func(backend string) bool
+	Demand *Demand
 	// MoveCost is what a load must gain at least, in squared engine time.
 	MoveCost float64
 	// PlanInterval is the time between plans; 0 takes 200 ms.
@@ -60,8 +62,10 @@
 
 const (
 	defaultPlanInterval = 200 * time.Millisecond
-	// maxMoves bounds the moves started by one plan.
-	maxMoves = 4
+	// leastMoves bounds the moves started by one plan, and enginesPerMove where there are many
+	// engines.
+	leastMoves     = 4
+	enginesPerMove = 10
 	// storeBurst is how many loads from the weight store may begin at once.
 	storeBurst = 4
 	// storeShare is the part of the weight store's rate that is used.
@@ -261,7 +265,7 @@
 func (c *Controller) copies(service, model string) int {
 	n := 0
 	for _, state := range c.Directory.Of(service) {
-		if !state.Leaving && state.Holds(model) {
+		if !state.Leaving && !c.silent(state.ID) && state.Holds(model) {
 			n++
 		}
 	}
@@ -275,20 +279,26 @@
 	return c.Running(backend)
 }
 
-// wantModel notes that a model is asked for which nobody holds, and tells when it will be there.
-func (c *Controller) wantModel(service, model string) time.Duration {
+// silent tells whether nobody gets an answer from a back end lately.
+func (c *Controller) silent(backend string) bool {
+	return c.Silent != nil && c.Silent(backend)
+}
+
+// wantModel notes that a model is asked for which nobody holds, and tells when it will be there and
+// whether its load is under way.
+func (c *Controller) wantModel(service, model string) (ready time.Duration, coming bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	key := ModelKey{service, model}
 	c.missed[key] = now
 	if at, ok := c.coming[key]; ok && at.After(now) {
-		return at.Sub(now)
+		return at.Sub(now), true
 	}
 	if _, described := c.model(service, model); described != nil {
-		return described.LoadTime + defaultPlanInterval
+		return described.LoadTime + defaultPlanInterval, false
 	}
-	return 0
+	return 0, false
 }
 
 // announce puts one engine's change into the directory, from where peers are told.
--- a/pkg/residency/controller_test.go
+++ b/pkg/residency/controller_test.go
@@ -265,6 +265,72 @@
 		}
 	})
 
+	It("pages an adapter on another engine when one takes long, and prefers those that answer", func() {
+		synctest.Test(suiteT, func(*testing.T) {
+			defer GinkgoRecover()
+			w := newWorld(1, 0)
+			w.engines["e1"].models["m0"] = nil
+			w.list()
+			// The stuck engine has nothing running, the other one does: it is chosen first.
+			w.controller.Running = func(backend string) int { return map[string]int{"e1": 5}[backend] }
+			asked := map[string]int{}
+			w.controller.Engines.Order = func(ctx context.Context, to fleet.Backend, order residency.Order) (residency.Result, error) {
+				w.mu.Lock()
+				asked[to.ID]++
+				w.mu.Unlock()
+				if to.ID != "e0" {
+					return w.engines[to.ID].order(order), nil
+				}
+				<-ctx.Done()
+				return residency.Unanswered, errLost
+			}
+			ensure := func(adapter string) (string, time.Duration) {
+				begun := time.Now()
+				ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+				defer cancel()
+				ensured, err := w.controller.Ensure(ctx, "s", "m0", adapter)
+				Expect(err).NotTo(HaveOccurred())
+				return ensured.Backend, time.Since(begun)
+			}
+			backend, took := ensure("a0")
+			Expect(backend).To(Equal("e1"))
+			Expect(took).To(BeNumerically("<", 150*time.Millisecond))
+			time.Sleep(500 * time.Millisecond)
+			before := asked["e0"]
+			backend, took = ensure("a1")
+			Expect(backend).To(Equal("e1"))
+			Expect(took).To(BeNumerically("<", 50*time.Millisecond))
+			Expect(asked["e0"]).To(BeNumerically("<=", before+1), "only what was begun there goes on")
+			time.Sleep(time.Minute)
+		})
+	})
+
+	It("does not count the copies of engines that nobody gets an answer from", func() {
+		synctest.Test(suiteT, func(*testing.T) {
+			defer GinkgoRecover()
+			w := newWorld(1, 0)
+			w.controller.Silent = func(backend string) bool { return backend == "e0" }
+			_, err := w.controller.Ensure(context.Background(), "s", "m0", "a0")
+			Expect(err).To(MatchError(residency.ErrNoPlace))
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() { w.controller.Run(ctx); close(done) }()
+			time.Sleep(10 * time.Second)
+			w.listSafely()
+			time.Sleep(time.Second)
+			cancel()
+			<-done
+			held := map[string]bool{}
+			for _, id := range []string{"e1", "e2"} {
+				for model := range w.engines[id].models {
+					held[model] = true
+				}
+			}
+			Expect(held).To(HaveKey("m0"))
+			time.Sleep(time.Minute)
+		})
+	})
+
 	It("gives no order without the lease", func() {
 		w := newWorld(1, 0)
 		w.controller.Term = func() (int64, error) { return 0, residency.ErrNotHolder }
--- a/pkg/residency/engine.go
+++ b/pkg/residency/engine.go
@@ -53,6 +53,9 @@
 	told map[adapterKey]bool
 	// coolUntil is until when an engine that failed orders gets none.
 	coolUntil time.Time
+	// doubtUntil is until when an engine that left an order unanswered is only given orders that no
+	// other engine can take.
+	doubtUntil time.Time
 }
 
 type adapterKey struct {
@@ -76,6 +79,8 @@
 	// ready is closed when the load is over; phase then tells how.
 	ready chan struct{}
 	phase phase
+	// begun is when the load was asked for, and used when the adapter was last needed.
+	begun time.Time
 	used  time.Time
 	// running requests that use it, on all machines.
 	running int
@@ -196,10 +201,23 @@
 	}
 	order.Holder, order.Term = e.controller.Holder, term
 	result, err := e.controller.Engines.Order(callCtx, state.Backend, order)
+	if err != nil {
+		e.doubt()
+	}
 	e.controller.logOrder(e.id, order, result, err)
 	return result, err
 }
 
+// doubtTime is how long an engine that left an order unanswered is doubted.
+const doubtTime = 800 * time.Millisecond
+
+// doubt has other engines preferred for a while.
+func (e *engine) doubt() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.doubtUntil = time.Now().Add(doubtTime)
+}
+
 // unsure has the next order preceded by a report.
 func (e *engine) unsure() {
 	e.mu.Lock()
--- a/pkg/residency/moves.go
+++ b/pkg/residency/moves.go
@@ -31,7 +31,7 @@
 	if !move.FromDisk {
 		c.planned++
 	}
-	c.coming[key] = time.Now().Add(described.Model(move.Model).LoadTime + noticeTime)
+	c.coming[key] = time.Now().Add(moveTime(described.Model(move.Model), move))
 	c.mu.Unlock()
 	c.Log.Info("move",
 		zap.String("engine", move.Engine),
@@ -50,6 +50,26 @@
 	go e.move(described, move)
 }
 
+// moveTime is how long a move will probably take.
+func moveTime(model *routes.Model, move Move) time.Duration {
+	span := loadTime(model, move.FromDisk)
+	if len(move.Evict) > 0 {
+		span += noticeTime + unloadTime
+	}
+	return span
+}
+
+// unloadTime is how long the last runs of withdrawn models and their unload usually take.
+const unloadTime = 400 * time.Millisecond
+
+// loadTime is how long a load takes that goes undisturbed.
+func loadTime(model *routes.Model, fromDisk bool) time.Duration {
+	if fromDisk && model.DiskLoadTime > 0 {
+		return model.DiskLoadTime
+	}
+	return model.LoadTime
+}
+
 // move makes room on the engine and loads a model.
 func (e *engine) move(described *routes.Service, move Move) {
 	ctx, cancel := context.WithTimeout(e.controller.jobs(), moveTimeout)
@@ -156,10 +176,7 @@
 	if result != Accepted && result != Already {
 		return false
 	}
-	expected := model.LoadTime
-	if move.FromDisk && model.DiskLoadTime > 0 {
-		expected = model.DiskLoadTime
-	}
+	expected := loadTime(model, move.FromDisk)
 	if result == Accepted && !e.await(ctx, expected, func(held bool) bool { return held }, model.Name) {
 		return false
 	}
--- a/pkg/residency/plan.go
+++ b/pkg/residency/plan.go
@@ -40,10 +40,15 @@
 	AdapterMegabytes float64
 	// Usable engines may be given moves; the others only hold what they hold.
 	Usable bool
-	// Leaving engines' copies count for nothing.
+	// Leaving engines' copies count for nothing, nor do those of Silent ones, which nobody gets an
+	// answer from.
 	Leaving bool
+	Silent  bool
 }
 
+// counts tells whether the engine's copies serve anybody.
+func (e PlanEngine) counts() bool { return !e.Leaving && !e.Silent }
+
 // PlanModel is a model as the planner sees it.
 type PlanModel struct {
 	Name      string
@@ -134,7 +139,7 @@
 			if model := p.models[name]; model != nil {
 				e.free -= model.Megabytes
 				p.count(name, e, 1)
-				if !e.Leaving {
+				if e.counts() {
 					p.confirmed[name]++
 				}
 			}
@@ -159,7 +164,7 @@
 		e.work = 0
 		for _, model := range e.Models {
 			e.work += p.share(model, p.copies[model])
-			if !e.Leaving {
+			if e.counts() {
 				p.holders[model] = append(p.holders[model], e)
 			}
 		}
@@ -167,7 +172,7 @@
 }
 
 func (p *planner) count(model string, e *planEngine, by int) {
-	if e.Leaving {
+	if !e.counts() {
 		return
 	}
 	p.copies[model] += by
@@ -255,7 +260,7 @@
 }
 
 func (p *planner) mayMove(e *planEngine, model *PlanModel) bool {
-	if !e.Usable || e.Leaving || e.moved || slices.Contains(e.Models, model.Name) {
+	if !e.Usable || !e.counts() || e.moved || slices.Contains(e.Models, model.Name) {
 		return false
 	}
 	return p.storeLoads > 0 || e.Seen[model.Name]
--- a/pkg/residency/view.go
+++ b/pkg/residency/view.go
@@ -12,7 +12,7 @@
 
 // planInput describes a service's engines and models to the planner. The caller holds the lock.
 func (c *Controller) planInput(name string, service *routes.Service, states []*fleet.State, now time.Time) PlanInput {
-	input := PlanInput{Megabytes: service.Engines.Megabytes, MoveCost: c.MoveCost, Moves: maxMoves}
+	input := PlanInput{Megabytes: service.Engines.Megabytes, MoveCost: c.MoveCost, Moves: max(leastMoves, len(states)/enginesPerMove)}
 	present := map[string]bool{}
 	for _, state := range states {
 		present[state.ID] = true
@@ -56,6 +56,7 @@
 		Zone:    state.Zone,
 		Usable:  e.known && e.mayOrder() && e.loading == "" && e.unloading == "" && len(e.withdrawn) == 0 && time.Now().After(e.coolUntil),
 		Leaving: state.Leaving,
+		Silent:  e.controller.silent(state.ID),
 	}
 	e.reconcile(state)
 	for _, model := range e.held(state) {
