Count the order by which an engine drops an adapter at once

Cause: an engine that drops an unused adapter answers 200, and counts the order. We took 200 for "nothing changed", so that the next order to that engine named the wrong count and met 409 until a report came, one second later.

--- /dev/null
+++ b/internal/gateway/relay_test.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"ospreymoor.example/ospreymoor/pkg/dispatch"
+	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/kv"
+	"ospreymoor.example/ospreymoor/pkg/residency"
+	"ospreymoor.example/ospreymoor/pkg/routes"
+)
+
+// largeFleet is more machines than talk to each other directly, in zones of ten.
+type largeFleet struct {
+	nodes    []*Node
+	stops    []context.CancelFunc
+	stopped  sync.WaitGroup
+	watching atomic.Int64
+}
+
+const zoneMachines = 10
+
+func startLargeFleet(zones int) *largeFleet {
+	f := &largeFleet{}
+	memory := kv.NewMemory().Store()
+	store := memory
+	store.Watch = func(ctx context.Context, watching kv.Watching) (<-chan []kv.Event, error) {
+		f.watching.Add(1)
+		return memory.Watch(ctx, watching)
+	}
+	put := func(key, value string) {
+		_, err := memory.Swap(context.Background(), kv.Swap{Key: key, Value: []byte(value)})
+		Expect(err).NotTo(HaveOccurred())
+	}
+	put("config", "1")
+	put("servers/e1", "e1")
+	dialer := net.Dialer{Timeout: 200 * time.Millisecond}
+	for n := range zones * zoneMachines {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		node := NewNode(Config{
+			Name: fmt.Sprintf("n%02d", n), Zone: fmt.Sprint("z", n/zoneMachines), Cores: 0.2, PeerAddress: listener.Addr().String(),
+			Platform: Platform{
+				Store: store, ConfigPrefix: "config", BackendPrefix: "servers/", OwnPrefix: "own/",
+				Table: func(map[string]kv.Record) (*routes.Table, error) { return routes.New(1, nil, nil, routes.Limits{}), nil },
+				Backend: func(record kv.Record) (fleet.Backend, error) {
+					return fleet.Backend{ID: string(record.Value), Service: "s", Revision: record.Revision}, nil
+				},
+			},
+			Backends: Backends{Forget: func(string) {}, Engines: residency.Engines{}},
+			TurnTime: 100 * time.Millisecond, LeaseTTL: 2 * time.Second, Dial: dialer.DialContext, Log: zap.NewNop(), Set: metrics.NewSet(),
+		})
+		ctx, stop := context.WithCancel(context.Background())
+		f.nodes = append(f.nodes, node)
+		f.stops = append(f.stops, stop)
+		f.stopped.Go(func() {
+			node.Run(ctx, listener)
+			_ = listener.Close()
+		})
+	}
+	DeferCleanup(func() {
+		for _, stop := range f.stops {
+			stop()
+		}
+		f.stopped.Wait()
+	})
+	return f
+}
+
+// relays names the machines that act as relays.
+func (f *largeFleet) relays() []string {
+	var names []string
+	for _, node := range f.nodes {
+		if !node.cluster.followsRelay() {
+			names = append(names, node.config.Name)
+		}
+	}
+	return names
+}
+
+// running is what each machine takes an engine to have under way.
+func (f *largeFleet) running(engine string) []int {
+	counts := make([]int, len(f.nodes))
+	for i, node := range f.nodes {
+		counts[i] = node.Gateway.Book.Total(engine).Running
+	}
+	return counts
+}
+
+func (f *largeFleet) begin(node int, engine string) *dispatch.Ticket {
+	choice := dispatch.Choice{Backend: &fleet.State{Backend: fleet.Backend{ID: engine}}}
+	return f.nodes[node].Gateway.Book.Begin(choice, dispatch.Need{Service: "s"})
+}
+
+var _ = Describe("a large fleet", func() {
+	It("has one relay a zone, and every machine knows what all have under way", func() {
+		f := startLargeFleet(2)
+		Eventually(f.relays).WithTimeout(8 * time.Second).Should(Equal([]string{"n00", "n10"}))
+		everywhere := func(count int) []int {
+			counts := make([]int, len(f.nodes))
+			for i := range counts {
+				counts[i] = count
+			}
+			return counts
+		}
+		var tickets []*dispatch.Ticket
+		for _, node := range []int{0, 3, 3, 10, 17} {
+			tickets = append(tickets, f.begin(node, "e1"))
+		}
+		Eventually(func() []int { return f.running("e1") }).WithTimeout(3 * time.Second).Should(Equal(everywhere(5)))
+		Consistently(func() []int { return f.running("e1") }).WithTimeout(time.Second).Should(Equal(everywhere(5)))
+		for _, ticket := range tickets[1:] {
+			ticket.End()
+		}
+		Eventually(func() []int { return f.running("e1") }).WithTimeout(3 * time.Second).Should(Equal(everywhere(1)))
+		By("asking the store from a few machines only")
+		before := f.watching.Load()
+		time.Sleep(time.Second)
+		Expect(f.watching.Load() - before).To(BeNumerically("<", 3))
+		By("losing a relay")
+		f.stops[10]()
+		Eventually(func() bool { return f.nodes[11].cluster.followsRelay() }).WithTimeout(5 * time.Second).Should(BeFalse())
+		lost := f.begin(15, "e1")
+		Eventually(func() int { return f.nodes[4].Gateway.Book.Total("e1").Running }).WithTimeout(5 * time.Second).Should(Equal(2))
+		Eventually(func() int { return f.nodes[19].Gateway.Book.Total("e1").Running }).WithTimeout(5 * time.Second).Should(Equal(2))
+		lost.End()
+	})
+})
--- a/pkg/residency/controller_test.go
+++ b/pkg/residency/controller_test.go
@@ -53,6 +53,11 @@
 		return residency.Already
 	}
 	f.taken++
+	if order.Adapter != "" && order.Operation == residency.Unload {
+		// Nobody uses it here: it is dropped at once, and the order counts.
+		f.models[order.Model] = slices.DeleteFunc(adapters, func(a string) bool { return a == order.Adapter })
+		return residency.Already
+	}
 	f.busy = true
 	f.terms = append(f.terms, order.Term)
 	if order.Operation == residency.Load {
@@ -265,6 +270,30 @@
 		}
 	})
 
+	It("makes room for an adapter without delay", func() {
+		synctest.Test(suiteT, func(*testing.T) {
+			defer GinkgoRecover()
+			w := newWorld(1, 0)
+			ensure := func(adapter string) time.Duration {
+				begun := time.Now()
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				ensured, err := w.controller.Ensure(ctx, "s", "m0", adapter)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(ensured.Backend).To(Equal("e0"))
+				return time.Since(begun)
+			}
+			for n := range adapterSlots {
+				ensure(fmt.Sprint("a", n))
+			}
+			for n := adapterSlots; n < 5; n++ {
+				time.Sleep(time.Second)
+				Expect(ensure(fmt.Sprint("a", n))).To(BeNumerically("<", 50*time.Millisecond))
+			}
+			Expect(w.overfull()).To(BeEmpty())
+		})
+	})
+
 	It("pages an adapter on another engine when one takes long, and prefers those that answer", func() {
 		synctest.Test(suiteT, func(*testing.T) {
 			defer GinkgoRecover()
--- a/pkg/residency/engine.go
+++ b/pkg/residency/engine.go
@@ -149,7 +149,7 @@
 	wait := conflictPause
 	for range orderTries {
 		result, err := e.send(ctx, order)
-		if result == Accepted {
+		if result == Accepted || (result == Already && order.dropsAdapter()) {
 			e.mu.Lock()
 			e.taken++
 			e.mu.Unlock()
--- a/pkg/residency/orders.go
+++ b/pkg/residency/orders.go
@@ -36,6 +36,11 @@
 	Term   int64
 }
 
+// dropsAdapter tells whether the order unloads an adapter. It is given only where the engine has
+// the adapter: an answer that it has it no more says that it was dropped at once, which counts as
+// an order taken.
+func (o Order) dropsAdapter() bool { return o.Adapter != "" && o.Operation == Unload }
+
 // Result is an engine's answer to an order.
 type Result int
 
@@ -45,7 +50,7 @@
 	Unanswered Result = iota
 	// Accepted: it is under way.
 	Accepted
-	// Already: the engine holds, or lacks, what the order asks for.
+	// Already: the engine holds, or lacks, what the order asks for; it may have come to so at once.
 	Already
 	// Conflict: another order is under way, or the engine has taken another number of orders.
 	Conflict
