Take waits for loads and for callers that come back out again

Tried: a caller that seems to come back (it gives less time than others) waited for 0.6 of the target and was admitted at twice the target; a request waited for a load under way where the caller would have come back before its end. Cause: what waits comes all at once when the load ends, and what is not served after a wait is dear.

The large fleet's spec watched a store that never answers without changes, so that all machines took its news for old: it answers now as the platform's does.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,10 +36,8 @@
 
 	budget *repeatBudget
 	uses   adapterUses
-	// callers know how much time callers give.
-	callers callerTimes
-	table   atomic.Pointer[routes.Table]
-	flight  atomic.Int64
+	table  atomic.Pointer[routes.Table]
+	flight atomic.Int64
 }
 
 // SetTable puts a configuration in force; one that is not newer is ignored.
@@ -72,8 +70,6 @@
 	ends time.Time
 	// patience is until when the request may wait before it is sent.
 	patience time.Time
-	// again tells that the caller seems to have come back with a request that was refused.
-	again bool
 	// sends counts the sendings, arrivals those of them that reached a back end, and tries
 	// those that may have run.
 	sends    int
@@ -123,8 +119,6 @@
 const (
 	// patienceShare is the part of the target that a request may wait before it is sent.
 	patienceShare = 0.22
-	// patienceAgainShare holds for a caller that comes back: it may not ask a third time.
-	patienceAgainShare = 0.6
 	// leastPatience holds for routes without a target.
 	leastPatience = 50 * time.Millisecond
 )
@@ -149,11 +143,8 @@
 			r.ends = held
 		}
 	}
-	share := patienceShare
-	if r.again = g.callers.cameBack(route.Name, request); r.again {
-		share = patienceAgainShare
-	}
-	r.patience = request.Arrived.Add(max(leastPatience, time.Duration(share*float64(route.Target))))
+	patience := max(leastPatience, time.Duration(patienceShare*float64(route.Target)))
+	r.patience = request.Arrived.Add(patience)
 	return r
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -166,14 +166,9 @@
 }
 
 func (f *fixture) ask(ctx context.Context, id, path, model string) *caller {
-	return f.askWithin(ctx, 4*time.Second, id, path, model)
-}
-
-// askWithin asks with a time that the caller gives.
-func (f *fixture) askWithin(ctx context.Context, given time.Duration, id, path, model string) *caller {
 	c := &caller{ResponseRecorder: httptest.NewRecorder()}
 	request := &Request{
-		ID: id, Arrived: time.Now(), Deadline: time.Now().Add(given), Method: http.MethodPost, URI: path, Path: path,
+		ID: id, Arrived: time.Now(), Deadline: time.Now().Add(4 * time.Second), Method: http.MethodPost, URI: path, Path: path,
 		Host: "h", Header: http.Header{}, Model: model, PromptTokens: 200, AnswerTokens: 20,
 	}
 	err := f.Serve(ctx, c, request)
@@ -273,35 +268,6 @@
 		})
 	})
 
-	DescribeTable("waits for a load only where coming back would be in vain", func(given, ready time.Duration, coming, waits bool) {
-		synctest.Test(suiteT, func(*testing.T) {
-			defer GinkgoRecover()
-			f := newFixture(func(string, int) fate { return whole }, 1)
-			f.ask(context.Background(), "first", "/stream/x", "m")
-			begun := time.Now()
-			there := begun.Add(ready)
-			f.Ensure = func(context.Context, string, string, string) (residency.Ensured, error) {
-				if left := time.Until(there); left > 0 {
-					return residency.Ensured{Ready: left, Coming: coming}, residency.ErrNoPlace
-				}
-				return residency.Ensured{Term: 1, Backend: "e1", Residency: fleet.Residency{Sequence: 1, Loaded: []string{"nowhere"}}}, nil
-			}
-			got := f.askWithin(context.Background(), given, "r", "/stream/x", "nowhere")
-			if waits {
-				Expect(got.Code).To(Equal(http.StatusOK))
-				return
-			}
-			Expect(got.Code).To(Equal(http.StatusServiceUnavailable))
-			Expect(time.Since(begun)).To(BeNumerically("<", 200*time.Millisecond))
-		})
-	},
-		Entry("it can come back in time", 4*time.Second, 800*time.Millisecond, true, false),
-		Entry("it would come back too early", 4*time.Second, 1200*time.Millisecond, true, true),
-		Entry("it has come back", 2500*time.Millisecond, 800*time.Millisecond, true, true),
-		Entry("nobody knows whether it comes", 2500*time.Millisecond, 800*time.Millisecond, false, false),
-		Entry("it would take most of the time", 2500*time.Millisecond, 1200*time.Millisecond, true, false),
-	)
-
 	It("answers 503, never 404, while it knows no configuration", func() {
 		f := newFixture(func(string, int) fate { return whole }, 1)
 		f.table.Store(nil)
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -38,8 +38,6 @@
 	// admitShare is how long a first token may take, by the target, for a request to be admitted:
 	// what comes later than that only holds up the others.
 	admitShare = 1.15
-	// admitAgainShare holds for a caller that comes back: a late answer is better than none.
-	admitAgainShare = 2
 	// leastComeBack is the least time to come back when engines are full.
 	leastComeBack = 150 * time.Millisecond
 )
@@ -50,11 +48,7 @@
 	if r.need.Model == "" || r.route.Target <= 0 || r.tries > 0 {
 		return true
 	}
-	share := admitShare
-	if r.again {
-		share = admitAgainShare
-	}
-	return choice.Wait <= time.Duration(share*float64(r.route.Target))
+	return choice.Wait <= time.Duration(admitShare*float64(r.route.Target))
 }
 
 // comeBack is when the best back end will probably have room.
@@ -137,39 +131,16 @@
 		return 0, r.over(ctx)
 	}
 	left = time.Until(r.patience)
-	if ensured.Coming && r.worthWaiting(ensured.Ready) {
-		r.patience = time.Now().Add(ensured.Ready + holdMargin)
-		return ensured.Ready, nil
-	}
 	wait := max(retryWait, min(ensured.Ready, left/2))
 	if ensured.Ready > left || left < retryWait {
 		r.gateway.Log.Info("not provided", zap.String("id", r.request.ID), zap.String("model", r.need.Model),
-			zap.String("adapter", r.need.Adapter), zap.Duration("ready", ensured.Ready), zap.Bool("coming", ensured.Coming),
+			zap.String("adapter", r.need.Adapter), zap.Duration("ready", ensured.Ready),
 			zap.Int64("term", ensured.Term), logfield.Error(err))
 		return 0, r.giveUp(why, max(soon, ensured.Ready))
 	}
 	return wait, nil
 }
 
-const (
-	// heededShare is the part of the time that a caller has left up to which it waits as told.
-	heededShare = 1.0 / 3
-	// holdMargin is how much longer than foretold a load is waited for.
-	holdMargin = 300 * time.Millisecond
-	// holdLimit bounds the wait: callers give up streams that stay silent.
-	holdLimit = 2500 * time.Millisecond
-)
-
-// worthWaiting tells whether a request had better wait here for a load that is under way than
-// come back: because it has come back already, or would do so before the load's end.
-func (r *run) worthWaiting(ready time.Duration) bool {
-	left := time.Until(r.ends)
-	if r.ends.IsZero() || ready+holdMargin > min(holdLimit, left/2) || time.Since(r.request.Arrived)+ready > holdLimit {
-		return false
-	}
-	return r.again || ready > time.Duration(heededShare*float64(left))
-}
-
 // missed tells the order holder of work that no engine could take.
 func (r *run) missed() {
 	if r.noted {
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -36,7 +36,7 @@
 	store := memory
 	store.Watch = func(ctx context.Context, watching kv.Watching) (<-chan []kv.Event, error) {
 		f.watching.Add(1)
-		return memory.Watch(ctx, watching)
+		return answering(ctx, memory, watching)
 	}
 	put := func(key, value string) {
 		_, err := memory.Swap(context.Background(), kv.Swap{Key: key, Value: []byte(value)})
@@ -52,7 +52,9 @@
 			Name: fmt.Sprintf("n%02d", n), Zone: fmt.Sprint("z", n/zoneMachines), Cores: 0.2, PeerAddress: listener.Addr().String(),
 			Platform: Platform{
 				Store: store, ConfigPrefix: "config", BackendPrefix: "servers/", OwnPrefix: "own/",
-				Table: func(map[string]kv.Record) (*routes.Table, error) { return routes.New(1, nil, nil, routes.Limits{}), nil },
+				Table: func(map[string]kv.Record) (*routes.Table, error) {
+					return routes.New(1, nil, nil, routes.Limits{}), nil
+				},
 				Backend: func(record kv.Record) (fleet.Backend, error) {
 					return fleet.Backend{ID: string(record.Value), Service: "s", Revision: record.Revision}, nil
 				},
@@ -77,6 +79,33 @@
 	return f
 }
 
+// answering is a watch that answers also when nothing has changed, as the platform's does.
+func answering(ctx context.Context, store kv.Store, watching kv.Watching) (<-chan []kv.Event, error) {
+	changes, err := store.Watch(ctx, watching)
+	if err != nil {
+		return nil, err
+	}
+	answers := make(chan []kv.Event)
+	go func() {
+		defer close(answers)
+		for {
+			var batch []kv.Event
+			select {
+			case batch = <-changes:
+			case <-time.After(watching.Idle()):
+			case <-ctx.Done():
+				return
+			}
+			select {
+			case answers <- batch:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return answers, nil
+}
+
 // relays names the machines that act as relays.
 func (f *largeFleet) relays() []string {
 	var names []string
--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -284,21 +284,20 @@
 	return c.Silent != nil && c.Silent(backend)
 }
 
-// wantModel notes that a model is asked for which nobody holds, and tells when it will be there and
-// whether its load is under way.
-func (c *Controller) wantModel(service, model string) (ready time.Duration, coming bool) {
+// wantModel notes that a model is asked for which nobody holds, and tells when it will be there.
+func (c *Controller) wantModel(service, model string) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	key := ModelKey{service, model}
 	c.missed[key] = now
 	if at, ok := c.coming[key]; ok && at.After(now) {
-		return at.Sub(now), true
+		return at.Sub(now)
 	}
 	if _, described := c.model(service, model); described != nil {
-		return described.LoadTime + defaultPlanInterval, false
+		return described.LoadTime + defaultPlanInterval
 	}
-	return 0, false
+	return 0
 }
 
 // announce puts one engine's change into the directory, from where peers are told.
--- a/pkg/residency/ensure.go
+++ b/pkg/residency/ensure.go
@@ -20,8 +20,6 @@
 	Term      int64           `json:"term,omitempty"`
 	// Ready is after how long it is probably there; 0 if that is not known.
 	Ready time.Duration `json:"ready,omitempty"`
-	// Coming tells that its load is under way.
-	Coming bool `json:"coming,omitempty"`
 }
 
 // Ensure has an adapter of a model loaded on an engine that holds the model, and returns where.
@@ -37,8 +35,7 @@
 		return Ensured{}, ErrUnknownModel
 	}
 	if c.copies(service, model) == 0 {
-		ready, coming := c.wantModel(service, model)
-		return Ensured{Ready: ready, Coming: coming, Term: term}, ErrNoPlace
+		return Ensured{Ready: c.wantModel(service, model), Term: term}, ErrNoPlace
 	}
 	if adapter == "" {
 		return Ensured{Term: term}, nil
