Load models that nobody asks for after copies that are worth more

Cause: a model that no engine held was loaded before any further copy of a busy one, also if nobody asked for it. Ruled out: too slow a start of moves (tokens were spent as they came); loads from disk, which go on as before. Change: first copies of models that are asked for compete with further copies by what they bring; idle models come last, and from the weight store only while three loads are left.

--- a/pkg/residency/plan.go
+++ b/pkg/residency/plan.go
@@ -76,16 +76,14 @@
 // zoneGain is what a first copy of a busy model in a zone is worth, by the model's demand.
 const zoneGain = 0.05
 
-// Plan returns the next moves, most needed first: models that no engine holds, then copies that
-// even out the engines' work. It is a pure function.
+// Plan returns the next moves, most needed first: first copies of models that are asked for, and
+// copies that even out the engines' work, by what they bring; then first copies of models that
+// nobody asks for. It is a pure function.
 func Plan(in PlanInput) []Move {
 	p := newPlanner(in)
 	var moves []Move
 	for len(moves) < in.Moves {
-		move, ok := p.cover()
-		if !ok {
-			move, ok = p.relieve()
-		}
+		move, ok := p.next()
 		if !ok {
 			break
 		}
@@ -94,6 +92,44 @@
 	return moves
 }
 
+// next is the move that is needed most.
+func (p *planner) next() (Move, bool) {
+	cover, missing := p.cover(asked)
+	relieve, uneven := p.relieve()
+	switch {
+	case missing && (!uneven || coverValue(p.models[cover.Model]) >= relieve.Gain):
+		return cover, true
+	case uneven:
+		return relieve, true
+	}
+	return p.coverIdle()
+}
+
+const (
+	// missedValue and demandValue are what a first copy brings, in squared engine time as the gain
+	// of other copies: something for each model that was asked for in vain, more by its demand.
+	missedValue = 0.3
+	demandValue = 3
+	// keptLoads is how many loads from the weight store are kept for models that are asked for.
+	keptLoads = 3
+)
+
+func coverValue(model *PlanModel) float64 { return missedValue + demandValue*model.Demand }
+
+// asked tells whether a model is asked for.
+func asked(model *PlanModel) bool { return model.Missed || model.Demand > 0 }
+
+// coverIdle loads a model that nobody holds or asks for: from an engine's disk, or else only while
+// the weight store has loads to spare.
+func (p *planner) coverIdle() (Move, bool) {
+	loads := p.storeLoads
+	defer func() { p.storeLoads = loads }()
+	if p.storeLoads < keptLoads {
+		p.storeLoads = 0
+	}
+	return p.cover(func(model *PlanModel) bool { return !asked(model) })
+}
+
 type planner struct {
 	in      PlanInput
 	models  map[string]*PlanModel
@@ -206,11 +242,11 @@
 	return move
 }
 
-// cover loads a model that no engine holds: those asked for first.
-func (p *planner) cover() (Move, bool) {
+// cover loads a model of some kind that no engine holds: those asked for in vain first.
+func (p *planner) cover(kind func(*PlanModel) bool) (Move, bool) {
 	var missing []*PlanModel
 	for _, model := range p.models {
-		if p.copies[model.Name] == 0 {
+		if p.copies[model.Name] == 0 && kind(model) {
 			missing = append(missing, model)
 		}
 	}
--- a/pkg/residency/plan_test.go
+++ b/pkg/residency/plan_test.go
@@ -80,7 +80,7 @@
 		in := planInput()
 		in.StoreLoads = 1
 		in.Engines = []residency.PlanEngine{{ID: "e1", Usable: true}, {ID: "e2", Usable: true}, {ID: "e3", Usable: true, Seen: map[string]bool{"c": true}}}
-		in.Models = []residency.PlanModel{planModel("a", 0), planModel("b", 0), planModel("c", 0)}
+		in.Models = []residency.PlanModel{planModel("a", 0.1), planModel("b", 0.1), planModel("c", 0)}
 		fromStore := 0
 		for _, move := range residency.Plan(in) {
 			if !move.FromDisk {
@@ -90,6 +90,32 @@
 		Expect(fromStore).To(Equal(1))
 	})
 
+	It("keeps the weight store's loads for models that are asked for", func() {
+		in := planInput()
+		in.Engines = []residency.PlanEngine{{ID: "e1", Usable: true}, {ID: "e2", Usable: true}, {ID: "e3", Usable: true}, {ID: "e4", Usable: true}}
+		in.Models = []residency.PlanModel{planModel("a", 0), planModel("b", 0), planModel("c", 0)}
+		in.StoreLoads = 2
+		Expect(residency.Plan(in)).To(BeEmpty())
+		in.StoreLoads = 4
+		Expect(residency.Plan(in)).To(HaveLen(2))
+		By("loading what an engine has on its disk all the same")
+		in.StoreLoads = 0
+		in.Engines[2].Seen = map[string]bool{"c": true}
+		moves := residency.Plan(in)
+		Expect(moves).To(HaveLen(1))
+		Expect(moves[0].Engine).To(Equal("e3"))
+		By("adding a copy of a very busy model before the first one of a model that is asked for now and then")
+		in.StoreLoads = 1
+		in.Engines[0].Models = []string{"busy"}
+		rare := planModel("a", 0.01)
+		rare.Missed = true
+		in.Models = append(in.Models[1:], rare, planModel("busy", 3))
+		Expect(residency.Plan(in)[0].Model).To(Equal("busy"))
+		By("and before that the first copy of one that is asked for often")
+		in.Models[2].Demand = 1.5
+		Expect(residency.Plan(in)[0].Model).To(Equal("a"))
+	})
+
 	It("never overfills an engine nor loses a model, whatever is asked", func() {
 		rapid.Check(suiteT, func(t *rapid.T) {
 			in := planInput()
