--- a/pkg/residency/plan.go
+++ b/pkg/residency/plan.go
@@ -73,8 +73,9 @@
 	StoreLoads int
 }
 
-// zoneGain is what a first copy of a busy model in a zone is worth, by the model's demand.
-const zoneGain = 0.05
+// zoneGain is what a first copy of a busy model in a zone is worth, by the model's demand: a zone
+// that is cut off serves what it holds.
+const zoneGain = 0.25
 
 // Plan returns the next moves, most needed first: first copies of models that are asked for, and
 // copies that even out the engines' work, by what they bring; then first copies of models that
