Use back ends whose entries lapsed a little longer

The users' word: what lives is back within two seconds of the store's return. Change: an entry that went, of a back end that did not say it leaves and whose address is not taken, is used until 1.4 s after the list was last known to have it.

--- a/internal/gateway/cluster.go
+++ b/internal/gateway/cluster.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"ospreymoor.example/ospreymoor/internal/peer"
+	"ospreymoor.example/ospreymoor/pkg/fleet"
 	"ospreymoor.example/ospreymoor/pkg/mirror"
 	"ospreymoor.example/ospreymoor/pkg/pause"
 	"ospreymoor.example/ospreymoor/pkg/residency"
@@ -29,6 +30,8 @@
 	log        *zap.Logger
 	leaving    func() bool
 	storeLost  func() bool
+	// changed is told of back ends that are dropped.
+	changed func([]fleet.Change)
 
 	// fetching tells that a copy is being fetched.
 	fetching atomic.Bool
@@ -156,6 +159,7 @@
 	c.demand.Note(c.boxes.collect(c.gateway.Book, targets), now)
 	c.takeStock(now)
 	c.gateway.Directory.Forget()
+	c.changed(c.gateway.Directory.DropLapsed())
 	for _, call := range due {
 		go c.exchangeWith(ctx, call)
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -155,7 +155,7 @@
 		list = append(list, fleet.Backend{ID: fmt.Sprint("p", n), Service: "plain", Slots: 8, Revision: 1})
 		list = append(list, fleet.Backend{ID: fmt.Sprint("e", n), Service: "engines", Slots: 8, Revision: 1, Models: []fleet.Holding{{Model: "m"}}})
 	}
-	g.Directory.SetList(1, list)
+	g.Directory.SetList(1, list, time.Time{})
 	return &fixture{Gateway: g, backends: f}
 }
 
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -103,6 +103,7 @@
 		log:        config.Log,
 		leaving:    n.leaving.Load,
 		storeLost:  n.storeLost,
+		changed:    n.view.tellAll,
 		nodes:      map[string]*member{},
 		most:       1,
 	}
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -60,9 +60,10 @@
 func (r *run) choose() (dispatch.Choice, reason) {
 	all := r.gateway.Directory.Of(r.service)
 	candidates := make([]*fleet.State, 0, len(all))
+	now := time.Now()
 	present, holdModel, holdAdapter := false, false, false
 	for _, state := range all {
-		if state.Leaving || r.avoids(state.ID) {
+		if !state.Usable(now) || r.avoids(state.ID) {
 			continue
 		}
 		present = true
--- a/internal/gateway/storeview.go
+++ b/internal/gateway/storeview.go
@@ -68,7 +68,7 @@
 }
 
 // storeView turns the copy of the store into the table, the directory and the other machines.
-// Its methods are called one at a time.
+// Its methods, but for tell and tellAll, are called one at a time.
 type storeView struct {
 	platform Platform
 	node     *Node
@@ -132,8 +132,12 @@
 		}
 	}
 	v.decoded = next
-	for _, change := range v.node.Gateway.Directory.SetList(state.Revision, list) {
-		v.tell(change, state.Revision)
+	v.tellAll(v.node.Gateway.Directory.SetList(state.Revision, list, state.Since))
+}
+
+func (v *storeView) tellAll(changes []fleet.Change) {
+	for _, change := range changes {
+		v.tell(change, v.node.Gateway.Directory.Revision())
 	}
 }
 
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -23,7 +23,7 @@
 	for i := range n {
 		list = append(list, fleet.Backend{ID: fmt.Sprint("e", i), Service: "s", Zone: "z", Slots: 8, Revision: 1})
 	}
-	directory.SetList(1, list)
+	directory.SetList(1, list, time.Time{})
 	return directory.Of("s")
 }
 
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -63,6 +63,8 @@
 	Listed time.Time
 	// LeavesAt is when a back end that gave notice is gone; zero if it gave none.
 	LeavesAt time.Time
+	// Until is when a back end that the list has no more is dropped; zero if it is listed.
+	Until time.Time
 
 	adapters  map[string][]string
 	withdrawn []string
@@ -88,6 +90,12 @@
 	return adapter == "" || slices.Contains(s.adapters[model], adapter)
 }
 
+// Usable tells whether the back end may get something new: it neither leaves nor has lapsed for too
+// long.
+func (s *State) Usable(now time.Time) bool {
+	return !s.Leaving && (s.Until.IsZero() || now.Before(s.Until))
+}
+
 // Adapters lists the adapters of a model that the engine is known to have.
 func (s *State) Adapters(model string) []string { return s.adapters[model] }
 
@@ -161,11 +169,19 @@
 const (
 	Joined  ChangeKind = "joined"
 	Leaving ChangeKind = "leaving"
+	// Lapsed back ends' entries are gone; they are used for a little longer.
+	Lapsed  ChangeKind = "lapsed"
 	Removed ChangeKind = "removed"
 )
 
-// SetList takes a newer list of all back ends, and returns who came, went or began to leave.
-func (d *Directory) SetList(revision int64, list []Backend) []Change {
+// lapseTime is how long a back end may still be used after its entry went: the platform drops
+// entries whose heartbeats did not reach it, as when it was away or a zone cut off, and those of
+// back ends that live are back soon. It counts from when the entry was last known to be there.
+const lapseTime = 1400 * time.Millisecond
+
+// SetList takes a newer list of all back ends, and returns who came, went or began to leave. since
+// is when the list before was still current.
+func (d *Directory) SetList(revision int64, list []Backend, since time.Time) []Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if revision < d.revision {
@@ -177,7 +193,7 @@
 	for _, backend := range current(list) {
 		listed[backend.ID] = true
 		old := d.states[backend.ID]
-		if old != nil && old.Revision == backend.Revision {
+		if old != nil && old.Revision == backend.Revision && old.Until.IsZero() {
 			continue
 		}
 		if what := changeOf(old, backend); what != "" {
@@ -186,19 +202,65 @@
 		d.states[backend.ID] = d.join(backend, old)
 		d.noteDisk(backend)
 	}
+	replaced := addresses(list)
+	now := time.Now()
 	for id, state := range d.states {
 		if listed[id] {
 			continue
 		}
-		changes = append(changes, Change{Backend: state.Backend, What: Removed})
-		delete(d.states, id)
-		delete(d.words, id)
-		delete(d.unreachable, id)
+		until := state.Until
+		if until.IsZero() {
+			until = since.Add(lapseTime)
+		}
+		if state.Leaving || replaced[state.Address] || !now.Before(until) {
+			changes = append(changes, d.drop(state))
+			continue
+		}
+		if state.Until.IsZero() {
+			lapsed := *state
+			lapsed.Until = until
+			d.states[id] = &lapsed
+			changes = append(changes, Change{Backend: state.Backend, What: Lapsed})
+		}
 	}
 	d.index()
 	return changes
 }
 
+// DropLapsed drops the back ends whose entries have been gone for too long. Call it now and then.
+func (d *Directory) DropLapsed() []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var changes []Change
+	now := time.Now()
+	for _, state := range d.states {
+		if !state.Until.IsZero() && !now.Before(state.Until) {
+			changes = append(changes, d.drop(state))
+		}
+	}
+	if len(changes) > 0 {
+		d.index()
+	}
+	return changes
+}
+
+// drop forgets a back end. The caller holds the lock.
+func (d *Directory) drop(state *State) Change {
+	delete(d.states, state.ID)
+	delete(d.words, state.ID)
+	delete(d.unreachable, state.ID)
+	return Change{Backend: state.Backend, What: Removed}
+}
+
+// addresses are those at which back ends are listed.
+func addresses(list []Backend) map[string]bool {
+	taken := make(map[string]bool, len(list))
+	for _, backend := range list {
+		taken[backend.Address] = true
+	}
+	return taken
+}
+
 // current drops the back ends at whose address a newer one is listed: their processes are gone,
 // though the list still has them until their heartbeats are missed.
 func current(list []Backend) []Backend {
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -31,19 +31,19 @@
 	var d *fleet.Directory
 	BeforeEach(func() {
 		d = fleet.New()
-		d.SetList(10, []fleet.Backend{engine("e1", 8, "m1", "m2"), engine("e2", 9)})
+		d.SetList(10, []fleet.Backend{engine("e1", 8, "m1", "m2"), engine("e2", 9)}, time.Time{})
 	})
 
 	It("tells who came, leaves and went, and ignores older lists", func() {
 		leaving := engine("e1", 11, "m1", "m2")
 		leaving.Leaving, leaving.Remaining = true, 2*time.Second
-		changes := d.SetList(12, []fleet.Backend{leaving, engine("e3", 12)})
+		changes := d.SetList(12, []fleet.Backend{leaving, engine("e3", 12)}, time.Time{})
 		kinds := map[string]fleet.ChangeKind{}
 		for _, change := range changes {
 			kinds[change.Backend.ID] = change.What
 		}
 		Expect(kinds).To(Equal(map[string]fleet.ChangeKind{"e1": fleet.Leaving, "e2": fleet.Removed, "e3": fleet.Joined}))
-		Expect(d.SetList(11, nil)).To(BeEmpty())
+		Expect(d.SetList(11, nil, time.Time{})).To(BeEmpty())
 		Expect(d.Of("s")).To(HaveLen(2))
 		Expect(time.Until(d.Get("e1").LeavesAt)).To(BeNumerically("~", 2*time.Second, time.Second))
 	})
@@ -68,7 +68,7 @@
 
 	It("passes on only what a peer does not know, and loses nothing of it", func() {
 		peer := fleet.New()
-		peer.SetList(10, []fleet.Backend{engine("e1", 8, "m1", "m2"), engine("e2", 9)})
+		peer.SetList(10, []fleet.Backend{engine("e1", 8, "m1", "m2"), engine("e2", 9)}, time.Time{})
 		catchUp := func() map[string]fleet.Residency {
 			words := d.WordsSince(peer.Stamp())
 			if words == nil {
@@ -100,14 +100,56 @@
 	It("drops a back end at whose address a newer one is listed", func() {
 		old, restarted := engine("e1", 11, "m1"), engine("e9", 12)
 		old.Address, restarted.Address = "10.0.0.1:1", "10.0.0.1:1"
-		Expect(d.SetList(11, []fleet.Backend{old})).NotTo(BeEmpty())
-		d.SetList(12, []fleet.Backend{restarted, old})
+		Expect(d.SetList(11, []fleet.Backend{old}, time.Time{})).NotTo(BeEmpty())
+		d.SetList(12, []fleet.Backend{restarted, old}, time.Time{})
 		Expect(d.Get("e1")).To(BeNil())
 		Expect(d.Get("e9")).NotTo(BeNil())
-		d.SetList(13, []fleet.Backend{old, restarted})
+		d.SetList(13, []fleet.Backend{old, restarted}, time.Time{})
 		Expect(d.Get("e1")).To(BeNil())
 	})
 
+	It("uses a back end for a little longer whose entry lapsed, unless it left or was replaced", func() {
+		synctest.Test(suiteT, func(*testing.T) {
+			defer GinkgoRecover()
+			d := fleet.New()
+			at := func(id, address string, leaving bool) fleet.Backend {
+				backend := engine(id, 8, "m1")
+				backend.Address, backend.Leaving = address, leaving
+				return backend
+			}
+			list := []fleet.Backend{at("lives", "a:1", false), at("crashed", "a:2", false), at("restarted", "a:3", false), at("left", "a:4", true)}
+			d.SetList(8, list, time.Time{})
+			d.Announce(1, "lives", fleet.Residency{Loaded: []string{"m2"}})
+			current := time.Now()
+			time.Sleep(400 * time.Millisecond)
+			again := at("again", "a:3", false)
+			again.Revision = 9
+			d.SetList(9, []fleet.Backend{again}, current)
+			present := func() []string {
+				var ids []string
+				for _, state := range d.Of("s") {
+					ids = append(ids, state.ID)
+				}
+				return ids
+			}
+			Expect(present()).To(Equal([]string{"again", "crashed", "lives"}))
+			d.Announce(1, "crashed", fleet.Residency{Loaded: []string{"m2"}})
+			time.Sleep(900 * time.Millisecond)
+			Expect(d.DropLapsed()).To(BeEmpty())
+			Expect(d.SetList(9, []fleet.Backend{again}, time.Now())).To(BeEmpty())
+			back := at("lives", "a:1", false)
+			back.Revision = 10
+			Expect(d.SetList(10, []fleet.Backend{again, back}, time.Now())).To(BeEmpty())
+			Expect(d.Get("lives").Holds("m2")).To(BeTrue())
+			time.Sleep(300 * time.Millisecond)
+			Expect(d.DropLapsed()).To(HaveLen(1))
+			Expect(present()).To(Equal([]string{"again", "lives"}))
+			By("not where the list was out of date already")
+			d.SetList(11, []fleet.Backend{again}, time.Now().Add(-2*time.Second))
+			Expect(present()).To(Equal([]string{"again"}))
+		})
+	})
+
 	It("leaves a back end alone for longer each time that it takes no connection", func() {
 		synctest.Test(suiteT, func(*testing.T) {
 			defer GinkgoRecover()
--- a/pkg/fleet/words.go
+++ b/pkg/fleet/words.go
@@ -115,7 +115,7 @@
 	d.words[engine] = word{Residency: said, term: d.known.Term}
 	if state := d.states[engine]; state != nil {
 		next := d.join(state.Backend, state)
-		next.Listed = state.Listed
+		next.Listed, next.Until = state.Listed, state.Until
 		d.states[engine] = next
 	}
 }
--- a/pkg/mirror/delta.go
+++ b/pkg/mirror/delta.go
@@ -61,7 +61,7 @@
 		return false
 	}
 	m.removals.replace(m.state, records, delta.Revision)
-	m.set(Copy{Revision: delta.Revision, Records: records})
+	m.set(Copy{Revision: delta.Revision, Records: records, Since: m.current})
 	return true
 }
 
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -24,6 +24,9 @@
 	// Revision of the service that the copy reflects; 0 before anything was read.
 	Revision int64                `json:"revision"`
 	Records  map[string]kv.Record `json:"records"`
+	// Since is when the copy before this one was still known to be current; what changed came
+	// later. It is zero for the first one.
+	Since time.Time `json:"-"`
 }
 
 // Mirror follows one prefix. It is safe for concurrent use.
@@ -186,12 +189,13 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	since := m.current
 	m.hear()
 	if snapshot.Revision < m.state.Revision {
 		return
 	}
 	m.removals.replace(m.state, records, snapshot.Revision)
-	m.set(Copy{Revision: snapshot.Revision, Records: records})
+	m.set(Copy{Revision: snapshot.Revision, Records: records, Since: since})
 }
 
 // hear notes that the service itself told of its state. The caller holds the lock.
@@ -203,8 +207,8 @@
 func (m *Mirror) apply(events []kv.Event) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	next := Copy{Revision: m.state.Revision, Records: maps.Clone(m.state.Records), Since: m.current}
 	m.hear()
-	next := Copy{Revision: m.state.Revision, Records: maps.Clone(m.state.Records)}
 	if next.Records == nil {
 		next.Records = map[string]kv.Record{}
 	}
--- a/pkg/residency/controller_test.go
+++ b/pkg/residency/controller_test.go
@@ -162,7 +162,7 @@
 	for id, engine := range w.engines {
 		list = append(list, fleet.Backend{ID: id, Service: "s", Zone: id, Slots: 8, Models: engine.report().Models, Revision: w.revision})
 	}
-	w.directory.SetList(w.revision, list)
+	w.directory.SetList(w.revision, list, time.Time{})
 }
 
 func (w *world) draw() float64 {
