--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -140,19 +141,20 @@
 			defer GinkgoRecover()
 			store := kv.NewMemory().Store()
 			put(store, "a", "1")
-			calls := 0
+			var calls atomic.Int64
 			counted := store
 			counted.Snapshot = func(ctx context.Context, prefix string) (kv.Snapshot, error) {
-				calls++
+				calls.Add(1)
 				return store.Snapshot(ctx, prefix)
 			}
 			counted.Watch = func(ctx context.Context, watching kv.Watching) (<-chan []kv.Event, error) {
-				calls++
+				calls.Add(1)
 				return store.Watch(ctx, watching)
 			}
-			resting := true
+			var resting atomic.Bool
+			resting.Store(true)
 			ctx, cancel := context.WithCancel(context.Background())
-			m := &mirror.Mirror{Store: counted, Resting: func() bool { return resting }}
+			m := &mirror.Mirror{Store: counted, Resting: resting.Load}
 			done := make(chan struct{})
 			go func() { m.Run(ctx); close(done) }()
 			time.Sleep(time.Second)
@@ -160,10 +162,10 @@
 			put(store, "a", "2")
 			time.Sleep(time.Second)
 			Expect(values(m.State())).To(Equal(map[string]string{"a": "2"}))
-			calls = 0
+			calls.Store(0)
 			put(store, "a", "3")
 			time.Sleep(time.Minute)
-			Expect(calls).To(BeZero())
+			Expect(calls.Load()).To(BeZero())
 			Expect(m.Staleness()).To(BeNumerically(">", 50*time.Second))
 			peer := &mirror.Mirror{Store: store}
 			peerCtx, stopPeer := context.WithCancel(ctx)
@@ -176,10 +178,10 @@
 			m.Vouch(peer.State().Revision+1, time.Now().Add(time.Hour))
 			Expect(m.Staleness()).To(BeZero())
 			put(store, "b", "1")
-			resting = false
+			resting.Store(false)
 			time.Sleep(time.Second)
 			Expect(values(m.State())).To(Equal(map[string]string{"a": "3", "b": "1"}))
-			Expect(calls).To(Equal(1), "it watches on from where it was brought")
+			Expect(calls.Load()).To(Equal(int64(1)), "it watches on from where it was brought")
 			cancel()
 			<-done
 		})
--- a/pkg/residency/controller_test.go
+++ b/pkg/residency/controller_test.go
@@ -324,12 +324,17 @@
 			backend, took := ensure("a0")
 			Expect(backend).To(Equal("e1"))
 			Expect(took).To(BeNumerically("<", 150*time.Millisecond))
+			askedOf := func(id string) int {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				return asked[id]
+			}
 			time.Sleep(500 * time.Millisecond)
-			before := asked["e0"]
+			before := askedOf("e0")
 			backend, took = ensure("a1")
 			Expect(backend).To(Equal("e1"))
 			Expect(took).To(BeNumerically("<", 50*time.Millisecond))
-			Expect(asked["e0"]).To(BeNumerically("<=", before+1), "only what was begun there goes on")
+			Expect(askedOf("e0")).To(BeNumerically("<=", before+1), "only what was begun there goes on")
 			time.Sleep(time.Minute)
 		})
 	})
