Show how long calls between boxes take, and how a box came by a configuration

Change: histogram and failures of calls between boxes by method; a line when newer state is not fetched in time; the line of a configuration in force has its bytes, its origin and how long it took to read. No decision changes.

--- a/internal/cluster/fetch.go
+++ b/internal/cluster/fetch.go
@@ -30,8 +30,8 @@
 	request := copyRequest{Revision: e.Mirror.State().Revision, Version: e.Directory.Version()}
 	answer, err := peer.Call[copyAnswer](callCtx, e.Client, address, methodCopy, request)
 	if err != nil {
-		// No log line: the next message from any box with newer state begins another fetch, and
-		// the exchanges with a box that does not answer log its loss.
+		// The next message from any box with newer state begins another fetch.
+		e.Log.Info("newer state not fetched", zap.String("address", address), zap.Int64("revision", request.Revision), logfield.Error(err))
 		return
 	}
 	e.apply(answer)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
@@ -37,13 +39,24 @@
 	if err != nil {
 		return answer, errors.Annotatef(err, "calling %s at %s", method, address)
 	}
-	if err := conn.Call(ctx, method, params, &answer); err != nil {
+	begun := time.Now()
+	err = conn.Call(ctx, method, params, &answer)
+	c.observe(method, begun, err)
+	if err != nil {
 		c.drop(address, conn, err)
 		return answer, errors.Annotatef(err, "calling %s at %s", method, address)
 	}
 	return answer, nil
 }
 
+// observe counts a call that was sent, with how long it took.
+func (c *Client) observe(method string, begun time.Time, err error) {
+	c.Set.GetOrCreateHistogram(fmt.Sprintf("ospreymoor_peer_call_seconds{method=%q}", method)).Update(time.Since(begun).Seconds())
+	if err != nil {
+		c.Set.GetOrCreateCounter(fmt.Sprintf("ospreymoor_peer_calls_failed_total{method=%q}", method)).Inc()
+	}
+}
+
 // Close ends all connections; a later Call connects anew.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/internal/storeview/view.go
+++ b/internal/storeview/view.go
@@ -86,6 +86,8 @@
 	// newest is the highest revision of the records.
 	newest int64
 	count  int
+	// bytes of all values.
+	bytes int
 }
 
 func fingerprintOf(state mirror.State, prefix string) fingerprint {
@@ -94,6 +96,7 @@
 		if strings.HasPrefix(key, prefix) {
 			f.newest = max(f.newest, record.Revision)
 			f.count++
+			f.bytes += len(record.Value)
 		}
 	}
 	return f
@@ -101,7 +104,9 @@
 
 // takeTable puts a new configuration in force.
 func (v *View) takeTable(state mirror.State) {
-	newest := fingerprintOf(state, v.config.Platform.ConfigPrefix).newest
+	begun := time.Now()
+	written := fingerprintOf(state, v.config.Platform.ConfigPrefix)
+	newest := written.newest
 	if newest == v.table {
 		return
 	}
@@ -115,6 +120,9 @@
 		v.config.Log.Info("configuration in force",
 			zap.Int64("version", table.Version),
 			zap.Int64("revision", newest),
-			zap.Int("routes", len(table.Routes)))
+			zap.Int("routes", len(table.Routes)),
+			zap.Int("bytes", written.bytes),
+			zap.String("origin", string(state.Origin)),
+			zap.Duration("took", time.Since(begun)))
 	}
 }
--- a/pkg/mirror/delta.go
+++ b/pkg/mirror/delta.go
@@ -62,7 +62,7 @@
 		return false
 	}
 	m.removals.addMissing(m.state, records, delta.Revision)
-	m.setState(State{Revision: delta.Revision, Records: records, PreviousCurrentAt: m.freshness.byAny})
+	m.setState(State{Revision: delta.Revision, Records: records, PreviousCurrentAt: m.freshness.byAny, Origin: FromPeer})
 	return true
 }
 
--- a/pkg/mirror/follow.go
+++ b/pkg/mirror/follow.go
@@ -118,7 +118,7 @@
 		return
 	}
 	m.removals.addMissing(m.state, records, snapshot.Revision)
-	m.setState(State{Revision: snapshot.Revision, Records: records, PreviousCurrentAt: previousCurrentAt})
+	m.setState(State{Revision: snapshot.Revision, Records: records, PreviousCurrentAt: previousCurrentAt, Origin: FromSnapshot})
 }
 
 // applyEvents takes in a batch of a watch, which may be empty. Events that the state has already are
@@ -126,7 +126,12 @@
 func (m *Mirror) applyEvents(events []kv.Event) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	next := State{Revision: m.state.Revision, Records: maps.Clone(m.state.Records), PreviousCurrentAt: m.freshness.byAny}
+	next := State{
+		Revision:          m.state.Revision,
+		Records:           maps.Clone(m.state.Records),
+		PreviousCurrentAt: m.freshness.byAny,
+		Origin:            FromWatch,
+	}
 	m.confirmByStore()
 	if next.Records == nil {
 		next.Records = map[string]kv.Record{}
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -25,8 +25,22 @@
 	// PreviousCurrentAt is when the state before this one was last known to be current: what changed
 	// did so later. It is zero for the first state.
 	PreviousCurrentAt time.Time `json:"-"`
+	// Origin is where the latest change came from.
+	Origin Origin `json:"-"`
 }
 
+// Origin is where a change of the copy came from.
+type Origin string
+
+// The origins of a change.
+const (
+	// FromSnapshot is a snapshot of the service, FromWatch a batch of its watch, and FromPeer a
+	// delta of another box.
+	FromSnapshot Origin = "snapshot"
+	FromWatch    Origin = "watch"
+	FromPeer     Origin = "peer"
+)
+
 // Mirror follows the service. It is safe for concurrent use; its exported fields are set before Run.
 type Mirror struct {
 	Store kv.Store
