--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -9,6 +9,8 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"ospreymoor.example/ospreymoor/pkg/logfield"
+
 	"ospreymoor.example/ospreymoor/internal/peer"
 )
 
@@ -108,6 +110,7 @@
 // Serve serves on listeners that the caller made until ctx ends, then drains. It returns an error only if callers cannot
 // be served.
 func (b *Box) Serve(ctx context.Context, listener, peerListener net.Listener) error {
+	b.server.OnAcceptError = func(err error) { b.log.Warn("connection of another box not accepted", logfield.Error(err)) }
 	go b.server.Serve(peerListener)
 	server := newServer(withBodyDeadline(b.handler()))
 	failed := make(chan error, 1)
--- a/internal/cluster/members.go
+++ b/internal/cluster/members.go
@@ -94,6 +94,7 @@
 	}
 	if other.Incarnation != box.Incarnation {
 		other.report.holdsOrderLease, other.call.failures = false, 0
+		other.summary = receivedSummary{} // What the earlier process had under way ended with it.
 	}
 	other.Box = box
 	return other
--- a/internal/cluster/members_test.go
+++ b/internal/cluster/members_test.go
@@ -238,6 +238,16 @@
 		})
 	})
 
+	It("do not outlast the process that sent them", func() {
+		spectest.Bubble(func() {
+			m := smallFleet()
+			m.report("a", message{Scope: ownScope, Summary: &loadSummary{Boxes: 1, Loads: map[string]dispatch.Load{"e": {Running: 2}}}})
+			Expect(m.otherBoxes(time.Now()).Loads["e"].Running).To(Equal(2))
+			m.SetRegistered([]Box{{Name: "a", Incarnation: "next"}})
+			Expect(m.otherBoxes(time.Now()).Loads).To(BeEmpty())
+		})
+	})
+
 	It("name each use of an adapter once", func() {
 		spectest.Bubble(func() {
 			use := residency.ModelUse{Upstream: "e", Model: "m", Adapter: "a"}
--- a/internal/node/new.go
+++ b/internal/node/new.go
@@ -12,6 +12,7 @@
 	"ospreymoor.example/ospreymoor/internal/storeview"
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
 	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/logfield"
 	"ospreymoor.example/ospreymoor/pkg/mirror"
 	"ospreymoor.example/ospreymoor/pkg/residency"
 	"ospreymoor.example/ospreymoor/pkg/routes"
@@ -55,6 +56,9 @@
 	n.exchange = n.newExchange(config, s)
 	n.registration = storeview.NewRegistration(config.Platform, self, config.Log)
 	n.server = peer.NewServer(config.PeerSecret, config.Set)
+	n.server.OnAcceptError = func(err error) {
+		config.Log.Warn("connection of another box not accepted", logfield.Error(err))
+	}
 	n.exchange.Handle(n.server)
 	ensurer.Handle(n.server)
 	n.orderLease.Handle(n.server, n.controller.LastOrders)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
@@ -19,8 +20,15 @@
 // handler answers one method.
 type handler func(ctx context.Context, raw *json.RawMessage) (any, error)
 
+// acceptPause is the pause after an error of accept, as when the process has no descriptors left. Chosen, not measured.
+const acceptPause = 100 * time.Millisecond
+
 // Server answers the calls of other boxes.
 type Server struct {
+	// OnAcceptError is called with each error of accept but that of a closed listener; nil ignores them. Set it
+	// before Serve.
+	OnAcceptError func(error)
+
 	secret   string
 	set      *metrics.Set
 	handlers map[string]handler
@@ -49,13 +57,24 @@
 func (s *Server) Serve(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			s.acceptFailed(err)
+			continue
+		}
 		go s.serve(conn)
 	}
 }
 
+func (s *Server) acceptFailed(err error) {
+	if s.OnAcceptError != nil {
+		s.OnAcceptError(err)
+	}
+	time.Sleep(acceptPause)
+}
+
 // Close ends all connections.
 func (s *Server) Close() {
 	s.mu.Lock()
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -9,9 +9,23 @@
 	. "github.com/onsi/gomega"
 
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
+	"ospreymoor.example/ospreymoor/pkg/fleet"
 	"ospreymoor.example/ospreymoor/pkg/spectest"
 )
 
+var _ = Describe("a request's urgency", func() {
+	It("counts as the nearest level where it is beyond them", func() {
+		for urgency, level := range map[int]int{-3: 0, 0: 0, 2: 2, 9: dispatch.UrgencyLevels - 1} {
+			tracker := dispatch.NewLoadTracker()
+			choice := dispatch.Choice{Upstream: &fleet.State{Upstream: fleet.Upstream{ID: "e"}}, Uncached: 100}
+			request := need("x")
+			request.Urgency = urgency
+			tracker.Begin(choice, request)
+			Expect(tracker.Total("e").Prefill[level]).To(Equal(100), "urgency %d", urgency)
+		}
+	})
+})
+
 var _ = Describe("a chooser", func() {
 	var tracker *dispatch.LoadTracker
 	var chooser *dispatch.Chooser
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -1,7 +1,7 @@
 package dispatch
 
-// UrgencyLevels is the number of levels of urgency; 0 is the most urgent. Requests of a higher
-// number count as the last level.
+// UrgencyLevels is the number of levels of urgency; 0 is the most urgent. Requests of a number
+// beyond them count as the nearest level.
 const UrgencyLevels = 3
 
 // Load is what one or several boxes have under way at one upstream.
@@ -45,4 +45,4 @@
 	return tokens
 }
 
-func urgencyLevel(urgency int) int { return min(urgency, UrgencyLevels-1) }
+func urgencyLevel(urgency int) int { return max(0, min(urgency, UrgencyLevels-1)) }
--- a/pkg/routes/routes.go
+++ b/pkg/routes/routes.go
@@ -51,7 +51,7 @@
 	// MaxAttempts is the largest number of attempts of one request that may run. An attempt that its
 	// upstream did not execute does not count.
 	MaxAttempts int
-	// Urgency ranks routes; 0 is the most urgent.
+	// Urgency ranks routes; 0 is the most urgent, and a negative one counts as 0.
 	Urgency int
 	Shares  []Share
 }
@@ -114,6 +114,7 @@
 		byHost:   map[string][]*Route{},
 	}
 	for i := range routes {
+		routes[i].Urgency = max(0, routes[i].Urgency)
 		host := strings.ToLower(routes[i].Host)
 		t.byHost[host] = append(t.byHost[host], &routes[i])
 	}
--- a/pkg/routes/routes_test.go
+++ b/pkg/routes/routes_test.go
@@ -33,6 +33,10 @@
 		Entry("another host", "b.example", "/x/y/z", ""),
 	)
 
+	It("takes a negative urgency for the most urgent", func() {
+		Expect(routes.New(1, []routes.Route{{Urgency: -3}}, nil, routes.Limits{}).Routes[0].Urgency).To(BeZero())
+	})
+
 	It("knows its services' models", func() {
 		Expect(table.Services["s"].Model("m")).NotTo(BeNil())
 		Expect(table.Services["s"].Model("n")).To(BeNil())
