--- a/internal/node/large_change_test.go
+++ b/internal/node/large_change_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -41,6 +42,8 @@
 type smallBoxes struct {
 	memory kv.Store
 	nodes  []*Node
+	// storeAway means that the store answers nobody.
+	storeAway atomic.Bool
 
 	mu sync.Mutex
 	// written is when the store took a change, and known when each box had it, by name of the change.
@@ -69,7 +72,7 @@
 			name, address := smallBoxName(n), smallBoxName(n)+":1"
 			link := links[address]
 			dial := link.Dial(network, func(to string) *spectest.Link { return links[to] })
-			config := testConfig(name, fmt.Sprint("z", n%size.halls), address, overLink(s.memory, link), dial)
+			config := testConfig(name, fmt.Sprint("z", n%size.halls), address, s.overLink(link), dial)
 			config.LinkBytesPerSecond = smallLink
 			config.Platform.DecodeTable = func(records map[string]kv.Record) (*routes.Table, error) {
 				version := versionOf(records["config"].Value)
@@ -146,20 +149,25 @@
 	return message.Version
 }
 
-// overLink is a store whose answers come through a box's link.
-func overLink(memory kv.Store, link *spectest.Link) kv.Store {
-	receive := func(ctx context.Context, timeout time.Duration, bytes int) error {
-		callCtx, cancel := context.WithTimeout(ctx, timeout)
+// overLink is the store as a box reaches it: its answers come through the box's link, and none come while the store is
+// away.
+func (s *smallBoxes) overLink(link *spectest.Link) kv.Store {
+	receive := func(ctx context.Context, bytes int) error {
+		callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 		defer cancel()
+		if s.storeAway.Load() {
+			<-callCtx.Done()
+			return kv.ErrUnavailable
+		}
 		const base64Share = 4.0 / 3
 		if link.Receive(callCtx, int(float64(bytes)*base64Share)) != nil {
 			return kv.ErrUnavailable
 		}
 		return nil
 	}
-	store := memory
+	store := s.memory
 	store.Snapshot = func(ctx context.Context, prefix string) (kv.Snapshot, error) {
-		snapshot, err := memory.Snapshot(ctx, prefix)
+		snapshot, err := s.memory.Snapshot(ctx, prefix)
 		if err != nil {
 			return kv.Snapshot{}, err
 		}
@@ -167,10 +175,10 @@
 		for _, record := range snapshot.Records {
 			bytes += len(record.Value)
 		}
-		return snapshot, receive(ctx, storeCallTimeout, bytes)
+		return snapshot, receive(ctx, bytes)
 	}
 	store.Watch = func(ctx context.Context, watching kv.Watching) (<-chan []kv.Event, error) {
-		batches, err := answering(ctx, memory, watching)
+		batches, err := answering(ctx, s.memory, watching)
 		if err != nil {
 			return nil, err
 		}
@@ -182,7 +190,7 @@
 				for _, event := range batch {
 					bytes += len(event.Record.Value)
 				}
-				if receive(ctx, storeCallTimeout, bytes) != nil {
+				if receive(ctx, bytes) != nil {
 					return
 				}
 				select {
@@ -209,10 +217,15 @@
 
 // change writes a record and notes when, under the change's name.
 func (s *smallBoxes) change(name, key, value string) {
+	s.changeAsOf(time.Now(), name, key, value)
+}
+
+// changeAsOf writes a record; its time counts from at.
+func (s *smallBoxes) changeAsOf(at time.Time, name, key, value string) {
 	s.put(key, value)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.written[name] = time.Now()
+	s.written[name] = at
 }
 
 // note notes that a box knows of a change.
@@ -293,4 +306,25 @@
 		// The size designed for: a configuration is in force everywhere within 7 s.
 		Entry("with 1400 routes and more at 380 boxes", smallFleetSize{boxes: 380, halls: 7, upstreams: 600}, 1400, 3*time.Second, 7*time.Second),
 	)
+
+	It("that was written while the store answered no box is in force soon after its return", func() {
+		withSmallBoxes(smallFleetSize{boxes: 86, halls: 4, upstreams: 64}, func(s *smallBoxes) {
+			for version := int64(2); version < 5; version++ {
+				away := time.Duration(3+version) * time.Second
+				back := time.Now().Add(away)
+				s.storeAway.Store(true)
+				time.Sleep(away / 2)
+				id := fmt.Sprintf("e%03d", version)
+				s.changeAsOf(back, id+" leaves", "servers/"+id, id+" leaves")
+				s.changeAsOf(back, fmt.Sprint("version ", version), "config", configOf(version, 1400))
+				time.Sleep(time.Until(back))
+				s.storeAway.Store(false)
+				time.Sleep(8 * time.Second)
+			}
+			GinkgoWriter.Printf("after the store's return: leaving %s, in force %s\n", s.longest("leaves"), s.longest("version"))
+			// The users' contactMs at today's size: 3 s after the store's trouble calm boxes are bound again.
+			Expect(s.longest("leaves")).To(BeNumerically("<=", 3*time.Second))
+			Expect(s.longest("version")).To(BeNumerically("<=", 3*time.Second))
+		})
+	})
 })
