--- a/internal/cluster/transfer.go
+++ b/internal/cluster/transfer.go
@@ -63,13 +63,16 @@
 			return false, err
 		}
 		return false, pause.For(ctx, busyPause)
-	case answer.Size == 0 || answer.Size > maxContentBytes:
-		return false, errors.Annotatef(errNotHeld, "%s at %s", t.content, t.address)
 	case answer.Busy:
 		return false, t.wait(ctx, answer.Holders)
+	case answer.Size == 0 || answer.Size > maxContentBytes:
+		return false, errors.Annotatef(errNotHeld, "%s at %s", t.content, t.address)
 	}
 	t.failures = 0
 	t.received = append(t.received, answer.Data...)
+	if _, _, ok := t.content.record(); ok {
+		t.exchange.Mirror.NoteProgress()
+	}
 	return len(t.received) >= answer.Size, nil
 }
 
--- a/pkg/mirror/large.go
+++ b/pkg/mirror/large.go
@@ -19,7 +19,7 @@
 type missing struct {
 	// revisions by key; the latest that was named.
 	revisions map[string]int64
-	// since is when the copy began to lack one of them.
+	// since is when the copy began to lack one of them, or when a part of one last arrived.
 	since time.Time
 }
 
@@ -77,7 +77,7 @@
 	}
 }
 
-// age is how long the copy has lacked something; 0 if it lacks nothing.
+// age is how long the copy has lacked something without progress; 0 if it lacks nothing.
 func (m *missing) age() time.Duration {
 	if len(m.revisions) == 0 {
 		return 0
@@ -96,6 +96,14 @@
 	return list
 }
 
+// NoteProgress notes that a part of a missing record arrived: the service need not be asked for it while it keeps
+// coming.
+func (m *Mirror) NoteProgress() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.missing.since = time.Now()
+}
+
 // ApplyLarge takes in a record that a delta named, and reports whether it did. It refuses one whose key
 // is not missing, or that is not newer than what this copy has of it. An older record than the one that
 // is missing is taken in too: it is newer than nothing, and the later one may change again meanwhile.
--- a/pkg/mirror/large_test.go
+++ b/pkg/mirror/large_test.go
@@ -57,6 +57,8 @@
 			time.Sleep(time.Second)
 			peer.ConfirmCurrent(follower.State().Revision, time.Now())
 			Expect(peer.Staleness()).To(Equal(time.Second), "a copy that lacks a record is not current")
+			peer.NoteProgress()
+			Expect(peer.Staleness()).To(BeZero(), "unless it is coming")
 			By("being passed on by a box that lacks it too")
 			third := &mirror.Mirror{}
 			exchange(third, peer)
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -100,7 +100,7 @@
 }
 
 // Staleness returns how long ago the copy was last known to be current, by the service or by another
-// box; negative if it never was. A copy that lacks records is not current.
+// box; negative if it never was. A copy that lacks records is not current, unless they are coming.
 func (m *Mirror) Staleness() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
