--- /dev/null
+++ b/internal/node/small_boxes_test.go
@@ -0,0 +1,294 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"ospreymoor.example/ospreymoor/pkg/dispatch"
+	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/kv"
+	"ospreymoor.example/ospreymoor/pkg/pause"
+	"ospreymoor.example/ospreymoor/pkg/routes"
+	"ospreymoor.example/ospreymoor/pkg/spectest"
+)
+
+const (
+	// smallLink is the rate of a small box, in bytes a second: a link of 10 Mbit/s, and a fifth of a core that reads
+	// JSON at 7 MB/s (measured: 416 KB in 12 ms of a whole core).
+	smallLink = 1e6
+	// storeTimeout and storeTransfer bound a call of the store as platform/store.go does: until an answer begins, and
+	// until it ends.
+	storeTimeout  = 1500 * time.Millisecond
+	storeTransfer = 15 * time.Second
+)
+
+// smallFleetSize is a fleet of small boxes only.
+type smallFleetSize struct {
+	boxes, halls, upstreams int
+}
+
+// smallBoxes is a fleet whose boxes all have a small link, and what each knows when.
+type smallBoxes struct {
+	size    smallFleetSize
+	memory  kv.Store
+	nodes   []*Node
+	running sync.WaitGroup
+	network spectest.Network
+	// links by address.
+	links map[string]*spectest.Link
+	// storeAway means that the store answers nobody.
+	storeAway atomic.Bool
+
+	mu sync.Mutex
+	// written is when the store took a change, and known when each box had it, by name of the change.
+	written map[string]time.Time
+	known   map[string]map[string]time.Time
+}
+
+func smallBoxName(n int) string    { return fmt.Sprintf("n%03d", n) }
+func smallBoxAddress(n int) string { return smallBoxName(n) + ":1" }
+func upstreamName(n int) string    { return fmt.Sprintf("e%03d", n) }
+
+// withSmallBoxes runs f on a fleet of small boxes in a bubble, each upstream with a load that its boxes report.
+func withSmallBoxes(size smallFleetSize, f func(*smallBoxes)) {
+	spectest.Bubble(func() {
+		s := newSmallBoxes(size)
+		ctx, stop := context.WithCancel(context.Background())
+		for n := range size.boxes {
+			s.start(ctx, n)
+		}
+		s.serveRequests(ctx)
+		defer func() {
+			stop()
+			s.running.Wait()
+			time.Sleep(time.Minute) // What was begun for a term ends with it.
+		}()
+		time.Sleep(8 * time.Second) // Until relays are found.
+		f(s)
+	})
+}
+
+// newSmallBoxes returns a fleet whose store has a configuration and all upstreams.
+func newSmallBoxes(size smallFleetSize) *smallBoxes {
+	s := &smallBoxes{
+		size: size, memory: kv.NewMemory().Store(), links: map[string]*spectest.Link{},
+		written: map[string]time.Time{}, known: map[string]map[string]time.Time{},
+	}
+	for n := range size.boxes {
+		s.links[smallBoxAddress(n)] = spectest.NewLink(smallLink)
+	}
+	s.put("config", configOf(1, 50))
+	for n := range size.upstreams {
+		s.put("servers/"+upstreamName(n), upstreamName(n))
+	}
+	return s
+}
+
+// start runs a box until ctx ends. Its decoders note what it knows.
+func (s *smallBoxes) start(ctx context.Context, n int) {
+	name, address := smallBoxName(n), smallBoxAddress(n)
+	link := s.links[address]
+	dial := link.Dial(&s.network, func(to string) *spectest.Link { return s.links[to] })
+	config := testConfig(name, fmt.Sprint("z", n%s.size.halls), address, s.overLink(link), dial)
+	config.LinkBytesPerSecond = smallLink
+	config.Platform.DecodeTable = func(records map[string]kv.Record) (*routes.Table, error) {
+		version := versionOf(records["config"].Value)
+		s.note(fmt.Sprint("version ", version), name)
+		return routes.New(version, nil, nil, routes.Limits{}), nil
+	}
+	config.Platform.DecodeUpstream = func(record kv.Record) (fleet.Upstream, error) {
+		id, state, _ := strings.Cut(string(record.Value), " ")
+		if state != "" {
+			s.note(id+" leaves", name)
+		}
+		return fleet.Upstream{ID: id, Service: "s", Leaving: state != "", Revision: record.Revision}, nil
+	}
+	node := New(config)
+	s.nodes = append(s.nodes, node)
+	listener := s.network.Listen(address)
+	s.running.Go(func() {
+		node.Run(ctx, listener)
+		_ = listener.Close()
+	})
+}
+
+// serveRequests has each upstream a request under way, and each box outcomes to tell.
+func (s *smallBoxes) serveRequests(ctx context.Context) {
+	for n := range s.size.upstreams {
+		choice := dispatch.Choice{Upstream: &fleet.State{Upstream: fleet.Upstream{ID: upstreamName(n)}}}
+		s.nodes[n%s.size.boxes].Gateway.Loads.Begin(choice, dispatch.Requirements{Service: "s"})
+	}
+	for n, node := range s.nodes {
+		s.running.Go(func() { recordOutcomes(ctx, node, n, s.size.upstreams) })
+	}
+}
+
+// recordOutcomes has a box record about as many outcomes of requests as a box has at the size designed for: 8 a second.
+func recordOutcomes(ctx context.Context, node *Node, n, upstreams int) {
+	random := rand.New(rand.NewPCG(1, uint64(n)))
+	for pause.For(ctx, 125*time.Millisecond) == nil {
+		node.Gateway.Loads.RecordOutcome(upstreamName(random.IntN(upstreams)), true)
+	}
+}
+
+// configOf is a configuration of a number of routes, as long and as varied as the platform's are.
+func configOf(version int64, count int) string {
+	type route struct {
+		Name, Host, PathPrefix, Kind, Service string
+		TimeoutMs, TargetLatencyMs, Priority  int
+		MaxAttempts, GapTargetMs              int
+		Sticky, Resumable                     bool
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	message := struct {
+		Version int64
+		Routes  []route
+	}{Version: version}
+	for range count {
+		message.Routes = append(message.Routes, route{
+			Name: fmt.Sprintf("r-%07x", random.Uint32()), Host: "customer.example", PathPrefix: fmt.Sprintf("/%08x/", random.Uint32()),
+			Kind: "stream", Service: "engines", TimeoutMs: 5000, TargetLatencyMs: 800, Priority: 1, MaxAttempts: 2, GapTargetMs: 500, Sticky: true,
+		})
+	}
+	text, err := json.Marshal(message)
+	Expect(err).NotTo(HaveOccurred())
+	return string(text)
+}
+
+func versionOf(config []byte) int64 {
+	var message struct{ Version int64 }
+	Expect(json.Unmarshal(config, &message)).To(Succeed())
+	return message.Version
+}
+
+// overLink is the store as a box reaches it: its answers come through the box's link, and none come while the store is
+// away.
+func (s *smallBoxes) overLink(link *spectest.Link) kv.Store {
+	receive := func(ctx context.Context, bytes int) error {
+		if s.storeAway.Load() {
+			_ = pause.For(ctx, storeTimeout) // The call fails either way.
+			return kv.ErrUnavailable
+		}
+		callCtx, cancel := context.WithTimeout(ctx, storeTransfer)
+		defer cancel()
+		const base64Share = 4.0 / 3
+		if link.Receive(callCtx, int(float64(bytes)*base64Share)) != nil {
+			return kv.ErrUnavailable
+		}
+		return nil
+	}
+	store := s.memory
+	store.Snapshot = func(ctx context.Context, prefix string) (kv.Snapshot, error) {
+		snapshot, err := s.memory.Snapshot(ctx, prefix)
+		if err != nil {
+			return kv.Snapshot{}, err
+		}
+		bytes := 0
+		for _, record := range snapshot.Records {
+			bytes += len(record.Value)
+		}
+		return snapshot, receive(ctx, bytes)
+	}
+	store.Watch = func(ctx context.Context, watching kv.Watching) (<-chan []kv.Event, error) {
+		batches, err := answering(ctx, s.memory, watching)
+		if err != nil {
+			return nil, err
+		}
+		received := make(chan []kv.Event)
+		go func() {
+			defer close(received)
+			for batch := range batches {
+				bytes := 0
+				for _, event := range batch {
+					bytes += len(event.Record.Value)
+				}
+				if receive(ctx, bytes) != nil {
+					return
+				}
+				select {
+				case received <- batch:
+				case <-ctx.Done():
+					return
+				}
+			}
+		}()
+		return received, nil
+	}
+	return store
+}
+
+// put writes a record.
+func (s *smallBoxes) put(key, value string) {
+	current, err := s.memory.Get(context.Background(), key)
+	if err != nil {
+		Expect(err).To(MatchError(kv.ErrNotFound))
+	}
+	_, err = s.memory.Swap(context.Background(), kv.Swap{Key: key, Revision: current.Revision, Value: []byte(value)})
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// change writes a record and notes when, under the change's name.
+func (s *smallBoxes) change(name, key, value string) {
+	s.changeAsOf(time.Now(), name, key, value)
+}
+
+// changeAsOf writes a record; its time counts from at.
+func (s *smallBoxes) changeAsOf(at time.Time, name, key, value string) {
+	s.put(key, value)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.written[name] = at
+}
+
+// note notes that a box knows of a change.
+func (s *smallBoxes) note(change, box string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.known[change] == nil {
+		s.known[change] = map[string]time.Time{}
+	}
+	if _, ok := s.known[change][box]; !ok {
+		s.known[change][box] = time.Now()
+	}
+}
+
+// longest is the longest time from the write of a change whose name contains text until a box knew of it. A newer version of
+// the configuration counts as the older ones; a box that never knew counts as an hour.
+func (s *smallBoxes) longest(text string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	longest := time.Duration(0)
+	for name, at := range s.written {
+		if !strings.Contains(name, text) {
+			continue
+		}
+		for n := range s.nodes {
+			longest = max(longest, s.knownAt(name, smallBoxName(n)).Sub(at))
+		}
+	}
+	return longest
+}
+
+// knownAt is when a box knew of a change, or of a later version of the configuration. The caller holds the lock.
+func (s *smallBoxes) knownAt(change, box string) time.Time {
+	at := time.Now().Add(time.Hour)
+	var version int64
+	_, _ = fmt.Sscanf(change, "version %d", &version)
+	for name, boxes := range s.known {
+		var other int64
+		_, _ = fmt.Sscanf(name, "version %d", &other)
+		known, ok := boxes[box]
+		if ok && (name == change || version > 0 && other >= version) && known.Before(at) {
+			at = known
+		}
+	}
+	return at
+}
