Tell all boxes of activity at once where that takes little of the link

Cause: reading the diff: a box of a small fleet calls all others at once, and only the first of the calls carried its load summary, since the link's part was under way for some microseconds. Change: 20 ms of the part may be under way. A spec that fails without it.

--- a/internal/cluster/pace.go
+++ b/internal/cluster/pace.go
@@ -19,6 +19,9 @@
 	// earlyTurn is when a box may be told again, in hundredths of an equal turn: boxes ask at times of their
 	// own, and what one does not use another may. Chosen, not measured.
 	earlyTurn = 75
+	// bunchTime is how much of the activity's part may be under way when a box is told: a box that calls all
+	// others at once tells them all, and a change waits no longer than this. Chosen, not measured.
+	bunchTime = 20 * time.Millisecond
 	// These are about how long the parts of activity are as JSON, in bytes.
 	loadBytes    = 55
 	useBytes     = 80
@@ -44,7 +47,7 @@
 }
 
 // due reports whether a box is told now, of a number of boxes that are told regularly: its turn has about come,
-// and what others were told is through, so that messages do not bunch.
+// and what others were told is through but for bunchTime.
 func (p *pace) due(to string, receivers int, now time.Time) bool {
 	if p.bytesPerSecond <= 0 {
 		return true
@@ -52,7 +55,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	turn := time.Duration(receivers) * p.takes(p.longest)
-	return now.Sub(p.sent[to]) >= turn*earlyTurn/100 && !p.through.After(now)
+	return now.Sub(p.sent[to]) >= turn*earlyTurn/100 && !p.through.After(now.Add(bunchTime))
 }
 
 // takes is how long a number of bytes take the activity's part of the link.
--- a/internal/cluster/pace_test.go
+++ b/internal/cluster/pace_test.go
@@ -76,6 +76,15 @@
 		})
 	})
 
+	It("is told to all at once where that takes little of the link", func() {
+		spectest.Bubble(func() {
+			e := relayOf(64, 1e6)
+			for _, name := range []string{"n01", "n02", "n03"} {
+				Expect(e.messageTo(name, ownScope).Summary).NotTo(BeNil(), name)
+			}
+		})
+	})
+
 	It("is packed where it is long, for boxes that read that", func() {
 		spectest.Bubble(func() {
 			e := relayOf(600, 0)
