--- a/internal/orderlease/handover_test.go
+++ b/internal/orderlease/handover_test.go
@@ -240,6 +240,21 @@
 		})
 	})
 
+	It("keeps the waits when its process is killed after the record of its name and starts again", func() {
+		takeOver(nil, func(next *takeover) {
+			begun := time.Now()
+			next.changed(7)
+			Expect(next.begunNow()).To(BeTrue())
+			Expect(next.notBefore("any")).To(Equal(begun.Add(orderGap)))
+			time.Sleep(orderGap / 4)
+			restarted := newHandover(Config{Name: "new", Store: next.store, OrderGap: orderGap, Log: zap.NewNop()}, formerActsFor)
+			restarted.changed(8)
+			synctest.Wait()
+			Expect(restarted.notBefore("any")).To(BeTemporally(">=", begun.Add(orderGap)))
+			restarted.changed(0)
+		})
+	})
+
 	It("forgets a term that was lost meanwhile", func() {
 		takeOver(nil, func(next *takeover) {
 			next.changed(7)
