Keep a new order holder's waits over a restart

Cause: a box that was killed after it had written its name and before its waits were over read its own name when it started again and gave orders at once, while those of the box before it could still arrive. Change: the record says when the waits are over; a process that reads its own name without that, and knows no waits, waits the order gap from its start.

--- a/internal/orderlease/handover.go
+++ b/internal/orderlease/handover.go
@@ -19,7 +19,9 @@
 // handover keeps a new holder of the order lease from giving an engine orders before those of the
 // former holder are surely over. When orders may begin:
 //
-//   - The box that gave orders last is this one: at once, but for the waits that it is still under.
+//   - The box that gave orders last is this one: at once, but for the waits that it is still under. The
+//     record of its name says when they are over. A process that starts again before that has lost them;
+//     another box's last order was before its start, so all engines wait for the order gap from there.
 //   - The former holder answers the yield call: it has stopped, and each engine may be given orders
 //     the order gap after the last order that it reports.
 //   - The former holder's address refuses the connection: no process of it lives, so its last order
@@ -48,6 +50,8 @@
 	term  int64
 	begun bool
 	waits waits
+	// waitsKnown reports that waits are those after the former holder, as this process learned them.
+	waitsKnown bool
 	// unreadable is the revision of the last holder's record that was logged as unreadable.
 	unreadable int64
 }
@@ -116,35 +120,71 @@
 	if err != nil && !errors.Is(err, kv.ErrNotFound) {
 		return false
 	}
-	former := ""
+	var former holderRecord
 	if err == nil {
 		former = h.decode(record)
 	}
-	if former == h.name {
-		h.begin(term)
+	if former.Name == h.name {
+		h.resume(term, former.Settled)
 		return true
 	}
-	after, ok := h.waitsAfter(ctx, term, former, gained)
+	after, ok := h.waitsAfter(ctx, term, former.Name, gained)
 	if !ok {
 		return false
 	}
 	// They are kept before the swap: if it takes effect and its answer is lost, the next try finds
 	// this box's own name.
 	h.keep(after)
-	value, err := json.Marshal(holderRecord{Name: h.name})
-	if err != nil {
-		return false // It can't fail: a string is all that is encoded.
-	}
-	if _, err := h.store.Swap(ctx, kv.Swap{Key: h.key, Revision: record.Revision, Value: value}); err != nil {
+	if h.write(ctx, record.Revision, holderRecord{Name: h.name}) != nil {
 		return false
 	}
 	h.begin(term)
 	return true
 }
 
-// decode returns the name of the box that last gave orders. An unreadable record counts as a box
+func (h *handover) write(ctx context.Context, revision int64, record holderRecord) error {
+	value, err := json.Marshal(record)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	_, err = h.store.Swap(ctx, kv.Swap{Key: h.key, Revision: revision, Value: value})
+	return errors.Trace(err)
+}
+
+// settle notes in the store that the waits of a term are over, so that another process of this box need
+// not wait again.
+func (h *handover) settle(term int64) {
+	time.Sleep(time.Until(h.lastWait()))
+	if !h.current(term) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), tryTimeout)
+	defer cancel()
+	record, err := h.store.Get(ctx, h.key)
+	if err == nil && h.decode(record) == (holderRecord{Name: h.name}) {
+		err = h.write(ctx, record.Revision, holderRecord{Name: h.name, Settled: true})
+	}
+	if err != nil {
+		h.log.Info("waits not noted as over: another process of this box waits again", zap.Int64("term", term), logfield.Error(err))
+	}
+}
+
+// lastWait is when the last engine may be given orders.
+func (h *handover) lastWait() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	last := h.waits.others
+	for _, at := range h.waits.byEngine {
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
+// decode returns the record of the box that last gave orders. An unreadable record counts as a box
 // that can't be asked, which waits in full; that is logged once a revision.
-func (h *handover) decode(record kv.Record) string {
+func (h *handover) decode(record kv.Record) holderRecord {
 	var last holderRecord
 	err := json.Unmarshal(record.Value, &last)
 	h.mu.Lock()
@@ -157,7 +197,7 @@
 		h.log.Warn("record of the last order holder unreadable: its orders are waited for in full",
 			zap.String("key", record.Key), zap.Int64("revision", record.Revision), logfield.Error(err))
 	}
-	return last.Name
+	return last
 }
 
 // waitsAfter finds out when the former holder's orders are over, engine by engine; ok is false as
@@ -206,7 +246,21 @@
 func (h *handover) keep(after waits) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.waits = after
+	h.waits, h.waitsKnown = after, true
+}
+
+// resume begins after a record of this box's own name, which settled reports to be without waits.
+// Otherwise a process that knows none takes the longest that an earlier one may have been under: a
+// holder that is killed soon after its takeover and starts again would give engines orders while those
+// of the box before it may still arrive.
+func (h *handover) resume(term int64, settled bool) {
+	h.mu.Lock()
+	known := h.waitsKnown || settled
+	h.mu.Unlock()
+	if !known {
+		h.keep(waits{others: h.started.Add(h.gap)})
+	}
+	h.begin(term)
 }
 
 // begin allows orders under a term, after the waits that are kept.
@@ -217,6 +271,7 @@
 		return
 	}
 	h.begun = true
+	go h.settle(term)
 	h.log.Info("orders may begin",
 		zap.Int64("term", term),
 		zap.Duration("wait", max(0, time.Until(h.waits.others))),
--- a/internal/orderlease/handover_test.go
+++ b/internal/orderlease/handover_test.go
@@ -181,12 +181,20 @@
 		})
 	})
 
-	It("begins at once when it was the last to give orders itself", func() {
+	It("begins at once when it was the last to give orders itself, also after a restart", func() {
 		takeOver(nil, func(next *takeover) {
-			next.record("new")
+			next.changed(6)
+			time.Sleep(orderGap + time.Millisecond)
+			next.changed(0)
 			next.changed(7)
 			Expect(next.begunNow()).To(BeTrue())
 			Expect(next.notBefore("any")).To(BeTemporally("<=", time.Now()))
+			restarted := newHandover(Config{Name: "new", Store: next.store, OrderGap: orderGap, Log: zap.NewNop()}, formerActsFor)
+			restarted.changed(8)
+			synctest.Wait()
+			Expect(restarted.done(8)).To(BeTrue())
+			Expect(restarted.notBefore("any")).To(BeTemporally("<=", time.Now()))
+			restarted.changed(0)
 		})
 	})
 
@@ -279,6 +287,7 @@
 		Expect(asJSON(yieldAnswer{Ages: map[string]time.Duration{"e": 1}, Others: 2})).To(Equal(`{"ages":{"e":1},"others":2}`))
 		Expect(asJSON(revokeRequest{Lease: 3})).To(Equal(`{"lease":3}`))
 		Expect(asJSON(holderRecord{Name: "x"})).To(Equal(`{"name":"x"}`))
+		Expect(asJSON(holderRecord{Name: "x", Settled: true})).To(Equal(`{"name":"x","settled":true}`))
 		Expect([]string{methodYield, methodRevoke, leaseKey, lastHolderKey}).
 			To(Equal([]string{"yield", "revoke", "leases/orders", "leases/last-order-holder"}))
 	})
--- a/internal/orderlease/messages.go
+++ b/internal/orderlease/messages.go
@@ -34,4 +34,6 @@
 // holderRecord is what the store keeps of the box that last gave orders.
 type holderRecord struct {
 	Name string `json:"name"`
+	// Settled reports that no orders of a box before it can arrive any more.
+	Settled bool `json:"settled,omitempty"`
 }
