Have the try-out come back when a refusal says so

Change: a refusal that has not run and names a time is sent again then, up to five times, and each is reported. Why an idle fleet predicts a target out of reach is not traced.

--- a/internal/dev/try_out.go
+++ b/internal/dev/try_out.go
@@ -16,6 +16,7 @@
 	ospreymoorv1 "ospreymoor.example/ospreymoor/internal/gen/ospreymoor/v1"
 	"ospreymoor.example/ospreymoor/internal/gen/ospreymoor/v1/ospreymoorv1connect"
 	"ospreymoor.example/ospreymoor/pkg/bundle"
+	"ospreymoor.example/ospreymoor/pkg/pause"
 )
 
 // retryPause is the pause before a call that failed is tried again: 100 ms, chosen, not measured.
@@ -100,11 +101,16 @@
 
 // tryModel streams one answer of an adapter and checks that it is whole.
 func (f *Fleet) tryModel(ctx context.Context, out io.Writer) error {
+	return errors.Annotate(comeBack(ctx, out, func() error { return f.streamModel(ctx, out) }), "model request")
+}
+
+// streamModel is one try of tryModel.
+func (f *Fleet) streamModel(ctx context.Context, out io.Writer) error {
 	client := ospreymoorv1connect.NewInferenceServiceClient(http.DefaultClient, f.base(1))
 	request := &ospreymoorv1.GenerateRequest{Model: "wayfinding", Adapter: "phu-quoc", Prompt: "from desk 4 to gate 7", MaxTokens: 8}
 	stream, err := client.Generate(ctx, withToken("senvang-kiosks", request))
 	if err != nil {
-		return errors.Annotate(err, "model request")
+		return errors.Trace(err)
 	}
 	defer func() { _ = stream.Close() }()
 	_, _ = fmt.Fprint(out, "\nmodel request, streamed: ")
@@ -115,10 +121,10 @@
 	}
 	_, _ = fmt.Fprintln(out)
 	if err := stream.Err(); err != nil {
-		return errors.Annotate(err, "model request")
+		return errors.Trace(err)
 	}
 	if end.GetCount() != 8 {
-		return errors.Errorf("model request: %d of 8 pieces", end.GetCount())
+		return errors.Errorf("%d of 8 pieces", end.GetCount())
 	}
 	return nil
 }
@@ -180,6 +186,45 @@
 	return request
 }
 
+// returns is how often a request comes back that is refused with a time: chosen, not measured.
+const returns = 5
+
+// comeBack sends a request again when its refusal says so, a few times, and reports each refusal to out.
+// Without it the try-out ended with a failure on a busy machine, where a request may be refused at first.
+func comeBack(ctx context.Context, out io.Writer, send func() error) error {
+	for range returns {
+		err := send()
+		after := returnTime(err)
+		if after == 0 {
+			return err
+		}
+		_, _ = fmt.Fprintf(out, "refused, sent again in %s: %v\n", after, err)
+		if err := pause.For(ctx, after); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return send()
+}
+
+// returnTime is when a refused request that has not run may come back; 0 for any other error.
+func returnTime(err error) time.Duration {
+	var refused *connect.Error
+	if !errors.As(err, &refused) {
+		return 0
+	}
+	for _, detail := range refused.Details() {
+		value, err := detail.Value()
+		if err != nil {
+			continue // A detail of another kind says nothing of returning.
+		}
+		refusal, ok := value.(*ospreymoorv1.Refusal)
+		if ok && refusal.GetOutcome() == ospreymoorv1.Outcome_OUTCOME_NOT_RUN {
+			return refusal.GetRetryAfter().AsDuration()
+		}
+	}
+	return 0
+}
+
 // until retries do after a fixed pause until it succeeds or ctx ends; then it returns do's last
 // error. The pause does not grow: all of it runs on loopback for a minute at most.
 func until(ctx context.Context, do func() error) error {
