--- a/internal/cmd/report.go
+++ b/internal/cmd/report.go
@@ -1,6 +1,7 @@
 package cmd
 
-// ospreymoor report burn
+// ospreymoor report burn|requests
 type reportCommand struct {
-	Burn reportBurnCommand `cmd:"" help:"Report served within target, error budget and burn rates of the customer's models."`
+	Requests reportRequestsCommand `cmd:"" help:"Report how requests ended, by the logs of boxes on the users' platform."`
+	Burn     reportBurnCommand     `cmd:"" help:"Report served within target, error budget and burn rates of the customer's models."`
 }
--- /dev/null
+++ b/internal/requestlog/request.go
@@ -0,0 +1,142 @@
+// Package requestlog reads the lines that boxes log for each request (`request ended`), and adds up
+// how requests ended. It owns nothing and keeps what it read in memory. `ospreymoor report requests`
+// uses it; internal/gateway writes the lines.
+package requestlog
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Outcome is how a request ended, for its caller.
+type Outcome string
+
+// The outcomes. A request that is late by both its first event and a pause counts as late by its first.
+const (
+	InTime     Outcome = "in time"
+	LateFirst  Outcome = "late first"
+	LatePause  Outcome = "late pause"
+	Refused    Outcome = "refused"
+	Failed     Outcome = "failed"
+	CallerLeft Outcome = "caller left"
+)
+
+// Outcomes lists all of them, in the order in which reports have them.
+var Outcomes = []Outcome{InTime, LateFirst, LatePause, Refused, Failed, CallerLeft}
+
+// Request is one request as its line describes it.
+type Request struct {
+	// Ended is the time of the line.
+	Ended time.Time
+	ID    string
+	Route string
+	// Model is empty for plain services.
+	Model   string
+	Status  int
+	Reason  string
+	Outcome Outcome
+}
+
+// endedMessage is the message of the lines that count.
+const endedMessage = "request ended"
+
+// statusCallerLeft is what internal/gateway logs for a caller that closed its connection.
+const statusCallerLeft = 499
+
+// line is a log line as far as it is read. Times are in seconds; absent ones are 0.
+type line struct {
+	Message   string    `json:"msg"`
+	Time      time.Time `json:"ts"`
+	ID        string    `json:"id"`
+	Route     string    `json:"route"`
+	Model     string    `json:"model"`
+	Status    int       `json:"status"`
+	Reason    string    `json:"reason"`
+	Error     string    `json:"error"`
+	First     float64   `json:"first"`
+	Gap       float64   `json:"gap"`
+	Target    float64   `json:"target"`
+	GapTarget float64   `json:"gapTarget"`
+}
+
+// Log is what was read.
+type Log struct {
+	Requests []Request
+	// Lines is the number of log lines, whatever they say; Skipped is that of the lines that are none.
+	Lines, Skipped int
+}
+
+// maxLineBytes bounds a line: more than any line that a box writes. Chosen, not measured.
+const maxLineBytes = 1 << 20
+
+// Read adds the lines of a log. A line may have a prefix before its JSON, such as a collector's time
+// and the box's name.
+func (l *Log) Read(r io.Reader) error {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLineBytes)
+	for scanner.Scan() {
+		if text := bytes.TrimSpace(scanner.Bytes()); len(text) > 0 {
+			l.add(text)
+		}
+	}
+	return errors.Annotate(scanner.Err(), "reading the log")
+}
+
+func (l *Log) add(text []byte) {
+	var read line
+	start := bytes.IndexByte(text, '{')
+	if start < 0 || json.Unmarshal(text[start:], &read) != nil || read.Message == "" {
+		l.Skipped++
+		return
+	}
+	l.Lines++
+	if read.Message == endedMessage {
+		l.Requests = append(l.Requests, read.request())
+	}
+}
+
+func (l *line) request() Request {
+	return Request{
+		Ended: l.Time, ID: l.ID, Route: l.Route, Model: l.Model, Status: l.Status,
+		Reason: l.reason(), Outcome: l.outcome(),
+	}
+}
+
+// outcome classifies a request. One without targets is never late.
+func (l *line) outcome() Outcome {
+	switch {
+	case l.Status == statusCallerLeft:
+		return CallerLeft
+	case l.Status == http.StatusServiceUnavailable && l.Reason != "":
+		return Refused
+	case l.Status >= http.StatusBadRequest, l.Error != "":
+		return Failed
+	case l.Target > 0 && l.First > l.Target:
+		return LateFirst
+	case l.GapTarget > 0 && l.Gap > l.GapTarget:
+		return LatePause
+	}
+	return InTime
+}
+
+// reason is why a request was not answered in time; empty if it was.
+func (l *line) reason() string {
+	switch outcome := l.outcome(); {
+	case outcome == InTime:
+		return ""
+	case l.Reason != "":
+		return l.Reason
+	case outcome == Failed && l.Error == "":
+		return "upstream's status " + http.StatusText(l.Status)
+	case outcome == Failed:
+		return "answer broken off"
+	default:
+		return string(outcome)
+	}
+}
--- a/pkg/burn/burn.go
+++ b/pkg/burn/burn.go
@@ -103,8 +103,7 @@
 		r.lines[key] = line
 	}
 	line.Objective = objective
-	line.count(result, reason)
-	line.slot(time.Now(), result != WithinTarget)
+	line.Count(time.Now(), result, reason)
 	r.snapshot.Sequence++
 }
 
@@ -121,8 +120,15 @@
 	return snapshot
 }
 
-// count adds one request to the totals.
-func (l *Counts) count(result Result, reason string) {
+// Count counts one request that ended at a time, not before those counted already; reason counts for
+// refusals only.
+func (l *Counts) Count(at time.Time, result Result, reason string) {
+	l.total(result, reason)
+	l.slot(at, result != WithinTarget)
+}
+
+// total adds one request to the totals.
+func (l *Counts) total(result Result, reason string) {
 	switch result {
 	case WithinTarget:
 		l.Within++
