--- /dev/null
+++ b/internal/transport/forward.go
@@ -0,0 +1,32 @@
+package transport
+
+import (
+	"io"
+	"net/http"
+	"net/textproto"
+	"strings"
+)
+
+// hopByHopHeaders concern a single connection and are not passed on (RFC 9110, 7.6.1).
+var hopByHopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// DropHopByHopHeaders removes the headers that concern a single connection from a message that is passed on.
+func DropHopByHopHeaders(header http.Header) {
+	for _, list := range header["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			header.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHopHeaders {
+		header.Del(name)
+	}
+}
+
+// OnceReader is a body that cannot be read again, so that the HTTP library never sends it twice.
+type OnceReader struct{ io.Reader }
+
+// Close does nothing.
+func (OnceReader) Close() error { return nil }
--- a/pkg/fleet/upstream.go
+++ b/pkg/fleet/upstream.go
@@ -10,8 +10,6 @@
 	// Address is IP:PORT.
 	Address string
 	Hall    string
-	// SoftwareVersion of its software.
-	SoftwareVersion string
 	// Slots is how many requests it works on at once.
 	Slots int
 	// Leaving upstreams get nothing new.
@@ -31,6 +29,5 @@
 // Holding is a model that an engine holds.
 type Holding struct {
 	Model    string
-	Version  int
 	Adapters []string
 }
--- a/pkg/routes/routes.go
+++ b/pkg/routes/routes.go
@@ -81,13 +81,10 @@
 	return ""
 }
 
-// Limits bound what callers may send; a zero is no bound.
+// Limits bound what callers may send; a zero is no bound. The bounds of headers are those of gateway.Front
+// in every version of the configuration.
 type Limits struct {
-	// MaxHeaderBytes and HeaderTimeout are not enforced: the bounds of gateway.Front hold for every
-	// version of the configuration.
-	MaxHeaderBytes int
-	HeaderTimeout  time.Duration
-	MaxBodyBytes   int64
+	MaxBodyBytes int64
 	// IdleTimeout is how long a connection may be idle.
 	IdleTimeout time.Duration
 }
--- a/pkg/routes/service.go
+++ b/pkg/routes/service.go
@@ -5,9 +5,6 @@
 // Service is a set of upstreams that are alike.
 type Service struct {
 	Name string
-	// MaxConnections is how many connections one upstream takes from all callers together. No decision
-	// uses it.
-	MaxConnections int
 	// Engines is nil for a plain service.
 	Engines *Engines
 
