Count a load only once the list has shown it under way

Cause: the end of a load or unload was read off the platform's list. Change: a list that shows the end from the beginning counts only after it has shown the order under way; corrections of the list hold until the engine's entry is newer than they are. Measured: the new spec overfills the engine without the change, passes with it; specs of pkg/residency and internal/node pass.

--- a/pkg/residency/controller_test.go
+++ b/pkg/residency/controller_test.go
@@ -11,6 +11,7 @@
 
 	"ospreymoor.example/ospreymoor/pkg/fleet"
 	"ospreymoor.example/ospreymoor/pkg/residency"
+	"ospreymoor.example/ospreymoor/pkg/routes"
 	"ospreymoor.example/ospreymoor/pkg/spectest"
 )
 
@@ -74,6 +75,41 @@
 		}
 	})
 
+	It("takes a list that is older than its order for no end of it", func() {
+		spectest.Bubble(func() {
+			engines := &routes.Engines{Slots: 8, MemoryMegabytes: engineMegabytes, AdapterSlots: adapterSlots, LoadsPerSecond: 2}
+			for n := range 4 {
+				engines.Models = append(engines.Models, testModel(fmt.Sprint("m", n)))
+			}
+			t := fleetOf(engines, map[string][]string{"e0": {"m0", "m1"}})
+			By("listing a model that a former holder of the lease has had unloaded")
+			t.revision++
+			stale := []fleet.Holding{{Model: "m0"}, {Model: "m1"}, {Model: "m2"}}
+			t.directory.SetList(t.revision, []fleet.Upstream{{ID: "e0", Service: "s", Slots: 8, Models: stale, Revision: t.revision}}, time.Time{})
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() { t.controller.Run(ctx); close(done) }()
+			begun := time.Now()
+			for time.Since(begun) < 10*time.Second {
+				asked, work := "m2", 20.0
+				if time.Since(begun) > time.Second {
+					asked, work = "m3", 60.0
+				}
+				t.demand.Note(map[residency.WorkKey]float64{{ModelKey: residency.ModelKey{Service: "s", Model: asked}}: work}, time.Now())
+				// The list shows the load under way, and only long after its end that it is done.
+				if at := time.Since(begun); at == 2600*time.Millisecond || at > 5*time.Second {
+					t.listSafely()
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			cancel()
+			<-done
+			time.Sleep(time.Minute)
+			Expect(t.overfull()).To(BeEmpty())
+			Expect(t.engines["e0"].models).To(HaveLen(3))
+		})
+	})
+
 	It("makes room for an adapter without delay", func() {
 		spectest.Bubble(func() {
 			t := newTestFleet(1, 0)
--- a/pkg/residency/enginereport.go
+++ b/pkg/residency/enginereport.go
@@ -53,7 +53,7 @@
 		zap.Any("models", report.Models),
 		zap.Duration("lastOrder", time.Since(e.orders.lastSent)))
 	if state := e.controller.Directory.Get(e.id); state != nil {
-		e.models.adopt(report, state.Models)
+		e.models.adopt(report, state.Models, state.Revision)
 	}
 	e.orders.reported = map[adapterKey]bool{}
 	for _, holding := range report.Models {
--- a/pkg/residency/modelrecord.go
+++ b/pkg/residency/modelrecord.go
@@ -14,25 +14,30 @@
 	loaded []string
 	// dropped models are no longer held, though the list still has them.
 	dropped []string
+	// revision of the entry that the list had at the latest correction.
+	revision int64
 	// loadedAt is when each model was loaded by order.
 	loadedAt map[string]time.Time
 }
 
 // noteLoaded notes the end of a load.
-func (r *modelRecord) noteLoaded(model string, now time.Time) {
+func (r *modelRecord) noteLoaded(model string, now time.Time, revision int64) {
+	r.revision = revision
 	r.loadedAt[model] = now
 	r.loaded = append(without(r.loaded, model), model)
 	r.dropped = without(r.dropped, model)
 }
 
 // noteUnloaded notes the end of an unload.
-func (r *modelRecord) noteUnloaded(model string) {
+func (r *modelRecord) noteUnloaded(model string, revision int64) {
+	r.revision = revision
 	r.loaded = without(r.loaded, model)
 	r.dropped = append(without(r.dropped, model), model)
 }
 
 // adopt notes where an engine's report differs from the list.
-func (r *modelRecord) adopt(report Report, listed []fleet.Holding) {
+func (r *modelRecord) adopt(report Report, listed []fleet.Holding, revision int64) {
+	r.revision = revision
 	r.loaded, r.dropped = nil, nil
 	for _, holding := range report.Models {
 		if !holds(listed, holding.Model) {
@@ -46,8 +51,12 @@
 	}
 }
 
-// reconcile forgets the corrections that the list has caught up with.
-func (r *modelRecord) reconcile(listed []fleet.Holding) {
+// reconcile forgets the corrections that the list has caught up with. An entry that is as old as they are
+// has not: what it shows may have been so before, and change once more before it is so again.
+func (r *modelRecord) reconcile(listed []fleet.Holding, revision int64) {
+	if revision <= r.revision {
+		return
+	}
 	r.loaded = slices.DeleteFunc(r.loaded, func(model string) bool { return holds(listed, model) })
 	r.dropped = slices.DeleteFunc(r.dropped, func(model string) bool { return !holds(listed, model) })
 }
--- a/pkg/residency/moveorders.go
+++ b/pkg/residency/moveorders.go
@@ -51,7 +51,7 @@
 	}
 	e.update(func() {
 		e.move.unloading = ""
-		e.models.noteUnloaded(model)
+		e.models.noteUnloaded(model, e.listRevision())
 		for key, state := range e.adapters {
 			if key.model == model && state.phase != phaseLoading {
 				delete(e.adapters, key)
@@ -74,25 +74,40 @@
 		return false
 	}
 	e.mu.Lock()
-	e.models.noteLoaded(model.Name, time.Now())
+	e.models.noteLoaded(model.Name, time.Now(), e.listRevision())
 	e.mu.Unlock()
 	return true
 }
 
+// listRevision is that of the engine's entry in the platform's list; 0 without one.
+func (e *engine) listRevision() int64 {
+	if state := e.controller.Directory.Get(e.id); state != nil {
+		return state.Revision
+	}
+	return 0
+}
+
 // awaitOrderEnd waits until the platform's list shows that a model's load or unload is done. From
 // listLag after the expected time on, the engine is asked too; it is false if the engine reports
 // that nothing is under way and the order is not done.
+//
+// A list that shows the end from the beginning is older than the order, as after trouble of the store: it
+// counts only once it has shown the order under way. Otherwise a load under way takes no room in the next
+// plan, and the engine is ordered to load more than it holds.
 func (e *engine) awaitOrderEnd(ctx context.Context, operation Operation, model string, expected time.Duration) bool {
 	done := func(held bool) bool { return held == (operation == Load) }
 	ask := time.Now().Add(expected + listLag)
+	current := false
 	for {
 		state := e.controller.Directory.Get(e.id)
 		if state == nil {
 			return false
 		}
-		if done(holds(state.Models, model)) {
+		ended := done(holds(state.Models, model))
+		if ended && current {
 			return true
 		}
+		current = current || !ended
 		if time.Now().After(ask) {
 			report, err := e.askReport(ctx, state.Upstream)
 			if err == nil && !report.Busy {
--- a/pkg/residency/planinput.go
+++ b/pkg/residency/planinput.go
@@ -79,7 +79,7 @@
 		Leaving:      state.Leaving,
 		Unresponsive: e.controller.unresponsive(state.ID),
 	}
-	e.models.reconcile(state.Models)
+	e.models.reconcile(state.Models, state.Revision)
 	for _, model := range e.models.held(state.Models) {
 		if !slices.Contains(e.move.withdrawn, model) && model != e.move.loading {
 			planned.Models = append(planned.Models, model)
