--- a/pkg/dispatch/choice.go
+++ b/pkg/dispatch/choice.go
@@ -14,8 +14,6 @@
 	preferenceBonus = 0.2
 	// jitter spreads choices among upstreams that are about equal. Chosen, not measured.
 	jitter = 2 * time.Millisecond
-	// pausePenalty is for each stream of an engine that would have too long a pause. Chosen, not measured.
-	pausePenalty = 2 * time.Millisecond
 	// crowdedShare is the part of the longest pause in time from which an engine counts as crowded, since
 	// other boxes send prompts that this one does not know of yet. Measured: mean worth of 18 plays 0.597
 	// without it, 0.610, 0.615 and 0.610 at 1, 0.7 and 0.5.
@@ -58,9 +56,6 @@
 		next := rated{ejected: record.ejection.ejected(usual, now)}
 		next.choice = c.predict(need, upstream, record)
 		next.score = score(&next.choice, record, usual, upstream.ID == preferred)
-		if next.choice.Crowded(need) {
-			next.score += time.Duration(next.choice.Load.Running) * pausePenalty
-		}
 		if i == 0 || next.better(&best) {
 			best = next
 		}
