--- a/internal/gateway/choice.go
+++ b/internal/gateway/choice.go
@@ -9,8 +9,8 @@
 )
 
 // pick returns the upstream of the next attempt: the best of the candidates, if it answers soon
-// enough. A request that has the time waits while all of them are crowded with prompts. While there is no candidate, it has what is lacking provided, for as long as the request
-// may wait.
+// enough. A request that has the time waits while all of them are crowded with prompts. While there is
+// no candidate, it has what is lacking provided, for as long as the request may wait.
 func (r *inflight) pick(ctx context.Context) (dispatch.Choice, *refusal) {
 	for {
 		candidates, lacking := r.candidates()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -10,6 +10,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/residency"
 	"ospreymoor.example/ospreymoor/pkg/routes"
 	"ospreymoor.example/ospreymoor/pkg/spectest"
 )
@@ -92,6 +94,28 @@
 		})
 	})
 
+	It("waits for a load whose end is known, and not so long for one of which nothing is known", func() {
+		spectest.Bubble(func() {
+			f := newFixture(func(string, int) fate { return whole }, 1)
+			begun := time.Now()
+			f.Ensure = func(context.Context, string, string, string) (residency.EnsureResult, error) {
+				return residency.EnsureResult{Ready: 500*time.Millisecond - time.Since(begun)}, residency.ErrNoPlace
+			}
+			time.AfterFunc(500*time.Millisecond, func() {
+				holdings := []fleet.Holding{{Model: "m"}, {Model: "nowhere"}}
+				f.Directory.SetList(2, []fleet.Upstream{{ID: "e0", Service: "engines", Slots: 8, Revision: 2, Models: holdings}}, time.Time{})
+			})
+			Expect(f.ask(context.Background(), "r1", "/stream/x", "nowhere").Code).To(Equal(http.StatusOK))
+			Expect(time.Since(begun)).To(BeNumerically("~", 500*time.Millisecond, 50*time.Millisecond))
+			f.Ensure = func(context.Context, string, string, string) (residency.EnsureResult, error) {
+				return residency.EnsureResult{}, residency.ErrNotHolder
+			}
+			begun = time.Now()
+			Expect(f.ask(context.Background(), "r2", "/stream/x", "unknown").Code).To(Equal(http.StatusServiceUnavailable))
+			Expect(time.Since(begun)).To(BeNumerically("<=", 176*time.Millisecond))
+		})
+	})
+
 	It("refuses at once what no engine can hold in time, with a retry-after", func() {
 		spectest.Bubble(func() {
 			f := newFixture(func(string, int) fate { return whole }, 1)
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -18,7 +18,7 @@
 // provide requests what is lacking from the order holder, and returns how long to wait before another
 // look at the directory. It refuses the request if that is longer than the request may wait.
 func (r *inflight) provide(ctx context.Context, lacking reason) (time.Duration, *refusal) {
-	left := time.Until(r.deadlines.load)
+	left := time.Until(r.deadlines.upstream)
 	if lacking == reasonNoUpstream {
 		// The order holder can't provide an upstream; the platform's list may bring one.
 		if left < directoryPoll {
@@ -35,9 +35,9 @@
 	return r.ensure(ctx, lacking, left)
 }
 
-// ensure asks the order holder for the model or adapter, for at most the time that is left, and waits
-// longer where the end of its load is known. Where the
-// order holder can't be reached, Ready is 0 and it is asked again until no time is left.
+// ensure asks the order holder for the model or adapter, for at most the time that is left. Once it has
+// said when that is there, the request may wait for it. Where the order holder can't be reached, Ready is 0
+// and it is asked again until no time is left.
 func (r *inflight) ensure(ctx context.Context, lacking reason, left time.Duration) (time.Duration, *refusal) {
 	askCtx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
@@ -49,10 +49,10 @@
 	if ctx.Err() != nil {
 		return 0, r.ended(ctx)
 	}
-	left = time.Until(r.deadlines.upstream)
 	if ensured.Ready > 0 {
-		left = time.Until(r.deadlines.load)
+		r.deadlines.upstream = r.deadlines.load
 	}
+	left = time.Until(r.deadlines.upstream)
 	if ensured.Ready > left || left < directoryPoll {
 		r.logNotProvided(ensured, err)
 		return 0, r.unserved(lacking, ensured.Ready)
--- a/pkg/residency/eviction.go
+++ b/pkg/residency/eviction.go
@@ -40,9 +40,9 @@
 	return p.confirmed[model.Name] > 1 || model.idle() && e.hasCopy(model.Name)
 }
 
-// makeRoom lists the models to evict so that the model fits on the engine, cheapest first; ok is false if the model does not
-// fit without. Models that the configuration does not name may always be evicted; they free no
-// memory that the planner knows of.
+// makeRoom lists the models to evict so that the model fits on the engine, cheapest first; ok is false
+// if the model does not fit without those that may not go. Models that the configuration does not name
+// may always be evicted; they free no memory that the planner knows of.
 func (p *planner) makeRoom(e *planEngine, model *PlanModel) (evict []string, ok bool) {
 	free := e.free
 	if free >= model.Megabytes {
