--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -119,6 +119,7 @@
 		OrderHolder: e.orderHolder(),
 		Version:     e.Directory.Version(),
 		Pieces:      true,
+		ReadsBinary: true,
 	}
 	if err := e.addActivity(to, &m); err != nil {
 		e.Log.Error("activity not packed", zap.String("peer", to), logfield.Error(err))
--- a/internal/cluster/members.go
+++ b/internal/cluster/members.go
@@ -13,6 +13,12 @@
 
 	mu     sync.Mutex
 	byName map[string]*member
+	// ranking has the boxes of each hall, the preferred relay first; nil once a box has come, gone or changed.
+	ranking map[string][]*member
+	// reporting are the boxes that sent a load summary, by name; few of a large fleet send this box theirs.
+	reporting map[string]*member
+	// sum is what those of a relay add up to, as of a moment ago.
+	sum *relaySum
 	// listed means that the store lists this box.
 	listed bool
 	// holder is the latest report of the order holder.
@@ -25,7 +31,7 @@
 
 // NewMembers returns a membership of which only this box is known.
 func NewMembers(self Box, storeLost func() bool) *Members {
-	return &Members{self: self, storeLost: storeLost, byName: map[string]*member{}, most: 1}
+	return &Members{self: self, storeLost: storeLost, byName: map[string]*member{}, reporting: map[string]*member{}, most: 1}
 }
 
 const (
@@ -57,8 +63,8 @@
 	storeAnswered time.Time
 	// holdsOrderLease means that the box reported itself as the order holder.
 	holdsOrderLease bool
-	// pieces is that of its messages.
-	pieces bool
+	// pieces and readsBinary are those of its messages.
+	pieces, readsBinary bool
 }
 
 // receivedSummary is the load summary that a box last sent.
@@ -105,6 +111,9 @@
 		other = &member{}
 		m.byName[box.Name] = other
 	}
+	if other.Box != box {
+		m.ranking = nil
+	}
 	if other.Incarnation != box.Incarnation {
 		other.report.holdsOrderLease, other.call.failures = false, 0
 		other.summary = receivedSummary{} // What the earlier process had under way ended with it.
@@ -129,7 +138,7 @@
 	defer m.mu.Unlock()
 	sender := m.update(received.From)
 	sender.report.received = now
-	sender.report.pieces = received.Pieces
+	sender.report.pieces, sender.report.readsBinary = received.Pieces, received.ReadsBinary
 	sender.report.leaving, sender.report.storeLost = received.Leaving, received.StoreLost
 	if received.StoreAge >= 0 {
 		sender.report.storeAnswered = now.Add(-received.StoreAge)
@@ -138,6 +147,7 @@
 	m.takeHolder(received.From.Name, received.OrderHolder, now)
 	if received.Summary != nil {
 		sender.summary = receivedSummary{loadSummary: *received.Summary, scope: received.Scope, received: now}
+		m.reporting[received.From.Name] = sender
 	}
 	m.noteSize()
 }
@@ -147,6 +157,8 @@
 	for name, other := range m.byName {
 		if !other.registered && now.Sub(other.report.received) > memberTTL {
 			delete(m.byName, name)
+			delete(m.reporting, name)
+			m.ranking = nil
 		}
 	}
 }
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -83,6 +83,10 @@
 	Work         []workItem            `json:"work,omitempty"`
 	// PackedActivity has Summary, Observations and Work in their place, where they are long; see pack.
 	PackedActivity []byte `json:"packed,omitempty"`
+	// BinaryActivity has the same in their place in binary form, for a box that reads it; see activity.encode.
+	BinaryActivity []byte `json:"activity,omitempty"`
+	// ReadsBinary means that the sender reads BinaryActivity.
+	ReadsBinary bool `json:"readsBinary,omitempty"`
 	// Pieces means that the sender fetches large records and packed copies in pieces. A box of a version
 	// that does not is sent them whole.
 	Pieces bool `json:"pieces,omitempty"`
--- a/internal/cluster/pace.go
+++ b/internal/cluster/pace.go
@@ -98,6 +98,11 @@
 	if m.Scope != noScope {
 		told.Summary = e.Members.summaryFor(to, m.Scope, e.ownSummary())
 	}
+	if e.Members.readsBinary(to) {
+		m.BinaryActivity = told.encode()
+		e.pace.note(to, len(m.BinaryActivity)*4/3, now) // In base64.
+		return nil
+	}
 	bytes := told.bytes()
 	if bytes < packedActivityBytes || !e.Members.takesPieces(to) {
 		m.Summary, m.Observations, m.Work = told.Summary, told.Observations, told.Work
@@ -125,8 +130,13 @@
 	return bytes
 }
 
-// unpackActivity replaces packed activity by what it holds.
+// unpackActivity replaces packed and binary activity by what it holds.
 func (m *message) unpackActivity() error {
+	if m.BinaryActivity != nil {
+		told, err := decodeActivity(m.BinaryActivity)
+		m.takeActivity(told)
+		return err
+	}
 	if m.PackedActivity == nil {
 		return nil
 	}
@@ -138,7 +148,11 @@
 	if err := json.Unmarshal(text, &told); err != nil {
 		return errors.WithType(err, errContent)
 	}
-	m.PackedActivity = nil
-	m.Summary, m.Observations, m.Work = told.Summary, told.Observations, told.Work
+	m.takeActivity(told)
 	return nil
 }
+
+func (m *message) takeActivity(told activity) {
+	m.PackedActivity, m.BinaryActivity = nil, nil
+	m.Summary, m.Observations, m.Work = told.Summary, told.Observations, told.Work
+}
--- a/internal/cluster/relay.go
+++ b/internal/cluster/relay.go
@@ -34,30 +34,47 @@
 	return hall != m.self.Hall || byPreference(other.Box, m.self) <= 0
 }
 
+// byRank lists the other boxes of a hall, the preferred relay first. The order is kept until a box comes, goes or
+// changes: boxes look at it several times in each round. The caller holds the lock.
+func (m *Members) byRank(hall string) []*member {
+	if m.ranking == nil {
+		m.ranking = map[string][]*member{}
+		for _, other := range m.byName {
+			m.ranking[other.Hall] = append(m.ranking[other.Hall], other)
+		}
+		for _, list := range m.ranking {
+			slices.SortFunc(list, func(a, b *member) int { return byPreference(a.Box, b.Box) })
+		}
+	}
+	return m.ranking[hall]
+}
+
 // ranked lists the other boxes of a hall that may be its relay, the preferred one first. The caller
 // holds the lock.
 func (m *Members) ranked(hall string, now time.Time) []*member {
 	var list []*member
-	for _, other := range m.byName {
+	for _, other := range m.byRank(hall) {
 		if m.mayRelay(other, hall, now) {
 			list = append(list, other)
 		}
 	}
-	slices.SortFunc(list, func(a, b *member) int { return byPreference(a.Box, b.Box) })
 	return list
 }
 
 // relaying reports whether this box acts as a relay of its hall: no better one answers, or others
 // send it their summaries because they reach no better one. The caller holds the lock.
 func (m *Members) relaying(now time.Time) bool {
-	better := false
-	for _, other := range m.byName {
+	for _, other := range m.reporting {
 		if other.summary.fresh(now) && other.summary.scope == memberScope {
 			return true
 		}
-		better = better || (m.mayRelay(other, m.self.Hall, now) && !other.call.lost())
 	}
-	return !better
+	for _, other := range m.byRank(m.self.Hall) {
+		if m.mayRelay(other, m.self.Hall, now) && !other.call.lost() {
+			return false
+		}
+	}
+	return true
 }
 
 // relays reports whether another box acts as a relay lately.
@@ -74,9 +91,10 @@
 
 // halls lists all halls that boxes are known in. The caller holds the lock.
 func (m *Members) halls() []string {
+	m.byRank(m.self.Hall)
 	known := map[string]bool{m.self.Hall: true}
-	for _, other := range m.byName {
-		known[other.Hall] = true
+	for hall := range m.ranking {
+		known[hall] = true
 	}
 	return slices.Sorted(maps.Keys(known))
 }
--- a/internal/cluster/store.go
+++ b/internal/cluster/store.go
@@ -46,7 +46,7 @@
 		return notWatching
 	}
 	rank := 0
-	for _, other := range m.byName {
+	for _, other := range m.reporting {
 		if other.Hall < m.self.Hall && other.relays(now) && !other.report.storeLost && !other.report.leaving {
 			rank++
 		}
--- a/internal/cluster/summary.go
+++ b/internal/cluster/summary.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"maps"
 	"time"
 
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
@@ -38,20 +39,67 @@
 }
 
 // summaryFor adds to this box's own summary what the box named to is sent under a scope.
-func (m *Members) summaryFor(to string, sent scope, sum loadSummary) *loadSummary {
+func (m *Members) summaryFor(to string, sent scope, own loadSummary) *loadSummary {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
-	for name, other := range m.byName {
+	if sent == fleetScope && !m.holdsOrderLease(to) {
+		own.Uses = nil // Only the order holder looks at them.
+		return m.relaySum(now).without(to, own)
+	}
+	for name, other := range m.reporting {
 		if other.summary.fresh(now) && name != to && covers(sent, other.summary.scope) {
+			own.add(other.summary.loadSummary)
+		}
+	}
+	own.Uses = merged(own.Uses)
+	return &own
+}
+
+// sumTTL is for how long a relay uses one sum. Chosen, not measured: a fifth of the time between two exchanges of a
+// box with its relay.
+const sumTTL = 50 * time.Millisecond
+
+// relaySum is what a relay's hall and the other relays report, added up once for all boxes of the hall: a relay of 50
+// boxes answers 200 exchanges a second, and adding up 54 reports for each took 0.28 ms, taking one part
+// off takes 0.015 ms (BenchmarkRelaySum).
+type relaySum struct {
+	loadSummary
+	at time.Time
+	// parts are the reports in the sum, by name.
+	parts map[string]loadSummary
+}
+
+// relaySum returns the sum of a moment ago. The caller holds the lock, and changes nothing of the sum.
+func (m *Members) relaySum(now time.Time) *relaySum {
+	if m.sum != nil && now.Sub(m.sum.at) < sumTTL {
+		return m.sum
+	}
+	sum := &relaySum{at: now, parts: map[string]loadSummary{}}
+	sum.Loads = map[string]dispatch.Load{}
+	for name, other := range m.reporting {
+		if other.summary.fresh(now) && covers(fleetScope, other.summary.scope) {
 			sum.add(other.summary.loadSummary)
+			sum.parts[name] = other.summary.loadSummary
 		}
 	}
-	sum.Uses = merged(sum.Uses)
-	if sent == fleetScope && !m.holdsOrderLease(to) {
-		sum.Uses = nil // Only the order holder looks at them.
+	m.sum = sum
+	return sum
+}
+
+// without adds to a box's own summary the loads of all others in the sum but one.
+func (s *relaySum) without(name string, own loadSummary) *loadSummary {
+	all := loadSummary{Boxes: s.Boxes, StoreLost: s.StoreLost, Loads: maps.Clone(s.Loads)}
+	part := s.parts[name]
+	all.Boxes -= part.Boxes
+	all.StoreLost -= part.StoreLost
+	for id, load := range part.Loads {
+		left := all.Loads[id]
+		left.Subtract(load)
+		all.Loads[id] = left
 	}
-	return &sum
+	all.add(own)
+	return &all
 }
 
 // holdsOrderLease reports whether a box reported itself as the order holder. The caller holds the lock.
@@ -66,7 +114,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	count := 0
-	for _, other := range m.byName {
+	for _, other := range m.reporting {
 		if other.summary.fresh(now) && (other.summary.scope == memberScope || other.summary.scope == hallScope) {
 			count++
 		}
@@ -82,6 +130,14 @@
 	return other != nil && other.report.pieces
 }
 
+// readsBinary reports whether a box reads activity in binary form.
+func (m *Members) readsBinary(name string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	other := m.byName[name]
+	return other != nil && other.report.readsBinary
+}
+
 // covers reports whether a summary sent under a scope includes one that was received under
 // another.
 func covers(sent, received scope) bool {
@@ -95,14 +151,13 @@
 }
 
 // others adds up what all other boxes have under way, as far as they reported it. The caller
-// holds the lock.
+// holds the lock, and changes nothing of it.
 func (m *Members) others(now time.Time) loadSummary {
-	sum := loadSummary{Loads: map[string]dispatch.Load{}}
 	if relay := m.latestRelay(now); relay != nil {
-		sum.add(relay.summary.loadSummary)
-		return sum
+		return relay.summary.loadSummary
 	}
-	for _, other := range m.byName {
+	sum := loadSummary{Loads: map[string]dispatch.Load{}}
+	for _, other := range m.reporting {
 		if other.summary.fresh(now) && other.summary.scope != fleetScope {
 			sum.add(other.summary.loadSummary)
 		}
@@ -110,10 +165,14 @@
 	return sum
 }
 
-// otherBoxes adds up what all other boxes have under way, as far as they reported it.
+// otherBoxes adds up what all other boxes have under way, as far as they reported it. The caller changes nothing
+// of it.
 func (m *Members) otherBoxes(now time.Time) loadSummary {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.large() && m.relaying(now) {
+		return m.relaySum(now).loadSummary
+	}
 	return m.others(now)
 }
 
@@ -124,7 +183,7 @@
 		return nil
 	}
 	var latest *member
-	for _, other := range m.byName {
+	for _, other := range m.reporting {
 		if other.summary.scope != fleetScope || !other.summary.fresh(now) {
 			continue
 		}
--- a/internal/cluster/summary_test.go
+++ b/internal/cluster/summary_test.go
@@ -1,6 +1,8 @@
 package cluster
 
 import (
+	"fmt"
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -25,6 +27,38 @@
 		})
 	})
 
+	It("are told to each box of a relay's hall without its own part, although the relay adds them up once", func() {
+		spectest.Bubble(func() {
+			m := largeFleet("n00")
+			running := func(n int) int { return 1 << n }
+			report := func(n int, sent scope, times int) {
+				loads := map[string]dispatch.Load{"e": {Running: times * running(n), Prefill: [dispatch.UrgencyLevels]int{n}, Tokens: n, Waiting: n}}
+				m.report(fmt.Sprintf("n%02d", n), message{Scope: sent, Summary: &loadSummary{Boxes: 1, Loads: loads}})
+			}
+			const last = 9
+			for n := 1; n <= last; n++ {
+				report(n, memberScope, 1)
+			}
+			report(10, hallScope, 1) // The relay of the other hall.
+			all := 0
+			for n := 1; n <= last+1; n++ {
+				all += running(n)
+			}
+			own := loadSummary{Boxes: 1, Loads: map[string]dispatch.Load{"e": {Running: 1}}}
+			Expect(m.otherBoxes(time.Now()).Loads["e"].Running).To(Equal(all))
+			for n := 1; n <= last; n++ {
+				report(n, memberScope, 2) // Newer than the sum, of which it takes off the older part.
+				told := m.summaryFor(fmt.Sprintf("n%02d", n), fleetScope, own)
+				Expect(told.Boxes).To(Equal(last + 1))
+				Expect(told.Loads["e"].Running).To(Equal(1 + all - running(n)))
+			}
+			time.Sleep(sumTTL)
+			told := m.summaryFor("n01", fleetScope, own)
+			Expect(told.Loads["e"].Running).To(Equal(1 + 2*all - running(last+1) - 2*running(1)))
+			Expect(m.otherBoxes(time.Now()).Loads["e"].Running).To(Equal(2*all - running(last+1)))
+		})
+	})
+
 	It("do not outlast the process that sent them", func() {
 		spectest.Bubble(func() {
 			m := smallFleet()
@@ -61,3 +95,35 @@
 		})
 	})
 })
+
+// BenchmarkRelaySum answers one box of a hall of 50, as its relay does 200 times a second.
+func BenchmarkRelaySum(b *testing.B) {
+	RegisterFailHandler(func(message string, _ ...int) { b.Fatal(message) })
+	const members, relays, upstreams, uses = 49, 5, 240, 4
+	self := Box{Name: "r00", Hall: "h0", Cores: 2}
+	boxes := []Box{self}
+	for n := range members {
+		boxes = append(boxes, Box{Name: fmt.Sprintf("n%02d", n), Hall: "h0", Cores: 1})
+	}
+	for n := 1; n <= relays; n++ {
+		boxes = append(boxes, Box{Name: fmt.Sprintf("r%02d", n), Hall: fmt.Sprint("h", n), Cores: 2})
+	}
+	m := NewMembers(self, reaches)
+	m.SetRegistered(boxes)
+	for n, box := range boxes[1:] {
+		sent, count := memberScope, uses
+		if n >= members {
+			sent, count = hallScope, upstreams
+		}
+		loads := map[string]dispatch.Load{}
+		for i := range count {
+			loads[fmt.Sprintf("i-%010x", (n+i)%upstreams*7919)] = dispatch.Load{Running: 1}
+		}
+		m.report(box.Name, message{Scope: sent, Summary: &loadSummary{Boxes: 1, Loads: loads}})
+	}
+	for b.Loop() {
+		m.takeReport(message{From: boxes[1], Scope: memberScope, Summary: &loadSummary{Boxes: 1}}, time.Now())
+		m.otherBoxes(time.Now())
+		m.summaryFor("n01", fleetScope, loadSummary{Boxes: 1, Loads: map[string]dispatch.Load{}})
+	}
+}
--- a/internal/cluster/targets.go
+++ b/internal/cluster/targets.go
@@ -29,7 +29,7 @@
 	for _, p := range plan {
 		targets = append(targets, target{name: p.Name, work: true, relay: true})
 	}
-	for name, other := range m.byName {
+	for name, other := range m.reporting {
 		planned := slices.ContainsFunc(targets, func(t target) bool { return t.name == name })
 		if planned || !other.summary.fresh(now) {
 			continue
--- a/internal/orderlease/lease.go
+++ b/internal/orderlease/lease.go
@@ -87,7 +87,7 @@
 	wake chan struct{}
 
 	mu sync.Mutex
-	// turn is when this box may contend; zero while another one holds the lease, as far as is known.
+	// turn is when this box may contend for a lease that Observe found free; zero before that.
 	turn time.Time
 }
 
@@ -159,17 +159,13 @@
 
 // turnCame reports whether this box may contend for a lease that may be free. Its turn comes a moment after it
 // learns that, another moment on each box, and not before the store lists it: a box that has just started knows
-// too few others. While each contended when it saw the lease free, a start of 86 boxes took 113 to 137 reads of
-// the key and of records, with turns 4 (spec "is asked a few times by each box that starts").
+// too few others, and each that contends in vain costs the store up to four calls.
 func (l *Lease) turnCame() bool {
 	if !l.Peers.Listed() {
 		return false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.turn.IsZero() {
-		l.beginTurn()
-	}
 	return !time.Now().Before(l.turn)
 }
 
--- a/internal/orderlease/lease_test.go
+++ b/internal/orderlease/lease_test.go
@@ -23,6 +23,7 @@
 type contender struct {
 	*Lease
 	cutOff, lostByAll, leaving, otherReaches atomic.Bool
+	unlisted, follows                        atomic.Bool
 	state                                    atomic.Pointer[mirror.State]
 }
 
@@ -49,8 +50,8 @@
 			AddressOf:      func(string) (string, bool) { return "", false },
 			ReachesStore:   func() (string, bool) { return "c:1", c.otherReaches.Load() },
 			StoreLostByAll: c.lostByAll.Load,
-			Listed:         func() bool { return true },
-			FollowsRelay:   func() bool { return false },
+			Listed:         func() bool { return !c.unlisted.Load() },
+			FollowsRelay:   c.follows.Load,
 		},
 		Client:  peer.NewClient("", noDial, metrics.NewSet()),
 		State:   func() mirror.State { return *c.state.Load() },
@@ -119,6 +120,31 @@
 		})
 	})
 
+	It("is contended for in turns, later by boxes that follow a relay and not by one that the store does not list", func() {
+		inBubble(func(c *contender, _ kv.Store) {
+			free := mirror.State{Revision: 1}
+			held := mirror.State{Revision: 2, Records: map[string]kv.Record{leaseKey: {Value: []byte("another")}}}
+			turnAfter := func() time.Duration {
+				c.Observe(held)
+				begun := time.Now()
+				c.Observe(free)
+				for !c.turnCame() && time.Since(begun) < time.Minute {
+					time.Sleep(time.Millisecond)
+				}
+				return time.Since(begun)
+			}
+			for range 20 {
+				Expect(turnAfter()).To(BeNumerically("<=", wakeSpread))
+			}
+			c.follows.Store(true)
+			for range 20 {
+				Expect(turnAfter()).To(And(BeNumerically(">=", followerDelay), BeNumerically("<=", followerDelay+followerSpread)))
+			}
+			c.unlisted.Store(true)
+			Expect(turnAfter()).To(Equal(time.Minute))
+		})
+	})
+
 	It("is resigned when it can't be renewed and another box reaches the store, and kept when none does", func() {
 		inBubble(func(c *contender, _ kv.Store) {
 			time.Sleep(5 * time.Second)
--- a/internal/storeview/own.go
+++ b/internal/storeview/own.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"ospreymoor.example/ospreymoor/internal/cluster"
+	"ospreymoor.example/ospreymoor/pkg/kv"
 	"ospreymoor.example/ospreymoor/pkg/logfield"
 	"ospreymoor.example/ospreymoor/pkg/mirror"
 )
@@ -22,19 +23,40 @@
 	v.config.OrderLease.Observe(state)
 }
 
-// boxes decodes the registrations of the boxes.
+// registeredBox is a box as a revision of its record has it.
+type registeredBox struct {
+	cluster.Box
+	revision int64
+}
+
+// boxes returns the registered boxes; only records that changed are decoded: at 295 boxes, one that registers
+// costs each of the others one record and not all (BenchmarkRegistrations: 0.96 ms before, 0.07 ms after).
 func (v *View) boxes(state mirror.State) []cluster.Box {
-	var list []cluster.Box
+	prefix := v.config.Platform.OwnPrefix + boxPart
+	next := make(map[string]registeredBox, len(v.boxByKey))
+	list := make([]cluster.Box, 0, len(v.boxByKey)+1)
 	for key, record := range state.Records {
-		if !strings.HasPrefix(key, v.config.Platform.OwnPrefix+boxPart) {
+		if !strings.HasPrefix(key, prefix) {
 			continue
 		}
-		var box cluster.Box
-		if err := json.Unmarshal(record.Value, &box); err != nil {
-			v.config.Log.Warn("box record unreadable", zap.String("key", key), logfield.Error(err))
-			continue
+		box, known := v.boxByKey[key]
+		if !known || box.revision != record.Revision {
+			box.Box, known = v.decodeBox(record)
+			box.revision = record.Revision
+		}
+		if known {
+			next[key] = box
+			list = append(list, box.Box)
 		}
-		list = append(list, box)
 	}
+	v.boxByKey = next
 	return list
 }
+
+func (v *View) decodeBox(record kv.Record) (box cluster.Box, ok bool) {
+	if err := json.Unmarshal(record.Value, &box); err != nil {
+		v.config.Log.Warn("box record unreadable", zap.String("key", record.Key), logfield.Error(err))
+		return box, false
+	}
+	return box, true
+}
--- a/internal/storeview/storeview_test.go
+++ b/internal/storeview/storeview_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -123,6 +124,26 @@
 	})
 })
 
+// BenchmarkRegistrations takes in one more registration of a large fleet.
+func BenchmarkRegistrations(b *testing.B) {
+	RegisterFailHandler(func(message string, _ ...int) { b.Fatal(message) })
+	f := newFixture(kv.NewMemory().Store())
+	records := map[string]string{}
+	for n := range 295 {
+		name := fmt.Sprintf("n%03d", n)
+		records["own/nodes/"+name] = fmt.Sprintf(`{"name":%q,"zone":"h","address":"10.1.0.1:8504","incarnation":"5f0c9a52-3f1a-4d43-9e0e-5a4f1b6a0c11","cores":0.192}`, name)
+	}
+	state := stateOf(1, records)
+	f.takeOwn(state)
+	for b.Loop() {
+		state.Revision++
+		record := state.Records["own/nodes/n007"]
+		record.Revision = state.Revision
+		state.Records["own/nodes/n007"] = record
+		f.takeOwn(state)
+	}
+}
+
 var _ = Describe("when the store is asked", func() {
 	It("is always by the box that ranks first", func() {
 		f := newFixture(kv.NewMemory().Store())
--- a/internal/storeview/view.go
+++ b/internal/storeview/view.go
@@ -42,6 +42,8 @@
 	table int64
 	// upstreams are those of the last list, by key.
 	upstreams map[string]fleet.Upstream
+	// boxByKey are the boxes of the last list, by key.
+	boxByKey map[string]registeredBox
 	// own is the state of the own records that was decoded last.
 	own fingerprint
 }
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -27,6 +27,16 @@
 	l.Waiting += other.Waiting
 }
 
+// Subtract takes off another load that is part of this one.
+func (l *Load) Subtract(other Load) {
+	l.Running -= other.Running
+	for level, tokens := range other.Prefill {
+		l.Prefill[level] -= tokens
+	}
+	l.Tokens -= other.Tokens
+	l.Waiting -= other.Waiting
+}
+
 // finishPrefill takes off a request whose prompt the engine has read, or that ended before.
 func (l *Load) finishPrefill(request Load) {
 	for level, tokens := range request.Prefill {
--- a/pkg/mirror/follow.go
+++ b/pkg/mirror/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"ospreymoor.example/ospreymoor/pkg/kv"
@@ -180,6 +181,10 @@
 func (m *Mirror) applyEvents(events []kv.Event) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !slices.ContainsFunc(events, func(event kv.Event) bool { return m.wants(event.Record) }) {
+		m.confirmByStore()
+		return
+	}
 	next := State{
 		Revision:          m.state.Revision,
 		Records:           maps.Clone(m.state.Records),
@@ -190,13 +195,11 @@
 	if next.Records == nil {
 		next.Records = map[string]kv.Record{}
 	}
-	changed := false
 	for _, event := range events {
 		record := event.Record
 		if !m.wants(record) {
 			continue
 		}
-		changed = true
 		m.missing.brought(record)
 		if event.Deleted {
 			delete(next.Records, record.Key)
@@ -206,9 +209,7 @@
 		}
 		next.Revision = max(next.Revision, record.Revision)
 	}
-	if changed {
-		m.setState(next)
-	}
+	m.setState(next)
 }
 
 // wants reports whether a record is newer than this copy, or one that it lacks. The caller holds the
