--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -83,7 +83,7 @@
 	go func() {
 		defer close(answers)
 		for {
-			wait, ok := watching.Next(ctx)
+			wait, ok := watching.NextPoll(ctx)
 			if !ok {
 				return
 			}
--- a/pkg/kv/kv.go
+++ b/pkg/kv/kv.go
@@ -11,6 +11,7 @@
 package kv
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -84,12 +85,26 @@
 	// From is the first revision of interest; 0 is what comes from now on.
 	From int64
 	// Next is called before each poll, where a watch is a series of polls. It returns once the watcher
-	// wants the next answer, with how long the service may hold it back while nothing changes (0 leaves
-	// that to the binding); false ends the watch. nil polls again at once; etcd's watch is a stream and
+	// wants the next answer, with how long the service may hold it back while nothing changes (0 takes
+	// pollWait); false ends the watch. nil polls again at once; etcd's watch is a stream and
 	// does not ask for it.
 	Next func(ctx context.Context) (wait time.Duration, ok bool)
 }
 
+// pollWait is how long the service may hold back the answer to a poll where the watcher does not set it. Chosen, not
+// measured.
+const pollWait = 5 * time.Second
+
+// NextPoll waits until the next poll is wanted, and returns how long the service may hold back its answer; false ends
+// the watch.
+func (w Watching) NextPoll(ctx context.Context) (wait time.Duration, ok bool) {
+	if w.Next == nil {
+		return pollWait, true
+	}
+	wait, ok = w.Next(ctx)
+	return cmp.Or(wait, pollWait), ok
+}
+
 // Store is the key-value service as the rest of the program sees it. All functions are safe for
 // concurrent use and return errors of the kinds above. Read calls (Get, List, Snapshot, Watch) fail
 // with ErrUnavailable; changes also with ErrUnknown, once they may have been sent.
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -52,7 +52,7 @@
 	// each answer of a watch is a call that costs; nil is no time.
 	BatchDelay func() time.Duration
 	// PollTimeout returns how long the service may hold back the answer to one poll of the watch
-	// while nothing changes; nil or 0 leaves it to the binding.
+	// while nothing changes; nil or 0 leaves it to pkg/kv.
 	PollTimeout func() time.Duration
 	// Paused reports whether the service need not be asked now, because other boxes bring the copy
 	// up to date; nil asks it always.
