Count a box as listed from the first time on, also after its registration was lost

A box whose registration is lost while the store is in trouble would not have contended for the order lease, and have gathered changes for a second, until it was registered again, up to ten seconds later. It knows the other boxes by then: only a box that has just started has to wait. Found by reading; a spec of the rule.

--- a/internal/cluster/members.go
+++ b/internal/cluster/members.go
@@ -19,7 +19,7 @@
 	reporting map[string]*member
 	// sum is what those of a relay add up to, as of a moment ago.
 	sum *relaySum
-	// listed means that the store lists this box.
+	// listed means that the store has listed this box since it started.
 	listed bool
 	// holder is the latest report of the order holder.
 	holder holderReport
@@ -84,7 +84,6 @@
 	for _, other := range m.byName {
 		other.registered = false
 	}
-	m.listed = false
 	for _, box := range boxes {
 		if box.Name == m.self.Name {
 			m.listed = true
@@ -95,8 +94,9 @@
 	m.noteSize()
 }
 
-// Listed reports whether the store lists this box, as far as is known. One that it does not list yet has just
-// started, and may know few of the boxes that started with it.
+// Listed reports whether the store has listed this box since it started, as far as is known. One that it did not list
+// yet has just started, and may know few of the boxes that started with it; one whose registration was lost later knows
+// the others.
 func (m *Members) Listed() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/cluster/members_test.go
+++ b/internal/cluster/members_test.go
@@ -150,6 +150,18 @@
 	})
 })
 
+var _ = Describe("a box", func() {
+	It("counts as listed from the first time on that the store lists it", func() {
+		m := NewMembers(Box{Name: "b"}, reaches)
+		m.SetRegistered([]Box{{Name: "a"}})
+		Expect(m.Listed()).To(BeFalse())
+		m.SetRegistered([]Box{{Name: "a"}, {Name: "b"}})
+		Expect(m.Listed()).To(BeTrue())
+		m.SetRegistered(nil)
+		Expect(m.Listed()).To(BeTrue())
+	})
+})
+
 var _ = Describe("who watches the store for all", func() {
 	It("is by name in a small fleet, of the boxes that report and reach it", func() {
 		spectest.Bubble(func() {
--- a/internal/storeview/watch.go
+++ b/internal/storeview/watch.go
@@ -8,7 +8,8 @@
 
 // When the store is asked. The holder of the order lease, or the first of the boxes that watch for all (see
 // cluster.Members.WatchRank), asks it all the time by a watch, so that changes that a silent watch did not send
-// are found soon; the second one takes over once its copy was not confirmed for standbyStaleness. The others learn of changes by the exchange, and ask only when their copy is not
+// are found soon; the second one takes over once its copy was not confirmed for standbyStaleness. The others learn of
+// changes by the exchange, and ask only when their copy is not
 // known to be current any more, because each answer of a watch is a call of the store: measured, 4,499
 // calls a day with all boxes asking, 2,494 with this rule and relays (commit 2839926).
 const (
@@ -16,7 +17,7 @@
 	// waits for the ends of its orders, and otherBatch on the other boxes. Chosen, not measured.
 	holderBatch = 150 * time.Millisecond
 	otherBatch  = 250 * time.Millisecond
-	// joinBatch is for how long changes are gathered by a box that the store does not list yet. Boxes that start
+	// joinBatch is for how long changes are gathered by a box that the store has yet to list. Boxes that start
 	// together register meanwhile, so that its first poll shows it whom it follows. Without it a start of 86 boxes
 	// took 219 polls. Chosen, not measured: half of what a box that follows a relay may be behind.
 	joinBatch = time.Second
