Customers, their keys, and quotas over all boxes

Cause: node knew no keys, customers or quotas.

Change: pkg/customers. A directory finds the customer of a key by its digest; no key goes beyond platform/callers.go. A customer's urgency goes before its route's. Quotas: one box keeps a customer's account for all boxes (weighted rendezvous hashing over the store's list), asked before a request is served; a box that does not reach it goes by its hall's relay, and at last by itself. Each account holds the part of the boxes that are in touch with it, so that both sides of a cut keep to the limit together. What did not run is returned.

--- /dev/null
+++ b/internal/cluster/keepers.go
@@ -0,0 +1,116 @@
+package cluster
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// keeperRetry is for how long a box that did not answer is not asked again to keep quotas. Chosen, not measured: a request
+// that finds out anew waits for customers.Spender's timeout in vain.
+const keeperRetry = time.Second
+
+// keeperOf returns the box that keeps a customer's quota for all boxes, this one among them. All boxes agree on it while
+// they have the same list from the store, without a word between them; only the customers of a box that comes or goes get
+// another keeper. A box with twice the processor time keeps twice as many.
+func (m *Members) keeperOf(customer string) Box {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.keepers == nil {
+		m.keepers = map[string]Box{}
+	}
+	if keeper, ok := m.keepers[customer]; ok {
+		return keeper
+	}
+	keeper, most := m.self, preference(m.self, customer)
+	for _, other := range m.byName {
+		if !other.registered {
+			continue
+		}
+		if weight := preference(other.Box, customer); weight > most {
+			keeper, most = other.Box, weight
+		}
+	}
+	m.keepers[customer] = keeper
+	return keeper
+}
+
+// hallKeeper returns the box that keeps quotas for this box's hall: its relay, which knows how many boxes of the hall are in
+// touch with it. It is this box if no better one answers.
+func (m *Members) hallKeeper() Box {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, other := range m.ranked(m.self.Hall, time.Now()) {
+		if !other.call.lost() {
+			return other.Box
+		}
+	}
+	return m.self
+}
+
+// preference is how much a box is preferred as a customer's keeper: weighted rendezvous hashing by processor time.
+func preference(box Box, customer string) float64 {
+	cores := box.Cores
+	if !(cores > 0) {
+		cores = 1
+	}
+	const range53 = 1 << 53
+	point := (float64(xxhash.Sum64String(customer+"\x00"+box.Name)>>11) + 0.5) / range53
+	return -cores / math.Log(point)
+}
+
+// keeperLost notes that a box did not answer as a keeper, and returns whether it answered before.
+func (m *Members) keeperLost(name string, now time.Time) (first bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	other := m.byName[name]
+	if other == nil {
+		return false
+	}
+	first = other.keeperLost.IsZero()
+	other.keeperLost = now
+	return first
+}
+
+// keeperAnswered notes that a box answered as a keeper, and returns whether it did not before.
+func (m *Members) keeperAnswered(name string) (regained bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	other := m.byName[name]
+	if other == nil || other.keeperLost.IsZero() {
+		return false
+	}
+	other.keeperLost = time.Time{}
+	return true
+}
+
+// asksKeeper reports whether a box may be asked as a keeper now.
+func (m *Members) asksKeeper(name string, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	other := m.byName[name]
+	return other != nil && (other.keeperLost.IsZero() || now.Sub(other.keeperLost) >= keeperRetry)
+}
+
+// shareInTouch is the part of all boxes that this one is in touch with, itself included. Over both sides of a cut the
+// parts add up to 1 once the reports of the other side have run out.
+func (m *Members) shareInTouch(now time.Time) float64 {
+	inTouch := 1 + m.otherBoxes(now).Boxes
+	return min(1, float64(inTouch)/float64(m.Boxes()))
+}
+
+// shareOfHall is the part of all boxes that are in touch with this one and in its hall, itself included.
+func (m *Members) shareOfHall(now time.Time) float64 {
+	all := m.Boxes()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	count := 1
+	for _, other := range m.reporting {
+		reportsItself := other.summary.scope == memberScope || other.summary.scope == ownScope
+		if other.Hall == m.self.Hall && reportsItself && other.summary.fresh(now) {
+			count++
+		}
+	}
+	return min(1, float64(count)/float64(all))
+}
--- /dev/null
+++ b/internal/cluster/keepers_test.go
@@ -0,0 +1,94 @@
+package cluster
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreymoor.example/ospreymoor/pkg/spectest"
+)
+
+// keptBy counts the customers that each box keeps, as one box sees it.
+func (m *Members) keptBy(count int) map[string]int {
+	kept := map[string]int{}
+	for n := range count {
+		kept[m.keeperOf(fmt.Sprint("c", n)).Name]++
+	}
+	return kept
+}
+
+var _ = Describe("the keepers of quotas", func() {
+	It("are the same at all boxes, and more of them the boxes with more processor time", func() {
+		const count = 2000
+		kept := largeFleet("n00").keptBy(count)
+		Expect(largeFleet("n17").keptBy(count)).To(Equal(kept))
+		Expect(kept).To(HaveLen(20))
+		single, double := kept["n01"], kept["n00"]
+		Expect(float64(double) / float64(single)).To(BeNumerically("~", 2, 0.7))
+	})
+
+	It("change for the customers of a box that goes alone", func() {
+		m := largeFleet("n00")
+		before := map[string]string{}
+		for n := range 500 {
+			customer := fmt.Sprint("c", n)
+			before[customer] = m.keeperOf(customer).Name
+		}
+		var left []Box
+		for _, other := range m.byName {
+			if other.Name != "n07" {
+				left = append(left, other.Box)
+			}
+		}
+		m.SetRegistered(left)
+		for customer, keeper := range before {
+			if keeper == "n07" {
+				Expect(m.keeperOf(customer).Name).NotTo(Equal("n07"))
+			} else {
+				Expect(m.keeperOf(customer).Name).To(Equal(keeper))
+			}
+		}
+	})
+
+	It("are not asked for a while after they did not answer", func() {
+		spectest.Bubble(func() {
+			m := smallFleet()
+			Expect(m.asksKeeper("a", time.Now())).To(BeTrue())
+			Expect(m.keeperLost("a", time.Now())).To(BeTrue())
+			Expect(m.keeperLost("a", time.Now())).To(BeFalse())
+			Expect(m.asksKeeper("a", time.Now())).To(BeFalse())
+			time.Sleep(keeperRetry)
+			Expect(m.asksKeeper("a", time.Now())).To(BeTrue())
+			Expect(m.keeperAnswered("a")).To(BeTrue())
+			Expect(m.keeperAnswered("a")).To(BeFalse())
+		})
+	})
+
+	It("hold the part of the boxes that are in touch", func() {
+		spectest.Bubble(func() {
+			m := smallFleet()
+			Expect(m.shareInTouch(time.Now())).To(BeNumerically("~", 1.0/3, 0.01))
+			m.takeReport(message{From: Box{Name: "a"}, Scope: ownScope, Summary: &loadSummary{Boxes: 1}}, time.Now())
+			Expect(m.shareInTouch(time.Now())).To(BeNumerically("~", 2.0/3, 0.01))
+			m.takeReport(message{From: Box{Name: "c"}, Scope: ownScope, Summary: &loadSummary{Boxes: 1}}, time.Now())
+			Expect(m.shareInTouch(time.Now())).To(Equal(1.0))
+			time.Sleep(reportTTL)
+			Expect(m.shareInTouch(time.Now())).To(BeNumerically("~", 1.0/3, 0.01))
+		})
+	})
+
+	It("of a hall are its relay, with the part of the boxes that follow it", func() {
+		spectest.Bubble(func() {
+			relay := largeFleet("n00")
+			Expect(relay.hallKeeper().Name).To(Equal("n00"))
+			Expect(largeFleet("n05").hallKeeper().Name).To(Equal("n00"))
+			for _, name := range []string{"n01", "n02", "n03"} {
+				relay.takeReport(message{From: Box{Name: name, Hall: "h0", Cores: 1}, Scope: memberScope, Summary: &loadSummary{Boxes: 1}}, time.Now())
+			}
+			relay.takeReport(message{From: Box{Name: "n10", Hall: "h1", Cores: 2}, Scope: hallScope, Summary: &loadSummary{Boxes: 10}}, time.Now())
+			Expect(relay.shareOfHall(time.Now())).To(BeNumerically("~", 4.0/20, 0.001))
+		})
+	})
+})
--- a/internal/cluster/members.go
+++ b/internal/cluster/members.go
@@ -15,6 +15,8 @@
 	byName map[string]*member
 	// ranking has the boxes of each hall, the preferred relay first; nil once a box has come, gone or changed.
 	ranking map[string][]*member
+	// keepers are the boxes that keep customers' quotas, as far as they were asked for; nil once the list has changed.
+	keepers map[string]Box
 	// reporting are the boxes that sent a load summary, by name; few of a large fleet send this box theirs.
 	reporting map[string]*member
 	// sum is what those of a relay add up to, as of a moment ago.
@@ -51,6 +53,8 @@
 	report     selfReport
 	summary    receivedSummary
 	call       callState
+	// keeperLost is when the box last did not answer as a keeper of quotas; zero if it answered since.
+	keeperLost time.Time
 }
 
 // selfReport is what a box last reported of itself.
@@ -81,6 +85,7 @@
 func (m *Members) SetRegistered(boxes []Box) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.keepers = nil
 	for _, other := range m.byName {
 		other.registered = false
 	}
@@ -112,9 +117,10 @@
 		m.byName[box.Name] = other
 	}
 	if other.Box != box {
-		m.ranking = nil
+		m.ranking, m.keepers = nil, nil
 	}
 	if other.Incarnation != box.Incarnation {
+		other.keeperLost = time.Time{}
 		other.report.holdsOrderLease, other.call.failures = false, 0
 		other.summary = receivedSummary{} // What the earlier process had under way ended with it.
 	}
@@ -158,7 +164,7 @@
 		if !other.registered && now.Sub(other.report.received) > memberTTL {
 			delete(m.byName, name)
 			delete(m.reporting, name)
-			m.ranking = nil
+			m.ranking, m.keepers = nil, nil
 		}
 	}
 }
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -15,6 +15,7 @@
 	methodCopy     = "copy"
 	methodEnsure   = "ensure"
 	methodPiece    = "piece"
+	methodSpend    = "spend"
 )
 
 // Box is what a box registers about itself in the store, and sends with each exchange.
--- /dev/null
+++ b/internal/cluster/quotas.go
@@ -0,0 +1,74 @@
+package cluster
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"ospreymoor.example/ospreymoor/internal/peer"
+	"ospreymoor.example/ospreymoor/pkg/customers"
+	"ospreymoor.example/ospreymoor/pkg/logfield"
+)
+
+// errKeeperLost means that a keeper did not answer a moment ago and is not asked again yet.
+const errKeeperLost = errors.ConstError("keeper of the quota did not answer lately: the next account decides")
+
+// Quotas asks the boxes that keep customers' quotas, and keeps those that fall to this box.
+type Quotas struct {
+	Members *Members
+	Client  *peer.Client
+	Keeper  *customers.Keeper
+	Log     *zap.Logger
+}
+
+// Handle has a server answer for this box.
+func (q *Quotas) Handle(server *peer.Server) { peer.Handle(server, methodSpend, q.answer) }
+
+// Ask asks the keeper of an account, which may be this box. The error is errKeeperLost or that of the call.
+func (q *Quotas) Ask(ctx context.Context, ask customers.Ask) (customers.Grant, error) {
+	keeper := q.keeperOf(ask)
+	if keeper.Name == q.Members.self.Name {
+		return q.answer(ctx, ask)
+	}
+	if !q.Members.asksKeeper(keeper.Name, time.Now()) {
+		return customers.Grant{}, errKeeperLost
+	}
+	grant, err := peer.Call[customers.Grant](ctx, q.Client, keeper.Address, methodSpend, ask)
+	switch {
+	case err != nil && q.Members.keeperLost(keeper.Name, time.Now()):
+		q.Log.Info("keeper of quotas lost", zap.String("peer", keeper.Name), zap.String("customer", ask.Customer), logfield.Error(err))
+	case err == nil && q.Members.keeperAnswered(keeper.Name):
+		q.Log.Info("keeper of quotas regained", zap.String("peer", keeper.Name), zap.String("customer", ask.Customer))
+	}
+	return grant, err
+}
+
+// keeperOf returns the box that keeps the account that an ask is for.
+func (q *Quotas) keeperOf(ask customers.Ask) Box {
+	switch ask.Scope {
+	case customers.FleetScope:
+		return q.Members.keeperOf(ask.Customer)
+	case customers.HallScope:
+		return q.Members.hallKeeper()
+	}
+	return q.Members.self
+}
+
+// answer takes the costs off an account that this box keeps.
+func (q *Quotas) answer(_ context.Context, ask customers.Ask) (customers.Grant, error) {
+	now := time.Now()
+	return q.Keeper.Spend(ask, q.share(ask.Scope, now), now), nil
+}
+
+// share is the part of a customer's limit that an account of a scope holds here.
+func (q *Quotas) share(scope customers.Scope, now time.Time) float64 {
+	switch scope {
+	case customers.FleetScope:
+		return q.Members.shareInTouch(now)
+	case customers.HallScope:
+		return q.Members.shareOfHall(now)
+	}
+	return 1 / float64(q.Members.Boxes())
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -14,7 +14,7 @@
 	r.attempts.begin(choice)
 	r.noteDemand(choice.Uncached)
 	ticket := r.beginLoad(choice)
-	attempt := Attempt{Request: r.request, LastEventID: lastEventID, Urgency: r.route.Urgency}
+	attempt := Attempt{Request: r.request, LastEventID: lastEventID, Urgency: r.need.Urgency, Customer: r.customerName()}
 	if !r.deadlines.answer.IsZero() {
 		attempt.Left = time.Until(r.deadlines.answer)
 	}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -48,6 +48,9 @@
 	runs   map[string]int
 	left   []time.Duration
 	on     []string
+	// customers and urgencies are those of the attempts.
+	customers []string
+	urgencies []int
 }
 
 const plainBody = "the whole answer"
@@ -59,6 +62,8 @@
 	n := f.sends[id]
 	f.left = append(f.left, attempt.Left)
 	f.on = append(f.on, to.ID)
+	f.customers = append(f.customers, attempt.Customer)
+	f.urgencies = append(f.urgencies, attempt.Urgency)
 	f.mu.Unlock()
 	chosen := f.choose(id, n)
 	switch chosen {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -29,13 +30,18 @@
 	Ensure func(ctx context.Context, service, model, adapter string) (residency.EnsureResult, error)
 	// NoteDemand takes work that was asked for, in milliseconds of an engine's time.
 	NoteDemand func(work map[residency.WorkKey]float64)
-	Log        *zap.Logger
-	Metrics    *metrics.Set
+	// Quotas take the costs of requests off their customers' quotas.
+	Quotas  Quotas
+	Log     *zap.Logger
+	Metrics *metrics.Set
 
 	budget *retryBudget
 	uses   modelUses
 	table  atomic.Pointer[routes.Table]
 	flight atomic.Int64
+	// customerNames are the customers that metrics name, and customerCount how many wanted to be.
+	customerNames sync.Map
+	customerCount atomic.Int64
 }
 
 // Config is what a gateway works with.
@@ -48,6 +54,8 @@
 	Ensure func(ctx context.Context, service, model, adapter string) (residency.EnsureResult, error)
 	// Note takes work that was asked for, in milliseconds of an engine's time.
 	Note func(work map[residency.WorkKey]float64)
+	// Quotas take the costs of requests off their customers' quotas.
+	Quotas Quotas
 	// Retries bound the retries of the whole fleet; each of Boxes boxes takes its share.
 	Retries RetryLimits
 	// Boxes returns the largest number of boxes that were known at once.
@@ -65,6 +73,7 @@
 		Upstreams:  config.Upstreams,
 		Ensure:     config.Ensure,
 		NoteDemand: config.Note,
+		Quotas:     config.Quotas,
 		Log:        config.Log,
 		Metrics:    config.Metrics,
 		budget:     newRetryBudget(config.Retries, config.Boxes),
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"ospreymoor.example/ospreymoor/pkg/customers"
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
 	"ospreymoor.example/ospreymoor/pkg/routes"
 )
@@ -16,7 +17,11 @@
 	route   *routes.Route
 	// service is the one of the route's services that all attempts go to.
 	service string
-	need    dispatch.Requirements
+	// customer that the request is run for; nil if it has none.
+	customer *customers.Customer
+	// quota is the verdict on the request's cost, where the customer has a limit.
+	quota customers.Verdict
+	need  dispatch.Requirements
 	// model that the request asks for; nil if the configuration does not describe it.
 	model     *routes.Model
 	deadlines deadlines
@@ -28,14 +33,19 @@
 	chosen dispatch.Choice
 }
 
-func newInflight(g *Gateway, table *routes.Table, route *routes.Route, request *Request) *inflight {
+func newInflight(g *Gateway, table *routes.Table, route *routes.Route, customer *customers.Customer, request *Request) *inflight {
 	service := route.PickService(xxhash.Sum64String(request.ID))
+	need := requirements(table.Services[service], route, request, service)
+	if customer != nil && customer.Urgency != nil {
+		need.Urgency = max(0, *customer.Urgency)
+	}
 	return &inflight{
 		gateway:   g,
 		request:   request,
 		route:     route,
 		service:   service,
-		need:      requirements(table.Services[service], route, request, service),
+		customer:  customer,
+		need:      need,
 		model:     describedModel(table.Services[service], request.Model),
 		deadlines: newDeadlines(route, request),
 	}
@@ -87,6 +97,8 @@
 	reached int
 	// mayHaveRun counts those that an upstream received and did not turn down.
 	mayHaveRun int
+	// abandoned counts those that the caller left before it was known whether an upstream received them.
+	abandoned int
 	// upstreams are the ids of the upstreams that the request was sent to.
 	upstreams []string
 }
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -20,13 +20,14 @@
 	}
 }
 
-// refuseUnrouted refuses a request that has no route.
-func (g *Gateway) refuseUnrouted(w http.ResponseWriter, request *Request, refused *refusal) {
+// refuseUnserved refuses a request without a route or a customer; route is its name, if it has one.
+func (g *Gateway) refuseUnserved(w http.ResponseWriter, request *Request, route string, refused *refusal) {
 	g.countRefusal(refused)
 	g.Log.Info("request ended",
 		zap.String("id", request.ID),
 		zap.Int("status", refused.status),
 		zap.String("reason", string(refused.reason)),
+		zap.String("route", route),
 		zap.String("host", request.Host),
 		zap.String("path", request.Path),
 		zap.Int64("configVersion", g.tableVersion()))
@@ -73,6 +74,8 @@
 		zap.String("id", r.request.ID),
 		zap.String("route", r.route.Name),
 		zap.String("service", r.service),
+		zap.String("customer", r.customerName()),
+		zap.Object("quota", quotaField(r.quota)),
 		zap.String("model", r.need.Model),
 		zap.String("adapter", r.need.Adapter),
 		zap.String("backend", r.attempts.latestUpstream()),
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -92,6 +92,8 @@
 // count counts what the limits of retries depend on.
 func (a *attempts) count(result outcome) {
 	switch result {
+	case outcomeAbandoned:
+		a.abandoned++
 	case outcomeBroken, outcomeFailed, outcomeAnswered:
 		a.reached++
 		a.mayHaveRun++
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"ospreymoor.example/ospreymoor/pkg/customers"
 )
 
 // reason is why a request gets no answer from an upstream. Logs and metrics carry it.
@@ -37,6 +39,8 @@
 	reasonTimeout reason = "time is over"
 	// reasonCallerLeft: the caller closed its connection.
 	reasonCallerLeft reason = "caller left"
+	// reasonOverQuota: the customer's quota over all boxes is spent.
+	reasonOverQuota reason = "over quota"
 	// reasonStopping: this box drains.
 	reasonStopping reason = "machine stops"
 )
@@ -48,6 +52,8 @@
 //	the host and path have no route   404     none
 //	it may have run, deadline passed  504     none
 //	it may have run, any other cause  502     none
+//	no key, or one of no customer     401     none
+//	the customer's quota is spent     429     until it is not
 //	the caller left                   499     nothing is written; the status is only logged
 //
 // A request that may run any number of times counts as one that no upstream ran.
@@ -80,6 +86,17 @@
 	return &refusal{reason: reasonNoRoute, status: http.StatusNotFound}
 }
 
+// unauthorized is the refusal of a request whose key names no customer.
+func unauthorized(rejected customers.Rejection) *refusal {
+	return &refusal{reason: reason(rejected), status: http.StatusUnauthorized}
+}
+
+// overQuota is the refusal of a request whose customer has spent its quota. It has no retry-after if the request is too
+// dear at any time.
+func overQuota(verdict customers.Verdict) *refusal {
+	return &refusal{reason: reasonOverQuota, status: http.StatusTooManyRequests, retryAfter: max(0, verdict.RetryAfter)}
+}
+
 // callerLeft ends a request whose caller closed its connection.
 func callerLeft() *refusal {
 	return &refusal{reason: reasonCallerLeft, status: statusCallerLeft}
@@ -120,6 +137,9 @@
 // is logged with its reason anyway.
 func (r *refusal) write(w http.ResponseWriter) {
 	header := w.Header()
+	if r.status == http.StatusUnauthorized {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	if r.retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64))
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -8,14 +8,15 @@
 // knows no protocol of callers, upstreams or the platform: those are function fields.
 //
 // `ospreymoor node` uses it. Its look-alike of `ospreymoor serve` is internal/box. That one writes a
-// claim before a request that may run only once, and limits customers; here each attempt of a caller
-// has an id of its own, so that no claim is needed, and admission goes by the predicted wait alone.
+// claim before a request that may run only once; here each attempt of a caller has an id of its own, so that no claim is
+// needed. Both limit customers: this one by the keys and quotas of pkg/customers.
 package gateway
 
 import (
 	"net/http"
 	"time"
 
+	"ospreymoor.example/ospreymoor/pkg/customers"
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
 )
 
@@ -33,6 +34,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Credential names the customer. Header has none of it.
+	Credential customers.Credential
 	// Path is the part of URI that routes are matched with.
 	Path string
 	// Model and Adapter are empty for plain services.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -4,12 +4,13 @@
 	"context"
 	"net/http"
 
+	"ospreymoor.example/ospreymoor/pkg/customers"
 	"ospreymoor.example/ospreymoor/pkg/routes"
 )
 
 // Serve answers a request. It returns ErrAborted if the caller's connection must be broken.
 //
-// The way of a request: its route, its deadlines, and then attempt after attempt the limits of retries
+// The way of a request: its route, its customer and the customer's quota (customer.go), its deadlines, and then attempt after attempt the limits of retries
 // (retry.go), the candidates (candidates.go) and the choice among them (choice.go), admission
 // (admission.go) or provision of what is lacking (provision.go), the attempt (attempt.go) and its
 // outcome (outcome.go). stream.go and plain.go pass the answer on.
@@ -18,21 +19,31 @@
 	defer g.flight.Add(-1)
 	table := g.table.Load()
 	if table == nil {
-		g.refuseUnrouted(w, request, notRun(reasonNoConfig, 0))
+		g.refuseUnserved(w, request, "", notRun(reasonNoConfig, 0))
 		return nil
 	}
 	route := table.Match(request.Host, request.Path)
 	if route == nil {
-		g.refuseUnrouted(w, request, noRoute())
+		g.refuseUnserved(w, request, "", noRoute())
 		return nil
 	}
-	r := newInflight(g, table, route, request)
+	customer, rejected := customerOf(table, route, request)
+	if rejected != customers.Accepted {
+		g.refuseUnserved(w, request, route.Name, unauthorized(rejected))
+		return nil
+	}
+	r := newInflight(g, table, route, customer, request)
 	if !r.deadlines.answer.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, r.deadlines.answer)
 		defer cancel()
 	}
 	g.budget.noteRequest(r.service)
+	if refused := r.spend(table.Version); refused != nil {
+		r.refuse(w, refused)
+		return nil
+	}
+	defer r.returnCost(table.Version)
 	if route.Kind == routes.Stream {
 		return r.serveStream(ctx, w)
 	}
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -29,6 +29,8 @@
 	LastEventID string
 	// Urgency ranks requests at an engine; 0 is the most urgent.
 	Urgency int
+	// Customer is the name of the one that the request is run for; empty if there is none.
+	Customer string
 }
 
 // Answer is an upstream's answer as far as its head.
--- a/internal/node/new.go
+++ b/internal/node/new.go
@@ -10,6 +10,7 @@
 	"ospreymoor.example/ospreymoor/internal/orderlease"
 	"ospreymoor.example/ospreymoor/internal/peer"
 	"ospreymoor.example/ospreymoor/internal/storeview"
+	"ospreymoor.example/ospreymoor/pkg/customers"
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
 	"ospreymoor.example/ospreymoor/pkg/fleet"
 	"ospreymoor.example/ospreymoor/pkg/logfield"
@@ -51,7 +52,9 @@
 	n.orderLease = n.newOrderLease(config, s)
 	n.controller = n.newController(config, s)
 	ensurer := &cluster.Ensurer{Members: s.members, Client: n.client, Controller: n.controller}
-	n.Gateway = newGateway(config, s, ensurer)
+	quotas := &cluster.Quotas{Members: s.members, Client: n.client, Keeper: customers.NewKeeper(config.Quotas), Log: config.Log}
+	n.spender = customers.NewSpender(quotas.Ask)
+	n.Gateway = newGateway(config, s, ensurer, n.spender)
 	n.view = n.newView(config, s)
 	n.exchange = n.newExchange(config, s)
 	n.registration = storeview.NewRegistration(config.Platform, self, config.Log)
@@ -61,6 +64,7 @@
 	}
 	n.exchange.Handle(n.server)
 	ensurer.Handle(n.server)
+	quotas.Handle(n.server)
 	n.orderLease.Handle(n.server, n.controller.LastOrders)
 	return n
 }
@@ -111,7 +115,7 @@
 	})
 }
 
-func newGateway(config Config, s shared, ensurer *cluster.Ensurer) *gateway.Gateway {
+func newGateway(config Config, s shared, ensurer *cluster.Ensurer, spender *customers.Spender) *gateway.Gateway {
 	return gateway.New(gateway.Config{
 		Directory: s.directory,
 		Loads:     s.loads,
@@ -119,6 +123,7 @@
 		Upstreams: config.Upstreams,
 		Ensure:    ensurer.Ensure,
 		Note:      s.pending.NoteWork,
+		Quotas:    gateway.Quotas{Take: spender.Take, Return: spender.Return},
 		Retries:   config.Retries,
 		Boxes:     s.members.Boxes,
 		Log:       config.Log,
--- /dev/null
+++ b/pkg/customers/keeper_test.go
@@ -0,0 +1,208 @@
+package customers_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreymoor.example/ospreymoor/pkg/customers"
+	"ospreymoor.example/ospreymoor/pkg/spectest"
+)
+
+var strict = customers.Tolerance{Window: 8 * time.Second}
+
+func askFor(limit customers.Limit, version int64, costs ...float64) customers.Ask {
+	return customers.Ask{Customer: "c", Scope: customers.FleetScope, Limit: limit, Version: version, Costs: costs}
+}
+
+var _ = Describe("A limit", func() {
+	It("counts requests, or the tokens of prompt and answer", func() {
+		Expect(customers.Limit{}.Cost(100, 20)).To(Equal(1.0))
+		Expect(customers.Limit{Unit: customers.Tokens, PlainTokens: 7}.Cost(100, 20)).To(Equal(120.0))
+		Expect(customers.Limit{Unit: customers.Tokens, PlainTokens: 7}.Cost(0, 0)).To(Equal(7.0))
+		Expect(customers.Limit{Burst: 5}.Limited()).To(BeFalse())
+	})
+})
+
+var _ = Describe("A keeper", func() {
+	limit := customers.Limit{PerSecond: 10, Burst: 20}
+
+	It("grants the burst and the rate, and tells the others to come back one after the other", func() {
+		spectest.Bubble(func() {
+			keeper := customers.NewKeeper(strict)
+			keeper.Spend(askFor(limit, 1), 1, time.Now())
+			time.Sleep(time.Minute)
+			costs := make([]float64, 24)
+			for i := range costs {
+				costs[i] = 1
+			}
+			grant := keeper.Spend(askFor(limit, 1, costs...), 1, time.Now())
+			Expect(grant.Waits[:20]).To(HaveEach(time.Duration(0)))
+			Expect(grant.Waits[20:]).To(Equal([]time.Duration{50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 300 * time.Millisecond}))
+			By("keeping that word")
+			for range 4 {
+				time.Sleep(101 * time.Millisecond)
+				Expect(keeper.Spend(askFor(limit, 1, 1), 1, time.Now()).Waits).To(Equal([]time.Duration{0}))
+			}
+		})
+	})
+
+	It("holds the part of the limit that it is told", func() {
+		spectest.Bubble(func() {
+			keeper := customers.NewKeeper(strict)
+			keeper.Spend(askFor(limit, 1), 0.5, time.Now())
+			time.Sleep(time.Minute)
+			Expect(keeper.Spend(askFor(limit, 1), 0.5, time.Now()).Level).To(Equal(10.0))
+			Expect(keeper.Spend(askFor(limit, 1), 0.25, time.Now()).Level).To(Equal(5.0))
+		})
+	})
+
+	It("has a lower limit bind at once, and takes none of an older version", func() {
+		spectest.Bubble(func() {
+			keeper := customers.NewKeeper(strict)
+			keeper.Spend(askFor(limit, 5), 1, time.Now())
+			time.Sleep(time.Minute)
+			lower := customers.Limit{PerSecond: 1, Burst: 2}
+			Expect(keeper.Spend(askFor(lower, 6), 1, time.Now()).Level).To(Equal(2.0))
+			time.Sleep(time.Minute)
+			Expect(keeper.Spend(askFor(limit, 5), 1, time.Now()).Level).To(Equal(2.0))
+		})
+	})
+
+	It("grants one request dearer than the burst, but none that is too dear at any time", func() {
+		spectest.Bubble(func() {
+			keeper := customers.NewKeeper(strict)
+			keeper.Spend(askFor(limit, 1), 1, time.Now())
+			time.Sleep(time.Minute)
+			grant := keeper.Spend(askFor(limit, 1, 1e9, 50, 1), 1, time.Now())
+			Expect(grant.Waits).To(Equal([]time.Duration{customers.Never, 0, 3 * time.Second}))
+			Expect(grant.Level).To(Equal(-30.0))
+		})
+	})
+
+	It("takes what was spent elsewhere, and takes back what was returned, up to the burst", func() {
+		spectest.Bubble(func() {
+			keeper := customers.NewKeeper(strict)
+			keeper.Spend(askFor(limit, 1), 1, time.Now())
+			time.Sleep(time.Minute)
+			spent := askFor(limit, 1)
+			spent.Settled = 15
+			Expect(keeper.Spend(spent, 1, time.Now()).Level).To(Equal(5.0))
+			spent.Settled = -100
+			keeper.Spend(spent, 1, time.Now())
+			Expect(keeper.Spend(askFor(limit, 1), 1, time.Now()).Level).To(Equal(20.0))
+		})
+	})
+})
+
+// keeperCalls is a keeper's way, which may be blocked.
+type keeperCalls struct {
+	mu     sync.Mutex
+	asks   []customers.Ask
+	silent map[customers.Scope]bool
+	wait   time.Duration
+}
+
+func (k *keeperCalls) ask(ctx context.Context, ask customers.Ask) (customers.Grant, error) {
+	k.mu.Lock()
+	k.asks = append(k.asks, ask)
+	silent, wait := k.silent[ask.Scope], k.wait
+	k.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return customers.Grant{}, errors.New("no answer")
+	}
+	time.Sleep(5 * time.Millisecond)
+	waits := make([]time.Duration, len(ask.Costs))
+	for i := range waits {
+		waits[i] = wait
+	}
+	return customers.Grant{Waits: waits, Level: 7, Share: 1}, nil
+}
+
+var _ = Describe("A spender", func() {
+	customer := &customers.Customer{Name: "c", Limit: customers.Limit{PerSecond: 10, Burst: 10}}
+
+	It("asks for all requests together that come while a keeper is asked", func() {
+		spectest.Bubble(func() {
+			calls := &keeperCalls{}
+			spender := customers.NewSpender(calls.ask)
+			var running sync.WaitGroup
+			for range 50 {
+				running.Go(func() { Expect(spender.Take(customer, 1, 1).Granted).To(BeTrue()) })
+			}
+			running.Wait()
+			Expect(len(calls.asks)).To(BeNumerically("<=", 3))
+		})
+	})
+
+	It("goes by the next account where a keeper does not answer, and settles with the fleet's soon after", func() {
+		spectest.Bubble(func() {
+			calls := &keeperCalls{silent: map[customers.Scope]bool{customers.FleetScope: true, customers.HallScope: true}}
+			spender := customers.NewSpender(calls.ask)
+			ctx, stop := context.WithCancel(context.Background())
+			go spender.Run(ctx)
+			defer func() { stop(); time.Sleep(time.Second) }()
+			begun := time.Now()
+			verdict := spender.Take(customer, 1, 3)
+			Expect(verdict.Granted).To(BeTrue())
+			Expect(verdict.Scope).To(Equal(customers.BoxScope))
+			Expect(time.Since(begun)).To(BeNumerically("<", 250*time.Millisecond))
+			calls.mu.Lock()
+			calls.silent, calls.asks = nil, nil
+			calls.mu.Unlock()
+			time.Sleep(700 * time.Millisecond)
+			calls.mu.Lock()
+			defer calls.mu.Unlock()
+			Expect(calls.asks).To(HaveLen(1))
+			Expect(calls.asks[0].Settled).To(Equal(3.0))
+		})
+	})
+
+	It("forgets what it could not settle for long", func() {
+		spectest.Bubble(func() {
+			calls := &keeperCalls{silent: map[customers.Scope]bool{customers.FleetScope: true, customers.HallScope: true}}
+			spender := customers.NewSpender(calls.ask)
+			ctx, stop := context.WithCancel(context.Background())
+			go spender.Run(ctx)
+			defer func() { stop(); time.Sleep(time.Second) }()
+			spender.Take(customer, 1, 3)
+			time.Sleep(4 * time.Second)
+			calls.mu.Lock()
+			calls.silent, calls.asks = nil, nil
+			calls.mu.Unlock()
+			time.Sleep(time.Second)
+			Expect(calls.asks).To(BeEmpty())
+		})
+	})
+
+	It("settles what is returned", func() {
+		spectest.Bubble(func() {
+			calls := &keeperCalls{}
+			spender := customers.NewSpender(calls.ask)
+			spender.Return(customer, 1, 4)
+			spender.Take(customer, 1, 1)
+			Expect(calls.asks[0].Settled).To(Equal(-4.0))
+		})
+	})
+
+	It("asks a keeper few times a second for a flood that is refused, and says how old the answer is", func() {
+		spectest.Bubble(func() {
+			calls := &keeperCalls{wait: 5 * time.Second}
+			spender := customers.NewSpender(calls.ask)
+			var last customers.Verdict
+			for range 2000 {
+				last = spender.Take(customer, 1, 1)
+				Expect(last.Granted).To(BeFalse())
+				Expect(last.RetryAfter).To(Equal(5 * time.Second))
+				time.Sleep(time.Millisecond)
+			}
+			Expect(len(calls.asks)).To(BeNumerically("<=", 12))
+			Expect(last.Age).To(BeNumerically("<=", 210*time.Millisecond))
+		})
+	})
+})
--- /dev/null
+++ b/pkg/customers/replay_test.go
@@ -0,0 +1,400 @@
+package customers_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreymoor.example/ospreymoor/pkg/customers"
+	"ospreymoor.example/ospreymoor/pkg/spectest"
+)
+
+// The replay plays one customer's load at 60 boxes in 4 halls against each way of keeping its quota: what was spent in the
+// worst window of what all boxes may spend, and how much was refused that one exact account for all boxes would have
+// granted.
+
+const (
+	replayBoxes = 60
+	replayHalls = 4
+	// replayPrompt is what one request costs, in tokens.
+	replayPrompt = 9244.0
+	// replayUsual is what the customer usually spends, as a part of its limit.
+	replayUsual = 1 / 1.8
+	// replayDelay is that of one call between boxes.
+	replayDelay = 3 * time.Millisecond
+	// toldEvery and toldHops are the exchange's way from box to box through two relays.
+	toldEvery = 200 * time.Millisecond
+	toldHops  = 3
+	// noticed is after how long boxes know that they are out of touch.
+	noticed = 1800 * time.Millisecond
+)
+
+var replayTolerance = customers.Tolerance{Window: 8 * time.Second, Overage: 0.1, Slack: 110_000}
+
+// load is what happens to the customer and to the boxes.
+type load struct {
+	name string
+	// hot is how many times its usual the customer asks, from 4 s on for 8 s; 0 is 1.
+	hot float64
+	// cutHall has the first hall out of touch with the others from 5 s on for 6 s, and cutBoxes so many single boxes.
+	cutHall  bool
+	cutBoxes int
+	// keeperDown has the box that keeps the quota down from 5 s on for 4 s; keeperFrozen, frozen.
+	keeperDown, keeperFrozen bool
+	// restart has all accounts forgotten at 7 s.
+	restart bool
+	// lowered has the limit at this part from 3 s on; 0 is 1.
+	lowered float64
+}
+
+var loads = []load{
+	{name: "usual"},
+	{name: "hot", hot: 7.5},
+	{name: "usual, hall cut", cutHall: true},
+	{name: "hot, hall cut", hot: 7.5, cutHall: true},
+	{name: "usual, 21 boxes cut", cutBoxes: 21},
+	{name: "hot, 21 boxes cut", hot: 7.5, cutBoxes: 21},
+	{name: "usual, keeper down", keeperDown: true},
+	{name: "hot, keeper down", hot: 7.5, keeperDown: true},
+	{name: "hot, keeper frozen", hot: 7.5, keeperFrozen: true},
+	{name: "usual, all restarted", restart: true},
+	{name: "hot, all restarted", hot: 7.5, restart: true},
+	{name: "hot, limit lowered", hot: 7.5, lowered: 0.2},
+}
+
+// replay is one play.
+type replay struct {
+	load
+	limit   customers.Limit
+	begun   time.Time
+	weights []float64
+	keepers []*customers.Keeper
+
+	mu    sync.Mutex
+	asked []request
+}
+
+type request struct {
+	at      time.Duration
+	box     int
+	granted bool
+}
+
+// forget has all boxes begin anew.
+func (r *replay) forget(seed uint64) {
+	for box := range replayBoxes {
+		r.replace(box, seed)
+	}
+}
+
+// replace has one box begin anew.
+func (r *replay) replace(box int, seed uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.keepers[box] = newReplayKeeper(seed, box)
+}
+
+func (r *replay) keeper(box int) *customers.Keeper {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.keepers[box]
+}
+
+func newReplayKeeper(seed uint64, box int) *customers.Keeper {
+	keeper := customers.NewKeeper(replayTolerance)
+	keeper.Random = rand.New(rand.NewPCG(seed, uint64(box))).Float64
+	return keeper
+}
+
+func (r *replay) now() time.Duration { return time.Since(r.begun) }
+
+func within(at, from, span time.Duration) bool { return at >= from && at < from+span }
+
+// side is which part of a cut a box is on.
+func (r *replay) side(box int) int {
+	if !within(r.now(), 5*time.Second, 6*time.Second) {
+		return 0
+	}
+	switch {
+	case r.cutHall && box%replayHalls == 0:
+		return 1
+	case r.cutBoxes > 0 && box < r.cutBoxes:
+		return 2 + box
+	}
+	return 0
+}
+
+// inTouch is how many boxes a box knows to be in touch with it.
+func (r *replay) inTouch(box int) int {
+	if !within(r.now(), 5*time.Second+noticed, 6*time.Second) {
+		return replayBoxes
+	}
+	count := 0
+	for other := range replayBoxes {
+		if r.side(other) == r.side(box) {
+			count++
+		}
+	}
+	return count
+}
+
+func (r *replay) currentLimit() (customers.Limit, int64) {
+	if r.lowered == 0 || r.now() < 3*time.Second {
+		return r.limit, 1
+	}
+	limit := r.limit
+	limit.PerSecond *= r.lowered
+	limit.Burst *= r.lowered
+	return limit, 2
+}
+
+// play asks for 16 s; take is one way's decision at a box.
+func (r *replay) play(seed uint64, take func(box int) bool) {
+	random := rand.New(rand.NewPCG(seed, 7))
+	r.weights = make([]float64, replayBoxes)
+	sum := 0.0
+	for i := range r.weights {
+		r.weights[i] = random.ExpFloat64()
+		sum += r.weights[i]
+	}
+	var running sync.WaitGroup
+	for r.now() < 16*time.Second {
+		rate := r.limit.PerSecond * replayUsual / replayPrompt
+		if r.hot > 0 && within(r.now(), 4*time.Second, 8*time.Second) {
+			rate *= r.hot
+		}
+		time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+		box, point := 0, random.Float64()*sum
+		for ; box < replayBoxes-1 && point > r.weights[box]; box++ {
+			point -= r.weights[box]
+		}
+		running.Go(func() {
+			at := r.now()
+			granted := take(box)
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.asked = append(r.asked, request{at: at, box: box, granted: granted})
+		})
+	}
+	running.Wait()
+}
+
+// result is what came of a play.
+type result struct {
+	// worst is the most that was spent in a window, of what the rule allows.
+	worst float64
+	// falselyRefused is the part of the requests that an exact account would have granted and that were refused.
+	falselyRefused float64
+}
+
+func (r *replay) result() result {
+	slices.SortFunc(r.asked, func(a, b request) int { return int(a.at - b.at) })
+	var out result
+	window := replayTolerance.Window
+	for i, first := range r.asked {
+		spent := 0.0
+		for _, other := range r.asked[i:] {
+			if other.at-first.at <= window && other.granted {
+				spent += replayPrompt
+			}
+		}
+		limit := r.limit
+		if r.lowered > 0 && first.at > 3*time.Second+window {
+			limit.PerSecond *= r.lowered
+			limit.Burst *= r.lowered
+		}
+		allowed := (limit.PerSecond*window.Seconds()+limit.Burst)*(1+replayTolerance.Overage) + replayTolerance.Slack
+		out.worst = max(out.worst, spent/allowed)
+	}
+	level, last := r.limit.Burst, time.Duration(0)
+	due, granted := 0, 0
+	for _, asked := range r.asked {
+		level = min(r.limit.Burst, level+(asked.at-last).Seconds()*r.limit.PerSecond)
+		last = asked.at
+		if level > 0 {
+			level -= replayPrompt
+			due++
+		}
+		if asked.granted {
+			granted++
+		}
+	}
+	if r.lowered == 0 {
+		out.falselyRefused = math.Max(0, float64(due-granted)/float64(due))
+	}
+	return out
+}
+
+// byKeepers has one box keep the quota for all, a box of each hall for those that do not reach it, and each box for itself.
+func (r *replay) byKeepers(seed uint64) result {
+	r.keepers = make([]*customers.Keeper, replayBoxes)
+	r.forget(seed)
+	// The keeper of the fleet is in a hall that is not cut, and among the single boxes that are.
+	const keeper = 1
+	spenders := make([]*customers.Spender, replayBoxes)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for box := range replayBoxes {
+		spenders[box] = customers.NewSpender(func(ctx context.Context, ask customers.Ask) (customers.Grant, error) {
+			return r.ask(ctx, box, keeper, ask)
+		})
+		go spenders[box].Run(ctx)
+	}
+	if r.restart {
+		time.AfterFunc(7*time.Second, func() { r.forget(seed) })
+	}
+	if r.keeperDown {
+		time.AfterFunc(9*time.Second, func() { r.replace(keeper, seed) })
+	}
+	r.play(seed, func(box int) bool {
+		limit, version := r.currentLimit()
+		return spenders[box].Take(&customers.Customer{Name: "c", Limit: limit}, version, replayPrompt).Granted
+	})
+	return r.result()
+}
+
+// hallKeeper is the first box of a box's hall that it knows to be in touch with it and that does not keep the fleet's account,
+// with its part.
+func (r *replay) hallKeeper(box, fleetKeeper int) (int, float64) {
+	known := within(r.now(), 5*time.Second+noticed, 6*time.Second)
+	first, count := -1, 0
+	for other := box % replayHalls; other < replayBoxes; other += replayHalls {
+		if known && r.side(other) != r.side(box) {
+			continue
+		}
+		count++
+		if first < 0 && other != fleetKeeper {
+			first = other
+		}
+	}
+	if first < 0 {
+		first = box
+	}
+	return first, float64(count) / replayBoxes
+}
+
+var errSilent = errors.New("no answer")
+
+func (r *replay) ask(ctx context.Context, box, keeper int, ask customers.Ask) (customers.Grant, error) {
+	to, share := keeper, 0.0
+	switch ask.Scope {
+	case customers.FleetScope:
+		share = float64(r.inTouch(keeper)) / replayBoxes
+	case customers.HallScope:
+		to, share = r.hallKeeper(box, keeper)
+	default:
+		to, share = box, 1.0/replayBoxes
+	}
+	down := (r.keeperDown || r.keeperFrozen) && to == keeper && within(r.now(), 5*time.Second, 4*time.Second)
+	if to != box && (down || r.side(to) != r.side(box)) {
+		<-ctx.Done()
+		return customers.Grant{}, errSilent
+	}
+	if to != box {
+		time.Sleep(2 * replayDelay)
+	}
+	return r.keeper(to).Spend(ask, share, time.Now()), nil
+}
+
+// byFixedParts has each box keep its equal part and ask nobody.
+func (r *replay) byFixedParts(seed uint64) result {
+	r.keepers = make([]*customers.Keeper, replayBoxes)
+	r.forget(seed)
+	r.play(seed, func(box int) bool {
+		limit, version := r.currentLimit()
+		ask := customers.Ask{Customer: "c", Scope: customers.BoxScope, Limit: limit, Version: version, Costs: []float64{replayPrompt}}
+		return r.keeper(box).Spend(ask, 1.0/replayBoxes, time.Now()).Waits[0] == 0
+	})
+	return r.result()
+}
+
+// byToldSums has each box keep an account of what all spend: what the others spend is told with the exchange, and an
+// account holds the part of the boxes that are in touch.
+func (r *replay) byToldSums(seed uint64) result {
+	r.keepers = make([]*customers.Keeper, replayBoxes)
+	r.forget(seed)
+	ask := func(box int, costs []float64, settled float64) customers.Grant {
+		limit, version := r.currentLimit()
+		a := customers.Ask{Customer: "c", Scope: customers.FleetScope, Limit: limit, Version: version, Costs: costs, Settled: settled}
+		return r.keeper(box).Spend(a, float64(r.inTouch(box))/replayBoxes, time.Now())
+	}
+	if r.restart {
+		time.AfterFunc(7*time.Second, func() { r.forget(seed) })
+	}
+	random := rand.New(rand.NewPCG(seed, 11))
+	r.play(seed, func(box int) bool {
+		granted := ask(box, []float64{replayPrompt}, 0).Waits[0] == 0
+		if granted {
+			r.mu.Lock()
+			delay := time.Duration(random.Float64() * toldHops * float64(toldEvery))
+			r.mu.Unlock()
+			time.AfterFunc(delay, func() {
+				for other := range replayBoxes {
+					if other != box && r.side(other) == r.side(box) {
+						ask(other, nil, replayPrompt)
+					}
+				}
+			})
+		}
+		return granted
+	})
+	time.Sleep(toldHops * toldEvery)
+	return r.result()
+}
+
+var _ = Describe("A customer's quota over 60 boxes", func() {
+	limits := map[string]customers.Limit{
+		"small": {Unit: customers.Tokens, PerSecond: 29_000, Burst: 29_000},
+		"large": {Unit: customers.Tokens, PerSecond: 686_000, Burst: 686_000},
+	}
+	ways := []struct {
+		name string
+		play func(*replay, uint64) result
+		// kept is set for the way in use.
+		kept bool
+	}{
+		{name: "fixed parts", play: (*replay).byFixedParts},
+		{name: "told sums", play: (*replay).byToldSums},
+		{name: "keepers", play: (*replay).byKeepers, kept: true},
+	}
+	// What the keepers refuse falsely at most: nothing while boxes are in touch, some while the keeper changes, and more at
+	// boxes that are out of touch one by one, whose parts hold less than a request.
+	const mostRefused, mostRefusedOutOfTouch = 0.05, 0.15
+	for _, way := range ways {
+		It("is kept by "+way.name, func() {
+			var missed []string
+			for _, size := range []string{"small", "large"} {
+				for _, l := range loads {
+					var sum result
+					const seeds = 5
+					for seed := range uint64(seeds) {
+						spectest.Bubble(func() {
+							r := &replay{load: l, limit: limits[size], begun: time.Now()}
+							got := way.play(r, seed)
+							sum.worst = max(sum.worst, got.worst)
+							sum.falselyRefused += got.falselyRefused / seeds
+						})
+					}
+					row := fmt.Sprintf("| %s | %s | %s | %.2f | %.1f |", size, l.name, way.name, sum.worst, 100*sum.falselyRefused)
+					GinkgoWriter.Println(row)
+					most := mostRefused
+					if l.cutBoxes > 0 {
+						most = mostRefusedOutOfTouch
+					}
+					if way.kept && (sum.worst > 1 || sum.falselyRefused > most) {
+						missed = append(missed, row)
+					}
+				}
+			}
+			Expect(missed).To(BeEmpty())
+		})
+	}
+})
--- a/pkg/routes/routes.go
+++ b/pkg/routes/routes.go
@@ -1,8 +1,8 @@
 // Package routes is the versioned route table: which service answers a request, what of it may be
 // retried, and within which limits.
 //
-// It owns the matching of a request with its route, and the split of a route's requests over services.
-// It relies on nothing: the table is decoded elsewhere and does not change once made. `ospreymoor
+// It owns the matching of a request with its route, and the split of a route's requests over services; the
+// customers of a version (pkg/customers) stand in its table. The table is decoded elsewhere and does not change once made. `ospreymoor
 // node` uses it. In `ospreymoor serve` the bundle of a customer (pkg/bundle) has that role.
 package routes
 
@@ -12,6 +12,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"ospreymoor.example/ospreymoor/pkg/customers"
 )
 
 // Kind is what may be retried of a request.
@@ -54,6 +56,8 @@
 	// Urgency ranks routes; 0 is the most urgent, and a negative one counts as 0.
 	Urgency int
 	Shares  []Share
+	// Public routes ask for no key.
+	Public bool
 }
 
 // Idempotent reports whether a request of the route may run more than once.
@@ -96,6 +100,8 @@
 	Routes   []Route
 	Services map[string]*Service
 	Limits   Limits
+	// Customers of this version; nil if it has none, and nobody is asked for a key.
+	Customers *customers.Directory
 
 	// byHost is the routes of each host in lower case, those with the longest prefixes first.
 	byHost map[string][]*Route
