--- a/internal/cmd/report_requests.go
+++ b/internal/cmd/report_requests.go
@@ -17,7 +17,7 @@
 // ospreymoor report requests [FILE...] [--from 10s] [--to 20s] [--objective 0.95] [--picture FILE]
 //
 // Reads the logs of boxes of the users' platform, or standard input without a file, and prints how
-// requests ended: by route, model, reason and second, the ten worst of each.
+// requests ended: by route, customer, model, reason and second, the ten worst of each.
 type reportRequestsCommand struct {
 	Files     []string      `arg:"" optional:"" name:"file" help:"Logs of boxes; without one, standard input."`
 	From      time.Duration `name:"from" default:"0s" help:"Begin of the span, from the first request that ended."`
@@ -101,6 +101,7 @@
 		of    func(requestlog.Request) string
 	}{
 		{"ROUTE", func(r requestlog.Request) string { return r.Route }},
+		{"CUSTOMER", func(r requestlog.Request) string { return r.Customer }},
 		{"MODEL", func(r requestlog.Request) string { return r.Model }},
 		{"REASON", func(r requestlog.Request) string { return r.Reason }},
 		{"SECOND", func(r requestlog.Request) string { return fmt.Sprint(int(r.Ended.Sub(first).Seconds())) }},
--- a/internal/requestlog/request.go
+++ b/internal/requestlog/request.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -36,6 +37,8 @@
 	Ended time.Time
 	ID    string
 	Route string
+	// Customer is empty where the request had none.
+	Customer string
 	// Model is empty for plain services.
 	Model   string
 	Status  int
@@ -55,6 +58,7 @@
 	Time      time.Time `json:"ts"`
 	ID        string    `json:"id"`
 	Route     string    `json:"route"`
+	Customer  string    `json:"customer"`
 	Model     string    `json:"model"`
 	Status    int       `json:"status"`
 	Reason    string    `json:"reason"`
@@ -103,17 +107,20 @@
 
 func (l *line) request() Request {
 	return Request{
-		Ended: l.Time, ID: l.ID, Route: l.Route, Model: l.Model, Status: l.Status,
+		Ended: l.Time, ID: l.ID, Route: l.Route, Customer: l.Customer, Model: l.Model, Status: l.Status,
 		Reason: l.reason(), Outcome: l.outcome(),
 	}
 }
 
+// refusals are the statuses of a box's own that say that the request did not run.
+var refusals = []int{http.StatusServiceUnavailable, http.StatusUnauthorized, http.StatusTooManyRequests}
+
 // outcome classifies a request. One without targets is never late.
 func (l *line) outcome() Outcome {
 	switch {
 	case l.Status == statusCallerLeft:
 		return CallerLeft
-	case l.Status == http.StatusServiceUnavailable && l.Reason != "":
+	case l.Reason != "" && slices.Contains(refusals, l.Status):
 		return Refused
 	case l.Status >= http.StatusBadRequest, l.Error != "":
 		return Failed
--- a/internal/requestlog/requestlog_test.go
+++ b/internal/requestlog/requestlog_test.go
@@ -33,12 +33,19 @@
 		Entry("a late first event", `"status":200,"first":0.41,"target":0.4,"gap":0.3,"gapTarget":0.25`, requestlog.LateFirst, "late first"),
 		Entry("a long pause", `"status":200,"first":0.1,"target":0.4,"gap":0.26,"gapTarget":0.25`, requestlog.LatePause, "late pause"),
 		Entry("a refusal", `"status":503,"reason":"back ends full"`, requestlog.Refused, "back ends full"),
+		Entry("a customer over its quota", `"status":429,"reason":"over quota"`, requestlog.Refused, "over quota"),
+		Entry("a key that nobody has", `"status":401,"reason":"unknown key"`, requestlog.Refused, "unknown key"),
+		Entry("an upstream's own 429", `"status":429`, requestlog.Failed, "upstream's status Too Many Requests"),
 		Entry("an upstream's failure", `"status":500`, requestlog.Failed, "upstream's status Internal Server Error"),
 		Entry("a stream that broke", `"status":200,"error":"unexpected EOF"`, requestlog.Failed, "answer broken off"),
 		Entry("a time that was over", `"status":504,"reason":"time is over"`, requestlog.Failed, "time is over"),
 		Entry("a caller that left", `"status":499,"reason":"caller left"`, requestlog.CallerLeft, "caller left"),
 	)
 
+	It("names the customer", func() {
+		Expect(read(`{"msg":"request ended","status":200,"customer":"acme"}`).Requests[0].Customer).To(Equal("acme"))
+	})
+
 	It("passes over what is no log line and counts it", func() {
 		log := read(`no log line`, ``, `{"half":`, `{}`, `12.3 box-1 {"msg":"request ended","id":"r1","status":200}`, `{"msg":"start"}`)
 		Expect(log.Skipped).To(Equal(3))
--- a/internal/storeview/view.go
+++ b/internal/storeview/view.go
@@ -127,5 +127,9 @@
 			zap.Int("bytes", written.bytes),
 			zap.String("origin", string(state.Origin)),
 			zap.Duration("took", time.Since(begun)))
+		if disputed := table.Customers.Disputed(); len(disputed) > 0 {
+			v.config.Log.Warn("customers have a key in common, which names none of them: give each its own",
+				zap.Int64("version", table.Version), zap.Strings("customers", disputed))
+		}
 	}
 }
