Just after a start, wait for the configuration and take most boxes for in touch

Change: for 2 s after its start a box takes its part for 0.6 at least; a request waits up to 0.25 s for the first configuration. Accounts use 0.85 of the tolerance (0.8 before; replay: 0.95 of what is allowed either way).

Ruled out: a longer opening of accounts (replay: up to 0.97)."

--- a/internal/cluster/keepers.go
+++ b/internal/cluster/keepers.go
@@ -93,11 +93,25 @@
 	return other != nil && (other.keeperLost.IsZero() || now.Sub(other.keeperLost) >= keeperRetry)
 }
 
+const (
+	// startTime is for how long a box that has just started does not know how many others are in touch with it. Measured:
+	// 0.7 to 2 s at 60 boxes that all lost power.
+	startTime = 2 * time.Second
+	// startShare is what it takes its part for meanwhile, at least. After all boxes lost power, customers within their
+	// limits were refused 500 to 800 requests in the second after, by accounts of a sixtieth of their limits. It is a little
+	// more than customers usually spend: with less than all, a start behind a cut overspends by a second's rate at most.
+	startShare = 0.6
+)
+
 // shareInTouch is the part of all boxes that this one is in touch with, itself included. Over both sides of a cut the
 // parts add up to 1 once the reports of the other side have run out.
 func (m *Members) shareInTouch(now time.Time) float64 {
 	inTouch := 1 + m.otherBoxes(now).Boxes
-	return min(1, float64(inTouch)/float64(m.Boxes()))
+	share := min(1, float64(inTouch)/float64(m.Boxes()))
+	if now.Sub(m.started) < startTime {
+		return max(startShare, share)
+	}
+	return share
 }
 
 // shareOfHall is the part of all boxes that are in touch with this one and in its hall, itself included.
--- a/internal/cluster/keepers_test.go
+++ b/internal/cluster/keepers_test.go
@@ -69,6 +69,9 @@
 	It("hold the part of the boxes that are in touch", func() {
 		spectest.Bubble(func() {
 			m := smallFleet()
+			By("taking most of them for in touch at the start")
+			Expect(m.shareInTouch(time.Now())).To(Equal(startShare))
+			time.Sleep(startTime)
 			Expect(m.shareInTouch(time.Now())).To(BeNumerically("~", 1.0/3, 0.01))
 			m.takeReport(message{From: Box{Name: "a"}, Scope: ownScope, Summary: &loadSummary{Boxes: 1}}, time.Now())
 			Expect(m.shareInTouch(time.Now())).To(BeNumerically("~", 2.0/3, 0.01))
--- a/internal/cluster/members.go
+++ b/internal/cluster/members.go
@@ -8,6 +8,8 @@
 // Members is what this box knows of the other boxes of the fleet. It is safe for concurrent use.
 type Members struct {
 	self Box
+	// started is when this box began to look for others.
+	started time.Time
 	// storeLost reports whether this box could not reach the store at its last try.
 	storeLost func() bool
 
@@ -33,7 +35,7 @@
 
 // NewMembers returns a membership of which only this box is known.
 func NewMembers(self Box, storeLost func() bool) *Members {
-	return &Members{self: self, storeLost: storeLost, byName: map[string]*member{}, reporting: map[string]*member{}, most: 1}
+	return &Members{self: self, started: time.Now(), storeLost: storeLost, byName: map[string]*member{}, reporting: map[string]*member{}, most: 1}
 }
 
 const (
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -130,6 +130,8 @@
 		},
 		Log:     zap.NewNop(),
 		Metrics: metrics.NewSet(),
+
+		configured: make(chan struct{}),
 	}
 	g.uses.running = map[residency.ModelUse]int{}
 	g.budget = newRetryBudget(RetryLimits{Ratio: 0.2, Slack: 50}, func() int { return boxes })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,7 +38,9 @@
 	budget *retryBudget
 	uses   modelUses
 	table  atomic.Pointer[routes.Table]
-	flight atomic.Int64
+	// configured is closed once there is a table.
+	configured chan struct{}
+	flight     atomic.Int64
 	// customerNames are the customers that metrics name, and customerCount how many wanted to be.
 	customerNames sync.Map
 	customerCount atomic.Int64
@@ -78,6 +80,7 @@
 		Metrics:    config.Metrics,
 		budget:     newRetryBudget(config.Retries, config.Boxes),
 		uses:       modelUses{running: map[residency.ModelUse]int{}},
+		configured: make(chan struct{}),
 	}
 }
 
@@ -89,6 +92,9 @@
 			return false
 		}
 		if g.table.CompareAndSwap(old, table) {
+			if old == nil {
+				close(g.configured)
+			}
 			return true
 		}
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -127,6 +127,20 @@
 		})
 	})
 
+	It("keeps what comes just after its start until the first configuration is there, for a moment", func() {
+		spectest.Bubble(func() {
+			f := newFixture(func(string, int) fate { return whole }, 1)
+			table := f.Table()
+			f.table.Store(nil)
+			f.configured = make(chan struct{})
+			begun := time.Now()
+			Expect(f.ask(context.Background(), "early", "/safe/x", "").Code).To(Equal(http.StatusServiceUnavailable))
+			Expect(time.Since(begun)).To(Equal(firstTableWait))
+			time.AfterFunc(150*time.Millisecond, func() { f.SetTable(table) })
+			Expect(f.ask(context.Background(), "soon", "/safe/x", "").Code).To(Equal(http.StatusOK))
+		})
+	})
+
 	It("answers 503, never 404, while it knows no configuration", func() {
 		spectest.Bubble(func() {
 			f := newFixture(func(string, int) fate { return whole }, 1)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"ospreymoor.example/ospreymoor/pkg/customers"
 	"ospreymoor.example/ospreymoor/pkg/routes"
@@ -17,7 +18,7 @@
 func (g *Gateway) Serve(ctx context.Context, w http.ResponseWriter, request *Request) error {
 	g.flight.Add(1)
 	defer g.flight.Add(-1)
-	table := g.table.Load()
+	table := g.firstTable(ctx)
 	if table == nil {
 		g.refuseUnserved(w, request, "", notRun(reasonNoConfig, 0))
 		return nil
@@ -49,3 +50,23 @@
 	}
 	return r.servePlain(ctx, w)
 }
+
+// firstTableWait is how long a request waits for the configuration of a box that has just started. After all boxes lost
+// power, requests reach each one 0.1 to 0.2 s before it has its configuration: refused, 390 of them came back after as long
+// again, most of them late. It is less than the shortest target in use. Chosen within those.
+const firstTableWait = 250 * time.Millisecond
+
+// firstTable returns the configuration in force. It waits a while for the first one, and returns nil if there is none by
+// then or the caller has left.
+func (g *Gateway) firstTable(ctx context.Context) *routes.Table {
+	if table := g.table.Load(); table != nil {
+		return table
+	}
+	waiting, cancel := context.WithTimeout(ctx, firstTableWait)
+	defer cancel()
+	select {
+	case <-g.configured:
+	case <-waiting.Done():
+	}
+	return g.table.Load()
+}
--- a/pkg/customers/account.go
+++ b/pkg/customers/account.go
@@ -12,9 +12,9 @@
 	// overdrawn: boxes that are out of touch are often down, and spend nothing.
 	overdraftShare = 0.125
 	// usedShare is the part of what the tolerance allows that customers get: the rest is for what boxes can't know of each
-	// other. Measured by the package's replay of a limit of three long prompts a second after all boxes restarted, as spent
-	// of what is allowed: 0.88 at 0.8, 0.95 at 0.85.
-	usedShare = 0.8
+	// other. Measured by the package's replay, as the most that was spent of what is allowed under any load: 0.95 at 0.8
+	// and 0.85, 0.98 at 0.9, 1.02 at 0.95.
+	usedShare = 0.85
 	// reserveShare is the part of account.reserve that counts. Measured by the package's replay with 21 of 60 boxes out of
 	// touch, as spent of what is allowed, and falsely refused: 1.28 and 3.0% at 0, 1.16 and 5.6% at 0.1, 0.93 and 12.2%
 	// at 0.2.
