--- /dev/null
+++ b/pkg/customers/bench_test.go
@@ -0,0 +1,41 @@
+package customers_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ospreymoor.example/ospreymoor/pkg/customers"
+)
+
+// BenchmarkSpend takes one request's cost off the account of one of many customers.
+func BenchmarkSpend(b *testing.B) {
+	keeper := customers.NewKeeper(wide)
+	asks := make([]customers.Ask, 300)
+	for n := range asks {
+		asks[n] = customers.Ask{Customer: fmt.Sprint("c", n), Scope: customers.FleetScope, Limit: sizes[1].limit, Costs: []float64{9244}}
+	}
+	now := time.Now()
+	b.ReportAllocs()
+	n := 0
+	for b.Loop() {
+		keeper.Spend(asks[n%len(asks)], 1, now)
+		n++
+	}
+}
+
+// BenchmarkFind finds the customer of a field among 300 with two keys each.
+func BenchmarkFind(b *testing.B) {
+	list := make([]customers.Customer, 300)
+	for n := range list {
+		list[n] = customers.Customer{Name: fmt.Sprint("c", n), Keys: []customers.Digest{customers.DigestOf(fmt.Sprint("a", n)), customers.DigestOf(fmt.Sprint("b", n))}}
+	}
+	directory := customers.NewDirectory(list)
+	field := []string{"Bearer b77"}
+	b.ReportAllocs()
+	for b.Loop() {
+		if customer, _ := directory.Find(customers.ReadCredential(field)); customer == nil {
+			b.Fatal("not found")
+		}
+	}
+}
--- a/pkg/dispatch/reservations_test.go
+++ b/pkg/dispatch/reservations_test.go
@@ -95,6 +95,7 @@
 	b.ReportAllocs()
 	n := 0
 	for b.Loop() {
+		now = now.Add(time.Millisecond)
 		r.Reserve(dispatch.Reservation{Engine: names[n%len(names)], Read: time.Millisecond, Window: time.Second, Budget: time.Second}, now)
 		n++
 	}
