Settle a return once, and tell a flood's requests a time

A keeper that does not answer in time may have handled the ask: what was returned there was returned once more with the next ask. Requests beyond those that wait for a keeper got a 429 without a Retry-After. Found by reading; a spec each that failed before.

--- a/pkg/customers/keeper_test.go
+++ b/pkg/customers/keeper_test.go
@@ -190,6 +190,43 @@
 		})
 	})
 
+	It("does not return twice what a keeper without an answer may have taken back", func() {
+		spectest.Bubble(func() {
+			calls := &keeperCalls{silent: map[customers.Scope]bool{customers.FleetScope: true}}
+			spender := customers.NewSpender(calls.ask)
+			spender.Return(customer, 1, 4)
+			spender.Take(customer, 1, 1)
+			calls.mu.Lock()
+			calls.silent, calls.asks = nil, nil
+			calls.mu.Unlock()
+			spender.Take(customer, 1, 1)
+			Expect(calls.asks[0].Settled).To(Equal(1.0), "what was spent on the hall's account alone")
+		})
+	})
+
+	It("tells a time to the requests of a flood that it does not ask for", func() {
+		spectest.Bubble(func() {
+			calls := &keeperCalls{}
+			spender := customers.NewSpender(calls.ask)
+			var running sync.WaitGroup
+			var mu sync.Mutex
+			refused := 0
+			for range 4000 {
+				running.Go(func() {
+					verdict := spender.Take(customer, 1, 1)
+					mu.Lock()
+					defer mu.Unlock()
+					if !verdict.Granted {
+						refused++
+						Expect(verdict.RetryAfter).To(BeNumerically(">", 0))
+					}
+				})
+			}
+			running.Wait()
+			Expect(refused).To(BeNumerically(">", 1000))
+		})
+	})
+
 	It("asks a keeper few times a second for a flood that is refused, and says how old the answer is", func() {
 		spectest.Bubble(func() {
 			calls := &keeperCalls{wait: 5 * time.Second}
--- a/pkg/customers/spender.go
+++ b/pkg/customers/spender.go
@@ -205,7 +205,8 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	if scope != FleetScope {
-		q.unsettled += ask.Settled // Of the time since when it waits, too.
+		// The keeper may have taken it: what was spent is told again, what is returned is not.
+		q.unsettled += max(0, ask.Settled)
 	}
 	verdict := Verdict{Scope: scope, Level: grant.Level, Share: grant.Share, Age: now.Sub(asked)}
 	for i, w := range batch {
@@ -235,7 +236,9 @@
 // refuse is the verdict of a request that is refused without asking. The caller holds the lock.
 func (q *queue) refuse(now time.Time) Verdict {
 	v := q.refused
-	v.Granted = false
+	if v.RetryAfter <= 0 {
+		v.RetryAfter = longestClosed // None was refused yet: more wait than are asked for.
+	}
 	v.Age += now.Sub(q.told)
 	return v
 }
