--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -34,24 +34,21 @@
 // An error of the other box's handler is a *jsonrpc2.Error; any other error means that the call may or may not
 // have been handled, and its connection is closed.
 func Call[A any](ctx context.Context, c *Client, address, method string, params any) (A, error) {
-	var answer A
-	conn, err := c.conn(ctx, address)
-	if err != nil {
-		return answer, errors.Annotatef(err, "calling %s at %s", method, address)
-	}
-	begun := time.Now()
-	err = conn.Call(ctx, method, params, &answer)
-	c.observe(method, begun, err)
-	if err != nil {
-		c.drop(address, conn, err)
-		return answer, errors.Annotatef(err, "calling %s at %s", method, address)
-	}
-	return answer, nil
+	return call[A](ctx, c, address, method, params, c.drop)
 }
 
 // Try is Call for calls that are given less time than an answer may take on a connection that is sound: one that runs out of
 // its time leaves the connection to the other calls on it.
 func Try[A any](ctx context.Context, c *Client, address, method string, params any) (A, error) {
+	return call[A](ctx, c, address, method, params, func(address string, conn *jsonrpc2.Conn, err error) {
+		if ctx.Err() == nil {
+			c.drop(address, conn, err)
+		}
+	})
+}
+
+// call calls a method, and has failed decide what becomes of the connection of a call that failed.
+func call[A any](ctx context.Context, c *Client, address, method string, params any, failed func(address string, conn *jsonrpc2.Conn, err error)) (A, error) {
 	var answer A
 	conn, err := c.conn(ctx, address)
 	if err != nil {
@@ -60,10 +57,11 @@
 	begun := time.Now()
 	err = conn.Call(ctx, method, params, &answer)
 	c.observe(method, begun, err)
-	if err != nil && ctx.Err() == nil {
-		c.drop(address, conn, err)
+	if err != nil {
+		failed(address, conn, err)
+		return answer, errors.Annotatef(err, "calling %s at %s", method, address)
 	}
-	return answer, errors.Annotatef(err, "calling %s at %s", method, address)
+	return answer, nil
 }
 
 // observe counts a call that was sent, with how long it took.
