Close the far end of a connection that nobody accepts, in specs' networks

Cause: pkg/spectest's dial over links starts a sender for the far end before anybody accepts it. Where the listener was closed already, as when a fleet's boxes stop one after the other, that end was never closed, its sender waited for ever, and synctest ended the spec with 'main bubble goroutine has exited but blocked goroutines remain'. The product's code has no part in it: the three goroutines left in each of three dumps are such senders.

Change: the far end is closed if nobody accepts it. A bubble that deadlocks writes its goroutines' stacks to the spec's output, since ginkgo's report has none.

--- a/pkg/spectest/link.go
+++ b/pkg/spectest/link.go
@@ -88,7 +88,10 @@
 	return func(ctx context.Context, _, address string) (net.Conn, error) {
 		near, far := net.Pipe()
 		there := links(address)
-		if err := network.connect(ctx, address, newLinkedConn(far, there, l)); err != nil {
+		linkedFar := newLinkedConn(far, there, l)
+		if err := network.connect(ctx, address, linkedFar); err != nil {
+			// Ends its sender, which would keep the bubble from ending.
+			_ = linkedFar.Close()
 			return nil, err
 		}
 		return newLinkedConn(near, l, there), nil
--- a/pkg/spectest/spectest.go
+++ b/pkg/spectest/spectest.go
@@ -4,6 +4,7 @@
 
 import (
 	"os"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -31,10 +32,24 @@
 }
 
 // Bubble runs f in a synctest bubble, whose time passes at once while all of its goroutines wait. A
-// failed check in f fails the spec.
+// failed check in f fails the spec. So do goroutines that remain, whose stacks the spec's output has.
 func Bubble(f func()) {
+	defer func() {
+		if deadlock := recover(); deadlock != nil {
+			writeStacks()
+			panic(deadlock)
+		}
+	}()
 	synctest.Test(suiteT, func(*testing.T) {
 		defer ginkgo.GinkgoRecover()
 		f()
 	})
 }
+
+// writeStacks writes the stacks of all goroutines to the spec's output.
+func writeStacks() {
+	const most = 1 << 20
+	stacks := make([]byte, most)
+	stacks = stacks[:runtime.Stack(stacks, true)]
+	ginkgo.GinkgoWriter.Printf("%s\n", stacks)
+}
