A return lifts a customer's account no higher than its burst

Cause: what is returned was added after the account was filled, so that the requests of the same ask could be granted out of a level above the burst; only the next ask took it off.

Change: a settlement ends at the burst, as the account's filling does. The figures beside usedShare are measured anew: they were of fewer loads.

Measured: the new spec grants 40 of a burst of 20 before, 20 after.

--- a/pkg/customers/account.go
+++ b/pkg/customers/account.go
@@ -12,8 +12,8 @@
 	// overdrawn: boxes that are out of touch are often down, and spend nothing.
 	overdraftShare = 0.125
 	// usedShare is the part of what the tolerance allows that customers get: the rest is for what boxes can't know of each
-	// other. Measured by the package's replay, as the most that was spent of what is allowed under any load: 0.95 at 0.8
-	// and 0.85, 0.98 at 0.9, 1.02 at 0.95.
+	// other. Measured by the package's replay, as the most that was spent of what is allowed under any load: 1.01 at 0.8,
+	// 0.97 at 0.85, 1.05 at 0.9, 1.07 at 0.95.
 	usedShare = 0.85
 	// reserveShare is the part of account.reserve that counts. Measured by the package's replay with 21 of 60 boxes out of
 	// touch, as spent of what is allowed, and falsely refused: 1.28 and 3.0% at 0, 1.16 and 5.6% at 0.1, 0.93 and 12.2%
@@ -83,6 +83,11 @@
 	a.at = now
 }
 
+// settle takes off what was spent elsewhere, or adds what is returned, up to the burst.
+func (a *account) settle(spent, share float64) {
+	a.level = min(a.burst(share), a.level-spent)
+}
+
 // take takes each cost off as long as enough is left above the overdraft, and returns the waits of all.
 func (a *account) take(costs []float64, overdraft, share float64, k *Keeper) []time.Duration {
 	waits := make([]time.Duration, len(costs))
--- a/pkg/customers/keeper.go
+++ b/pkg/customers/keeper.go
@@ -41,7 +41,7 @@
 	a := k.account(ask, share, now)
 	a.setLimit(ask.Limit, ask.Version)
 	a.fill(share, k.Tolerance, now)
-	a.level -= ask.Settled
+	a.settle(ask.Settled, share)
 	overdraft := 0.0
 	if share < 1 {
 		overdraft = overdraftShare * share * k.Tolerance.units(a.limit)
--- a/pkg/customers/keeper_test.go
+++ b/pkg/customers/keeper_test.go
@@ -97,6 +97,19 @@
 			Expect(keeper.Spend(askFor(limit, 1), 1, time.Now()).Level).To(Equal(20.0))
 		})
 	})
+
+	It("grants no more than the burst to an ask that returns units", func() {
+		spectest.Bubble(func() {
+			keeper := customers.NewKeeper(strict)
+			keeper.Spend(askFor(limit, 1), 1, time.Now())
+			time.Sleep(time.Minute)
+			ask := askFor(limit, 1, 20, 20)
+			ask.Settled = -100
+			grant := keeper.Spend(ask, 1, time.Now())
+			Expect(grant.Waits).To(Equal([]time.Duration{0, 50 * time.Millisecond}))
+			Expect(grant.Level).To(Equal(0.0))
+		})
+	})
 })
 
 // keeperCalls is a keeper's way, which may be blocked.
