One call to a keeper for quotas and reservations

Shape only: both asked whether the keeper answers lately, called it, and noted and logged whether it answered. The specs of internal/cluster and internal/node pass.

--- a/internal/cluster/keepers.go
+++ b/internal/cluster/keepers.go
@@ -7,24 +7,24 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// keeperRetry is for how long a box that did not answer is not asked again to keep quotas. Chosen, not measured: a request
+// keeperRetry is for how long a box that did not answer is not asked again as a keeper. Chosen, not measured: a request
 // that finds out anew waits for customers.Spender's timeout in vain.
 const keeperRetry = time.Second
 
-// keeperOf returns the box that keeps a customer's quota for all boxes, this one among them. All boxes agree on it while
-// they have the same list from the store, without a word between them; only the customers of a box that comes or goes get
-// another keeper. A box with twice the processor time keeps twice as many. One that the store does not list yet keeps none
-// while it knows others, who do not know of it.
-func (m *Members) keeperOf(customer string) Box {
+// keeperOf returns the box that keeps a customer's quota, or an engine's reservations, for all boxes, this one among them.
+// All boxes agree on it while they have the same list from the store, without a word between them; only what a box kept
+// that comes or goes gets another keeper. A box with twice the processor time keeps twice as many. One that the store does
+// not list yet keeps none while it knows others, who do not know of it.
+func (m *Members) keeperOf(name string) Box {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.keepers == nil {
 		m.keepers = map[string]Box{}
 	}
-	if keeper, ok := m.keepers[customer]; ok {
+	if keeper, ok := m.keepers[name]; ok {
 		return keeper
 	}
-	keeper, most := m.self, preference(m.self, customer)
+	keeper, most := m.self, preference(m.self, name)
 	if !m.listed {
 		most = 0
 	}
@@ -32,11 +32,11 @@
 		if !other.registered {
 			continue
 		}
-		if weight := preference(other.Box, customer); weight > most {
+		if weight := preference(other.Box, name); weight > most {
 			keeper, most = other.Box, weight
 		}
 	}
-	m.keepers[customer] = keeper
+	m.keepers[name] = keeper
 	return keeper
 }
 
@@ -53,14 +53,14 @@
 	return m.self
 }
 
-// preference is how much a box is preferred as a customer's keeper: weighted rendezvous hashing by processor time.
-func preference(box Box, customer string) float64 {
+// preference is how much a box is preferred as the keeper of a name: weighted rendezvous hashing by processor time.
+func preference(box Box, name string) float64 {
 	cores := box.Cores
 	if !(cores > 0) {
 		cores = 1
 	}
 	const range53 = 1 << 53
-	point := (float64(xxhash.Sum64String(customer+"\x00"+box.Name)>>11) + 0.5) / range53
+	point := (float64(xxhash.Sum64String(name+"\x00"+box.Name)>>11) + 0.5) / range53
 	return -cores / math.Log(point)
 }
 
--- a/internal/cluster/pace.go
+++ b/internal/cluster/pace.go
@@ -73,19 +73,15 @@
 	maps.DeleteFunc(p.sent, func(_ string, at time.Time) bool { return now.Sub(at) > memberTTL })
 	p.sent[to] = now
 	if p.bytesPerSecond > 0 {
-		p.through = latest(p.through, now).Add(p.takes(bytes))
+		if p.through.Before(now) {
+			p.through = now
+		}
+		p.through = p.through.Add(p.takes(bytes))
 	}
 	// A shorter message counts by and by: one exchange with little to tell does not free the link.
 	p.longest = max(bytes, p.longest*9/10)
 }
 
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // addActivity adds to a message what its receiver is told of activity, if it is due. What is not due waits, and
 // is added up.
 func (e *Exchange) addActivity(to string, m *message) error {
--- a/internal/cluster/quotas.go
+++ b/internal/cluster/quotas.go
@@ -4,16 +4,12 @@
 	"context"
 	"time"
 
-	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"ospreymoor.example/ospreymoor/internal/peer"
 	"ospreymoor.example/ospreymoor/pkg/customers"
 )
 
-// errKeeperLost means that a keeper did not answer a moment ago and is not asked again yet.
-const errKeeperLost = errors.ConstError("keeper did not answer lately: it is asked again soon")
-
 // Quotas asks the boxes that keep customers' quotas, and keeps those that fall to this box.
 type Quotas struct {
 	Members *Members
@@ -31,12 +27,8 @@
 	if keeper.Name == q.Members.self.Name {
 		return q.answer(ctx, ask)
 	}
-	if !q.Members.asksKeeper(keeper.Name, methodSpend, time.Now()) {
-		return customers.Grant{}, errKeeperLost
-	}
-	grant, err := peer.Try[customers.Grant](ctx, q.Client, keeper.Address, methodSpend, ask)
-	q.Members.noteKeeper(keeper.Name, methodSpend, err, q.Log)
-	return grant, err
+	call := keeperCall{Members: q.Members, Client: q.Client, Log: q.Log, Method: methodSpend, Keeper: keeper}
+	return askKeeper[customers.Grant](ctx, call, ask)
 }
 
 // keeperOf returns the box that keeps the account that an ask is for.
--- a/internal/cluster/reservations.go
+++ b/internal/cluster/reservations.go
@@ -9,7 +9,6 @@
 
 	"ospreymoor.example/ospreymoor/internal/peer"
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
-	"ospreymoor.example/ospreymoor/pkg/logfield"
 )
 
 // reserveTimeout bounds a call for a reservation: it is advice, and not worth more of a request's target. Chosen, not
@@ -43,28 +42,12 @@
 	if keeper.Name == r.Members.self.Name {
 		return r.answer(ctx, asked)
 	}
-	if !r.Members.asksKeeper(keeper.Name, methodReserve, time.Now()) {
-		return dispatch.ReservationAnswer{}, errKeeperLost
+	call := keeperCall{
+		Members: r.Members, Client: r.Client, Log: r.Log, Method: methodReserve, Keeper: keeper, Timeout: reserveTimeout,
 	}
-	bounded, cancel := context.WithTimeout(ctx, reserveTimeout)
-	defer cancel()
-	answer, err := peer.Try[dispatch.ReservationAnswer](bounded, r.Client, keeper.Address, methodReserve, asked)
-	if ctx.Err() == nil { // Else the caller left, which shows nothing of the keeper.
-		r.Members.noteKeeper(keeper.Name, methodReserve, err, r.Log)
-	}
-	return answer, err
+	return askKeeper[dispatch.ReservationAnswer](ctx, call, asked)
 }
 
 func (r *Reservations) answer(_ context.Context, asked dispatch.Reservation) (dispatch.ReservationAnswer, error) {
 	return r.Kept.Reserve(asked, time.Now()), nil
 }
-
-// noteKeeper notes whether a box answered as a keeper, and logs when that changes.
-func (m *Members) noteKeeper(name, method string, err error, log *zap.Logger) {
-	switch {
-	case err != nil && m.keeperLost(name, method, time.Now()):
-		log.Info("keeper lost", zap.String("peer", name), zap.String("method", method), logfield.Error(err))
-	case err == nil && m.keeperAnswered(name, method):
-		log.Info("keeper regained", zap.String("peer", name), zap.String("method", method))
-	}
-}
