Spread plain requests by what their upstreams probably got since the loads were reported

Cause: the loads of other boxes are 0.05 to 0.65 s old, longer than a plain request takes (0.06 s). All boxes sent to the upstream that was idle then, until the next report: on the shifted deployment answers of 60 ms took 95 to 114 ms in the median at 171 of 400 requests a second, and one of four upstreams got 127 of 6,800 requests.

Kept: shares, with answer times learned for each upstream. fullServiceWait, a constant of one deployment, goes.

The specs of ejection told the loads once and looked at them for seconds; they tell them before each look now, as boxes do.

--- a/internal/cluster/receive.go
+++ b/internal/cluster/receive.go
@@ -48,7 +48,7 @@
 // applyLoads has routing and the order holder know what the other boxes have under way.
 func (e *Exchange) applyLoads(now time.Time) {
 	others := e.Members.otherBoxes(now)
-	e.Loads.SetRemoteLoads(others.Loads)
+	e.Loads.SetRemoteLoads(others.Loads, e.Members.othersAsOf(now))
 	if _, err := e.Controller.Term(); err == nil {
 		e.Controller.SetModelUses(append(e.ModelUses(), others.Uses...))
 	}
--- a/internal/cluster/summary.go
+++ b/internal/cluster/summary.go
@@ -193,3 +193,28 @@
 	}
 	return latest
 }
+
+// relayedAge is about how old what a relay adds up is when it tells it: half of the times between two reports of a box and
+// between two of another relay.
+const relayedAge = memberInterval/2 + exchangeInterval/2
+
+// othersAsOf is as of when what otherBoxes returns is, on average.
+func (m *Members) othersAsOf(now time.Time) time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.large() && m.relaying(now) {
+		return m.relaySum(now).at.Add(-relayedAge)
+	}
+	if relay := m.latestRelay(now); relay != nil {
+		return relay.summary.received.Add(-relayedAge)
+	}
+	var age time.Duration
+	counted := 0
+	for _, other := range m.reporting {
+		if other.summary.fresh(now) && other.summary.scope != fleetScope {
+			age += now.Sub(other.summary.received)
+			counted++
+		}
+	}
+	return now.Add(-age / time.Duration(max(1, counted)))
+}
--- a/internal/cluster/summary_test.go
+++ b/internal/cluster/summary_test.go
@@ -59,6 +59,21 @@
 		})
 	})
 
+	It("are as of when the boxes reported, which a relay told later", func() {
+		spectest.Bubble(func() {
+			small := smallFleet()
+			small.report("a", message{Scope: ownScope, Summary: &loadSummary{Boxes: 1}})
+			time.Sleep(100 * time.Millisecond)
+			small.report("c", message{Scope: ownScope, Summary: &loadSummary{Boxes: 1}})
+			Expect(time.Since(small.othersAsOf(time.Now()))).To(Equal(50 * time.Millisecond))
+
+			large := largeFleet("n05")
+			large.report("n00", message{Scope: fleetScope, Summary: &loadSummary{Boxes: 19}})
+			time.Sleep(100 * time.Millisecond)
+			Expect(time.Since(large.othersAsOf(time.Now()))).To(Equal(100*time.Millisecond + relayedAge))
+		})
+	})
+
 	It("do not outlast the process that sent them", func() {
 		spectest.Bubble(func() {
 			m := smallFleet()
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -42,13 +42,13 @@
 			demand := map[residency.WorkKey]float64{}
 			f.NoteDemand = func(work map[residency.WorkKey]float64) { maps.Copy(demand, work) }
 			busy := dispatch.Load{Running: 1, Prefill: [dispatch.UrgencyLevels]int{100_000}}
-			f.Loads.SetRemoteLoads(map[string]dispatch.Load{"e0": busy, "e1": busy, "e2": busy, "e3": busy})
+			f.Loads.SetRemoteLoads(map[string]dispatch.Load{"e0": busy, "e1": busy, "e2": busy, "e3": busy}, time.Now())
 			got := f.ask(context.Background(), "r1", "/stream/x", "m")
 			Expect(got.Code).To(Equal(http.StatusServiceUnavailable))
 			Expect(got.Body.String()).To(Equal("back ends full\n"))
 			By("counting what it refused as demand")
 			Expect(demand).To(HaveKey(residency.WorkKey{ModelKey: residency.ModelKey{Service: "engines", Model: "m"}}))
-			f.Loads.SetRemoteLoads(map[string]dispatch.Load{"e0": busy, "e1": busy, "e3": busy})
+			f.Loads.SetRemoteLoads(map[string]dispatch.Load{"e0": busy, "e1": busy, "e3": busy}, time.Now())
 			Expect(f.ask(context.Background(), "r2", "/stream/x", "m").Code).To(Equal(http.StatusOK))
 			Expect(f.upstreams.on).To(Equal([]string{"e2"}))
 		})
@@ -65,16 +65,16 @@
 			f.SetTable(routes.New(2, []routes.Route{route}, []routes.Service{engines}, routes.Limits{}))
 			crowded := dispatch.Load{Running: 1, Prefill: [dispatch.UrgencyLevels]int{5_000}}
 			loads := map[string]dispatch.Load{"e0": crowded, "e1": crowded, "e2": crowded, "e3": crowded}
-			f.Loads.SetRemoteLoads(loads)
+			f.Loads.SetRemoteLoads(loads, time.Now())
 			time.AfterFunc(95*time.Millisecond, func() {
-				f.Loads.SetRemoteLoads(map[string]dispatch.Load{"e0": crowded, "e1": crowded, "e3": crowded})
+				f.Loads.SetRemoteLoads(map[string]dispatch.Load{"e0": crowded, "e1": crowded, "e3": crowded}, time.Now())
 			})
 			begun := time.Now()
 			Expect(f.ask(context.Background(), "r1", "/paced/x", "m").Code).To(Equal(http.StatusOK))
 			Expect(time.Since(begun)).To(Equal(100 * time.Millisecond))
 			Expect(f.upstreams.on).To(Equal([]string{"e2"}))
 			By("sending it all the same before it is late")
-			f.Loads.SetRemoteLoads(loads)
+			f.Loads.SetRemoteLoads(loads, time.Now())
 			begun = time.Now()
 			Expect(f.ask(context.Background(), "r2", "/paced/x", "m").Code).To(Equal(http.StatusOK))
 			Expect(time.Since(begun)).To(And(BeNumerically(">", 300*time.Millisecond), BeNumerically("<", 480*time.Millisecond)))
--- a/internal/gateway/log_test.go
+++ b/internal/gateway/log_test.go
@@ -20,7 +20,7 @@
 			core, lines := observer.New(zap.InfoLevel)
 			f.Log = zap.New(core)
 			busy := dispatch.Load{Running: 3, Prefill: [dispatch.UrgencyLevels]int{100_000}, Tokens: 5000}
-			f.Loads.SetRemoteLoads(map[string]dispatch.Load{"e0": busy, "e1": busy, "e2": busy, "e3": busy})
+			f.Loads.SetRemoteLoads(map[string]dispatch.Load{"e0": busy, "e1": busy, "e2": busy, "e3": busy}, time.Now())
 			f.ask(context.Background(), "r1", "/stream/x", "m")
 			ended := lines.FilterMessage("request ended").All()
 			Expect(ended).To(HaveLen(1))
--- a/internal/gateway/reservations_test.go
+++ b/internal/gateway/reservations_test.go
@@ -131,7 +131,7 @@
 				}
 			}
 		}
-		box.Loads.SetRemoteLoads(others)
+		box.Loads.SetRemoteLoads(others, time.Now())
 	}
 }
 
--- a/pkg/dispatch/choice.go
+++ b/pkg/dispatch/choice.go
@@ -39,8 +39,8 @@
 	ejected bool
 }
 
-// Choose returns the candidate with the best score. Ejected ones are taken only if there are no
-// others. It reports false if there is no candidate.
+// Choose returns the engine with the best score, or draws one of a plain service's upstreams. Ejected candidates are taken
+// only if there are no others. It reports false if there is no candidate.
 func (c *Chooser) Choose(need Requirements, candidates []*fleet.State) (Choice, bool) {
 	if len(candidates) == 0 {
 		return Choice{}, false
@@ -48,6 +48,9 @@
 	c.Loads.mu.Lock()
 	defer c.Loads.mu.Unlock()
 	now := time.Now()
+	if need.Model == "" {
+		return c.chooseService(candidates, now), true
+	}
 	usual := c.Loads.usualFailureShare(candidates)
 	preferred := preferredEngine(need, candidates)
 	var best rated
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -66,7 +66,7 @@
 	It("counts what peers have under way", func() {
 		spectest.Bubble(func() {
 			states := engines(2)
-			tracker.SetRemoteLoads(map[string]dispatch.Load{"e0": {Running: 8}, "e1": {}})
+			tracker.SetRemoteLoads(map[string]dispatch.Load{"e0": {Running: 8}, "e1": {}}, time.Now())
 			for range 5 {
 				choice, _ := chooser.Choose(dispatch.Requirements{Service: "s"}, states)
 				Expect(choice.Upstream.ID).To(Equal("e1"))
--- a/pkg/dispatch/ejection_test.go
+++ b/pkg/dispatch/ejection_test.go
@@ -18,8 +18,6 @@
 
 func newEjections() *ejections {
 	tracker := dispatch.NewLoadTracker()
-	full := dispatch.Load{Running: 8}
-	tracker.SetRemoteLoads(map[string]dispatch.Load{"e1": full, "e2": full, "e3": full})
 	return &ejections{tracker: tracker, chooser: &dispatch.Chooser{Loads: tracker, Hall: "z"}}
 }
 
@@ -34,6 +32,8 @@
 }
 
 func (e *ejections) ejected() bool {
+	full := dispatch.Load{Running: 8}
+	e.tracker.SetRemoteLoads(map[string]dispatch.Load{"e1": full, "e2": full, "e3": full}, time.Now())
 	choice, ok := e.chooser.Choose(dispatch.Requirements{Service: "s"}, engines(4))
 	Expect(ok).To(BeTrue())
 	return choice.Upstream.ID != "e0"
--- a/pkg/dispatch/example_test.go
+++ b/pkg/dispatch/example_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
 )
@@ -10,7 +11,7 @@
 	tracker := dispatch.NewLoadTracker()
 	chooser := &dispatch.Chooser{Loads: tracker, Hall: "z"}
 	// Peers have e0 at its limit of 8 requests.
-	tracker.SetRemoteLoads(map[string]dispatch.Load{"e0": {Running: 8}})
+	tracker.SetRemoteLoads(map[string]dispatch.Load{"e0": {Running: 8}}, time.Now())
 	parts := []dispatch.PromptPart{{ID: "system", Tokens: 3000}, {ID: "question", Tokens: 100}}
 	request := dispatch.Requirements{
 		Service: "s", Model: "writer", CacheTokens: 200_000,
--- a/pkg/dispatch/prediction.go
+++ b/pkg/dispatch/prediction.go
@@ -24,9 +24,6 @@
 )
 
 const (
-	// fullServiceWait is the wait expected at a plain service with a request in each slot. It grows
-	// with the square of the requests a slot. Chosen, not measured.
-	fullServiceWait = 60 * time.Millisecond
 	// fullPenalty is added where no slot or not enough memory is free. Chosen, not measured.
 	fullPenalty = 400 * time.Millisecond
 	// otherHallPenalty is added for the way to an upstream of another hall. Chosen, not measured.
@@ -76,49 +73,32 @@
 	Load Load
 }
 
-// predict predicts the time to the first token at an upstream:
+// predict predicts the time to the first token at an engine:
 //
-//	engine:  ((ahead + uncached prompt) / prefill speed + running * delay) * model factor + step
-//	service: (running / slots)² * fullServiceWait
+//	((ahead + uncached prompt) / prefill speed + running * delay) * model factor + step
 //
 // times the upstream's factor, and with the penalties of a full upstream and of another hall. The
 // caller holds the tracker's lock.
 func (c *Chooser) predict(need Requirements, upstream *fleet.State, record *upstreamRecord) Choice {
 	load := c.Loads.total(upstream.ID, record)
+	record.cacheCapacity = prefixCacheCapacity(need.CacheTokens)
 	choice := Choice{Upstream: upstream, Load: load}
-	full := false
-	if need.Model == "" {
-		full = upstream.Slots > 0 && load.Running >= upstream.Slots
-		choice.Wait = serviceWait(load, upstream.Slots)
-	} else {
-		record.cacheCapacity = prefixCacheCapacity(need.CacheTokens)
-		choice.Uncached = max(1, need.PromptTokens-record.cache.cachedTokens(need.Blocks))
-		choice.Wait = c.Loads.engineWait(need, load, choice.Uncached)
-		choice.Pause = c.Loads.enginePause(need, load, choice.Uncached)
-		factor := record.factor * c.Loads.modelFactor(need.Model)
-		choice.read = scale(prefillTime(choice.Uncached), factor)
-		choice.event = scale(eventTime(need, load), factor)
-		full = memoryFull(need, load)
-	}
-	choice.Wait = scale(choice.Wait, record.factor)
-	choice.work = choice.Wait
-	if full {
+	choice.Uncached = max(1, need.PromptTokens-record.cache.cachedTokens(need.Blocks))
+	choice.Pause = c.Loads.enginePause(need, load, choice.Uncached)
+	factor := record.factor * c.Loads.modelFactor(need.Model)
+	choice.read = scale(prefillTime(choice.Uncached), factor)
+	choice.event = scale(eventTime(need, load), factor)
+	choice.work = scale(c.Loads.engineWait(need, load, choice.Uncached), record.factor)
+	choice.Wait = choice.work + slotWait(load, upstream.Slots, record.runTime)
+	if memoryFull(need, load) {
 		choice.Wait += fullPenalty
 	}
-	if need.Model != "" {
-		choice.Wait += slotWait(load, upstream.Slots, record.runTime)
-	}
 	if upstream.Hall != c.Hall {
 		choice.Wait += otherHallPenalty
 	}
 	return choice
 }
 
-func serviceWait(load Load, slots int) time.Duration {
-	perSlot := float64(load.Running) / float64(max(1, slots))
-	return time.Duration(perSlot * perSlot * float64(fullServiceWait))
-}
-
 func (t *LoadTracker) engineWait(need Requirements, load Load, uncached int) time.Duration {
 	work := prefillTime(load.prefillAhead(need.Urgency) + uncached)
 	work += time.Duration(load.Running) * prefillDelayPerRunning
--- a/pkg/dispatch/prediction_test.go
+++ b/pkg/dispatch/prediction_test.go
@@ -55,12 +55,12 @@
 		spectest.Bubble(func() {
 			tracker := dispatch.NewLoadTracker()
 			chooser := &dispatch.Chooser{Loads: tracker, Hall: "z"}
-			tracker.SetRemoteLoads(map[string]dispatch.Load{"e0": {Running: 7}})
+			tracker.SetRemoteLoads(map[string]dispatch.Load{"e0": {Running: 7}}, time.Now())
 			free, _ := chooser.Choose(need("x"), engines(1))
-			tracker.SetRemoteLoads(map[string]dispatch.Load{"e0": {Running: 8}})
+			tracker.SetRemoteLoads(map[string]dispatch.Load{"e0": {Running: 8}}, time.Now())
 			full, _ := chooser.Choose(need("x"), engines(1))
 			Expect(full.Wait - free.Wait).To(BeNumerically("~", 401*time.Millisecond, time.Millisecond))
-			tracker.SetRemoteLoads(map[string]dispatch.Load{"e0": {Running: 7, Tokens: 190_000}})
+			tracker.SetRemoteLoads(map[string]dispatch.Load{"e0": {Running: 7, Tokens: 190_000}}, time.Now())
 			outOfMemory, _ := chooser.Choose(need("x"), engines(1))
 			Expect(outOfMemory.Wait - free.Wait).To(Equal(400 * time.Millisecond))
 		})
@@ -77,7 +77,7 @@
 			time.Sleep(2 * time.Second)
 			ticket.End()
 			wait := func(running int) time.Duration {
-				tracker.SetRemoteLoads(map[string]dispatch.Load{"e0": {Running: running}})
+				tracker.SetRemoteLoads(map[string]dispatch.Load{"e0": {Running: running}}, time.Now())
 				choice, _ := chooser.Choose(request, engines(1))
 				return choice.Wait
 			}
@@ -93,7 +93,7 @@
 			chooser := &dispatch.Chooser{Loads: tracker, Hall: "z"}
 			request := dispatch.Requirements{Model: "m", PromptTokens: 3_800, CacheTokens: 1_000_000, GapTarget: 200 * time.Millisecond, EventTokens: 6}
 			choose := func(load dispatch.Load) dispatch.Choice {
-				tracker.SetRemoteLoads(map[string]dispatch.Load{"e0": load})
+				tracker.SetRemoteLoads(map[string]dispatch.Load{"e0": load}, time.Now())
 				choice, _ := chooser.Choose(request, engines(1))
 				return choice
 			}
--- a/pkg/dispatch/ticket.go
+++ b/pkg/dispatch/ticket.go
@@ -48,6 +48,10 @@
 	t.started, t.startedAt = true, time.Now()
 	record := t.tracker.record(t.upstream)
 	record.own.finishPrefill(t.load)
+	if t.model == "" {
+		record.answerTime.note(t.startedAt.Sub(t.sentAt), t.startedAt)
+		return
+	}
 	t.tracker.learn(record, t.model, t.predicted, time.Since(t.sentAt))
 }
 
--- a/pkg/dispatch/tracker.go
+++ b/pkg/dispatch/tracker.go
@@ -12,6 +12,8 @@
 	upstreams map[string]*upstreamRecord
 	// remote is the latest known load of all other boxes, by upstream.
 	remote map[string]Load
+	// remoteAt is as of when those loads are.
+	remoteAt time.Time
 	// modelFactors correct the predicted work, by model; a model without one has factor 1.
 	modelFactors map[string]float64
 	// pendingPrompts and pendingOutcomes are what TakeObservations returns next.
@@ -29,6 +31,8 @@
 	factor float64
 	// runTime is how long a request runs there after its first token, a running mean; 0 if none has ended.
 	runTime time.Duration
+	// answerTime is that of an upstream of a plain service.
+	answerTime answerTime
 	// cache is nil until the engine was sent a prompt.
 	cache *prefixCache
 	// cacheCapacity, in tokens, is that of the latest request that considered the engine; 0 before
@@ -89,11 +93,11 @@
 	return loads
 }
 
-// SetRemoteLoads replaces the load of all other boxes, by upstream. The tracker keeps the map.
-func (t *LoadTracker) SetRemoteLoads(loads map[string]Load) {
+// SetRemoteLoads replaces the load of all other boxes, by upstream, which is as of a time. The tracker keeps the map.
+func (t *LoadTracker) SetRemoteLoads(loads map[string]Load, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.remote = loads
+	t.remote, t.remoteAt = loads, at
 }
 
 // Total is the load of an upstream from all boxes.
