Bound answer times from below; count streams that paused too long

Cause: an answer time of zero was divided by: the shares of a service whose requests end in the same moment were not numbers, and all of them went to one upstream. Only specs answer that soon. serviceLoads is two functions now.

The new spec fails before (one of two upstreams chosen in 100 choices), passes after.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -83,6 +83,7 @@
 func (s *stream) notePause(choice dispatch.Choice) {
 	if s.route.GapTarget > 0 && s.attempts.sent == 1 && s.timing.longestGap > s.route.GapTarget {
 		s.gateway.Loads.RecordPause(choice.Upstream.ID)
+		s.gateway.Metrics.GetOrCreateCounter("ospreymoor_streams_paused_total").Inc()
 	}
 }
 
--- a/pkg/dispatch/services.go
+++ b/pkg/dispatch/services.go
@@ -30,6 +30,8 @@
 	answerTimeMemory = 5 * time.Second
 	// firstAnswerTime is the answer time of a service that has not answered yet. Chosen, not measured.
 	firstAnswerTime = 50 * time.Millisecond
+	// leastAnswerTime bounds an answer time, by which loads are divided. Chosen, not measured.
+	leastAnswerTime = time.Millisecond
 )
 
 // answerTime is how long an upstream of a plain service takes for a request, with the wait for a slot: a running mean.
@@ -52,10 +54,10 @@
 // expected is the time of a request now, given what is usual at the service.
 func (a *answerTime) expected(usual time.Duration, now time.Time) time.Duration {
 	if a.last.IsZero() {
-		return usual
+		return max(leastAnswerTime, usual)
 	}
 	own := math.Exp(-now.Sub(a.last).Seconds() / answerTimeMemory.Seconds())
-	return usual + scale(a.mean-usual, own)
+	return max(leastAnswerTime, usual+scale(a.mean-usual, own))
 }
 
 // chooseService draws an upstream of a plain service. The caller holds the tracker's lock.
@@ -81,29 +83,20 @@
 func (c *Chooser) serviceLoads(candidates []*fleet.State, now time.Time) (loads []serviceLoad, arrivals float64) {
 	failures := c.Loads.usualFailureShare(candidates)
 	usual := c.Loads.usualAnswerTime(candidates)
-	age := max(0, now.Sub(c.Loads.remoteAt))
 	var ejected []serviceLoad
 	arrivals = 1
 	for _, state := range candidates {
 		record := c.Loads.record(state.ID)
-		answer := record.answerTime.expected(usual, now)
-		reported := float64(c.Loads.remote[state.ID].Running)
-		slots := float64(max(1, state.Slots))
-		passed := age.Seconds() / answer.Seconds()
-		// Requests come as fast as they are answered on average, so that the mean number under way passes in one answer time.
-		arrivals += reported * passed
-		load := serviceLoad{
-			state: state, answer: answer, rate: slots / answer.Seconds(),
-			requests: max(0, reported-min(reported, slots)*passed) + float64(record.own.Running),
-		}
+		load, sent := c.Loads.serviceLoad(state, record.answerTime.expected(usual, now), now)
 		if excess := record.ejection.failureShare - failures; excess > 0 {
 			load.rate *= max(0, 1-excess)
 		}
+		arrivals += sent
 		if record.ejection.ejected(failures, now) {
 			ejected = append(ejected, load)
-			continue
+		} else {
+			loads = append(loads, load)
 		}
-		loads = append(loads, load)
 	}
 	if len(loads) == 0 {
 		return ejected, arrivals
@@ -111,6 +104,20 @@
 	return loads, arrivals
 }
 
+// serviceLoad returns what is left at an upstream of what was reported, with the requests of this box, and how many others
+// were probably sent there since: requests come as fast as they are answered on average, so that as many come in one answer
+// time as are under way. The caller holds the lock.
+func (t *LoadTracker) serviceLoad(state *fleet.State, answer time.Duration, now time.Time) (load serviceLoad, sent float64) {
+	reported := float64(t.remote[state.ID].Running)
+	slots := float64(max(1, state.Slots))
+	passed := max(0, now.Sub(t.remoteAt)).Seconds() / answer.Seconds()
+	load = serviceLoad{
+		state: state, answer: answer, rate: slots / answer.Seconds(),
+		requests: max(0, reported-min(reported, slots)*passed) + float64(t.record(state.ID).own.Running),
+	}
+	return load, reported * passed
+}
+
 // usualAnswerTime is the mean answer time of the candidates that answered. The caller holds the lock.
 func (t *LoadTracker) usualAnswerTime(candidates []*fleet.State) time.Duration {
 	var sum time.Duration
@@ -124,7 +131,7 @@
 	if known == 0 {
 		return firstAnswerTime
 	}
-	return max(time.Millisecond, sum/time.Duration(known))
+	return sum / time.Duration(known)
 }
 
 // shares are how many of the arrivals each upstream gets, so that all those that get any have the same time of work before
--- a/pkg/dispatch/services_test.go
+++ b/pkg/dispatch/services_test.go
@@ -151,6 +151,22 @@
 		Entry("7 boxes, 250 a second of 300", 7, 100*time.Millisecond, 250.0, four[:3], 0.01),
 	)
 
+	It("go to all upstreams that answer in no time", func() {
+		spectest.Bubble(func() {
+			s := &plainService{boxes: 1, work: make([]time.Duration, 2)}
+			s.start()
+			for range 40 {
+				s.request(s.loads[0])
+			}
+			seen := map[string]bool{}
+			for range 100 {
+				choice, _ := (&dispatch.Chooser{Loads: s.loads[0], Hall: "z"}).Choose(dispatch.Requirements{Service: "s"}, s.states)
+				seen[choice.Upstream.ID] = true
+			}
+			Expect(seen).To(HaveLen(2))
+		})
+	})
+
 	It("go to an upstream again that was slow for a while", func() {
 		spectest.Bubble(func() {
 			s := &plainService{boxes: 1, exchange: time.Second, work: slices.Clone(four[:2])}
