--- a/internal/gateway/reservations_test.go
+++ b/internal/gateway/reservations_test.go
@@ -205,24 +205,28 @@
 }
 
 var _ = Describe("prompts of many boxes at few engines", func() {
-	play := func(reserve bool, utilization float64) *readingFleet {
-		var f *readingFleet
-		spectest.Bubble(func() {
-			f = newReadingFleet(reserve)
-			f.play(utilization)
-		})
-		return f
+	// Boxes choose by chance, too: several plays differ less than one.
+	const plays = 3
+	play := func(utilization float64, fleet func() *readingFleet) (long float64, first time.Duration) {
+		sum := readingFleet{}
+		for range plays {
+			spectest.Bubble(func() {
+				f := fleet()
+				f.play(utilization)
+				sum.long, sum.prompts, sum.firsts = sum.long+f.long, sum.prompts+f.prompts, sum.firsts+f.firsts
+			})
+		}
+		return float64(sum.long) / float64(sum.prompts), (sum.firsts / time.Duration(sum.prompts)).Round(time.Millisecond)
 	}
 
 	DescribeTable("are read together less often where engines' time is reserved",
 		func(utilization, mostLong float64) {
-			before, after := play(false, utilization), play(true, utilization)
-			share := func(f *readingFleet) float64 { return float64(f.long) / float64(f.prompts) }
-			first := func(f *readingFleet) time.Duration { return f.firsts / time.Duration(f.prompts) }
-			GinkgoWriter.Printf("| %.1f | %.3f, %v | %.3f, %v |\n", utilization, share(before), first(before).Round(time.Millisecond), share(after), first(after).Round(time.Millisecond))
-			Expect(share(after)).To(BeNumerically("<=", mostLong))
-			Expect(share(after)).To(BeNumerically("<", share(before)/2))
-			Expect(first(after)).To(BeNumerically("<=", first(before)))
+			longBefore, firstBefore := play(utilization, func() *readingFleet { return newReadingFleet(false) })
+			long, first := play(utilization, func() *readingFleet { return newReadingFleet(true) })
+			GinkgoWriter.Printf("| %.1f | %.3f, %v | %.3f, %v |\n", utilization, longBefore, firstBefore, long, first)
+			Expect(long).To(BeNumerically("<=", mostLong))
+			Expect(long).To(BeNumerically("<", longBefore/2))
+			Expect(first).To(BeNumerically("<=", firstBefore))
 		},
 		Entry("engines that read a third of their time", 0.33, 0.02),
 		Entry("half", 0.5, 0.1),
@@ -233,14 +237,12 @@
 	// 0.53 s by one of the longer prompts alone.
 	DescribeTable("keep away from engines that they would have pause too long, as far as others are there",
 		func(utilization, mostLong float64, mostFirst time.Duration) {
-			var f *readingFleet
-			spectest.Bubble(func() {
-				f = newReadingFleet(true)
+			long, first := play(utilization, func() *readingFleet {
+				f := newReadingFleet(true)
 				f.slow, f.within, f.longer = 3, 390*time.Millisecond, 1.6
-				f.play(utilization)
+				return f
 			})
-			long, first := float64(f.long)/float64(f.prompts), f.firsts/time.Duration(f.prompts)
-			GinkgoWriter.Printf("| %.2f | %.3f, %v |\n", utilization, long, first.Round(time.Millisecond))
+			GinkgoWriter.Printf("| %.2f | %.3f, %v |\n", utilization, long, first)
 			Expect(long).To(BeNumerically("<=", mostLong))
 			Expect(first).To(BeNumerically("<=", mostFirst))
 		},
--- a/pkg/dispatch/pauses.go
+++ b/pkg/dispatch/pauses.go
@@ -13,8 +13,8 @@
 // Measured at 60 boxes before 113 engines, a third of them slower: 12% of the short streams paused for too long, nearly all
 // at those, and 92 in 100 of them while a faster engine answered for the same model. In a replay of 10 engines, three of
 // them slower ("prompts of many boxes at few engines"), the part of prompts that have streams pause too long: 12 to 13%
-// before, 3% now, of engines that read half of their time; 19 to 21%, 7 to 9%, of those that read two thirds. The first
-// token comes as soon as before.
+// before, 4% now, of engines that read half of their time; 19 to 21%, 7 to 8%, of those that read two thirds. The first
+// token comes as soon as before; where all engines are slow it comes later (0.33 s for 0.30 s, 0.46 s for 0.34 s).
 const (
 	// mostPauseShare is the share at first, and at most. The rest is for short prompts, which nobody reserves time for.
 	// Chosen, not measured.
