Log under which requests upstreams crash, by their content

A box now looks at an upstream once when answers of it break (one connection, bounded by 0.1 s, shared by all that broke together): it crashed if its address refuses connections. The line of the attempt then has the content's fingerprint; two counters; and `ospreymoor report crashes` prints from logs alone how many upstreams crashed under which content.

--- a/internal/cmd/report_requests.go
+++ b/internal/cmd/report_requests.go
@@ -37,7 +37,7 @@
 	if err := c.check(); err != nil {
 		return err
 	}
-	log, err := c.read()
+	log, err := readLogs(c.Files)
 	if err != nil {
 		return err
 	}
@@ -71,13 +71,13 @@
 	return nil
 }
 
-// read reads all logs that the command line names.
-func (c *reportRequestsCommand) read() (requestlog.Log, error) {
+// readLogs reads all logs that the command line names, or standard input if it names none.
+func readLogs(files []string) (requestlog.Log, error) {
 	var log requestlog.Log
-	if len(c.Files) == 0 {
+	if len(files) == 0 {
 		return log, log.Read(os.Stdin)
 	}
-	for _, name := range c.Files {
+	for _, name := range files {
 		if err := readLogFile(&log, name); err != nil {
 			return log, err
 		}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -37,6 +37,8 @@
 	fails
 	hangs
 	fates
+	// crashes ends the upstream as it begins to answer.
+	crashes
 )
 
 // fakeUpstreams notes what ran, and ends attempts as chosen.
@@ -51,6 +53,17 @@
 	// customers and urgencies are those of the attempts.
 	customers []string
 	urgencies []int
+	// gone are the upstreams that crashed, and looks counts the looks at them.
+	gone  map[string]bool
+	looks int
+}
+
+// refuses reports whether an upstream crashed.
+func (f *fakeUpstreams) refuses(_ context.Context, of fleet.Upstream) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.looks++
+	return f.gone[of.ID]
 }
 
 const plainBody = "the whole answer"
@@ -76,6 +89,11 @@
 	f.runs[id]++
 	f.mu.Unlock()
 	switch chosen {
+	case crashes:
+		f.mu.Lock()
+		f.gone[to.ID] = true
+		f.mu.Unlock()
+		return nil, ErrBroken
 	case brokenBeforeHead:
 		return nil, ErrBroken
 	case fails:
@@ -118,13 +136,13 @@
 }
 
 func newFixture(choose func(id string, n int) fate, boxes int) *fixture {
-	f := &fakeUpstreams{choose: choose, sends: map[string]int{}, runs: map[string]int{}}
+	f := &fakeUpstreams{choose: choose, sends: map[string]int{}, runs: map[string]int{}, gone: map[string]bool{}}
 	loads := dispatch.NewLoadTracker()
 	g := &Gateway{
 		Directory: fleet.New(),
 		Loads:     loads,
 		Chooser:   &dispatch.Chooser{Loads: loads},
-		Upstreams: Upstreams{Send: f.send},
+		Upstreams: Upstreams{Send: f.send, Refuses: f.refuses},
 		Ensure: func(context.Context, string, string, string) (residency.EnsureResult, error) {
 			return residency.EnsureResult{Ready: 2 * time.Second}, residency.ErrNoPlace
 		},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,8 @@
 	// configured is closed once there is a table.
 	configured chan struct{}
 	flight     atomic.Int64
+	// crashChecks are the latest looks at upstreams whose answers broke.
+	crashChecks crashChecks
 	// customerNames are the customers that metrics name, and customerCount how many wanted to be.
 	customerNames sync.Map
 	customerCount atomic.Int64
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -7,6 +7,7 @@
 
 	"ospreymoor.example/ospreymoor/pkg/customers"
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
+	"ospreymoor.example/ospreymoor/pkg/quarantine"
 	"ospreymoor.example/ospreymoor/pkg/routes"
 )
 
@@ -31,6 +32,8 @@
 	demandNoted bool
 	// chosen is the latest choice of an upstream, for the log; admission may have refused it.
 	chosen dispatch.Choice
+	// content names the request by what it asks; nil until that is needed.
+	content *quarantine.Fingerprint
 }
 
 func newInflight(g *Gateway, table *routes.Table, route *routes.Route, customer *customers.Customer, request *Request) *inflight {
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -41,10 +41,10 @@
 // logAttempt counts and logs an attempt without a good answer. took is the time to the head of the answer
 // or to the error; for a stream that broke, it is counted from the arrival of the request, and for a
 // plain answer that broke it is 0.
-func (r *inflight) logAttempt(choice dispatch.Choice, status int, took time.Duration, err error) {
+func (r *inflight) logAttempt(choice dispatch.Choice, status int, took time.Duration, err error, more ...zap.Field) {
 	r.gateway.Metrics.GetOrCreateCounter("ospreymoor_attempts_failed_total").Inc()
 	load := r.gateway.Loads.Total(choice.Upstream.ID)
-	r.gateway.Log.Info("attempt failed",
+	r.gateway.Log.Info("attempt failed", append(more,
 		zap.String("id", r.request.ID),
 		zap.String("backend", choice.Upstream.ID),
 		zap.Int("sending", r.attempts.sent),
@@ -56,7 +56,7 @@
 		zap.Ints("prefill", load.Prefill[:]),
 		zap.Int64("listRevision", choice.Upstream.Revision),
 		zap.Duration("listAge", time.Since(choice.Upstream.ListedAt)),
-		logfield.Error(err))
+		logfield.Error(err))...)
 }
 
 // logEnd counts and logs how a request ended: once for each request, with the latest choice of an
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -75,7 +75,7 @@
 		directory.MarkUnreachable(id)
 		r.attemptFailed(choice, 0, took, err)
 	case outcomeBroken:
-		r.attemptFailed(choice, 0, took, err)
+		r.broke(ctx, choice, 0, took, err)
 	case outcomeElsewhere:
 		r.logAttempt(choice, answer.Status, took, nil)
 		directory.MarkMissing(id, r.need.Model, r.need.Adapter)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -65,7 +65,7 @@
 	held, err := hold(answer)
 	ticket.End()
 	if err != nil {
-		r.attemptFailed(choice, answer.Status, 0, err)
+		r.broke(ctx, choice, answer.Status, 0, err)
 		return nil, err
 	}
 	if held.status < http.StatusInternalServerError {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -75,7 +75,7 @@
 	if errors.Is(err, errCallerGone) || ctx.Err() != nil {
 		return false, err
 	}
-	s.attemptFailed(choice, answer.Status, time.Since(s.request.Arrived), err)
+	s.broke(ctx, choice, answer.Status, time.Since(s.request.Arrived), err)
 	return false, err
 }
 
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -51,6 +51,9 @@
 	// Send makes one attempt and returns the answer's head. An error is ErrNotSent, ErrBroken
 	// or that of ctx; when ctx ends, the upstream gives up its run.
 	Send func(ctx context.Context, to fleet.Upstream, attempt Attempt) (*Answer, error)
+	// Refuses reports whether the upstream's host refuses connections to it, so that its process is gone. It is false where
+	// the host does not answer before ctx ends. nil takes no upstream for crashed.
+	Refuses func(ctx context.Context, of fleet.Upstream) bool
 	// Forget closes the idle connections to an upstream that is gone.
 	Forget func(upstream string)
 	// Engines takes the orders.
--- a/internal/requestlog/request.go
+++ b/internal/requestlog/request.go
@@ -1,6 +1,6 @@
-// Package requestlog reads the lines that boxes log for each request (`request ended`), and adds up
-// how requests ended. It owns nothing and keeps what it read in memory. `ospreymoor report requests`
-// uses it; internal/gateway writes the lines.
+// Package requestlog reads the lines that boxes log for each request (`request ended`) and for attempts under which
+// upstreams crashed (`attempt failed`), and adds up how requests ended. It owns nothing and keeps what it read in memory.
+// `ospreymoor report requests` and `report crashes` use it; internal/gateway writes the lines.
 package requestlog
 
 import (
@@ -67,11 +67,17 @@
 	Gap       float64   `json:"gap"`
 	Target    float64   `json:"target"`
 	GapTarget float64   `json:"gapTarget"`
+	Upstream  string    `json:"backend"`
+	Content   string    `json:"content"`
+	Crashed   bool      `json:"crashed"`
 }
 
 // Log is what was read.
 type Log struct {
 	Requests []Request
+	Crashes  []Crash
+	// RefusedContents counts the refusals of what upstreams crashed under, by its content.
+	RefusedContents map[string]int
 	// Lines is the number of log lines, whatever they say; Skipped is that of the lines that are none.
 	Lines, Skipped int
 }
@@ -100,9 +106,24 @@
 		return
 	}
 	l.Lines++
-	if read.Message == endedMessage {
+	switch {
+	case read.Message == endedMessage:
 		l.Requests = append(l.Requests, read.request())
+		l.noteRefused(&read)
+	case read.Message == attemptMessage && read.Crashed:
+		l.Crashes = append(l.Crashes, Crash{At: read.Time, Content: read.Content, ID: read.ID, Upstream: read.Upstream})
+	}
+}
+
+// noteRefused counts a request that was refused for its content, which its line then has.
+func (l *Log) noteRefused(ended *line) {
+	if ended.Content == "" || ended.Reason == "" {
+		return
+	}
+	if l.RefusedContents == nil {
+		l.RefusedContents = map[string]int{}
 	}
+	l.RefusedContents[ended.Content]++
 }
 
 func (l *line) request() Request {
--- /dev/null
+++ b/internal/transport/refuses_test.go
@@ -0,0 +1,27 @@
+package transport_test
+
+import (
+	"context"
+	"net"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreymoor.example/ospreymoor/internal/transport"
+)
+
+var _ = Describe("an address", func() {
+	It("refuses connections once its process is gone, not while it lives or its host is silent", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		Expect(transport.Refuses(ctx, listener.Addr().String())).To(BeFalse())
+		over, end := context.WithCancel(ctx)
+		end()
+		Expect(listener.Close()).To(Succeed())
+		Expect(transport.Refuses(over, listener.Addr().String())).To(BeFalse())
+		Expect(transport.Refuses(ctx, listener.Addr().String())).To(BeTrue())
+	})
+})
