Take an engine that starts again under its id for another one

Cause: nothing read `born`. An engine that started again under its id kept what was known of its former life: what it holds by the order holder's updates, how many orders it took, its load, failures and connections.

Change: an upstream's id in the product is its name with the time of its start, so that a restart is one upstream that goes and another that comes, as everywhere else; a former life goes at once where its next one is listed.

--- /dev/null
+++ b/pkg/fleet/incarnation_test.go
@@ -0,0 +1,49 @@
+package fleet_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreymoor.example/ospreymoor/pkg/fleet"
+)
+
+var _ = Describe("an upstream that starts again under its name", func() {
+	DescribeTable("is named by its name and when it was born", func(name string, born int64, id string) {
+		Expect(fleet.IncarnationID(name, born)).To(Equal(id))
+		Expect(fleet.NameOf(id)).To(Equal(name))
+	},
+		Entry("", "e1", int64(1767225600000), "e1@1767225600000"),
+		Entry("not known", "e1", int64(0), "e1"),
+		Entry("before 1970", "e1", int64(-5), "e1"),
+		Entry("a name with the sign in it", "e@x", int64(0), "e@x"),
+		Entry("a name with the sign in it, born", "e@x", int64(7), "e@x@7"),
+	)
+
+	It("has nothing of its former life, which is gone at once, wherever it listens", func() {
+		d := fleet.New()
+		life := func(born, revision int64, address string) fleet.Upstream {
+			upstream := engine(fleet.IncarnationID("e1", born), revision)
+			upstream.Address = address
+			return upstream
+		}
+		d.SetList(1, []fleet.Upstream{life(10, 1, "a:1")}, time.Now())
+		d.Publish(3, "e1@10", fleet.Residency{Loaded: []string{"m1"}, Busy: true})
+		Expect(d.Get("e1@10").Holds("m1")).To(BeTrue())
+		d.MarkUnreachable("e1@10")
+		changes := d.SetList(2, []fleet.Upstream{life(20, 2, "a:2")}, time.Now())
+		Expect(changes).To(HaveLen(2))
+		Expect(d.Get("e1@10")).To(BeNil())
+		Expect(d.Get("e1@20").Holds("m1")).To(BeFalse())
+		Expect(d.Get("e1@20").Busy()).To(BeFalse())
+		Expect(d.Unavailable("e1@20", "", "")).To(BeFalse())
+		By("also when news of the former life comes late")
+		d.MergeResidency(3, map[string]fleet.Residency{"e1@10": {Sequence: 9, Loaded: []string{"m2"}}})
+		Expect(d.Get("e1@20").Holds("m2")).To(BeFalse())
+		Expect(d.Get("e1@10")).To(BeNil())
+		By("and an older list brings it back nowhere")
+		Expect(d.SetList(1, []fleet.Upstream{life(10, 1, "a:1")}, time.Now())).To(BeEmpty())
+		Expect(d.Get("e1@20")).NotTo(BeNil())
+	})
+})
--- a/pkg/fleet/lapse.go
+++ b/pkg/fleet/lapse.go
@@ -9,16 +9,16 @@
 // Bound of the platform: below the 2 s after which a leaving upstream may get nothing.
 const lapseTime = 1400 * time.Millisecond
 
-// lapseUnlisted lapses or drops the upstreams whose ids are not listed, and returns which. taken are
-// the addresses of the list. The caller holds the lock.
-func (d *Directory) lapseUnlisted(listed, taken map[string]bool, previousCurrentAt time.Time) []Change {
+// lapseUnlisted lapses or drops the upstreams whose ids are not listed, and returns which; by is what the list has in their
+// place. The caller holds the lock.
+func (d *Directory) lapseUnlisted(listed map[string]bool, by replaced, previousCurrentAt time.Time) []Change {
 	var changes []Change
 	now := time.Now()
 	for id, state := range d.states {
 		if listed[id] {
 			continue
 		}
-		dropAt := state.dropAt(taken, previousCurrentAt)
+		dropAt := state.dropAt(by, previousCurrentAt)
 		switch {
 		case !now.Before(dropAt):
 			changes = append(changes, d.drop(state))
@@ -32,14 +32,14 @@
 	return changes
 }
 
-// dropAt returns when an upstream without an entry is dropped. One that was leaving, or whose
-// address is taken, is not coming back, and is dropped at once (the zero time). One that lapsed with
+// dropAt returns when an upstream without an entry is dropped. One that was leaving, or that another
+// one replaces, is not coming back, and is dropped at once (the zero time). One that lapsed with
 // an earlier list keeps its time. One that lapses with this list has lapseTime from
 // previousCurrentAt, when the entry was last known to be there; that is over already where this
 // box's list was out of date for longer.
-func (s *State) dropAt(taken map[string]bool, previousCurrentAt time.Time) time.Time {
+func (s *State) dropAt(by replaced, previousCurrentAt time.Time) time.Time {
 	switch {
-	case s.Leaving || taken[s.Address]:
+	case s.Leaving || by.has(&s.Upstream):
 		return time.Time{}
 	case !s.DropAt.IsZero():
 		return s.DropAt
--- a/pkg/fleet/list.go
+++ b/pkg/fleet/list.go
@@ -38,7 +38,7 @@
 	d.revision = revision
 	live := withoutReplaced(list)
 	changes := d.setListed(live)
-	changes = append(changes, d.lapseUnlisted(ids(live), addresses(list), previousCurrentAt)...)
+	changes = append(changes, d.lapseUnlisted(ids(live), successors(list), previousCurrentAt)...)
 	d.index()
 	return changes
 }
@@ -92,11 +92,21 @@
 	return set
 }
 
-// addresses returns the addresses of upstreams.
-func addresses(list []Upstream) map[string]bool {
-	set := make(map[string]bool, len(list))
+// replaced is which upstreams without an entry are not coming back.
+type replaced struct{ addresses, names map[string]bool }
+
+// successors returns what a list has in place of upstreams that it does not have: others at their addresses, later lives under
+// their names.
+func successors(list []Upstream) replaced {
+	by := replaced{addresses: make(map[string]bool, len(list)), names: make(map[string]bool, len(list))}
 	for _, upstream := range list {
-		set[upstream.Address] = true
+		by.addresses[upstream.Address] = true
+		by.names[NameOf(upstream.ID)] = true
 	}
-	return set
+	return by
+}
+
+// has reports whether an upstream has a successor.
+func (r *replaced) has(upstream *Upstream) bool {
+	return r.addresses[upstream.Address] || r.names[NameOf(upstream.ID)]
 }
--- a/pkg/fleet/upstream.go
+++ b/pkg/fleet/upstream.go
@@ -5,6 +5,7 @@
 // Upstream is an engine or plain service as its entry in the list describes it. It does not change
 // once listed.
 type Upstream struct {
+	// ID names one life of the upstream; see IncarnationID.
 	ID      string
 	Service string
 	// Address is IP:PORT.
--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -21,7 +21,7 @@
 	Engines Engines
 	// Term returns the term under which orders may be given now, ErrNotHolder or ErrWaiting.
 	Term func() (int64, error)
-	// NotBefore is from when on an engine may be given orders, after those of a former holder; nil
+	// NotBefore is from when on an engine, by its name, may be given orders, after those of a former holder; nil
 	// allows them at once.
 	NotBefore func(engine string) time.Time
 	// Running returns how many requests are under way at an upstream; nil takes 0.
@@ -58,7 +58,7 @@
 	// uses is what all boxes have running with adapters.
 	uses      map[ModelUse]int
 	storeRate storeRate
-	// lastOrders is when each engine was last given an order, under any term.
+	// lastOrders is when each engine, by its name, was last given an order, under any term.
 	lastOrders map[string]time.Time
 }
 
--- a/pkg/residency/permission.go
+++ b/pkg/residency/permission.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"ospreymoor.example/ospreymoor/pkg/fleet"
 )
 
 // permission returns the term under which the engine may be given an order at this moment.
@@ -23,7 +25,7 @@
 
 // mayBegin reports whether the former holder's orders to the engine can no longer arrive.
 func (e *engine) mayBegin() bool {
-	return e.controller.NotBefore == nil || !time.Now().Before(e.controller.NotBefore(e.id))
+	return e.controller.NotBefore == nil || !time.Now().Before(e.controller.NotBefore(fleet.NameOf(e.id)))
 }
 
 // enter forgets what was learned under another term.
@@ -52,7 +54,7 @@
 // that a new holder waits for a former one, not measured.
 const lastOrdersKept = time.Minute
 
-// LastOrders returns how long ago each engine was given its last order, under any term. The next
+// LastOrders returns how long ago each engine was given its last order, under any term, by name. The next
 // holder waits by it.
 func (c *Controller) LastOrders() map[string]time.Duration {
 	c.mu.Lock()
@@ -64,7 +66,7 @@
 	return ages
 }
 
-// noteOrder notes that an engine is given an order now.
+// noteOrder notes that an engine is given an order now. It is noted by name: an order to a former life may still arrive at the next.
 func (c *Controller) noteOrder(engine string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -74,5 +76,5 @@
 			delete(c.lastOrders, id)
 		}
 	}
-	c.lastOrders[engine] = now
+	c.lastOrders[fleet.NameOf(engine)] = now
 }
