Leave out entries that name no upstream, by a reason

Cause: any state but the one that is known was taken for an upstream that takes requests, an entry without address, service or hall became an upstream, and one that can't be read was decoded and logged anew at each change of the list.

Change: pkg/fleet decides which entries name an upstream and says why others do not; each is logged once for a reason and counted. Records of boxes that can't be read are logged once, too, and one without a name is no box.

--- a/internal/node/new.go
+++ b/internal/node/new.go
@@ -175,7 +175,8 @@
 			config.Upstreams.Forget(upstream)
 			s.loads.Forget(upstream)
 		},
-		Log: config.Log,
+		Metrics: config.Set,
+		Log:     config.Log,
 	})
 }
 
--- a/internal/storeview/own.go
+++ b/internal/storeview/own.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"strings"
 
+	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"ospreymoor.example/ospreymoor/internal/cluster"
@@ -28,6 +29,8 @@
 type registeredBox struct {
 	cluster.Box
 	revision int64
+	// unusable means that the record names no box.
+	unusable bool
 }
 
 // boxes returns the registered boxes; only records that changed are decoded: at 295 boxes, one that registers
@@ -42,11 +45,10 @@
 		}
 		box, known := v.boxByKey[key]
 		if !known || box.revision != record.Revision {
-			box.Box, known = v.decodeBox(record)
-			box.revision = record.Revision
+			box = v.decodeBox(record, box.unusable)
 		}
-		if known {
-			next[key] = box
+		next[key] = box
+		if !box.unusable {
 			list = append(list, box.Box)
 		}
 	}
@@ -54,10 +56,21 @@
 	return list
 }
 
-func (v *View) decodeBox(record kv.Record) (box cluster.Box, ok bool) {
-	if err := json.Unmarshal(record.Value, &box); err != nil {
+// errNoBox is the error of a record that can be read and names no box.
+const errNoBox = errors.ConstError("no name: another writer's")
+
+// decodeBox decodes a record. One that names no box is logged once until it names one, as it was not before.
+func (v *View) decodeBox(record kv.Record, was bool) registeredBox {
+	box := registeredBox{revision: record.Revision}
+	err := json.Unmarshal(record.Value, &box.Box)
+	if err == nil && box.Name == "" {
+		err = errNoBox
+	}
+	if err == nil {
+		return box
+	}
+	if !was {
 		v.config.Log.Warn("box record unreadable", zap.String("key", record.Key), logfield.Error(err))
-		return box, false
 	}
-	return box, true
+	return registeredBox{revision: record.Revision, unusable: true}
 }
--- a/internal/storeview/storeview_test.go
+++ b/internal/storeview/storeview_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
@@ -113,6 +114,19 @@
 		}
 	})
 
+	It("logs an entry that names no upstream once for each reason, and uses the upstream again once it is named", func() {
+		f := newFixture(kv.NewMemory().Store())
+		f.config.Metrics = metrics.NewSet()
+		for revision, value := range []string{"e1", "bad", "bad", "bad", "e1", "bad"} {
+			f.take(stateOf(int64(3+revision), map[string]string{"servers/e1": value, "servers/e2": "e2", "own/nodes/a": "{"}))
+			Expect(f.directory.Get("e2")).NotTo(BeNil())
+			Expect(f.directory.Get("e1") != nil).To(Equal(value == "e1"), "%d", revision)
+		}
+		Expect(f.logged.FilterMessage("upstream entry unreadable").Len()).To(Equal(2))
+		Expect(f.logged.FilterMessage("box record unreadable").Len()).To(Equal(1))
+		Expect(f.config.Metrics.GetOrCreateCounter(`ospreymoor_upstream_entries_unusable_total{reason="unreadable"}`).Get()).To(Equal(uint64(4)))
+	})
+
 	It("warns once of a key that two customers have", func() {
 		f := newFixture(kv.NewMemory().Store())
 		f.take(stateOf(3, map[string]string{"config": "shared key"}))
--- a/internal/storeview/upstreams.go
+++ b/internal/storeview/upstreams.go
@@ -1,6 +1,7 @@
 package storeview
 
 import (
+	"fmt"
 	"strings"
 
 	"go.uber.org/zap"
@@ -11,33 +12,52 @@
 	"ospreymoor.example/ospreymoor/pkg/mirror"
 )
 
-// takeUpstreams takes a list of upstreams; only records that changed are decoded.
+// listEntry is what a record of the list of upstreams was decoded to.
+type listEntry struct {
+	fleet.Upstream
+	revision int64
+	// unusable is why it names no upstream to use; empty if it names one.
+	unusable string
+}
+
+// takeUpstreams takes a list of upstreams; only records that changed are decoded. Those that name no upstream to use are left out,
+// whatever the upstream was before.
 func (v *View) takeUpstreams(state mirror.State) {
-	next := make(map[string]fleet.Upstream, len(v.upstreams))
+	next := make(map[string]listEntry, len(v.upstreams))
 	list := make([]fleet.Upstream, 0, len(v.upstreams))
 	for key, record := range state.Records {
 		if !strings.HasPrefix(key, v.config.Platform.UpstreamPrefix) {
 			continue
 		}
-		upstream, ok := v.upstreams[key]
-		if !ok || upstream.Revision != record.Revision {
-			upstream, ok = v.decodeUpstream(record)
+		entry, ok := v.upstreams[key]
+		if !ok || entry.revision != record.Revision {
+			entry = v.decodeEntry(record, entry.unusable)
 		}
-		if ok {
-			next[key] = upstream
-			list = append(list, upstream)
+		next[key] = entry
+		if entry.unusable == "" {
+			list = append(list, entry.Upstream)
 		}
 	}
 	v.upstreams = next
 	v.NoteChanges(v.config.Directory.SetList(state.Revision, list, state.PreviousCurrentAt))
 }
 
-func (v *View) decodeUpstream(record kv.Record) (fleet.Upstream, bool) {
+// decodeEntry decodes a record. One that names no upstream is logged once for each reason, as was the reason of the record before:
+// its writer may write it again each second.
+func (v *View) decodeEntry(record kv.Record, was string) listEntry {
 	upstream, err := v.config.Platform.DecodeUpstream(record)
-	if err != nil {
-		v.config.Log.Warn("upstream entry unreadable", zap.String("key", record.Key), logfield.Error(err))
+	if err == nil {
+		return listEntry{Upstream: upstream, revision: record.Revision}
+	}
+	entry := listEntry{revision: record.Revision, unusable: fleet.EntryReason(err)}
+	if v.config.Metrics != nil {
+		v.config.Metrics.GetOrCreateCounter(fmt.Sprintf("ospreymoor_upstream_entries_unusable_total{reason=%q}", entry.unusable)).Inc()
+	}
+	if entry.unusable != was {
+		v.config.Log.Warn("upstream entry unreadable",
+			zap.String("key", record.Key), zap.String("reason", entry.unusable), zap.Int64("revision", record.Revision), logfield.Error(err))
 	}
-	return upstream, err == nil
+	return entry
 }
 
 // NoteChanges logs upstreams that joined, went or began to leave, and has those that went forgotten.
--- a/internal/storeview/view.go
+++ b/internal/storeview/view.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"ospreymoor.example/ospreymoor/internal/cluster"
@@ -29,7 +30,9 @@
 	SetTable func(*routes.Table) bool
 	// Forget is called with the id of each upstream that is gone.
 	Forget func(upstream string)
-	Log    *zap.Logger
+	// Metrics counts entries that name no upstream; nil counts none.
+	Metrics *metrics.Set
+	Log     *zap.Logger
 }
 
 // View is the copy of the store, and what is decoded from it.
@@ -43,8 +46,8 @@
 
 	// table is the revision of the configuration that was decoded last.
 	table int64
-	// upstreams are those of the last list, by key.
-	upstreams map[string]fleet.Upstream
+	// upstreams are the entries of the last list, by key.
+	upstreams map[string]listEntry
 	// boxByKey are the boxes of the last list, by key.
 	boxByKey map[string]registeredBox
 	// own is the state of the own records that was decoded last.
@@ -53,7 +56,7 @@
 
 // New returns a view without a copy; Run fills it.
 func New(config Config) *View {
-	v := &View{config: config, spread: rand.N(stalenessSpread), upstreams: map[string]fleet.Upstream{}}
+	v := &View{config: config, spread: rand.N(stalenessSpread), upstreams: map[string]listEntry{}}
 	v.mirror = &mirror.Mirror{
 		Store:          config.Platform.Store,
 		OnChange:       v.take,
