--- a/pkg/fleet/incarnation_test.go
+++ b/pkg/fleet/incarnation_test.go
@@ -21,6 +21,24 @@
 		Entry("a name with the sign in it, born", "e@x", int64(7), "e@x@7"),
 	)
 
+	It("is not displaced by a late write of one that was at its address before", func() {
+		d := fleet.New()
+		at := func(id string, revision int64) fleet.Upstream {
+			upstream := engine(id, revision)
+			upstream.Address = "a:1"
+			return upstream
+		}
+		d.SetList(2, []fleet.Upstream{at("e1@10", 1), at("e2@20", 2)}, time.Now())
+		Expect(d.Get("e1@10")).To(BeNil())
+		d.SetList(3, []fleet.Upstream{at("e1@10", 3), at("e2@20", 2)}, time.Now())
+		Expect(d.Get("e1@10")).To(BeNil())
+		Expect(d.Get("e2@20")).NotTo(BeNil())
+		By("but by the later write where a start is not known")
+		d.SetList(4, []fleet.Upstream{at("e1@10", 3), at("e3", 4)}, time.Now())
+		Expect(d.Get("e1@10")).To(BeNil())
+		Expect(d.Get("e3")).NotTo(BeNil())
+	})
+
 	It("has nothing of its former life, which is gone at once, wherever it listens", func() {
 		d := fleet.New()
 		life := func(born, revision int64, address string) fleet.Upstream {
--- a/pkg/fleet/list.go
+++ b/pkg/fleet/list.go
@@ -71,15 +71,18 @@
 	return ""
 }
 
-// withoutReplaced leaves out the upstreams at whose address a newer entry is listed: their processes
+// withoutReplaced leaves out the upstreams at whose address a later one is listed: their processes
 // are gone, though their entries stay until the platform misses their heartbeats.
 func withoutReplaced(list []Upstream) []Upstream {
-	newest := make(map[string]int64, len(list))
-	for _, upstream := range list {
-		newest[upstream.Address] = max(newest[upstream.Address], upstream.Revision)
+	latest := make(map[string]*Upstream, len(list))
+	for n := range list {
+		upstream := &list[n]
+		if known := latest[upstream.Address]; known == nil || upstream.replaces(known) {
+			latest[upstream.Address] = upstream
+		}
 	}
 	return slices.DeleteFunc(slices.Clone(list), func(upstream Upstream) bool {
-		return upstream.Address != "" && upstream.Revision < newest[upstream.Address]
+		return upstream.Address != "" && latest[upstream.Address].replaces(&upstream)
 	})
 }
 
