--- a/internal/storeview/quarantine.go
+++ b/internal/storeview/quarantine.go
@@ -117,7 +117,7 @@
 	return err
 }
 
-// takeHeld takes in the store's records of requests that are held.
+// takeHeld takes in the store's records of requests that are held, those that were written since the last time.
 func (v *View) takeHeld(state mirror.State) {
 	prefix := v.config.Platform.OwnPrefix + quarantinePart
 	for key, record := range state.Records {
@@ -125,10 +125,14 @@
 		if !ok {
 			continue
 		}
+		if record.Revision <= v.holdsRead {
+			continue
+		}
 		if err := v.restore(text, record.Value); err != nil {
 			v.config.Log.Warn("record of a held request unreadable", zap.String("key", key), logfield.Error(err))
 		}
 	}
+	v.holdsRead = state.Revision
 }
 
 func (v *View) restore(text string, value []byte) error {
--- a/internal/storeview/view.go
+++ b/internal/storeview/view.go
@@ -50,6 +50,8 @@
 	upstreams map[string]listEntry
 	// boxByKey are the boxes of the last list, by key.
 	boxByKey map[string]registeredBox
+	// holdsRead is up to which revision records of held requests were taken in.
+	holdsRead int64
 	// own is the state of the own records that was decoded last.
 	own fingerprint
 }
--- a/pkg/quarantine/register.go
+++ b/pkg/quarantine/register.go
@@ -22,6 +22,8 @@
 	answeredMemory = time.Minute
 	// keptCrashes is how many crashes of a record are kept, the latest. It bounds the hold to 2^5 times the first one.
 	keptCrashes = 8
+	// pruneInterval is how often records that are over are dropped. Chosen, not measured.
+	pruneInterval = 10 * time.Second
 	// maxRecords bounds the records of a box, at 0.2 KB each. Chosen, not measured: the requests under way when 60 engines
 	// crash at once.
 	maxRecords = 4096
@@ -136,6 +138,8 @@
 	records map[Fingerprint]*record
 	// changed are the records with news for other boxes.
 	changed map[Fingerprint]bool
+	// pruned is when records that are over were last dropped.
+	pruned time.Time
 }
 
 // NewRegister returns a register without records.
@@ -147,6 +151,9 @@
 func (r *Register) Empty() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if now := time.Now(); len(r.records) > 0 && now.Sub(r.pruned) >= pruneInterval {
+		r.prune(now)
+	}
 	return len(r.records) == 0
 }
 
@@ -198,6 +205,10 @@
 // of returns the record of a request, a new one if there is none. The caller holds the lock.
 func (r *Register) of(f Fingerprint, now time.Time) *record {
 	known := r.records[f]
+	if known != nil && known.over(&r.Policy, now) {
+		r.drop(f)
+		known = nil
+	}
 	if known == nil {
 		if len(r.records) >= maxRecords {
 			r.evict(now)
@@ -227,6 +238,7 @@
 
 // prune drops the records that are over. The caller holds the lock.
 func (r *Register) prune(now time.Time) {
+	r.pruned = now
 	for f, known := range r.records {
 		if known.over(&r.Policy, now) {
 			r.drop(f)
--- a/pkg/quarantine/register_test.go
+++ b/pkg/quarantine/register_test.go
@@ -95,8 +95,14 @@
 		crash("e2")
 		Expect(r.Verdict(request).Crashes).To(Equal(2))
 		time.Sleep(40 * time.Minute)
-		Expect(r.Counts()).To(Equal(quarantine.Counts{}))
 		Expect(r.Empty()).To(BeTrue())
+		By("so that a crash much later is the first one, whoever asked meanwhile")
+		crash("e3")
+		time.Sleep(40 * time.Minute)
+		crash("e4")
+		Expect(r.Verdict(request).Crashes).To(Equal(1))
+		time.Sleep(40 * time.Minute)
+		Expect(r.Counts()).To(Equal(quarantine.Counts{}))
 	}))
 
 	It("says what is known, for how long and from where", in(func() {
