--- a/internal/node/crash_callers_test.go
+++ b/internal/node/crash_callers_test.go
@@ -88,6 +88,13 @@
 // anyBox returns a box at random.
 func (c *crashFleet) anyBox(random *rand.Rand) int { return random.IntN(c.boxes) }
 
+// crashCount is how many upstreams crashed so far.
+func (c *crashFleet) crashCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.crashes)
+}
+
 // sentTooLate counts how often a request reached upstreams when every box in touch must have known of the third that crashed
 // under it, over all requests.
 func (c *crashFleet) sentTooLate() int {
--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -39,10 +39,10 @@
 			c.askInnocents(innocents, comes*every, c.anyBox)
 			c.askAgain(guilty, comes, every, c.anyBox)
 			c.callers.Wait()
-			GinkgoWriter.Printf("%d crashes, others ended: %v\n", len(c.crashes), c.outcomes)
-			Expect(len(c.crashes)).To(BeNumerically(">=", 3))
+			GinkgoWriter.Printf("%d crashes, others ended: %v\n", c.crashCount(), c.outcomes)
+			Expect(c.crashCount()).To(BeNumerically(">=", 3))
 			Expect(c.sentTooLate()).To(BeZero())
-			Expect(len(c.crashes)).To(BeNumerically("<=", 4))
+			Expect(c.crashCount()).To(BeNumerically("<=", 4))
 			Expect(c.outcomes[refused+" at its return"]+c.outcomes[held+" at its return"]).To(BeZero(), "others that are not served")
 		})
 	},
@@ -71,7 +71,7 @@
 	It("stays away after every box has started again", func() {
 		sizes(seven, func(c *crashFleet) {
 			c.askAgain(guilty, 5, 2*time.Second, c.anyBox)
-			crashes := len(c.crashes)
+			crashes := c.crashCount()
 			for n := range c.boxes {
 				c.stops[n]()
 			}
@@ -81,7 +81,7 @@
 			}
 			time.Sleep(touchTime)
 			c.askAgain(guilty, 5, 2*time.Second, c.anyBox)
-			Expect(len(c.crashes)).To(Equal(crashes))
+			Expect(c.crashCount()).To(Equal(crashes))
 		})
 	})
 
@@ -99,11 +99,11 @@
 			c.setCut("z3", true)
 			time.Sleep(touchTime)
 			c.askAgain(guilty, 5, 2*time.Second, inHall("others"))
-			crashes := len(c.crashes)
+			crashes := c.crashCount()
 			c.setCut("z3", false)
 			time.Sleep(touchTime)
 			c.askAgain(guilty, 5, 2*time.Second, inHall("z3"))
-			Expect(len(c.crashes)).To(Equal(crashes))
+			Expect(c.crashCount()).To(Equal(crashes))
 		})
 	})
 })
--- a/internal/node/crash_ways_test.go
+++ b/internal/node/crash_ways_test.go
@@ -110,7 +110,7 @@
 		c.askInnocents(min(600, 12*size.boxes), crashLoadTime, c.anyBox)
 		load.play(c)
 		c.callers.Wait()
-		fmt.Printf("| %d | %s | %s | %d | %d | %d | %d | %d |\n", size.boxes, load.name, way.name, len(c.crashes), c.sentTooLate(),
+		fmt.Printf("| %d | %s | %s | %d | %d | %d | %d | %d |\n", size.boxes, load.name, way.name, c.crashCount(), c.sentTooLate(),
 			c.outcomes[broken], c.outcomes[refused+" at its return"]+c.outcomes[held+" at its return"], c.outcomes[served+" at its return"])
 	})
 }
