One line for an attempt whose answer broke, crashed under or not; say what Empty drops

Reading the diff: broke had three calls of the same log line behind early returns, one of them for a check that belongs to crashed. Behaviour as before.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -61,9 +61,10 @@
 	return check, true
 }
 
-// crashed reports whether an upstream whose answer just broke has crashed, and when it was looked at first.
+// crashed reports whether an upstream whose answer just broke has crashed, and when it was looked at first. Nobody looks for a
+// request whose ctx has ended.
 func (g *Gateway) crashed(ctx context.Context, upstream fleet.Upstream) (at time.Time, crashed bool) {
-	if g.Upstreams.Refuses == nil {
+	if g.Upstreams.Refuses == nil || ctx.Err() != nil {
 		return time.Time{}, false
 	}
 	check, isNew := g.crashChecks.begin(upstream.ID, time.Now())
@@ -106,18 +107,13 @@
 // the upstream's end.
 func (r *inflight) broke(ctx context.Context, choice dispatch.Choice, status int, took time.Duration, err error) {
 	r.gateway.Loads.RecordOutcome(choice.Upstream.ID, false)
-	if ctx.Err() != nil {
-		r.logAttempt(choice, status, took, err)
-		return
+	var found []zap.Field
+	if at, crashed := r.gateway.crashed(ctx, choice.Upstream.Upstream); crashed {
+		r.gateway.Quarantine.NoteCrash(r.fingerprint(), choice.Upstream.ID, at)
+		r.gateway.Metrics.GetOrCreateCounter("ospreymoor_requests_crashed_under_total").Inc()
+		found = []zap.Field{zap.Bool("crashed", true), zap.Stringer("content", r.fingerprint())}
 	}
-	at, crashed := r.gateway.crashed(ctx, choice.Upstream.Upstream)
-	if !crashed {
-		r.logAttempt(choice, status, took, err)
-		return
-	}
-	r.gateway.Quarantine.NoteCrash(r.fingerprint(), choice.Upstream.ID, at)
-	r.gateway.Metrics.GetOrCreateCounter("ospreymoor_requests_crashed_under_total").Inc()
-	r.logAttempt(choice, status, took, err, zap.Bool("crashed", true), zap.Stringer("content", r.fingerprint()))
+	r.logAttempt(choice, status, took, err, found...)
 }
 
 // held returns the refusal of a request under which upstreams crash, one after the other; nil if it may be sent. It is asked ahead
--- a/pkg/quarantine/register.go
+++ b/pkg/quarantine/register.go
@@ -147,7 +147,8 @@
 	return &Register{Policy: policy, records: map[Fingerprint]*record{}, changed: map[Fingerprint]bool{}}
 }
 
-// Empty reports whether nothing is known of any request.
+// Empty drops records that are over, at most once in pruneInterval, and reports whether nothing is known of any request. It is
+// asked for each request, ahead of what costs more.
 func (r *Register) Empty() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
