Read and log what upstreams tell of themselves in their answers; nothing acts on it yet

Lines had an answer's status alone: whether an engine had told a box that it leaves or wants rest, by which call, and what the box sent to it afterwards could not be read from them. The head of each answer (requests, orders, reports) is now read in one place, under the life it was sent to: lines 'upstream notice' and 'sent against notice', two metrics, fields of 'order'. No decision reads it yet.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -18,8 +18,9 @@
 	if !r.deadlines.answer.IsZero() {
 		attempt.Left = time.Until(r.deadlines.answer)
 	}
+	r.noteAgainst(choice)
 	begun := time.Now()
-	answer, err := r.gateway.Upstreams.Send(ctx, choice.Upstream.Upstream, attempt)
+	answer, err := r.gateway.Upstreams.Send(ctx, r.gateway.Directory.Endpoint(choice.Upstream.Upstream), attempt)
 	r.recordHead(ctx, choice, answer, err, time.Since(begun))
 	return answer, ticket, err
 }
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -56,6 +56,8 @@
 	// customers and urgencies are those of the attempts.
 	customers []string
 	urgencies []int
+	// tells is what the answer of an upstream to its nth request tells of it; nil tells nothing.
+	tells func(upstream string, n int) fleet.Notice
 	// gone are the upstreams that crashed, and looks counts the looks at them.
 	gone  map[string]bool
 	looks int
@@ -71,7 +73,7 @@
 
 const plainBody = "the whole answer"
 
-func (f *fakeUpstreams) send(ctx context.Context, to fleet.Upstream, attempt Attempt) (*Answer, error) {
+func (f *fakeUpstreams) send(ctx context.Context, to fleet.Endpoint, attempt Attempt) (*Answer, error) {
 	id := attempt.Request.ID
 	f.mu.Lock()
 	f.sends[id]++
@@ -80,13 +82,26 @@
 	f.on = append(f.on, to.ID)
 	f.customers = append(f.customers, attempt.Customer)
 	f.urgencies = append(f.urgencies, attempt.Urgency)
+	nth := 0
+	for _, on := range f.on {
+		if on == to.ID {
+			nth++
+		}
+	}
 	f.mu.Unlock()
+	if f.tells != nil {
+		notice := f.tells(to.ID, nth)
+		to.Told(notice)
+		if notice.Rest > 0 {
+			return turnedDown(), nil
+		}
+	}
 	chosen := f.choose(id, n)
 	switch chosen {
 	case notSent:
 		return nil, ErrNotSent
 	case refuses:
-		return &Answer{Status: http.StatusServiceUnavailable, NotExecuted: true, Body: io.NopCloser(strings.NewReader("")), Header: http.Header{}}, nil
+		return turnedDown(), nil
 	}
 	f.mu.Lock()
 	f.runs[id]++
@@ -117,6 +132,11 @@
 	return &Answer{Status: http.StatusOK, Header: http.Header{"Seal": {to.ID}}, Body: io.NopCloser(body)}, nil
 }
 
+// turnedDown is the answer of an upstream that does not run a request.
+func turnedDown() *Answer {
+	return &Answer{Status: http.StatusServiceUnavailable, NotExecuted: true, Body: io.NopCloser(strings.NewReader("")), Header: http.Header{}}
+}
+
 // eventCount is how many events answer a stream.
 const eventCount = 6
 
--- a/internal/gateway/reservations_test.go
+++ b/internal/gateway/reservations_test.go
@@ -88,7 +88,7 @@
 }
 
 // send reads the prompt behind those that the engine has, and answers with a stream of half a second.
-func (f *readingFleet) send(_ context.Context, to fleet.Upstream, attempt Attempt) (*Answer, error) {
+func (f *readingFleet) send(_ context.Context, to fleet.Endpoint, attempt Attempt) (*Answer, error) {
 	f.mu.Lock()
 	now := time.Now()
 	until := now
--- a/internal/node/new.go
+++ b/internal/node/new.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/google/uuid"
 	"go.uber.org/zap"
@@ -45,7 +46,7 @@
 	}
 	n := &Node{}
 	s := shared{
-		directory: fleet.New(),
+		directory: newDirectory(config),
 		loads:     dispatch.NewLoadTracker(),
 		demand:    &residency.Demand{},
 		pending:   cluster.NewPendingUpdates(),
@@ -80,6 +81,25 @@
 	return n
 }
 
+// newDirectory returns a directory that counts and logs what upstreams tell in their answers.
+func newDirectory(config Config) *fleet.Directory {
+	directory := fleet.New()
+	directory.OnNotice = func(noted fleet.Noted) {
+		for _, kind := range noted.Kinds() {
+			config.Set.GetOrCreateCounter(fmt.Sprintf("ospreymoor_upstream_notices_total{kind=%q,call=%q}", kind, noted.Call)).Inc()
+		}
+		config.Log.Info("upstream notice",
+			zap.String("backend", noted.Upstream),
+			zap.Strings("kinds", noted.Kinds()),
+			zap.Duration("rest", noted.Rest),
+			zap.String("unreadable", noted.Unreadable),
+			zap.String("call", string(noted.Call)),
+			zap.Int("status", noted.Status),
+			zap.Int64("listRevision", directory.Revision()))
+	}
+	return directory
+}
+
 // table is the configuration in force, nil if there is none.
 func (n *Node) table() *routes.Table { return n.Gateway.Table() }
 
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -32,6 +32,11 @@
 	marks map[mark]time.Time
 	// refusals counts how often in a row an upstream took no connection, by its id.
 	refusals map[string]int
+	// told is what answers told, by the upstream's id.
+	told map[string]told
+
+	// OnNotice is called with what is news of an answer, outside of the lock; nil is not. It is to be set before the first answer.
+	OnNotice func(Noted)
 }
 
 // New returns an empty directory.
@@ -42,6 +47,7 @@
 		residencies: map[string]residency{},
 		marks:       map[mark]time.Time{},
 		refusals:    map[string]int{},
+		told:        map[string]told{},
 	}
 }
 
--- a/pkg/residency/orderround.go
+++ b/pkg/residency/orderround.go
@@ -147,11 +147,12 @@
 		return Refused, err
 	}
 	order.Holder, order.Term = e.controller.Holder, term
-	result, err := e.controller.Engines.Order(callCtx, state.Upstream, order)
+	against := e.controller.Directory.Against(e.id)
+	result, err := e.controller.Engines.Order(callCtx, e.controller.Directory.Endpoint(state.Upstream), order)
 	if err != nil {
 		e.avoid()
 	}
-	e.controller.logOrder(e.id, order, result, err)
+	e.controller.logOrder(e.id, order, against, result, err)
 	return result, err
 }
 
@@ -194,11 +195,11 @@
 func (e *engine) askReport(ctx context.Context, of fleet.Upstream) (Report, error) {
 	callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	return e.controller.Engines.Report(callCtx, of)
+	return e.controller.Engines.Report(callCtx, e.controller.Directory.Endpoint(of))
 }
 
-func (c *Controller) logOrder(engine string, order Order, result Result, err error) {
-	c.Log.Info("order",
+func (c *Controller) logOrder(engine string, order Order, against fleet.Against, result Result, err error) {
+	c.Log.Info("order", append(againstFields(against),
 		zap.String("engine", engine),
 		zap.String("operation", string(order.Operation)),
 		zap.String("model", order.Model),
@@ -206,5 +207,13 @@
 		zap.Int64("expected", order.ExpectedCount),
 		zap.Int64("term", order.Term),
 		zap.Stringer("result", result),
-		logfield.Error(err))
+		logfield.Error(err))...)
+}
+
+// againstFields is what an order goes against; none if that is nothing.
+func againstFields(against fleet.Against) []zap.Field {
+	if !against.Any() {
+		return nil
+	}
+	return []zap.Field{zap.Duration("leavingFor", against.LeavingFor), zap.Duration("restLeft", against.RestLeft)}
 }
