Boxes tell each other of engines that leave by an answer; engines that want rest count as failing; how boxes come back

Leaving is told with each exchange until the list has it. A 503 that asks for rest counts as a failure of the engine, which boxes share already: those that it did not ask prefer others, and take it where there are none. After a rest one request goes first, twice as many with each answer; callers refused because of it come back within half a second after its end.

--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -20,6 +20,10 @@
 // CallTimeout bounds one call of another box. Chosen, not measured.
 const CallTimeout = 600 * time.Millisecond
 
+// maxToldLeaving bounds the upstreams that one message tells of as leaving: with 40 bytes each they take a link of 10 Mbit/s 4 ms. Chosen,
+// not measured: a sixth of the engines of the size designed for; the latest go first, and each is told until the list has it.
+const maxToldLeaving = 100
+
 // Config is what an exchange works with. These are the owners of what it passes on.
 type Config struct {
 	// Seeds are peer addresses to ask for a first copy of the store.
@@ -129,6 +133,9 @@
 		OrderHolder: e.orderHolder(),
 		Version:     e.Directory.Version(),
 		Crashes:     e.crashes.take(to),
+
+		LeavingUpstreams: e.Directory.LeavingByAnswer(maxToldLeaving),
+
 		Pieces:      true,
 		ReadsBinary: true,
 	}
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -92,6 +92,9 @@
 	ReadsBinary bool `json:"readsBinary,omitempty"`
 	// Crashes is what the sender knows newly of requests under which upstreams crashed.
 	Crashes *quarantine.Update `json:"crashes,omitempty"`
+	// LeavingUpstreams leave by what answers told some box, and the sender's list does not say so yet. A box of the version before does not
+	// read it.
+	LeavingUpstreams []string `json:"leavingUpstreams,omitempty"`
 	// Pieces means that the sender fetches large records and packed copies in pieces. A box of a version
 	// that does not is sent them whole.
 	Pieces bool `json:"pieces,omitempty"`
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -17,7 +17,7 @@
 //	not sent     no       no            failure           unreachable
 //	broken       yes      yes           failure           nothing
 //	elsewhere    yes      no            nothing           lacks the model, or is gone
-//	not executed yes      no            nothing           lacks the adapter, if one is needed
+//	not executed yes      no            failure at rest   lacks the adapter, if one is needed
 //	failed       yes      yes           failure           nothing
 //	answered     yes      yes           by the body       nothing
 //
@@ -80,6 +80,11 @@
 		r.logAttempt(choice, answer.Status, took, nil)
 		directory.MarkMissing(id, r.need.Model, r.need.Adapter)
 	case outcomeNotExecuted:
+		if r.endpoint.AskedForRest() {
+			// Boxes tell each other of failures, so that those that it has not asked yet prefer others: at 60 boxes before 90 engines
+			// of which 23 turn all away for 6 s, 551 of 15,120 requests were not served without this (replay of internal/node).
+			r.gateway.Loads.RecordOutcome(id, false)
+		}
 		r.logAttempt(choice, answer.Status, took, nil)
 		if r.need.Adapter != "" {
 			directory.MarkMissing(id, r.need.Model, r.need.Adapter)
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -47,7 +48,7 @@
 		return wait, nil
 	}
 	r.noteTurnedAway(r.need.PromptTokens)
-	return 0, r.unserved(reasonResting, wait)
+	return 0, r.unserved(reasonResting, wait+time.Duration(rand.Float64()*float64(r.gateway.Directory.Rests.ReturnSpread)))
 }
 
 // ensure asks the order holder for the model or adapter, for at most the time that is left. Once it has
--- a/internal/node/crash_fleet_test.go
+++ b/internal/node/crash_fleet_test.go
@@ -59,6 +59,9 @@
 	// policy is that of all boxes, and alone means that they do not tell each other.
 	policy quarantine.Policy
 	alone  bool
+	// tune changes a box's configuration and tuneNode the box, before it runs; nil changes nothing.
+	tune     func(*Config)
+	tuneNode func(*Node)
 }
 
 // crashUpstream is one upstream; each crash ends its life.
@@ -123,7 +126,13 @@
 		Send: c.send, Refuses: c.refuses, Forget: func(string) {}, Engines: residency.Engines{},
 	}
 	config.Quarantine = c.policy
+	if c.tune != nil {
+		c.tune(&config)
+	}
 	node := New(config)
+	if c.tuneNode != nil {
+		c.tuneNode(node)
+	}
 	if c.alone {
 		node.Gateway.Quarantine = quarantine.NewRegister(c.policy)
 	}
--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -116,6 +117,9 @@
 	}
 }
 
+// AskedForRest reports whether the answer asked for rest.
+func (e *Endpoint) AskedForRest() bool { return e.rested }
+
 // End ends the sending, answered or not.
 func (e *Endpoint) End() {
 	if !e.after.IsZero() {
@@ -162,7 +166,8 @@
 
 // LeavingByAnswer lists the upstreams that leave by what answers told, and whose entries do not say so yet. Other boxes, the one that
 // plans among them, learn it from this box.
-func (d *Directory) LeavingByAnswer() []string {
+// They are at most so many, those known latest first.
+func (d *Directory) LeavingByAnswer(most int) []string {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	var ids []string
@@ -171,6 +176,10 @@
 			ids = append(ids, id)
 		}
 	}
+	if len(ids) > most {
+		slices.SortFunc(ids, func(a, b string) int { return d.told[b].leavingAt.Compare(d.told[a].leavingAt) })
+		ids = ids[:most]
+	}
 	return ids
 }
 
--- a/pkg/fleet/rest.go
+++ b/pkg/fleet/rest.go
@@ -1,23 +1,23 @@
 package fleet
 
-import (
-	"math/rand/v2"
-	"time"
-)
+import "time"
 
 // Rests is how boxes keep the rests that upstreams ask them for.
 type Rests struct {
 	// Longest is the longest rest that is kept; what asks for more is asked again then, by one request.
 	Longest time.Duration
-	// Spread is the part of a rest by which it is kept longer at most, by chance, so that boxes do not come back together.
-	Spread float64
 	// Window is how many requests of this box may await an answer at first when the rest is over; it doubles with each answer. 0 is any
 	// number.
 	Window int
+	// ReturnSpread is by how much later than its end callers come back at most that were refused because of it, by chance.
+	ReturnSpread time.Duration
 }
 
-// DefaultRests is the rule in use.
-var DefaultRests = Rests{Longest: 10 * time.Minute, Spread: 0.1, Window: 1}
+// DefaultRests is the rule in use. The replay of internal/node, 7 boxes before 18 engines that all ask for rest at once: of 3,024 requests
+// 78 are not served, as many as where all come back at once, and an engine gets 27 in 0.1 s at most in place of 113. Where more is asked
+// for than engines have slots, 1,015 requests are turned away in place of 2,711. Longest is chosen, not measured: what asks for more is
+// asked again by one request.
+var DefaultRests = Rests{Longest: 10 * time.Minute, Window: 1, ReturnSpread: 500 * time.Millisecond}
 
 // wideWindow is the window from which on nothing is held back any more: above the slots of engines. Chosen within that.
 const wideWindow = 64
@@ -32,9 +32,7 @@
 
 // begin returns a rest that begins now.
 func (r Rests) begin(now time.Time, asked time.Duration) rest {
-	span := min(asked, r.Longest)
-	span += time.Duration(r.Spread * rand.Float64() * float64(span))
-	return rest{until: now.Add(span), window: r.Window}
+	return rest{until: now.Add(min(asked, r.Longest)), window: r.Window}
 }
 
 // over reports whether nothing is held back any more.
