--- a/internal/node/crash_callers_test.go
+++ b/internal/node/crash_callers_test.go
@@ -68,6 +68,11 @@
 		outcome += " at its return"
 	}
 	c.outcome(outcome)
+	if outcome == held+" at its return" {
+		c.mu.Lock()
+		c.heldAfter = append(c.heldAfter, c.under[body])
+		c.mu.Unlock()
+	}
 }
 
 // askAgain has a caller send a request at any box, again and again, as one that crashes upstreams.
