--- a/internal/node/notice_ways_test.go
+++ b/internal/node/notice_ways_test.go
@@ -64,6 +64,11 @@
 			n.engineSlots = max(1, int(perSecond*1.2/float64(len(n.engines))/1.33))
 			n.askForModel(perSecond, noticeLoadTime)
 		}},
+		{name: "the same with rests of 0.2 s", play: func(n *noticeFleet, perSecond float64) {
+			n.rest = 200 * time.Millisecond
+			n.engineSlots = max(1, int(perSecond*1.2/float64(len(n.engines))/1.33))
+			n.askForModel(perSecond, noticeLoadTime)
+		}},
 	}
 }
 
--- a/pkg/residency/ensure.go
+++ b/pkg/residency/ensure.go
@@ -26,7 +26,8 @@
 const crowdedWork = 60
 
 // Ensure has an adapter of a model loaded on an engine that holds the model, and returns where.
-// Engines to avoid are not chosen: the box that asks must not send them anything now. For a model that no engine holds it returns ErrNoPlace at once, with the time until the load is
+// Engines to avoid are not chosen: the box that asks must not send them anything now.
+// For a model that no engine holds it returns ErrNoPlace at once, with the time until the load is
 // done. Other errors are those of Config.Term, ErrUnknownModel, ErrFailed and the context's.
 func (c *Controller) Ensure(ctx context.Context, service, model, adapter string, avoid ...string) (EnsureResult, error) {
 	term, err := c.Term()
