--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -20,10 +20,6 @@
 // CallTimeout bounds one call of another box. Chosen, not measured.
 const CallTimeout = 600 * time.Millisecond
 
-// maxToldLeaving bounds the upstreams that one message tells of as leaving: with 40 bytes each they take a link of 10 Mbit/s 4 ms. Chosen,
-// not measured: a sixth of the engines of the size designed for; the latest go first, and each is told until the list has it.
-const maxToldLeaving = 100
-
 // Config is what an exchange works with. These are the owners of what it passes on.
 type Config struct {
 	// Seeds are peer addresses to ask for a first copy of the store.
@@ -59,6 +55,8 @@
 	sender                  *sender
 	pace                    pace
 	crashes                 *crashNews
+	// leaving takes turns among the upstreams that boxes are told of as leaving.
+	leaving leavingTurns
 }
 
 // NewExchange returns an exchange; Run starts it.
@@ -134,7 +132,7 @@
 		Version:     e.Directory.Version(),
 		Crashes:     e.crashes.take(to),
 
-		LeavingUpstreams: e.Directory.LeavingByAnswer(maxToldLeaving),
+		LeavingUpstreams: e.leaving.next(to, e.Directory.LeavingByAnswer()),
 
 		Pieces:      true,
 		ReadsBinary: true,
--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -166,8 +166,8 @@
 
 // LeavingByAnswer lists the upstreams that leave by what answers told, and whose entries do not say so yet. Other boxes, the one that
 // plans among them, learn it from this box.
-// They are at most so many, those known latest first.
-func (d *Directory) LeavingByAnswer(most int) []string {
+// They are in the order of their ids.
+func (d *Directory) LeavingByAnswer() []string {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	var ids []string
@@ -176,10 +176,7 @@
 			ids = append(ids, id)
 		}
 	}
-	if len(ids) > most {
-		slices.SortFunc(ids, func(a, b string) int { return d.told[b].leavingAt.Compare(d.told[a].leavingAt) })
-		ids = ids[:most]
-	}
+	slices.Sort(ids)
 	return ids
 }
 
--- a/pkg/fleet/notice_test.go
+++ b/pkg/fleet/notice_test.go
@@ -83,7 +83,7 @@
 		spectest.Bubble(func() {
 			d, other := listed(entry("a", 1)), listed(entry("a", 1))
 			Expect(send(d, "a", Notice{Leaving: true})).To(Succeed())
-			Expect(d.LeavingByAnswer(10)).To(Equal([]string{"a"}))
+			Expect(d.LeavingByAnswer()).To(Equal([]string{"a"}))
 			var noted []Noted
 			other.OnNotice = func(n Noted) { noted = append(noted, n) }
 			for range 3 {
@@ -96,7 +96,7 @@
 			leaving := entry("a", 2)
 			leaving.Leaving = true
 			d.SetList(2, []Upstream{leaving}, time.Now())
-			Expect(d.LeavingByAnswer(10)).To(BeEmpty())
+			Expect(d.LeavingByAnswer()).To(BeEmpty())
 		})
 	})
 
