--- a/internal/node/notice_fleet_test.go
+++ b/internal/node/notice_fleet_test.go
@@ -11,6 +11,9 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
 	"ospreymoor.example/ospreymoor/internal/gateway"
 	"ospreymoor.example/ospreymoor/pkg/fleet"
 	"ospreymoor.example/ospreymoor/pkg/kv"
@@ -33,6 +36,8 @@
 type noticeFleet struct {
 	*crashFleet
 	way noticeWay
+	// logTo, if set, gets the lines of all boxes.
+	logTo zapcore.Core
 	// engineSlots is how many requests an engine runs at once; it turns others away and asks for rest. 0 is any number.
 	engineSlots int
 	rest        time.Duration
@@ -78,7 +83,12 @@
 
 // withNoticeFleet runs f on a fleet in a bubble.
 func withNoticeFleet(size smallFleetSize, way noticeWay, f func(*noticeFleet)) {
-	n := &noticeFleet{way: way, rest: 3 * time.Second, engines: map[string]*noticeEngine{}}
+	withLoggedNoticeFleet(size, way, nil, f)
+}
+
+// withLoggedNoticeFleet runs f on a fleet whose boxes' lines go to a core; nil drops them.
+func withLoggedNoticeFleet(size smallFleetSize, way noticeWay, logTo zapcore.Core, f func(*noticeFleet)) {
+	n := &noticeFleet{logTo: logTo, way: way, rest: 3 * time.Second, engines: map[string]*noticeEngine{}}
 	before := func(c *crashFleet) {
 		n.crashFleet = c
 		for k := range size.upstreams {
@@ -111,6 +121,9 @@
 	config.Platform.DecodeUpstream = func(record kv.Record) (fleet.Upstream, error) {
 		return fleet.Upstream{ID: string(record.Value), Service: "s", Slots: 64, Models: []fleet.Holding{{Model: "m"}}, Revision: record.Revision}, nil
 	}
+	if n.logTo != nil {
+		config.Log = zap.New(n.logTo).With(zap.Int("box", box))
+	}
 	// As many retries a box as the platform allows fleets of 7 to 60 boxes.
 	config.Retries = gateway.RetryLimits{Ratio: 0.2, Slack: 4 * float64(n.boxes)}
 	config.Upstreams.Send = func(ctx context.Context, to *fleet.Endpoint, attempt gateway.Attempt) (*gateway.Answer, error) {
@@ -170,6 +183,7 @@
 	if n.way.unread {
 		notice = fleet.Notice{}
 	}
+	notice.Source = fleet.SourceRequest
 	to.Told(notice)
 	if turnedAway {
 		return &gateway.Answer{
--- a/internal/node/notice_test.go
+++ b/internal/node/notice_test.go
@@ -5,6 +5,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"ospreymoor.example/ospreymoor/pkg/fleet"
 )
@@ -62,4 +64,31 @@
 		Entry("at 60 boxes", smallFleetSize{boxes: 60, halls: 4, upstreams: 90}),
 		Entry("at 515 boxes", smallFleetSize{boxes: 515, halls: 7, upstreams: 600}),
 	)
+
+	It("show in lines alone what each told, to which box, by which way and when, and that nothing was sent against it", func() {
+		core, lines := observer.New(zap.InfoLevel)
+		withLoggedNoticeFleet(smallFleetSize{boxes: 7, halls: 4, upstreams: 18}, kept, core, func(n *noticeFleet) {
+			const leaving = "e000"
+			n.some(18, func(e *noticeEngine) { e.leaving = true })
+			until := time.Now().Add(time.Second)
+			n.some(7, func(e *noticeEngine) { e.share, e.turningUntil = 1, until })
+			n.askForModel(200, 4*time.Second)
+			n.callers.Wait()
+			sources := map[any]int{}
+			boxes := map[any]bool{}
+			for _, line := range lines.FilterMessage("upstream notice").All() {
+				fields := line.ContextMap()
+				if fields["backend"] == leaving && fields["kinds"].([]any)[0] == "leaving" {
+					Expect(boxes).NotTo(HaveKey(fields["box"]), "told twice")
+					boxes[fields["box"]] = true
+					sources[fields["source"]]++
+				}
+			}
+			Expect(boxes).To(HaveLen(7))
+			Expect(sources).To(And(HaveKey("request"), HaveKey("box")))
+			rests := lines.FilterMessage("upstream notice").FilterField(zap.Duration("rest", n.rest)).All()
+			Expect(rests).To(HaveLen(n.turnedAway))
+			Expect(lines.FilterMessage("sent against notice").All()).To(BeEmpty())
+		})
+	})
 })
