A notice is news once, also where answers that were under way together tell it

A line 'upstream notice' named leaving again, and its metric counted it twice, where an answer that was under way asked for rest as well.

--- a/internal/node/notice_test.go
+++ b/internal/node/notice_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -72,7 +73,11 @@
 			n.some(18, func(e *noticeEngine) { e.leaving = true })
 			until := time.Now().Add(time.Second)
 			n.some(7, func(e *noticeEngine) { e.share, e.turningUntil = 1, until })
-			n.askForModel(200, 4*time.Second)
+			// Callers ask at one box alone: the others can only know from boxes.
+			for k := range 800 {
+				n.callers.Go(func() { n.askOnce(0, fmt.Sprint(k)) })
+				time.Sleep(5 * time.Millisecond)
+			}
 			n.callers.Wait()
 			sources := map[any]int{}
 			boxes := map[any]bool{}
@@ -85,7 +90,7 @@
 				}
 			}
 			Expect(boxes).To(HaveLen(7))
-			Expect(sources).To(And(HaveKey("request"), HaveKey("box")))
+			Expect(sources).To(Equal(map[any]int{"request": 1, "box": 6}))
 			rests := lines.FilterMessage("upstream notice").FilterField(zap.Duration("rest", n.rest)).All()
 			Expect(rests).To(HaveLen(n.turnedAway))
 			Expect(lines.FilterMessage("sent against notice").All()).To(BeEmpty())
--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -133,26 +133,28 @@
 // Note takes in a notice of an upstream, and calls OnNotice if it tells something new.
 func (d *Directory) Note(id string, n Notice) {
 	n.Unreadable = n.Unreadable[:min(len(n.Unreadable), maxUnreadable)]
-	if d.remember(id, n) && d.OnNotice != nil {
-		d.OnNotice(Noted{Notice: n, Upstream: id})
+	if news := d.remember(id, n); !news.empty() && d.OnNotice != nil {
+		d.OnNotice(Noted{Notice: news, Upstream: id})
 	}
 }
 
-// remember stores a notice, and reports whether it tells something new.
-func (d *Directory) remember(id string, n Notice) (isNew bool) {
+// remember stores a notice, and returns what is new of it: answers that were under way together tell the same.
+func (d *Directory) remember(id string, n Notice) (news Notice) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
 	known := d.told[id]
 	known.lastKnown = now
-	if n.Leaving && known.leavingAt.IsZero() {
-		known.leavingAt, isNew = now, true
+	news = n
+	news.Leaving = n.Leaving && known.leavingAt.IsZero()
+	if news.Leaving {
+		known.leavingAt = now
 	}
 	if n.Rest > 0 {
-		known.rest, isNew = d.Rests.begin(now, n.Rest), true
+		known.rest = d.Rests.begin(now, n.Rest)
 	}
-	if !isNew {
-		return n.Unreadable != ""
+	if !news.Leaving && n.Rest <= 0 {
+		return news
 	}
 	d.told[id] = known
 	if state := d.states[id]; state != nil && !known.leavingAt.IsZero() && !state.Leaving {
@@ -161,7 +163,7 @@
 		d.states[id] = &left
 		d.index()
 	}
-	return true
+	return news
 }
 
 // LeavingByAnswer lists the upstreams that leave by what answers told, and whose entries do not say so yet. Other boxes, the one that
--- a/pkg/fleet/notice_test.go
+++ b/pkg/fleet/notice_test.go
@@ -44,6 +44,18 @@
 		})
 	})
 
+	It("is news once, also where answers that were under way together tell it", func() {
+		spectest.Bubble(func() {
+			d := listed(entry("a", 1))
+			var kinds [][]string
+			d.OnNotice = func(n Noted) { kinds = append(kinds, n.Kinds()) }
+			for _, n := range []Notice{{Leaving: true, Rest: time.Second}, {Leaving: true, Rest: time.Second}, {Leaving: true}, {}} {
+				d.Note("a", n)
+			}
+			Expect(kinds).To(Equal([][]string{{"leaving", "rest"}, {"rest"}}))
+		})
+	})
+
 	It("holds when its entry is lost and comes back, and is forgotten long after the upstream is gone", func() {
 		spectest.Bubble(func() {
 			d := listed(entry("a", 1))
