--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -41,8 +41,7 @@
 		case suitable:
 			list = append(list, state)
 		case resting:
-			r.rests.add(r.gateway.Directory, state.ID)
-			continue
+			continue // better counts them.
 		}
 		best = max(best, found)
 	}
@@ -56,8 +55,7 @@
 	soonest time.Time
 }
 
-func (l *rests) add(directory *fleet.Directory, upstream string) {
-	until, _ := directory.Resting(upstream)
+func (l *rests) add(upstream string, until time.Time) {
 	if len(l.upstreams) == 0 || until.Before(l.soonest) {
 		l.soonest = until
 	}
@@ -73,6 +71,7 @@
 	return max(best, resting)
 }
 
+// suitability is that of one upstream; one that rests is added to rests.
 func (r *inflight) suitability(state *fleet.State, now time.Time) suitability {
 	switch {
 	case !state.Usable(now), slices.Contains(r.attempts.upstreams, state.ID):
@@ -84,7 +83,8 @@
 	case r.gateway.Directory.Unavailable(state.ID, r.need.Model, r.need.Adapter):
 		return unreachable
 	}
-	if _, rests := r.gateway.Directory.Resting(state.ID); rests {
+	if until, isResting := r.gateway.Directory.Resting(state.ID); isResting {
+		r.rests.add(state.ID, until)
 		return resting
 	}
 	return suitable
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -11,7 +11,8 @@
 	"ospreymoor.example/ospreymoor/pkg/routes"
 )
 
-// inflight is one request under way, from its route to its final answer. One goroutine uses it.
+// inflight is one request under way, from its route to its final answer. One goroutine uses it. It has 16 fields because it is all that
+// the box knows of one request.
 type inflight struct {
 	gateway *Gateway
 	request *Request
--- a/internal/node/crash_ways_test.go
+++ b/internal/node/crash_ways_test.go
@@ -14,6 +14,9 @@
 // crashWays has the ways compared that docs/design/quarantine.md has figures of: four minutes at 60 boxes, one for each row at 515.
 var crashWays = flag.String("crash-ways", "", "compare ways to remember requests under which upstreams crash: those whose row matches, by boxes, load and way")
 
+// waySizes are the fleets that ways are compared at: a small one, a grown one, and the size designed for.
+var waySizes = []smallFleetSize{{boxes: 7, halls: 4, upstreams: 18}, {boxes: 60, halls: 4, upstreams: 90}, {boxes: 515, halls: 7, upstreams: 600}}
+
 // crashWay is one way to remember them.
 type crashWay struct {
 	name   string
@@ -87,8 +90,7 @@
 			Skip("by hand: -crash-ways=. for all")
 		}
 		chosen := regexp.MustCompile(*crashWays)
-		sizes := []smallFleetSize{{boxes: 7, halls: 4, upstreams: 18}, {boxes: 60, halls: 4, upstreams: 90}, {boxes: 515, halls: 7, upstreams: 600}}
-		for _, size := range sizes {
+		for _, size := range waySizes {
 			for _, load := range loadsOfCrashes() {
 				for _, way := range waysOfCrashes() {
 					if chosen.MatchString(fmt.Sprintf("%d, %s, %s", size.boxes, load.name, way.name)) {
--- a/internal/node/notice_ways_test.go
+++ b/internal/node/notice_ways_test.go
@@ -78,8 +78,7 @@
 			Skip("by hand: -notice-ways=. for all")
 		}
 		chosen := regexp.MustCompile(*noticeWays)
-		sizes := []smallFleetSize{{boxes: 7, halls: 4, upstreams: 18}, {boxes: 60, halls: 4, upstreams: 90}, {boxes: 515, halls: 7, upstreams: 600}}
-		for _, size := range sizes {
+		for _, size := range waySizes {
 			for _, load := range loadsOfNotices() {
 				for _, way := range waysOfNotices() {
 					if chosen.MatchString(fmt.Sprintf("%d, %s, %s", size.boxes, load.name, way.name)) {
--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -167,8 +167,7 @@
 }
 
 // LeavingByAnswer lists the upstreams that leave by what answers told, and whose entries do not say so yet. Other boxes, the one that
-// plans among them, learn it from this box.
-// They are in the order of their ids.
+// plans among them, learn it from this box. The list is in the order of ids.
 func (d *Directory) LeavingByAnswer() []string {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
