--- a/internal/cluster/ensure.go
+++ b/internal/cluster/ensure.go
@@ -24,8 +24,8 @@
 
 // Ensure asks the order holder, which may be this box, for an adapter or model. The error is
 // errNoHolder, that of the call, or the holder's refusal.
-func (e *Ensurer) Ensure(ctx context.Context, service, model, adapter string, avoid ...string) (residency.EnsureResult, error) {
-	ensured, err := e.Controller.Ensure(ctx, service, model, adapter, avoid...)
+func (e *Ensurer) Ensure(ctx context.Context, want residency.Want) (residency.EnsureResult, error) {
+	ensured, err := e.Controller.Ensure(ctx, want)
 	if !errors.Is(err, residency.ErrNotHolder) {
 		return ensured, err
 	}
@@ -33,7 +33,7 @@
 	if !ok {
 		return residency.EnsureResult{}, errNoHolder
 	}
-	request := ensureRequest{Service: service, Model: model, Adapter: adapter, Avoid: avoid}
+	request := ensureRequest{Want: want}
 	answer, err := peer.Call[ensureAnswer](ctx, e.Client, address, methodEnsure, request)
 	if err != nil {
 		return residency.EnsureResult{}, err
@@ -45,7 +45,7 @@
 }
 
 func (e *Ensurer) answer(ctx context.Context, request ensureRequest) (ensureAnswer, error) {
-	ensured, err := e.Controller.Ensure(ctx, request.Service, request.Model, request.Adapter, request.Avoid...)
+	ensured, err := e.Controller.Ensure(ctx, request.Want)
 	answer := ensureAnswer{EnsureResult: ensured}
 	if err != nil {
 		answer.Error = err.Error()
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -18,6 +18,7 @@
 	methodPiece    = "piece"
 	methodSpend    = "spend"
 	methodReserve  = "reserve"
+	methodCold     = "cold"
 )
 
 // Box is what a box registers about itself in the store, and sends with each exchange.
@@ -162,11 +163,7 @@
 
 // ensureRequest asks the order holder for an adapter or model.
 type ensureRequest struct {
-	Service string `json:"service"`
-	Model   string `json:"model"`
-	Adapter string `json:"adapter,omitempty"`
-	// Avoid are engines that the asking box may not send anything now. A box of the version before does not read it.
-	Avoid []string `json:"avoid,omitempty"`
+	residency.Want
 }
 
 // ensureAnswer is where it is, or when it will be; Error is why not.
--- a/internal/cluster/messages_test.go
+++ b/internal/cluster/messages_test.go
@@ -71,8 +71,8 @@
 		Expect(asJSON(copyAnswer{})).To(Equal(`{}`))
 		Expect(asJSON(copyAnswer{Delta: &mirror.Delta{}, Update: &fleet.Update{}})).
 			To(Equal(`{"delta":{"from":0,"revision":0},"words":{"stamp":{}}}`))
-		Expect(asJSON(ensureRequest{Service: "s", Model: "m", Adapter: "a"})).To(Equal(`{"service":"s","model":"m","adapter":"a"}`))
-		Expect(asJSON(ensureRequest{})).To(Equal(`{"service":"","model":""}`))
+		Expect(asJSON(ensureRequest{Want: residency.Want{Service: "s", Model: "m", Adapter: "a"}})).To(Equal(`{"service":"s","model":"m","adapter":"a"}`))
+		Expect(asJSON(ensureRequest{Want: residency.Want{}})).To(Equal(`{"service":"","model":""}`))
 		Expect(asJSON(ensureAnswer{Error: "e"})).To(Equal(`{"error":"e"}`))
 		Expect([]string{methodExchange, methodCopy, methodEnsure, methodPiece}).To(Equal([]string{"exchange", "copy", "ensure", "piece"}))
 	})
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -14,12 +14,16 @@
 const (
 	// unusable upstreams leave, have lapsed or were tried by the request already.
 	unusable suitability = iota
+	// elsewhere are upstreams in a region where the request may not be served.
+	elsewhere
+	// evacuated upstreams are in a hall that gets nothing new until its evacuation ends.
+	evacuated
 	lacksModel
 	lacksAdapter
 	// unreachable upstreams have all that is needed, but took no connection or turned such a
 	// request down a moment ago.
 	unreachable
-	// resting upstreams have all that is needed, and asked this box for rest.
+	// resting upstreams have all that is needed, and asked this box for rest, or are cold and may get no more now.
 	resting
 	suitable
 )
@@ -51,6 +55,8 @@
 // rests are the upstreams that have all that a request needs and asked this box for rest.
 type rests struct {
 	upstreams []string
+	// cold counts those of them that are cold, and get no more for a moment.
+	cold int
 	// soonest is when the first of them may be sent requests again; it may have passed where one takes few at a time.
 	soonest time.Time
 }
@@ -76,6 +82,10 @@
 	switch {
 	case !state.Usable(now), slices.Contains(r.attempts.upstreams, state.ID):
 		return unusable
+	case !r.mayServe(state.Hall):
+		return elsewhere
+	case state.Evacuated:
+		return evacuated
 	case r.need.Model != "" && !state.Holds(r.need.Model):
 		return lacksModel
 	case r.need.Model != "" && !state.HoldsAdapter(r.need.Model, r.need.Adapter):
@@ -87,6 +97,11 @@
 		r.rests.add(state.ID, until)
 		return resting
 	}
+	if cold, until := r.isCold(state.ID, now); cold && !until.IsZero() {
+		r.rests.add(state.ID, until)
+		r.rests.cold++
+		return resting
+	}
 	return suitable
 }
 
@@ -95,8 +110,14 @@
 	switch {
 	case best == suitable:
 		return ""
+	case best == resting && r.rests.cold == len(r.rests.upstreams):
+		return reasonCold
 	case best == resting:
 		return reasonResting
+	case best == elsewhere:
+		return reasonRegion
+	case best == evacuated:
+		return reasonEvacuated
 	case best == unusable, r.need.Model == "":
 		return reasonNoUpstream
 	case best == lacksModel:
--- a/internal/gateway/choice.go
+++ b/internal/gateway/choice.go
@@ -32,7 +32,10 @@
 				r.noteTurnedAway(choice.Uncached)
 				return choice, refused
 			}
-			if !r.begin(choice) {
+			if !r.permitted(ctx, choice) || !r.begin(choice) {
+				if ctx.Err() != nil {
+					return dispatch.Choice{}, r.ended(ctx)
+				}
 				continue
 			}
 			if wait > 0 {
@@ -53,6 +56,9 @@
 // begin begins a sending to the chosen upstream. It is false if an answer told meanwhile that it leaves, or wants rest: the choice may have
 // waited for another box.
 func (r *inflight) begin(choice dispatch.Choice) bool {
+	if !r.takeGrant(choice.Upstream.ID) {
+		return false
+	}
 	endpoint, err := r.gateway.Directory.Begin(choice.Upstream.Upstream)
 	if err != nil {
 		// It needs no line: what was told has one, and the next choice leaves the upstream out.
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -108,7 +108,7 @@
 	It("is held while it waits for an upstream as soon as another box tells of the crashes", func() {
 		spectest.Bubble(func() {
 			f := newFixture(func(string, int) fate { return whole }, 1)
-			f.Ensure = func(context.Context, string, string, string, ...string) (residency.EnsureResult, error) {
+			f.Ensure = func(context.Context, residency.Want) (residency.EnsureResult, error) {
 				return residency.EnsureResult{Ready: 500 * time.Millisecond}, residency.ErrNoPlace
 			}
 			begun := time.Now()
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -167,7 +167,7 @@
 		Loads:     loads,
 		Chooser:   &dispatch.Chooser{Loads: loads},
 		Upstreams: Upstreams{Send: f.send, Refuses: f.refuses},
-		Ensure: func(context.Context, string, string, string, ...string) (residency.EnsureResult, error) {
+		Ensure: func(context.Context, residency.Want) (residency.EnsureResult, error) {
 			return residency.EnsureResult{Ready: 2 * time.Second}, residency.ErrNoPlace
 		},
 		Quarantine: quarantine.NewRegister(quarantine.DefaultPolicy),
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -54,7 +54,7 @@
 func (f *Front) Serve(listener net.Listener) {
 	stop := make(chan struct{})
 	go f.closeIdle(stop)
-	if err := f.Server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := f.Server.Serve(stallListener{listener}); !errors.Is(err, http.ErrServerClosed) {
 		f.gateway.Log.Error("front stopped accepting connections", logfield.Error(err))
 	}
 	close(stop)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,18 +27,24 @@
 	Loads     *dispatch.LoadTracker
 	Chooser   *dispatch.Chooser
 	Upstreams Upstreams
-	// Ensure asks the order holder for an adapter or model, on other engines than those to avoid.
-	Ensure func(ctx context.Context, service, model, adapter string, avoid ...string) (residency.EnsureResult, error)
+	// Regions are those of all halls, by hall.
+	Regions map[string]string
+	// Ensure asks the order holder for an adapter or model.
+	Ensure func(ctx context.Context, want residency.Want) (residency.EnsureResult, error)
 	// NoteDemand takes work that was asked for, in milliseconds of an engine's time.
 	NoteDemand func(work map[residency.WorkKey]float64)
 	// Reserve asks for an engine's time to read a prompt; nil, or an error, and requests go by the reported loads alone.
 	Reserve func(ctx context.Context, asked dispatch.Reservation) (dispatch.ReservationAnswer, error)
+	// AskCold asks for one request to a cold engine.
+	AskCold func(ctx context.Context, ask dispatch.ColdAsk) (dispatch.ColdGrant, error)
 	// Quotas take the costs of requests off their customers' quotas.
 	Quotas Quotas
 	// Quarantine is what is known of requests under which upstreams crashed.
 	Quarantine *quarantine.Register
-	Log        *zap.Logger
-	Metrics    *metrics.Set
+	// Holdings bound what this box holds for callers; nil does not.
+	Holdings *Holdings
+	Log      *zap.Logger
+	Metrics  *metrics.Set
 
 	budget *retryBudget
 	uses   modelUses
@@ -59,16 +65,22 @@
 	Loads     *dispatch.LoadTracker
 	Chooser   *dispatch.Chooser
 	Upstreams Upstreams
-	// Ensure asks the order holder for an adapter or model, on other engines than those to avoid.
-	Ensure func(ctx context.Context, service, model, adapter string, avoid ...string) (residency.EnsureResult, error)
+	// Regions are those of all halls, by hall.
+	Regions map[string]string
+	// Ensure asks the order holder for an adapter or model.
+	Ensure func(ctx context.Context, want residency.Want) (residency.EnsureResult, error)
 	// Note takes work that was asked for, in milliseconds of an engine's time.
 	Note func(work map[residency.WorkKey]float64)
 	// Reserve asks for an engine's time to read a prompt; nil, or an error, and requests go by the reported loads alone.
 	Reserve func(ctx context.Context, asked dispatch.Reservation) (dispatch.ReservationAnswer, error)
+	// AskCold asks for one request to a cold engine; it is to be set where services have cold engines.
+	AskCold func(ctx context.Context, ask dispatch.ColdAsk) (dispatch.ColdGrant, error)
 	// Quotas take the costs of requests off their customers' quotas.
 	Quotas Quotas
 	// Quarantine is what is known of requests under which upstreams crashed; nil is a register of this box alone.
 	Quarantine *quarantine.Register
+	// MemoryBytes is this box's memory; 0 if it is not known.
+	MemoryBytes int64
 	// Retries bound the retries of the whole fleet; each of Boxes boxes takes its share.
 	Retries RetryLimits
 	// Boxes returns the largest number of boxes that were known at once.
@@ -87,11 +99,14 @@
 		Loads:      config.Loads,
 		Chooser:    config.Chooser,
 		Upstreams:  config.Upstreams,
+		Regions:    config.Regions,
 		Ensure:     config.Ensure,
 		NoteDemand: config.Note,
 		Reserve:    config.Reserve,
+		AskCold:    config.AskCold,
 		Quotas:     config.Quotas,
 		Quarantine: config.Quarantine,
+		Holdings:   NewHoldings(config.MemoryBytes),
 		Log:        config.Log,
 		Metrics:    config.Metrics,
 		budget:     newRetryBudget(config.Retries, config.Boxes),
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -98,7 +98,7 @@
 		spectest.Bubble(func() {
 			f := newFixture(func(string, int) fate { return whole }, 1)
 			begun := time.Now()
-			f.Ensure = func(context.Context, string, string, string, ...string) (residency.EnsureResult, error) {
+			f.Ensure = func(context.Context, residency.Want) (residency.EnsureResult, error) {
 				return residency.EnsureResult{Ready: 500*time.Millisecond - time.Since(begun)}, residency.ErrNoPlace
 			}
 			time.AfterFunc(500*time.Millisecond, func() {
@@ -107,7 +107,7 @@
 			})
 			Expect(f.ask(context.Background(), "r1", "/stream/x", "nowhere").Code).To(Equal(http.StatusOK))
 			Expect(time.Since(begun)).To(BeNumerically("~", 500*time.Millisecond, 50*time.Millisecond))
-			f.Ensure = func(context.Context, string, string, string, ...string) (residency.EnsureResult, error) {
+			f.Ensure = func(context.Context, residency.Want) (residency.EnsureResult, error) {
 				return residency.EnsureResult{}, residency.ErrNotHolder
 			}
 			begun = time.Now()
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -11,7 +11,7 @@
 	"ospreymoor.example/ospreymoor/pkg/routes"
 )
 
-// inflight is one request under way, from its route to its final answer. One goroutine uses it. It has 16 fields because it is all that
+// inflight is one request under way, from its route to its final answer. One goroutine uses it. It has 21 fields because it is all that
 // the box knows of one request.
 type inflight struct {
 	gateway *Gateway
@@ -39,6 +39,14 @@
 	endpoint *fleet.Endpoint
 	// known is what this box knows of upstreams that crashed under the request.
 	known knownCrashes
+	// coldStart and coldPerSecond are those of the service.
+	coldStart     time.Duration
+	coldPerSecond float64
+	cold          coldAsks
+	// holds is how many bytes of answers it holds of the box's memory for callers.
+	holds int64
+	// bound means that only upstreams in some regions may serve the request.
+	bound bool
 }
 
 func newInflight(g *Gateway, table *routes.Table, route *routes.Route, customer *customers.Customer, request *Request) *inflight {
@@ -47,16 +55,21 @@
 	if customer != nil && customer.Urgency != nil {
 		need.Urgency = max(0, *customer.Urgency)
 	}
-	return &inflight{
+	r := &inflight{
 		gateway:   g,
 		request:   request,
 		route:     route,
 		service:   service,
 		customer:  customer,
+		bound:     isBound(route, customer),
 		need:      need,
 		model:     describedModel(table.Services[service], request.Model),
 		deadlines: newDeadlines(route, request),
 	}
+	if described := table.Services[service]; described != nil {
+		r.coldStart, r.coldPerSecond = described.ColdStart, described.ColdPerSecond
+	}
+	return r
 }
 
 // describedModel is a service's description of a model, nil if it has none.
--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -146,8 +146,8 @@
 			f.Directory.SetList(2, []fleet.Upstream{with, without}, time.Now())
 			f.upstreams.tells = only("with", fleet.Notice{Rest: rest})
 			var avoided []string
-			f.Ensure = func(_ context.Context, _, _, _ string, avoid ...string) (residency.EnsureResult, error) {
-				avoided = avoid
+			f.Ensure = func(_ context.Context, want residency.Want) (residency.EnsureResult, error) {
+				avoided = want.Avoid
 				return residency.EnsureResult{Upstream: "without", Residency: fleet.Residency{Adapters: map[string][]string{"m": {"a"}}, Sequence: 1}, Term: 1}, nil
 			}
 			f.ask(context.Background(), "r0", "/stream/x", "m")
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -62,7 +62,7 @@
 		return nil, errNotExecuted
 	}
 	ticket.Started()
-	held, err := hold(answer)
+	held, err := r.hold(answer)
 	ticket.End()
 	if err != nil {
 		r.broke(ctx, choice, answer.Status, 0, err)
@@ -84,22 +84,35 @@
 	rest io.ReadCloser
 }
 
-// hold reads an answer until it is whole or too long to be held. The error is ErrBroken.
-func hold(answer *Answer) (*heldAnswer, error) {
-	var body bytes.Buffer
-	n, err := io.CopyN(&body, answer.Body, maxHeldAnswer+1)
-	held := &heldAnswer{status: answer.Status, header: answer.Header, body: body.Bytes()}
-	if n > maxHeldAnswer {
-		held.rest = answer.Body
-		return held, nil
-	}
-	_ = answer.Body.Close()
-	if err != nil && !errors.Is(err, io.EOF) {
-		return nil, errors.WithType(err, ErrBroken)
+// hold reads an answer until it is whole, too long to be held, or more than this box may hold now. The error is ErrBroken.
+func (r *inflight) hold(answer *Answer) (*heldAnswer, error) {
+	held := &heldAnswer{status: answer.Status, header: answer.Header}
+	for {
+		piece := make([]byte, min(bodyPiece, max(bytes.MinRead, len(held.body))))
+		n, err := answer.Body.Read(piece)
+		held.body = append(held.body, piece[:n]...)
+		taken := r.gateway.Holdings.Take(int64(n))
+		if taken {
+			r.holds += int64(n)
+		}
+		if err == io.EOF {
+			_ = answer.Body.Close()
+			return held, nil
+		}
+		if err != nil {
+			_ = answer.Body.Close()
+			return nil, errors.WithType(err, ErrBroken)
+		}
+		if !taken || len(held.body) > maxHeldAnswer {
+			held.rest = answer.Body
+			return held, nil
+		}
 	}
-	return held, nil
 }
 
+// releaseHeld gives up what the request's answers held of the box's memory.
+func (r *inflight) releaseHeld() { r.gateway.Holdings.Give(r.holds) }
+
 // discard reads an answer that nobody needs, so that its connection can be used again. An error
 // needs no log line: it only costs the connection.
 func discard(answer *Answer) {
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -28,8 +28,11 @@
 		}
 		return directoryPoll, nil
 	}
-	if lacking == reasonResting {
-		return r.awaitRest(left)
+	if lacking == reasonEvacuated || lacking == reasonRegion {
+		return 0, r.unserved(lacking, 0)
+	}
+	if lacking == reasonResting || lacking == reasonCold {
+		return r.awaitRest(lacking, left)
 	}
 	if lacking == reasonNoModel {
 		r.noteTurnedAway(r.need.PromptTokens)
@@ -42,13 +45,14 @@
 
 // awaitRest returns how long to wait until an upstream that asked for rest may be sent the request. If that is longer than left, the
 // request is refused at once, and may come again then; its work counts as demand, so that another engine gets the model if the rest lasts.
-func (r *inflight) awaitRest(left time.Duration) (time.Duration, *refusal) {
+func (r *inflight) awaitRest(lacking reason, left time.Duration) (time.Duration, *refusal) {
+	r.cold.asked = 0 // There is no warm one to go to instead.
 	wait := max(directoryPoll, time.Until(r.rests.soonest))
 	if wait <= left {
 		return wait, nil
 	}
 	r.noteTurnedAway(r.need.PromptTokens)
-	return 0, r.unserved(reasonResting, wait+time.Duration(rand.Float64()*float64(r.gateway.Directory.Rests.ReturnSpread)))
+	return 0, r.unserved(lacking, wait+time.Duration(rand.Float64()*float64(r.gateway.Directory.Rests.ReturnSpread)))
 }
 
 // ensure asks the order holder for the model or adapter, for at most the time that is left. Once it has
@@ -57,7 +61,9 @@
 func (r *inflight) ensure(ctx context.Context, lacking reason, left time.Duration) (time.Duration, *refusal) {
 	askCtx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	ensured, err := r.gateway.Ensure(askCtx, r.service, r.need.Model, r.need.Adapter, r.rests.upstreams...)
+	ensured, err := r.gateway.Ensure(askCtx, residency.Want{
+		Service: r.service, Model: r.need.Model, Adapter: r.need.Adapter, Avoid: r.rests.upstreams, Halls: r.allowedHalls(),
+	})
 	if ensured.Upstream != "" && !slices.Contains(r.rests.upstreams, ensured.Upstream) {
 		r.gateway.Directory.MergeResidency(ensured.Term, map[string]fleet.Residency{ensured.Upstream: ensured.Residency})
 		return 0, nil
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -27,6 +27,12 @@
 	reasonUnreachable reason = "back ends that have it do not answer"
 	// reasonResting: the upstreams that have all that is needed asked this box for rest.
 	reasonResting reason = "back ends want rest"
+	// reasonCold: the engines that have all that is needed are cold, and get as much as they bear.
+	reasonCold reason = "back ends are cold"
+	// reasonRegion: no upstream of the service is in a region where the request may be served.
+	reasonRegion reason = "no back end in an allowed region"
+	// reasonEvacuated: all upstreams of the service that are left are in evacuated halls.
+	reasonEvacuated reason = "halls evacuated"
 	// reasonFull: the predicted wait at the best engine is over the limit of admission.
 	reasonFull reason = "back ends full"
 	// reasonBroken: an attempt may have run, and its answer was lost or broken.
@@ -45,6 +51,8 @@
 	reasonOverQuota reason = "over quota"
 	// reasonCrashes: upstreams crashed under the request one after the other, at whatever box it came.
 	reasonCrashes reason = "upstreams crash under it"
+	// reasonMemory: this box holds as much for callers as it may.
+	reasonMemory reason = "box holds too much"
 	// reasonStopping: this box drains.
 	reasonStopping reason = "machine stops"
 )
@@ -117,6 +125,8 @@
 	// retryWhenLimited is for upstreams that turned the request down until no attempt was left.
 	// Chosen, not measured (commit bc3a7c4).
 	retryWhenLimited = 300 * time.Millisecond
+	// retryWhenEvacuated is for halls that an operator has evacuated and regions without upstreams, which last seconds at least.
+	retryWhenEvacuated = time.Second
 	// retryWhenConfigured is for a box that has just started.
 	// Chosen, not measured (commit bc3a7c4).
 	retryWhenConfigured = 500 * time.Millisecond
@@ -129,8 +139,10 @@
 	switch cause {
 	case reasonFull:
 		least = retryWhenFull
-	case reasonAttempts, reasonBudget:
+	case reasonAttempts, reasonBudget, reasonMemory:
 		least = retryWhenLimited
+	case reasonEvacuated, reasonRegion:
+		least = retryWhenEvacuated
 	case reasonNoConfig:
 		least = retryWhenConfigured
 	}
@@ -141,15 +153,20 @@
 // is logged with its reason anyway.
 func (r *refusal) write(w http.ResponseWriter) {
 	header := w.Header()
+	r.writeHead(header)
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	body := string(r.reason) + "\n"
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(r.status)
+	_, _ = w.Write([]byte(body))
+}
+
+// writeHead sets what tells the caller how to come again.
+func (r *refusal) writeHead(header http.Header) {
 	if r.status == http.StatusUnauthorized {
 		header.Set("WWW-Authenticate", "Bearer")
 	}
-	header.Set("Content-Type", "text/plain; charset=utf-8")
 	if r.retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64))
 	}
-	body := string(r.reason) + "\n"
-	header.Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(r.status)
-	_, _ = w.Write([]byte(body))
 }
--- a/internal/gateway/reservations_test.go
+++ b/internal/gateway/reservations_test.go
@@ -69,7 +69,7 @@
 		loads := dispatch.NewLoadTracker()
 		box := New(Config{
 			Directory: fleet.New(), Loads: loads, Chooser: &dispatch.Chooser{Loads: loads}, Upstreams: Upstreams{Send: f.send},
-			Ensure: func(context.Context, string, string, string, ...string) (residency.EnsureResult, error) {
+			Ensure: func(context.Context, residency.Want) (residency.EnsureResult, error) {
 				return residency.EnsureResult{}, residency.ErrNoPlace
 			},
 			Boxes: func() int { return readingBoxes }, Log: zap.NewNop(), Metrics: metrics.NewSet(),
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -45,6 +45,7 @@
 		return nil
 	}
 	defer r.returnCost(table.Version)
+	defer r.releaseHeld()
 	if route.Kind == routes.Stream {
 		return r.serveStream(ctx, w)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -96,7 +96,7 @@
 		discard(answer)
 		return false, ErrBroken
 	}
-	held, err := hold(answer)
+	held, err := s.hold(answer)
 	if err != nil {
 		return false, err
 	}
--- a/internal/node/new.go
+++ b/internal/node/new.go
@@ -62,9 +62,12 @@
 	quotas := &cluster.Quotas{Members: s.members, Client: n.client, Keeper: customers.NewKeeper(config.Quotas), Log: config.Log}
 	n.spender = customers.NewSpender(quotas.Ask)
 	reservations := &cluster.Reservations{Members: s.members, Client: n.client, Kept: dispatch.NewReservations(), Log: config.Log}
-	n.Gateway = newGateway(config, s, ensurer, n.spender, reservations)
+	coldStarts := &cluster.ColdStarts{Members: s.members, Client: n.client, Kept: dispatch.NewColdStarts(config.ColdStarts), Log: config.Log}
+	n.Gateway = newGateway(config, s, ensurer, n.spender, reservations, coldStarts)
 	n.view = n.newView(config, s)
 	n.exchange = n.newExchange(config, s)
+	config.Set.NewGauge("ospreymoor_held_bytes", func() float64 { return float64(n.Gateway.Holdings.Held()) })
+	config.Set.NewGauge("ospreymoor_evacuated_requests", func() float64 { return evacuatedRequests(s) })
 	n.holds = &storeview.HoldRecorder{
 		Platform: config.Platform, Quarantine: s.quarantine, Records: n.state, Keeps: s.members.Keeps, Log: config.Log,
 	}
@@ -77,6 +80,7 @@
 	ensurer.Handle(n.server)
 	quotas.Handle(n.server)
 	reservations.Handle(n.server)
+	coldStarts.Handle(n.server)
 	n.orderLease.Handle(n.server, n.controller.LastOrders)
 	return n
 }
@@ -100,6 +104,17 @@
 	return directory
 }
 
+// evacuatedRequests counts the requests of this box that run at upstreams of evacuated halls: a hall is empty once no box has any.
+func evacuatedRequests(s shared) float64 {
+	count := 0
+	for id, load := range s.loads.Loads() {
+		if state := s.directory.Get(id); state != nil && state.Evacuated {
+			count += load.Running
+		}
+	}
+	return float64(count)
+}
+
 // table is the configuration in force, nil if there is none.
 func (n *Node) table() *routes.Table { return n.Gateway.Table() }
 
@@ -146,19 +161,24 @@
 	})
 }
 
-func newGateway(config Config, s shared, ensurer *cluster.Ensurer, spender *customers.Spender, reservations *cluster.Reservations) *gateway.Gateway {
+func newGateway(config Config, s shared, ensurer *cluster.Ensurer, spender *customers.Spender, reservations *cluster.Reservations,
+	coldStarts *cluster.ColdStarts) *gateway.Gateway {
 	return gateway.New(gateway.Config{
 		Directory: s.directory,
 		Loads:     s.loads,
 		Chooser:   &dispatch.Chooser{Loads: s.loads, Hall: config.Hall},
 		Upstreams: config.Upstreams,
+		Regions:   config.Regions,
 		Ensure:    ensurer.Ensure,
 		Note:      s.pending.NoteWork,
 		Reserve:   reservations.Reserve,
+		AskCold:   coldStarts.Ask,
 		Quotas:    gateway.Quotas{Take: spender.Take, Return: spender.Return},
 
 		Quarantine: s.quarantine,
 
+		MemoryBytes: config.MemoryBytes,
+
 		Retries: config.Retries,
 		Boxes:   s.members.Boxes,
 		Log:     config.Log,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"ospreymoor.example/ospreymoor/internal/peer"
 	"ospreymoor.example/ospreymoor/internal/storeview"
 	"ospreymoor.example/ospreymoor/pkg/customers"
+	"ospreymoor.example/ospreymoor/pkg/dispatch"
 	"ospreymoor.example/ospreymoor/pkg/quarantine"
 	"ospreymoor.example/ospreymoor/pkg/residency"
 )
@@ -23,13 +24,17 @@
 // Platform is the port to what the platform keeps in its store.
 type Platform = storeview.Platform
 
-// Config is all that one box needs. It has 18 fields because it is the one place of all settings.
+// Config is all that one box needs. It has 21 fields because it is the one place of all settings.
 type Config struct {
 	// Name of this box, the same after a restart.
 	Name string
 	Hall string
+	// Regions are those of all halls, by hall.
+	Regions map[string]string
 	// Cores is the processor time that this box may use, in cores.
 	Cores float64
+	// MemoryBytes is this process's memory; 0 if it is not known.
+	MemoryBytes int64
 	// LinkBytesPerSecond is the rate of this box's link; 0 if it is not known.
 	LinkBytesPerSecond float64
 	// PeerAddress is where other boxes call this one, IP:PORT.
@@ -42,6 +47,8 @@
 	Retries    gateway.RetryLimits
 	// Quotas is by how much what all boxes spend for a customer may exceed its limit.
 	Quotas customers.Tolerance
+	// ColdStarts is by how much what all boxes send a cold upstream may exceed what it bears.
+	ColdStarts dispatch.ColdTolerance
 	// Quarantine is the rule on requests under which upstreams crash.
 	Quarantine quarantine.Policy
 	// OrderGap is how long orders of two boxes to one engine must be apart.
--- a/internal/node/notice_fleet_test.go
+++ b/internal/node/notice_fleet_test.go
@@ -30,6 +30,8 @@
 	rests  fleet.Rests
 	// restsForAll has a rest that one box is asked for kept by all boxes.
 	restsForAll bool
+	// coldPerSecond is how many requests a second cold engines bear; 0 sets no bound.
+	coldPerSecond float64
 }
 
 // noticeFleet is boxes before engines that tell in their answers that they leave, or want rest.
@@ -70,6 +72,8 @@
 	asked, told map[int]time.Time
 	// arrivals are the latest ones.
 	arrivals []time.Time
+	// all are all arrivals.
+	all []time.Time
 }
 
 const (
@@ -116,11 +120,18 @@
 			Target: time.Second, MaxAttempts: 2, Shares: []routes.Share{{Service: "s", Weight: 1}},
 		}
 		engines := &routes.Engines{Slots: 64, CacheTokens: 200_000, AdapterSlots: 8, Models: []routes.Model{{Name: "m"}}}
-		return routes.New(1, []routes.Route{route}, []routes.Service{{Name: "s", Engines: engines}}, routes.Limits{}), nil
+		service := routes.Service{Name: "s", Engines: engines, ColdStart: coldTime, ColdPerSecond: n.way.coldPerSecond}
+		return routes.New(1, []routes.Route{route}, []routes.Service{service}, routes.Limits{}), nil
 	}
 	config.Platform.DecodeUpstream = func(record kv.Record) (fleet.Upstream, error) {
-		return fleet.Upstream{ID: string(record.Value), Service: "s", Slots: 64, Models: []fleet.Holding{{Model: "m"}}, Revision: record.Revision}, nil
+		id, cold := strings.CutSuffix(string(record.Value), coldSuffix)
+		upstream := fleet.Upstream{ID: id, Service: "s", Slots: 64, Models: []fleet.Holding{{Model: "m"}}, Revision: record.Revision}
+		if cold {
+			upstream.Cold = coldTime
+		}
+		return upstream, nil
 	}
+	config.ColdStarts = coldTolerance
 	if n.logTo != nil {
 		config.Log = zap.New(n.logTo).With(zap.Int("box", box))
 	}
@@ -245,6 +256,7 @@
 		e.arrivals = e.arrivals[1:]
 	}
 	e.arrivals = append(e.arrivals, now)
+	e.all = append(e.all, now)
 	*longest = max(*longest, len(e.arrivals))
 }
 
--- a/internal/storeview/platform.go
+++ b/internal/storeview/platform.go
@@ -14,6 +14,8 @@
 	ConfigPrefix   string
 	UpstreamPrefix string
 	OwnPrefix      string
+	// EvacuationPrefix begins the keys that evacuate a hall, whose name follows, for as long as they exist; empty if there are none.
+	EvacuationPrefix string
 	// DecodeTable decodes the configuration; nil without an error if there is none.
 	DecodeTable func(records map[string]kv.Record) (*routes.Table, error)
 	// DecodeUpstream decodes one entry of the list of upstreams.
--- a/internal/storeview/view.go
+++ b/internal/storeview/view.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -41,6 +42,8 @@
 	mirror *mirror.Mirror
 	// spread is this box's part of stalenessSpread.
 	spread time.Duration
+	// evacuatedHalls counts them, for a metric.
+	evacuatedHalls atomic.Int64
 
 	// All below is changed by take alone, which runs once at a time.
 
@@ -68,6 +71,9 @@
 		Paused:         v.paused,
 		OnConnectivity: v.logConnectivity,
 	}
+	if config.Metrics != nil {
+		config.Metrics.NewGauge("ospreymoor_evacuated_halls", func() float64 { return float64(v.evacuatedHalls.Load()) })
+	}
 	return v
 }
 
@@ -88,7 +94,9 @@
 // take takes in a new copy. The mirror calls it, one call at a time.
 func (v *View) take(state mirror.State) {
 	v.takeTable(state)
+	evacuations := v.takeEvacuations(state)
 	v.takeUpstreams(state)
+	v.logEvacuations(&evacuations, state)
 	v.takeOwn(state)
 }
 
--- a/pkg/customers/customer.go
+++ b/pkg/customers/customer.go
@@ -8,6 +8,8 @@
 	// Urgency goes before that of a route, 0 first; nil leaves the route's.
 	Urgency *int
 	Limit   Limit
+	// Regions in which the customer's requests may be served.
+	Regions Regions
 }
 
 // Unit is what a limit counts.
--- /dev/null
+++ b/pkg/fleet/cold.go
@@ -0,0 +1,82 @@
+package fleet
+
+import "time"
+
+// This file has what a box knows of engines that are cold: for some time after a start, or after an operator let them rest, they bear few
+// requests. It is known of one life of an engine and ends with it.
+//
+//	what tells it                              cold until
+//	the engine's entry, or an answer           the time that it gives is over
+//	it may be cold, since it is back from      the service's start time is over; a message that says more goes first
+//	an evacuation, a lapsed entry, or from
+//	taking no connection
+
+// maxCold bounds how long an engine is taken as cold by what it says of itself.
+const maxCold = 10 * time.Minute
+
+// warmth is what is known of one engine.
+type warmth struct {
+	// coldUntil is by what the engine says; backAt is since when it is back.
+	coldUntil, backAt time.Time
+	// heldUntil is until when this box sends it nothing, as its keeper told.
+	heldUntil time.Time
+}
+
+// Coldness is whether an engine is cold, as far as this box knows.
+type Coldness struct {
+	Cold bool
+	// HeldUntil is until when this box must not ask to send there; zero, or past, and it may.
+	HeldUntil time.Time
+}
+
+// Coldness returns whether an engine is cold, or may be, where the engines of its service are cold for a time after a start.
+func (d *Directory) Coldness(id string, start time.Duration) Coldness {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	known, ok := d.warmth[id]
+	unreachable := d.refusals[id] > 0
+	if !ok && !unreachable {
+		return Coldness{}
+	}
+	now := time.Now()
+	cold := unreachable || now.Before(known.coldUntil) || !known.backAt.IsZero() && now.Before(known.backAt.Add(start))
+	return Coldness{Cold: cold, HeldUntil: known.heldUntil}
+}
+
+// HoldCold has this box send a cold engine nothing until a time.
+func (d *Directory) HoldCold(id string, until time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	known := d.warmth[id]
+	known.heldUntil = until
+	d.warmth[id] = known
+}
+
+// noteCold takes for how long an engine says that it is cold; 0 ends that. The caller holds the lock.
+func (d *Directory) noteCold(id string, span time.Duration) {
+	known, ok := d.warmth[id]
+	if span <= 0 && !ok {
+		return
+	}
+	known.coldUntil = time.Time{}
+	if span > 0 {
+		known.coldUntil = time.Now().Add(min(span, maxCold))
+	}
+	d.warmth[id] = known
+}
+
+// noteBack notes that an engine is back, and perhaps cold. The caller holds the lock.
+func (d *Directory) noteBack(id string) {
+	known := d.warmth[id]
+	known.backAt = time.Now()
+	d.warmth[id] = known
+}
+
+// expireWarmth forgets what is over. The caller holds the lock.
+func (d *Directory) expireWarmth(now time.Time) {
+	for id, known := range d.warmth {
+		if now.After(known.coldUntil) && now.After(known.heldUntil) && now.Sub(known.backAt) > maxCold {
+			delete(d.warmth, id)
+		}
+	}
+}
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -34,6 +34,11 @@
 	refusals map[string]int
 	// told is what answers told, by the upstream's id.
 	told map[string]told
+	// evacuated are the halls whose upstreams get nothing new, as of the store's revision evacuatedAt.
+	evacuated   map[string]bool
+	evacuatedAt int64
+	// warmth is what is known of cold engines, by id.
+	warmth map[string]warmth
 
 	// Rests is how the rests are kept that upstreams ask for. It is to be set before the first answer.
 	Rests Rests
@@ -50,6 +55,7 @@
 		marks:       map[mark]time.Time{},
 		refusals:    map[string]int{},
 		told:        map[string]told{},
+		warmth:      map[string]warmth{},
 		Rests:       DefaultRests,
 	}
 }
--- a/pkg/fleet/eligible.go
+++ b/pkg/fleet/eligible.go
@@ -11,12 +11,15 @@
 // Each rule lets the request through where its input is missing, but for a model or adapter that
 // neither the list nor a residency names.
 
-// Usable reports whether the upstream may get anything new: it does not leave, and its entry is
+// Usable reports whether the upstream may get anything new, but for an evacuation of its hall: it does not leave, and its entry is
 // listed or lapsed only lately (see lapseTime).
 func (s *State) Usable(now time.Time) bool {
 	return !s.Leaving && (s.DropAt.IsZero() || now.Before(s.DropAt))
 }
 
+// TakesWork reports whether the upstream's replicas count for requests to come: it neither leaves nor is its hall evacuated.
+func (s *State) TakesWork() bool { return !s.Leaving && !s.Evacuated }
+
 // Holds reports whether the engine may be sent requests for a model. What the order holder published
 // goes before the list, which is older while an order is carried out.
 func (s *State) Holds(model string) bool {
--- a/pkg/fleet/lapse.go
+++ b/pkg/fleet/lapse.go
@@ -70,5 +70,6 @@
 	delete(d.states, state.ID)
 	delete(d.residencies, state.ID)
 	delete(d.refusals, state.ID)
+	delete(d.warmth, state.ID)
 	return Change{Upstream: state.Upstream, Kind: Removed}
 }
--- a/pkg/fleet/list.go
+++ b/pkg/fleet/list.go
@@ -55,11 +55,21 @@
 		if kind := changeOf(old, upstream); kind != "" {
 			changes = append(changes, Change{Upstream: upstream, Kind: kind})
 		}
+		d.noteListed(old, &upstream)
 		d.states[upstream.ID] = d.join(upstream)
 	}
 	return changes
 }
 
+// noteListed takes from an entry whether the engine is cold, and whether it is back after its entry had lapsed. The caller holds the
+// lock.
+func (d *Directory) noteListed(old *State, entry *Upstream) {
+	d.noteCold(entry.ID, entry.Cold)
+	if old != nil && !old.DropAt.IsZero() {
+		d.noteBack(entry.ID)
+	}
+}
+
 // changeOf names what an entry changes, compared with the state before; "" for what needs no note.
 func changeOf(old *State, entry Upstream) ChangeKind {
 	switch {
--- a/pkg/fleet/marks.go
+++ b/pkg/fleet/marks.go
@@ -64,7 +64,10 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.refusals, upstream)
+	if d.refusals[upstream] > 0 {
+		delete(d.refusals, upstream)
+		d.noteBack(upstream)
+	}
 }
 
 // ExpireMarks drops the marks that have ended, and what upstreams told that are gone. The caller calls it regularly, since that of
@@ -79,4 +82,5 @@
 		}
 	}
 	d.expireTold(now)
+	d.expireWarmth(now)
 }
--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -20,6 +20,8 @@
 	Leaving bool
 	// Rest is for how long it wants nothing from this box; 0 if it asked for none.
 	Rest time.Duration
+	// Cold is for how long it is cold; 0 if it did not say so.
+	Cold time.Duration
 	// Unreadable is a value that tells nothing, which Note shortens; empty if all could be read.
 	Unreadable string
 	// Source is what was answered, or another box that was told.
@@ -61,13 +63,18 @@
 	if n.Rest > 0 {
 		kinds = append(kinds, "rest")
 	}
+	if n.Cold > 0 {
+		kinds = append(kinds, "cold")
+	}
 	if n.Unreadable != "" {
 		kinds = append(kinds, "unreadable")
 	}
 	return kinds
 }
 
-func (n Notice) empty() bool { return !n.Leaving && n.Rest <= 0 && n.Unreadable == "" }
+func (n Notice) empty() bool {
+	return !n.Leaving && n.Rest <= 0 && n.Cold <= 0 && n.Unreadable == ""
+}
 
 // told is what the answers of one life of an upstream told.
 type told struct {
@@ -89,16 +96,20 @@
 	answered, rested bool
 }
 
-// Begin returns an upstream to send to, once, or ErrLeaving or ErrResting. It is asked right before each sending, whatever was known
+// Begin returns an upstream to send to, once, or ErrLeaving, ErrEvacuated or ErrResting. It is asked right before each sending, whatever was known
 // when the upstream was chosen: what is sent then arrives within the 0.4 s that a connection takes at most, and so within the half second
 // that the platform allows after an answer that asks for rest. The caller must call End.
 func (d *Directory) Begin(upstream Upstream) (*Endpoint, error) {
 	d.mu.RLock()
 	known, isKnown := d.told[upstream.ID]
+	evacuated := d.evacuated[upstream.Hall]
 	d.mu.RUnlock()
 	if isKnown && !known.leavingAt.IsZero() {
 		return nil, ErrLeaving
 	}
+	if evacuated {
+		return nil, ErrEvacuated
+	}
 	endpoint := &Endpoint{Upstream: upstream, directory: d}
 	if isKnown {
 		var ok bool
@@ -147,6 +158,12 @@
 	known.lastKnown = now
 	news = n
 	news.Leaving = n.Leaving && known.leavingAt.IsZero()
+	if n.Cold > 0 {
+		if time.Now().Before(d.warmth[id].coldUntil) {
+			news.Cold = 0
+		}
+		d.noteCold(id, n.Cold)
+	}
 	if news.Leaving {
 		known.leavingAt = now
 	}
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -10,6 +10,9 @@
 	// DropAt is when an upstream whose entry lapsed is dropped; zero while it is listed.
 	DropAt time.Time
 
+	// Evacuated means that its hall is evacuated: it gets nothing new until that ends.
+	Evacuated bool
+
 	// adapters that are loaded, by model: those listed, and those of the residency in their place.
 	adapters map[string][]string
 	// withdrawn, loaded, dropped and busy are those of the residency.
@@ -28,6 +31,7 @@
 // lock.
 func (d *Directory) join(upstream Upstream) *State {
 	state := &State{Upstream: upstream, ListedAt: time.Now(), adapters: map[string][]string{}, listedLeaving: upstream.Leaving}
+	state.Evacuated = d.evacuated[upstream.Hall]
 	if !d.told[upstream.ID].leavingAt.IsZero() {
 		state.Leaving = true // An answer told it ahead of the list, which may be older.
 	}
--- a/pkg/fleet/upstream.go
+++ b/pkg/fleet/upstream.go
@@ -17,6 +17,8 @@
 	Leaving bool
 	// Notice is how long after its entry was written a leaving upstream ends; 0 if it gave none.
 	Notice time.Duration
+	// Cold is for how long an engine is cold from when its entry was written; 0 if it is not.
+	Cold time.Duration
 	// Models that it holds, with their adapters.
 	Models []Holding
 	// InMemory and OnDisk name the models of which the engine keeps a copy there. A load from a copy is
--- a/pkg/residency/adapterplace.go
+++ b/pkg/residency/adapterplace.go
@@ -24,17 +24,18 @@
 // is needed: an engine that has the adapter or has just begun to load it, else the cheapest one that
 // can load it, else one whose load takes longer than hedgeDelay. It is false if no engine but those
 // tried can have the adapter now.
-func (c *Controller) placeAdapter(service string, engines *routes.Engines, key adapterKey, tried []string) (adapterLoad, bool) {
+func (c *Controller) placeAdapter(engines *routes.Engines, want *Want, tried []string) (adapterLoad, bool) {
+	key := adapterKey{want.Model, want.Adapter}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var best *engine
 	var slow adapterLoad
 	bestCost := 0
-	for _, state := range c.Directory.OfService(service) {
-		if state.Leaving || !state.Holds(key.model) || slices.Contains(tried, state.ID) || c.unresponsive(state.ID) {
+	for _, state := range c.Directory.OfService(want.Service) {
+		if !state.TakesWork() || !want.allows(state.Hall) || !state.Holds(key.model) || slices.Contains(tried, state.ID) || c.unresponsive(state.ID) {
 			continue
 		}
-		e := c.engine(state.ID, service)
+		e := c.engine(state.ID, want.Service)
 		if there, isSlow := e.findAdapter(key); there != nil && !isSlow {
 			return adapterLoad{e, there}, true
 		} else if there != nil {
--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -51,8 +51,8 @@
 	// term under which the fields below were learned, but for lastOrders.
 	term    int64
 	engines map[string]*engine
-	// missed is when each model was last asked for while no engine held it.
-	missed map[ModelKey]time.Time
+	// missed is when each model was last asked for while no engine that may serve it held it.
+	missed map[ModelKey]missed
 	// loadEnds is when a model's last planned load will probably be done.
 	loadEnds map[ModelKey]time.Time
 	// uses is what all boxes have running with adapters.
@@ -62,6 +62,13 @@
 	lastOrders map[string]time.Time
 }
 
+// missed is a request for a model that no engine held which may serve it.
+type missed struct {
+	at time.Time
+	// halls are those whose engines may; empty, and all may.
+	halls []string
+}
+
 // New returns a controller; Run starts it.
 func New(config Config) *Controller {
 	c := &Controller{Config: config, ctx: context.Background(), lastOrders: map[string]time.Time{}}
@@ -144,11 +151,11 @@
 	return described.Engines, described.Model(model)
 }
 
-// replicas counts the engines that may be sent requests for a model.
-func (c *Controller) replicas(service, model string) int {
+// replicas counts the engines that may be sent what is wanted, as far as its model goes.
+func (c *Controller) replicas(want *Want) int {
 	n := 0
-	for _, state := range c.Directory.OfService(service) {
-		if !state.Leaving && !c.unresponsive(state.ID) && state.Holds(model) {
+	for _, state := range c.Directory.OfService(want.Service) {
+		if state.TakesWork() && want.allows(state.Hall) && !c.unresponsive(state.ID) && state.Holds(want.Model) {
 			n++
 		}
 	}
--- a/pkg/residency/controller_test.go
+++ b/pkg/residency/controller_test.go
@@ -30,7 +30,7 @@
 		asking.Go(func() {
 			callCtx, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
 			defer cancel()
-			ensured, _ := t.controller.Ensure(callCtx, "s", model, adapter)
+			ensured, _ := t.controller.Ensure(callCtx, residency.Want{Service: "s", Model: model, Adapter: adapter})
 			mu.Lock()
 			defer mu.Unlock()
 			asked++
@@ -117,7 +117,7 @@
 				begun := time.Now()
 				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 				defer cancel()
-				ensured, err := t.controller.Ensure(ctx, "s", "m0", adapter)
+				ensured, err := t.controller.Ensure(ctx, residency.Want{Service: "s", Model: "m0", Adapter: adapter})
 				Expect(err).NotTo(HaveOccurred())
 				Expect(ensured.Upstream).To(Equal("e0"))
 				return time.Since(begun)
@@ -155,7 +155,7 @@
 				begun := time.Now()
 				ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 				defer cancel()
-				ensured, err := t.controller.Ensure(ctx, "s", "m0", adapter)
+				ensured, err := t.controller.Ensure(ctx, residency.Want{Service: "s", Model: "m0", Adapter: adapter})
 				Expect(err).NotTo(HaveOccurred())
 				return ensured.Upstream, time.Since(begun)
 			}
@@ -181,7 +181,7 @@
 		spectest.Bubble(func() {
 			t := newTestFleet(1, 0)
 			t.controller.Unresponsive = func(upstream string) bool { return upstream == "e0" }
-			_, err := t.controller.Ensure(context.Background(), "s", "m0", "a0")
+			_, err := t.controller.Ensure(context.Background(), residency.Want{Service: "s", Model: "m0", Adapter: "a0"})
 			Expect(err).To(MatchError(residency.ErrNoPlace))
 			ctx, cancel := context.WithCancel(context.Background())
 			done := make(chan struct{})
@@ -205,14 +205,14 @@
 	It("gives no order without the lease", func() {
 		t := newTestFleet(1, 0)
 		t.controller.Term = func() (int64, error) { return 0, residency.ErrNotHolder }
-		_, err := t.controller.Ensure(context.Background(), "s", "m0", "a1")
+		_, err := t.controller.Ensure(context.Background(), residency.Want{Service: "s", Model: "m0", Adapter: "a1"})
 		Expect(err).To(MatchError(residency.ErrNotHolder))
 		Expect(t.engines["e0"].taken).To(BeZero())
 	})
 
 	It("refuses a model that is not in the configuration", func() {
 		t := newTestFleet(1, 0)
-		_, err := t.controller.Ensure(context.Background(), "s", "nobody", "")
+		_, err := t.controller.Ensure(context.Background(), residency.Want{Service: "s", Model: "nobody"})
 		Expect(err).To(MatchError(residency.ErrUnknownModel))
 	})
 })
--- a/pkg/residency/ensure.go
+++ b/pkg/residency/ensure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -20,16 +21,30 @@
 	Ready time.Duration `json:"ready,omitempty"`
 }
 
+// Want is what a request needs at an engine.
+type Want struct {
+	Service string `json:"service"`
+	Model   string `json:"model"`
+	Adapter string `json:"adapter,omitempty"`
+	// Avoid are engines that the asking box may not send anything now. A box of the version before does not read it.
+	Avoid []string `json:"avoid,omitempty"`
+	// Halls are those whose engines may serve it; empty, and all may. A box of the version before does not read it.
+	Halls []string `json:"halls,omitempty"`
+}
+
+// allows reports whether an engine in a hall may serve it.
+func (w *Want) allows(hall string) bool { return len(w.Halls) == 0 || slices.Contains(w.Halls, hall) }
+
 // crowdedWork is the work, in milliseconds of an engine's time, that is noted for a model each time
 // that its engines have no place for an adapter: another replica brings more places. Chosen with commit
 // 5a97c09, not measured.
 const crowdedWork = 60
 
 // Ensure has an adapter of a model loaded on an engine that holds the model, and returns where.
-// Engines to avoid are not chosen: the box that asks must not send them anything now.
-// For a model that no engine holds it returns ErrNoPlace at once, with the time until the load is
+// For a model that no engine holds which may serve it, it returns ErrNoPlace at once, with the time until the load is
 // done. Other errors are those of Config.Term, ErrUnknownModel, ErrFailed and the context's.
-func (c *Controller) Ensure(ctx context.Context, service, model, adapter string, avoid ...string) (EnsureResult, error) {
+func (c *Controller) Ensure(ctx context.Context, want Want) (EnsureResult, error) {
+	service, model, adapter := want.Service, want.Model, want.Adapter
 	term, err := c.Term()
 	if err != nil {
 		return EnsureResult{}, err
@@ -39,13 +54,13 @@
 	if described == nil {
 		return EnsureResult{}, ErrUnknownModel
 	}
-	if c.replicas(service, model) == 0 {
-		return EnsureResult{Ready: c.noteMissed(service, model), Term: term}, ErrNoPlace
+	if c.replicas(&want) == 0 {
+		return EnsureResult{Ready: c.noteMissed(&want), Term: term}, ErrNoPlace
 	}
 	if adapter == "" {
 		return EnsureResult{Term: term}, nil
 	}
-	target, err := c.ensureAdapter(ctx, service, engines, adapterKey{model, adapter}, avoid)
+	target, err := c.ensureAdapter(ctx, engines, &want)
 	if target != nil {
 		return EnsureResult{Upstream: target.id, Residency: target.residency(), Term: term}, nil
 	}
@@ -58,16 +73,16 @@
 
 // noteMissed notes that a model is asked for which no engine holds, and returns after how long it
 // will probably be there.
-func (c *Controller) noteMissed(service, model string) time.Duration {
+func (c *Controller) noteMissed(want *Want) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	key := ModelKey{service, model}
-	c.missed[key] = now
+	key := ModelKey{want.Service, want.Model}
+	c.missed[key] = missed{at: now, halls: want.Halls}
 	if end, ok := c.loadEnds[key]; ok && end.After(now) {
 		return end.Sub(now)
 	}
-	return c.firstReplicaTime(service, model)
+	return c.firstReplicaTime(want.Service, want.Model)
 }
 
 // firstReplicaTime is how long a model's first replica will probably take, from the nearest copy; 0 if
@@ -79,7 +94,7 @@
 	}
 	span := described.LoadTime
 	for _, state := range c.Directory.OfService(service) {
-		if copied, ok := copies(c.engineService(service), state.Upstream)[model]; ok && !state.Leaving {
+		if copied, ok := copies(c.engineService(service), state.Upstream)[model]; ok && state.TakesWork() {
 			span = min(span, copied)
 		}
 	}
--- a/pkg/residency/firstreplica.go
+++ b/pkg/residency/firstreplica.go
@@ -21,7 +21,7 @@
 func (p *planner) missing(kind func(*PlanModel) bool) []*PlanModel {
 	var missing []*PlanModel
 	for _, model := range p.models {
-		if p.replicas[model.Name] == 0 && kind(model) {
+		if p.replicasFor(model) == 0 && kind(model) {
 			missing = append(missing, model)
 		}
 	}
@@ -37,6 +37,18 @@
 	return missing
 }
 
+// replicasFor counts the replicas that may serve the requests for which the model was missed.
+func (p *planner) replicasFor(model *PlanModel) int {
+	if len(model.Halls) == 0 {
+		return p.replicas[model.Name]
+	}
+	count := 0
+	for _, hall := range model.Halls {
+		count += p.hallReplicas[model.Name][hall]
+	}
+	return count
+}
+
 // storeDemand is the demand from which a model's first replica may come from the weight store though an
 // engine keeps a copy. Chosen, not measured.
 const storeDemand = 0.3
@@ -49,7 +61,7 @@
 		storeLoads = 0 // An engine that has a copy is free sooner than a load from the store is done.
 	}
 	for _, e := range p.engines {
-		if !p.mayTake(e, model, storeLoads) {
+		if !p.mayTake(e, model, storeLoads) || len(model.Halls) > 0 && !slices.Contains(model.Halls, e.Hall) {
 			continue
 		}
 		evict, ok := p.makeRoom(e, model)
--- a/pkg/residency/hedge.go
+++ b/pkg/residency/hedge.go
@@ -33,14 +33,14 @@
 // ensureAdapter has an adapter loaded and returns the engine that has it first. Where one engine
 // takes longer than hedgeDelay, another one is tried beside it. It fails with ErrNoPlace if no
 // engine can take the adapter, with ErrFailed if all loads failed.
-func (c *Controller) ensureAdapter(ctx context.Context, service string, engines *routes.Engines, key adapterKey, avoid []string) (*engine, error) {
+func (c *Controller) ensureAdapter(ctx context.Context, engines *routes.Engines, want *Want) (*engine, error) {
 	var tried []string
 	var pending []adapterLoad
 	failure := error(ErrNoPlace)
 	for {
 		begun := false
 		if len(tried) < maxHedgedLoads {
-			if next, ok := c.placeAdapter(service, engines, key, slices.Concat(avoid, tried)); ok {
+			if next, ok := c.placeAdapter(engines, want, slices.Concat(want.Avoid, tried)); ok {
 				tried = append(tried, next.engine.id)
 				pending = append(pending, next)
 				begun = true
--- a/pkg/residency/orderround.go
+++ b/pkg/residency/orderround.go
@@ -161,10 +161,10 @@
 	return result, err
 }
 
-// withheldResult is what becomes of an order that was not sent: an engine that leaves gets no more of them, one that rests may get it
-// later.
+// withheldResult is what becomes of an order that was not sent: an engine that leaves, or whose hall is evacuated, gets no more of them;
+// one that rests may get it later.
 func withheldResult(err error) Result {
-	if errors.Is(err, fleet.ErrLeaving) {
+	if errors.Is(err, fleet.ErrLeaving) || errors.Is(err, fleet.ErrEvacuated) {
 		return Gone
 	}
 	return Conflict
--- a/pkg/residency/permission.go
+++ b/pkg/residency/permission.go
@@ -51,7 +51,7 @@
 func (c *Controller) reset(term int64) {
 	c.term = term
 	c.engines = map[string]*engine{}
-	c.missed = map[ModelKey]time.Time{}
+	c.missed = map[ModelKey]missed{}
 	c.loadEnds = map[ModelKey]time.Time{}
 	c.uses = map[ModelUse]int{}
 	c.storeRate = storeRate{}
--- a/pkg/residency/plan.go
+++ b/pkg/residency/plan.go
@@ -35,7 +35,7 @@
 	AdapterMegabytes float64
 	// Usable engines may be given moves; the others only keep what they hold.
 	Usable bool
-	// Leaving engines stop soon.
+	// Leaving engines stop soon, or their hall is evacuated.
 	Leaving bool
 	// Unresponsive engines did not answer the last requests.
 	Unresponsive bool
@@ -68,8 +68,9 @@
 	Demand float64
 	// Patient reports that whoever asks for the model can wait for a load from a copy.
 	Patient bool
-	// Missed reports that requests came while no engine held the model.
+	// Missed reports that requests came while no engine held the model, or none in the Halls that they are bound to; no halls are all.
 	Missed bool
+	Halls  []string
 }
 
 // asked reports whether requests ask for the model.
--- a/pkg/residency/plan_test.go
+++ b/pkg/residency/plan_test.go
@@ -36,6 +36,24 @@
 		Expect(moves[0].Model).To(Equal("z"))
 	})
 
+	It("loads a model in the halls that its requests are bound to, though an engine elsewhere holds it", func() {
+		in := planInput()
+		in.Moves = 1
+		in.Engines = []residency.PlanEngine{
+			{ID: "e1", Hall: "h1", Usable: true, Models: []string{"m"}},
+			{ID: "e2", Hall: "h2", Usable: true},
+			{ID: "e3", Hall: "h3", Usable: true},
+		}
+		bound := planModel("m", 0)
+		bound.Missed, bound.Halls = true, []string{"h3"}
+		in.Models = []residency.PlanModel{bound}
+		moves := residency.Plan(in)
+		Expect(moves).To(HaveLen(1))
+		Expect(moves[0].Engine).To(Equal("e3"))
+		in.Engines[2].Models = []string{"m"}
+		Expect(residency.Plan(in)).To(BeEmpty())
+	})
+
 	It("never evicts a last confirmed replica, though another one is being loaded", func() {
 		in := planInput()
 		in.Engines = []residency.PlanEngine{
--- a/pkg/residency/planinput.go
+++ b/pkg/residency/planinput.go
@@ -32,7 +32,7 @@
 	running := c.runningModels()
 	for _, state := range states {
 		e := c.engine(state.ID, name)
-		if e.shouldLearn(now) {
+		if !state.Evacuated && e.shouldLearn(now) {
 			e.learn()
 		}
 		input.Engines = append(input.Engines, e.planEngine(state, service, running[state.ID]))
@@ -41,18 +41,29 @@
 	rates := c.Demand.Rates(now)
 	for _, model := range service.Engines.Models {
 		key := ModelKey{name, model.Name}
+		asked := c.missed[key]
+		isMissed := now.Sub(asked.at) < missedTime
 		input.Models = append(input.Models, PlanModel{
 			Name:      model.Name,
 			Megabytes: model.Megabytes,
 			LoadTime:  model.LoadTime,
 			Demand:    rates[key],
-			Missed:    now.Sub(c.missed[key]) < missedTime,
+			Missed:    isMissed,
+			Halls:     asked.hallsWhile(isMissed),
 			Patient:   c.Demand.Patient(key),
 		})
 	}
 	return input
 }
 
+// hallsWhile returns the halls that the latest request for a missed model was bound to.
+func (m *missed) hallsWhile(isMissed bool) []string {
+	if !isMissed {
+		return nil
+	}
+	return m.halls
+}
+
 // forgetGone drops the state of a service's engines that the directory no longer has. The caller
 // holds the lock.
 func (c *Controller) forgetGone(service string, states []*fleet.State) {
@@ -76,7 +87,7 @@
 		ID:           state.ID,
 		Hall:         state.Hall,
 		Usable:       e.orders.known && e.move.none() && e.takesOrders(time.Now()),
-		Leaving:      state.Leaving,
+		Leaving:      !state.TakesWork(),
 		Unresponsive: e.controller.unresponsive(state.ID),
 	}
 	e.models.reconcile(state.Models, state.Revision)
--- a/pkg/residency/prefetch.go
+++ b/pkg/residency/prefetch.go
@@ -25,7 +25,7 @@
 	present := c.adaptersPresent(states)
 	for _, state := range states {
 		e := c.engines[state.ID]
-		if e == nil || state.Leaving || !e.takesPrefetch(service.Engines, now) {
+		if e == nil || !state.TakesWork() || !e.takesPrefetch(service.Engines, now) {
 			continue
 		}
 		key, ok := nextAdapter(name, service, state, rates, present)
--- a/pkg/routes/routes.go
+++ b/pkg/routes/routes.go
@@ -58,6 +58,8 @@
 	Shares  []Share
 	// Public routes ask for no key.
 	Public bool
+	// Regions in which requests of the route may be served.
+	Regions customers.Regions
 }
 
 // Idempotent reports whether a request of the route may run more than once.
--- a/pkg/routes/service.go
+++ b/pkg/routes/service.go
@@ -5,6 +5,10 @@
 // Service is a set of upstreams that are alike.
 type Service struct {
 	Name string
+	// ColdStart is for how long an upstream is cold after a start, and ColdPerSecond how many requests a second it then bears, over all
+	// boxes together; 0 sets no bound.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 	// Engines is nil for a plain service.
 	Engines *Engines
 
