--- a/internal/cluster/content.go
+++ b/internal/cluster/content.go
@@ -12,7 +12,7 @@
 
 	"github.com/juju/errors"
 
-	"ospreymoor.example/ospreymoor/pkg/kv"
+	"ospreymoor.example/ospreymoor/pkg/mirror"
 )
 
 const (
@@ -75,7 +75,7 @@
 
 // get returns a content; that of a record is packed from the box's copy of the store if it has that
 // revision. It is nil if the box does not have it.
-func (c *contents) get(id contentID, records map[string]kv.Record) ([]byte, error) {
+func (c *contents) get(id contentID, records mirror.Records) ([]byte, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	at := slices.IndexFunc(c.list, func(kept content) bool { return kept.id == id })
@@ -83,10 +83,11 @@
 		return c.list[at].packed, nil
 	}
 	key, revision, ok := id.record()
-	if !ok || records[key].Revision != revision {
+	record, _ := records.Get(key)
+	if !ok || record.Revision != revision {
 		return nil, nil
 	}
-	packed, err := pack(records[key].Value)
+	packed, err := pack(record.Value)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cluster/sender.go
+++ b/internal/cluster/sender.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"ospreymoor.example/ospreymoor/pkg/kv"
+	"ospreymoor.example/ospreymoor/pkg/mirror"
 )
 
 const (
@@ -43,7 +43,7 @@
 }
 
 // answer answers a request for a piece. records are those of this box's copy of the store.
-func (s *sender) answer(request pieceRequest, records map[string]kv.Record) (pieceAnswer, error) {
+func (s *sender) answer(request pieceRequest, records mirror.Records) (pieceAnswer, error) {
 	packed, err := s.contents.get(request.Content, records)
 	if err != nil || len(packed) == 0 || request.Offset < 0 || request.Offset >= len(packed) {
 		return pieceAnswer{}, err
--- a/internal/cluster/transfer_test.go
+++ b/internal/cluster/transfer_test.go
@@ -16,6 +16,7 @@
 	"ospreymoor.example/ospreymoor/internal/peer"
 	"ospreymoor.example/ospreymoor/pkg/kv"
 	"ospreymoor.example/ospreymoor/pkg/mirror"
+	"ospreymoor.example/ospreymoor/pkg/mirror/mirrortest"
 	"ospreymoor.example/ospreymoor/pkg/quarantine"
 	"ospreymoor.example/ospreymoor/pkg/spectest"
 )
@@ -85,12 +86,12 @@
 		_, _, ok = contentID("copy/7").record()
 		Expect(ok).To(BeFalse())
 		var c contents
-		records := map[string]kv.Record{"op/config": {Value: []byte("v7"), Revision: 7}}
+		records := mirrortest.Records(kv.Record{Key: "op/config", Value: []byte("v7"), Revision: 7})
 		packed, err := c.get(id, records)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(unpack(packed)).To(Equal([]byte("v7")))
 		By("also after a later change, for the transfers that began before")
-		records["op/config"] = kv.Record{Value: []byte("v8"), Revision: 8}
+		records = mirrortest.Records(kv.Record{Key: "op/config", Value: []byte("v8"), Revision: 8})
 		Expect(c.get(id, records)).To(Equal(packed))
 		Expect(c.get(recordContent("op/config", 6), records)).To(BeNil())
 		By("but only the latest ones")
@@ -102,7 +103,7 @@
 })
 
 var _ = Describe("a sender of contents", func() {
-	records := map[string]kv.Record{"k": {Key: "k", Value: incompressible(3 * pieceBytes / 2), Revision: 5}}
+	records := mirrortest.Records(kv.Record{Key: "k", Value: incompressible(3 * pieceBytes / 2), Revision: 5})
 	ask := func(s *sender, from string, offset int) pieceAnswer {
 		answer, err := s.answer(pieceRequest{From: from, Content: recordContent("k", 5), Offset: offset}, records)
 		Expect(err).NotTo(HaveOccurred())
@@ -148,7 +149,7 @@
 var _ = Describe("a transfer", func() {
 	value := incompressible(5 * pieceBytes)
 	id := recordContent("k", 5)
-	records := map[string]kv.Record{"k": {Key: "k", Value: value, Revision: 5}}
+	records := mirrortest.Records(kv.Record{Key: "k", Value: value, Revision: 5})
 
 	It("goes on after failed calls where it was", func() {
 		withReceiver(func(e *Exchange, p *pieceServers) {
--- a/internal/orderlease/lease.go
+++ b/internal/orderlease/lease.go
@@ -153,7 +153,7 @@
 	if state.Revision == 0 {
 		return false
 	}
-	record, held := state.Records[l.key]
+	record, held := state.Records.Get(l.key)
 	return !held || string(record.Value) == l.Name
 }
 
@@ -182,7 +182,7 @@
 // Observe takes a new copy of the store: a lease that is free, or that an earlier process of this
 // box holds, is contended for soon.
 func (l *Lease) Observe(state mirror.State) {
-	record, held := state.Records[l.key]
+	record, held := state.Records.Get(l.key)
 	ours := held && string(record.Value) == l.Name && l.lease.Tenure().Term == 0
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/orderlease/lease_test.go
+++ b/internal/orderlease/lease_test.go
@@ -15,6 +15,7 @@
 	"ospreymoor.example/ospreymoor/internal/peer"
 	"ospreymoor.example/ospreymoor/pkg/kv"
 	"ospreymoor.example/ospreymoor/pkg/mirror"
+	"ospreymoor.example/ospreymoor/pkg/mirror/mirrortest"
 	"ospreymoor.example/ospreymoor/pkg/residency"
 	"ospreymoor.example/ospreymoor/pkg/spectest"
 )
@@ -111,7 +112,7 @@
 			c.state.Store(&mirror.State{})
 			Expect(c.mayBeFree()).To(BeFalse())
 			held := func(name string) *mirror.State {
-				return &mirror.State{Revision: 2, Records: map[string]kv.Record{leaseKey: {Key: leaseKey, Value: []byte(name)}}}
+				return &mirror.State{Revision: 2, Records: mirrortest.Records(kv.Record{Key: leaseKey, Value: []byte(name)})}
 			}
 			c.state.Store(held("other"))
 			Expect(c.mayBeFree()).To(BeFalse())
@@ -123,7 +124,7 @@
 	It("is contended for in turns, later by boxes that follow a relay and not by one that the store does not list", func() {
 		inBubble(func(c *contender, _ kv.Store) {
 			free := mirror.State{Revision: 1}
-			held := mirror.State{Revision: 2, Records: map[string]kv.Record{leaseKey: {Value: []byte("another")}}}
+			held := mirror.State{Revision: 2, Records: mirrortest.Records(kv.Record{Key: leaseKey, Value: []byte("another")})}
 			turnAfter := func() time.Duration {
 				c.Observe(held)
 				begun := time.Now()
--- a/internal/storeview/evacuation.go
+++ b/internal/storeview/evacuation.go
@@ -14,20 +14,23 @@
 
 // takeEvacuations takes which halls are evacuated. A record counts by its key alone, whatever its value, so that one that can't be read
 // does no less than what its writer asked for.
-func (v *View) takeEvacuations(state mirror.State) fleet.Evacuations {
-	prefix := v.config.Platform.EvacuationPrefix
-	if prefix == "" {
+func (v *View) takeEvacuations(state mirror.State, changed []string) fleet.Evacuations {
+	if len(changed) == 0 {
 		return fleet.Evacuations{}
 	}
-	halls := map[string]bool{}
-	for key := range state.Records {
-		hall, ok := strings.CutPrefix(key, prefix)
-		if ok && hall != "" && len(hall) <= maxHallName {
-			halls[hall] = true
+	for _, key := range changed {
+		hall := strings.TrimPrefix(key, v.config.Platform.EvacuationPrefix)
+		if hall == "" || len(hall) > maxHallName {
+			continue
+		}
+		if _, held := state.Records.Get(key); held {
+			v.evacuated[hall] = true
+		} else {
+			delete(v.evacuated, hall)
 		}
 	}
-	v.evacuatedHalls.Store(int64(len(halls)))
-	return v.config.Directory.SetEvacuated(state.Revision, halls)
+	v.evacuatedHalls.Store(int64(len(v.evacuated)))
+	return v.config.Directory.SetEvacuated(state.Revision, v.evacuated)
 }
 
 // logEvacuations logs what began and ended, with what is left, so that an operator sees why requests are refused.
--- a/internal/storeview/own.go
+++ b/internal/storeview/own.go
@@ -14,45 +14,49 @@
 )
 
 // takeOwn takes what boxes wrote themselves: their registrations, the order lease and the requests that are held.
-func (v *View) takeOwn(state mirror.State) {
-	own := fingerprintOf(state, v.config.Platform.OwnPrefix)
-	if own == v.own {
+func (v *View) takeOwn(state mirror.State, changed []string) {
+	if len(changed) == 0 {
 		return
 	}
-	v.own = own
-	v.config.Members.SetRegistered(v.boxes(state))
-	v.takeHeld(state)
+	if v.takeBoxes(state, changed) {
+		v.config.Members.SetRegistered(v.boxes())
+	}
+	v.takeHeld(state, changed)
 	v.config.OrderLease.Observe(state)
 }
 
 // registeredBox is a box as a revision of its record has it.
 type registeredBox struct {
 	cluster.Box
-	revision int64
 	// unusable means that the record names no box.
 	unusable bool
 }
 
-// boxes returns the registered boxes; only records that changed are decoded: at 295 boxes, one that registers
-// costs each of the others one record and not all (BenchmarkRegistrations: 0.96 ms before, 0.07 ms after).
-func (v *View) boxes(state mirror.State) []cluster.Box {
+// takeBoxes takes the registrations that changed, and returns whether any did.
+func (v *View) takeBoxes(state mirror.State, changed []string) (any bool) {
 	prefix := v.config.Platform.OwnPrefix + boxPart
-	next := make(map[string]registeredBox, len(v.boxByKey))
-	list := make([]cluster.Box, 0, len(v.boxByKey)+1)
-	for key, record := range state.Records {
+	for _, key := range changed {
 		if !strings.HasPrefix(key, prefix) {
 			continue
 		}
-		box, known := v.boxByKey[key]
-		if !known || box.revision != record.Revision {
-			box = v.decodeBox(record, box.unusable)
+		any = true
+		if record, held := state.Records.Get(key); held {
+			v.boxByKey[key] = v.decodeBox(record, v.boxByKey[key].unusable)
+		} else {
+			delete(v.boxByKey, key)
 		}
-		next[key] = box
+	}
+	return any
+}
+
+// boxes returns the registered boxes.
+func (v *View) boxes() []cluster.Box {
+	list := make([]cluster.Box, 0, len(v.boxByKey))
+	for _, box := range v.boxByKey {
 		if !box.unusable {
 			list = append(list, box.Box)
 		}
 	}
-	v.boxByKey = next
 	return list
 }
 
@@ -61,7 +65,7 @@
 
 // decodeBox decodes a record. One that names no box is logged once until it names one, as it was not before.
 func (v *View) decodeBox(record kv.Record, was bool) registeredBox {
-	box := registeredBox{revision: record.Revision}
+	box := registeredBox{}
 	err := json.Unmarshal(record.Value, &box.Box)
 	if err == nil && box.Name == "" {
 		err = errNoBox
@@ -72,5 +76,5 @@
 	if !was {
 		v.config.Log.Warn("box record unreadable", zap.String("key", record.Key), logfield.Error(err))
 	}
-	return registeredBox{revision: record.Revision, unusable: true}
+	return registeredBox{unusable: true}
 }
--- a/internal/storeview/quarantine.go
+++ b/internal/storeview/quarantine.go
@@ -68,7 +68,7 @@
 	records := h.Records().Records
 	for _, held := range h.Quarantine.Held() {
 		key := h.Platform.OwnPrefix + quarantinePart + held.Request.String()
-		recorded := records[key]
+		recorded, _ := records.Get(key)
 		if tellsAsMuch(recorded, &held) || !h.mayRecord(&held) {
 			continue
 		}
@@ -117,22 +117,19 @@
 	return err
 }
 
-// takeHeld takes in the store's records of requests that are held, those that were written since the last time.
-func (v *View) takeHeld(state mirror.State) {
+// takeHeld takes in the store's records of requests that are held, those that changed.
+func (v *View) takeHeld(state mirror.State, changed []string) {
 	prefix := v.config.Platform.OwnPrefix + quarantinePart
-	for key, record := range state.Records {
+	for _, key := range changed {
 		text, ok := strings.CutPrefix(key, prefix)
-		if !ok {
-			continue
-		}
-		if record.Revision <= v.holdsRead {
+		record, held := state.Records.Get(key)
+		if !ok || !held {
 			continue
 		}
 		if err := v.restore(text, record.Value); err != nil {
 			v.config.Log.Warn("record of a held request unreadable", zap.String("key", key), logfield.Error(err))
 		}
 	}
-	v.holdsRead = state.Revision
 }
 
 func (v *View) restore(text string, value []byte) error {
--- a/internal/storeview/quarantine_test.go
+++ b/internal/storeview/quarantine_test.go
@@ -12,6 +12,7 @@
 
 	"ospreymoor.example/ospreymoor/pkg/kv"
 	"ospreymoor.example/ospreymoor/pkg/mirror"
+	"ospreymoor.example/ospreymoor/pkg/mirror/mirrortest"
 	"ospreymoor.example/ospreymoor/pkg/quarantine"
 	"ospreymoor.example/ospreymoor/pkg/spectest"
 )
@@ -28,11 +29,7 @@
 			Records: func() mirror.State {
 				snapshot, err := store.Snapshot(context.Background(), "")
 				Expect(err).NotTo(HaveOccurred())
-				state := mirror.State{Records: map[string]kv.Record{}}
-				for _, record := range snapshot.Records {
-					state.Records[record.Key] = record
-				}
-				return state
+				return mirror.State{Records: mirrortest.Records(snapshot.Records...)}
 			},
 			Keeps: func(string) bool { return keeps },
 			Log:   zap.NewNop(),
--- /dev/null
+++ b/internal/storeview/size_bench_test.go
@@ -0,0 +1,126 @@
+package storeview
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/kv"
+	"ospreymoor.example/ospreymoor/pkg/mirror"
+)
+
+// changingBox is a box whose copy of the store has the entries of many upstreams, of which a few change at a time.
+type changingBox struct {
+	mirror    *mirror.Mirror
+	upstreams int
+	revision  int64
+}
+
+func newChangingBox(upstreams int) *changingBox {
+	f := newFixture(kv.NewMemory().Store())
+	f.config.Platform.DecodeUpstream = func(record kv.Record) (fleet.Upstream, error) {
+		return fleet.Upstream{
+			ID: record.Key, Service: "s", Hall: "h", Address: record.Key, Revision: record.Revision,
+			Models: []fleet.Holding{{Model: "m" + record.Key[len(record.Key)-2:]}},
+		}, nil
+	}
+	c := &changingBox{mirror: f.View.Mirror(), upstreams: upstreams}
+	var all []kv.Record
+	for n := range upstreams {
+		all = append(all, kv.Record{Key: upstreamKey(n), Value: []byte("x"), Revision: int64(n + 1)})
+	}
+	c.revision = int64(upstreams)
+	c.mirror.ApplyDelta(mirror.Delta{Revision: c.revision, Changed: all})
+	return c
+}
+
+func upstreamKey(n int) string { return fmt.Sprintf("servers/e%05d", n) }
+
+// change has some entries change, and the box take that in.
+func (c *changingBox) change(entries int) {
+	delta := mirror.Delta{From: c.revision}
+	for range entries {
+		c.revision++
+		key := upstreamKey(int(c.revision) * 7 % c.upstreams)
+		delta.Changed = append(delta.Changed, kv.Record{Key: key, Value: []byte("y"), Revision: c.revision})
+	}
+	delta.Revision = c.revision
+	c.mirror.ApplyDelta(delta)
+}
+
+// bytesOf is how much memory f takes, in bytes.
+func bytesOf(f func()) uint64 {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	f()
+	runtime.ReadMemStats(&after)
+	return after.TotalAlloc - before.TotalAlloc
+}
+
+// Each box takes in the changes of all upstreams four times a second. While every change was taken for a whole new list, 20 entries that
+// changed of 10,000 took 51 ms of a core and 9.4 MB on each of 986 boxes, of which the smallest have a fifth of a core.
+var _ = Describe("what a change of a few entries costs a box", func() {
+	It("does not grow with the fleet", func() {
+		cost := map[int]uint64{}
+		for _, upstreams := range []int{60, 250, 1000, 4000} {
+			c := newChangingBox(upstreams)
+			c.change(5)
+			cost[upstreams] = bytesOf(func() {
+				for range 50 {
+					c.change(5)
+				}
+			}) / 50
+		}
+		GinkgoWriter.Println("bytes a change of five entries, by upstreams:", cost)
+		Expect(cost[1000]).To(BeNumerically("<", 2*cost[60]))
+		Expect(cost[4000]).To(BeNumerically("<", 4*cost[60]))
+	})
+
+	It("does not grow with the fleet for the boxes that it is told to, also after many entries lapsed at once", func() {
+		for _, upstreams := range []int{60, 1000, 4000} {
+			c := newChangingBox(upstreams)
+			known := c.revision
+			c.change(5)
+			Expect(c.mirror.DeltaSince(known, 8192).Changed).To(HaveLen(5))
+			lapsed := mirror.Delta{From: c.revision, Revision: c.revision + 1}
+			for n := range upstreams / 3 {
+				lapsed.Removed = append(lapsed.Removed, upstreamKey(n))
+			}
+			known = c.revision
+			c.mirror.ApplyDelta(lapsed)
+			delta := c.mirror.DeltaSince(known, 8192)
+			Expect(delta.Whole).To(BeFalse(), "names all keys")
+			Expect(delta.Removed).To(HaveLen(upstreams / 3))
+		}
+	})
+})
+
+// BenchmarkChange is what one box does for 20 entries that change among all of a fleet.
+func BenchmarkChange(b *testing.B) {
+	for _, size := range []int{60, 600, 3000, 10000} {
+		b.Run(fmt.Sprint(size, " upstreams"), func(b *testing.B) {
+			c := newChangingBox(size)
+			b.ReportAllocs()
+			for b.Loop() {
+				c.change(20)
+			}
+		})
+	}
+}
+
+// BenchmarkDelta is what a relay does for one box of its hall, for as many changes.
+func BenchmarkDelta(b *testing.B) {
+	for _, size := range []int{60, 600, 3000, 10000} {
+		b.Run(fmt.Sprint(size, " upstreams"), func(b *testing.B) {
+			m := newChangingBox(size).mirror
+			b.ReportAllocs()
+			for b.Loop() {
+				m.DeltaSince(int64(size-20), 8192)
+			}
+		})
+	}
+}
--- a/internal/storeview/storeview_test.go
+++ b/internal/storeview/storeview_test.go
@@ -20,6 +20,7 @@
 	"ospreymoor.example/ospreymoor/pkg/fleet"
 	"ospreymoor.example/ospreymoor/pkg/kv"
 	"ospreymoor.example/ospreymoor/pkg/mirror"
+	"ospreymoor.example/ospreymoor/pkg/mirror/mirrortest"
 	"ospreymoor.example/ospreymoor/pkg/quarantine"
 	"ospreymoor.example/ospreymoor/pkg/routes"
 	"ospreymoor.example/ospreymoor/pkg/spectest"
@@ -81,11 +82,11 @@
 
 // stateOf is a copy of the store with records by key; each value is at the given revision.
 func stateOf(revision int64, records map[string]string) mirror.State {
-	state := mirror.State{Revision: revision, Records: map[string]kv.Record{}}
+	var list []kv.Record
 	for key, value := range records {
-		state.Records[key] = kv.Record{Key: key, Value: []byte(value), Revision: revision}
+		list = append(list, kv.Record{Key: key, Value: []byte(value), Revision: revision})
 	}
-	return state
+	return mirror.State{Revision: revision, Records: mirrortest.Records(list...)}
 }
 
 var _ = Describe("the view of the store", func() {
@@ -163,14 +164,12 @@
 		name := fmt.Sprintf("n%03d", n)
 		records["own/nodes/"+name] = fmt.Sprintf(`{"name":%q,"zone":"h","address":"10.1.0.1:8504","incarnation":"5f0c9a52-3f1a-4d43-9e0e-5a4f1b6a0c11","cores":0.192}`, name)
 	}
-	state := stateOf(1, records)
-	f.takeOwn(state)
+	f.take(stateOf(1, records))
+	key := "own/nodes/n007"
+	record, _ := f.last.Get(key)
 	for b.Loop() {
-		state.Revision++
-		record := state.Records["own/nodes/n007"]
-		record.Revision = state.Revision
-		state.Records["own/nodes/n007"] = record
-		f.takeOwn(state)
+		record.Revision++
+		f.take(mirror.State{Revision: record.Revision, Records: mirrortest.Records(record), Changed: []string{key}})
 	}
 }
 
--- a/internal/storeview/upstreams.go
+++ b/internal/storeview/upstreams.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 
 	"go.uber.org/zap"
 
@@ -15,31 +14,34 @@
 // listEntry is what a record of the list of upstreams was decoded to.
 type listEntry struct {
 	fleet.Upstream
-	revision int64
 	// unusable is why it names no upstream to use; empty if it names one.
 	unusable string
 }
 
-// takeUpstreams takes a list of upstreams; only records that changed are decoded. Those that name no upstream to use are left out,
-// whatever the upstream was before.
-func (v *View) takeUpstreams(state mirror.State) {
-	next := make(map[string]listEntry, len(v.upstreams))
-	list := make([]fleet.Upstream, 0, len(v.upstreams))
-	for key, record := range state.Records {
-		if !strings.HasPrefix(key, v.config.Platform.UpstreamPrefix) {
-			continue
+// takeUpstreams takes the changes of the list of upstreams. Entries that name no upstream to use are left out, whatever the upstream was
+// before.
+func (v *View) takeUpstreams(state mirror.State, changed []string) {
+	change := fleet.ListChange{PreviousCurrentAt: state.PreviousCurrentAt}
+	for _, key := range changed {
+		old, was := v.upstreams[key]
+		record, held := state.Records.Get(key)
+		if !held {
+			delete(v.upstreams, key)
 		}
-		entry, ok := v.upstreams[key]
-		if !ok || entry.revision != record.Revision {
-			entry = v.decodeEntry(record, entry.unusable)
+		var entry listEntry
+		if held {
+			entry = v.decodeEntry(record, old.unusable)
+			v.upstreams[key] = entry
 		}
-		next[key] = entry
-		if entry.unusable == "" {
-			list = append(list, entry.Upstream)
+		usable := held && entry.unusable == ""
+		if was && old.unusable == "" && (!usable || old.ID != entry.ID) {
+			change.Dropped = append(change.Dropped, old.ID)
+		}
+		if usable {
+			change.Put = append(change.Put, entry.Upstream)
 		}
 	}
-	v.upstreams = next
-	v.NoteChanges(v.config.Directory.SetList(state.Revision, list, state.PreviousCurrentAt))
+	v.NoteChanges(v.config.Directory.ChangeList(state.Revision, change))
 }
 
 // decodeEntry decodes a record. One that names no upstream is logged once for each reason, as was the reason of the record before:
@@ -47,9 +49,9 @@
 func (v *View) decodeEntry(record kv.Record, was string) listEntry {
 	upstream, err := v.config.Platform.DecodeUpstream(record)
 	if err == nil {
-		return listEntry{Upstream: upstream, revision: record.Revision}
+		return listEntry{Upstream: upstream}
 	}
-	entry := listEntry{revision: record.Revision, unusable: fleet.EntryReason(err)}
+	entry := listEntry{unusable: fleet.EntryReason(err)}
 	if v.config.Metrics != nil {
 		v.config.Metrics.GetOrCreateCounter(fmt.Sprintf("ospreymoor_upstream_entries_unusable_total{reason=%q}", entry.unusable)).Inc()
 	}
--- a/internal/storeview/view.go
+++ b/internal/storeview/view.go
@@ -13,6 +13,7 @@
 	"ospreymoor.example/ospreymoor/internal/cluster"
 	"ospreymoor.example/ospreymoor/internal/orderlease"
 	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/kv"
 	"ospreymoor.example/ospreymoor/pkg/logfield"
 	"ospreymoor.example/ospreymoor/pkg/mirror"
 	"ospreymoor.example/ospreymoor/pkg/quarantine"
@@ -47,21 +48,19 @@
 
 	// All below is changed by take alone, which runs once at a time.
 
-	// table is the revision of the configuration that was decoded last.
-	table int64
+	// last are the records of the copy that was taken last.
+	last mirror.Records
 	// upstreams are the entries of the last list, by key.
 	upstreams map[string]listEntry
 	// boxByKey are the boxes of the last list, by key.
 	boxByKey map[string]registeredBox
-	// holdsRead is up to which revision records of held requests were taken in.
-	holdsRead int64
-	// own is the state of the own records that was decoded last.
-	own fingerprint
+	// evacuated are the halls that are evacuated.
+	evacuated map[string]bool
 }
 
 // New returns a view without a copy; Run fills it.
 func New(config Config) *View {
-	v := &View{config: config, spread: rand.N(stalenessSpread), upstreams: map[string]listEntry{}}
+	v := &View{config: config, spread: rand.N(stalenessSpread), upstreams: map[string]listEntry{}, boxByKey: map[string]registeredBox{}, evacuated: map[string]bool{}}
 	v.mirror = &mirror.Mirror{
 		Store:          config.Platform.Store,
 		OnChange:       v.take,
@@ -91,46 +90,60 @@
 	}
 }
 
-// take takes in a new copy. The mirror calls it, one call at a time.
+// take takes in a new copy. The mirror calls it, one call at a time. Its cost goes with what changed.
 func (v *View) take(state mirror.State) {
-	v.takeTable(state)
-	evacuations := v.takeEvacuations(state)
-	v.takeUpstreams(state)
+	changes := v.changesOf(state)
+	v.last = state.Records
+	v.takeTable(state, changes.config)
+	evacuations := v.takeEvacuations(state, changes.evacuations)
+	v.takeUpstreams(state, changes.upstreams)
 	v.logEvacuations(&evacuations, state)
-	v.takeOwn(state)
+	v.takeOwn(state, changes.own)
 }
 
-// fingerprint differs between two states of the records below one prefix.
-type fingerprint struct {
-	// newest is the highest revision of the records.
-	newest int64
-	count  int
-	// bytes of all values.
-	bytes int
-}
+// changes are the keys whose records changed, by what they are of.
+type changes struct{ config, evacuations, upstreams, own []string }
 
-func fingerprintOf(state mirror.State, prefix string) fingerprint {
-	var f fingerprint
-	for key, record := range state.Records {
-		if strings.HasPrefix(key, prefix) {
-			f.newest = max(f.newest, record.Revision)
-			f.count++
-			f.bytes += len(record.Value)
+// changesOf sorts the keys whose records changed.
+func (v *View) changesOf(state mirror.State) changes {
+	keys := state.Changed
+	if keys == nil {
+		keys = v.last.Difference(state.Records)
+	}
+	platform := &v.config.Platform
+	var sorted changes
+	for _, key := range keys {
+		switch {
+		case strings.HasPrefix(key, platform.UpstreamPrefix):
+			sorted.upstreams = append(sorted.upstreams, key)
+		case strings.HasPrefix(key, platform.OwnPrefix):
+			sorted.own = append(sorted.own, key)
+		case platform.EvacuationPrefix != "" && strings.HasPrefix(key, platform.EvacuationPrefix):
+			sorted.evacuations = append(sorted.evacuations, key)
+		case strings.HasPrefix(key, platform.ConfigPrefix):
+			sorted.config = append(sorted.config, key)
 		}
 	}
-	return f
+	return sorted
 }
 
 // takeTable puts a new configuration in force.
-func (v *View) takeTable(state mirror.State) {
-	begun := time.Now()
-	written := fingerprintOf(state, v.config.Platform.ConfigPrefix)
-	newest := written.newest
-	if newest == v.table {
+func (v *View) takeTable(state mirror.State, changed []string) {
+	if len(changed) == 0 {
 		return
 	}
-	v.table = newest
-	table, err := v.config.Platform.DecodeTable(state.Records)
+	begun := time.Now()
+	var newest int64
+	bytes := 0
+	records := map[string]kv.Record{}
+	for _, key := range changed {
+		if record, held := state.Records.Get(key); held {
+			records[key] = record
+			newest = max(newest, record.Revision)
+			bytes += len(record.Value)
+		}
+	}
+	table, err := v.config.Platform.DecodeTable(records)
 	if err != nil {
 		v.config.Log.Error("configuration unreadable: the former one stays in force", zap.Int64("revision", newest), logfield.Error(err))
 		return
@@ -140,7 +153,7 @@
 			zap.Int64("version", table.Version),
 			zap.Int64("revision", newest),
 			zap.Int("routes", len(table.Routes)),
-			zap.Int("bytes", written.bytes),
+			zap.Int("bytes", bytes),
 			zap.String("origin", string(state.Origin)),
 			zap.Duration("took", time.Since(begun)))
 		if disputed := table.Customers.Disputed(); len(disputed) > 0 {
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -20,12 +20,22 @@
 type Directory struct {
 	mu     sync.RWMutex
 	states map[string]*State
-	// byService holds the states of a service in the order of their ids.
+	// byService holds the states of a service in the order of their ids, and indexed under which service each id is there.
 	byService map[string][]*State
+	indexed   map[string]string
+	// holders holds the states of the engines that may be sent requests for a model, in the order of their ids, and heldBy the models under
+	// which each id is there.
+	holders map[modelOf][]*State
+	heldBy  map[string][]modelOf
+	// listing is the latest list, and lapsed are the ids of the states without an entry in it.
+	listing listing
+	lapsed  map[string]bool
 	// revision is that of the latest list.
 	revision int64
 	// residencies are the latest of each engine, by its id.
 	residencies map[string]residency
+	// published finds the residencies of the latest term by their sequences, in order.
+	published []published
 	// version is up to where all residency updates are known.
 	version Version
 	// marks hold until when an upstream, or a model or adapter of it, counts as unavailable.
@@ -51,6 +61,11 @@
 	return &Directory{
 		states:      map[string]*State{},
 		byService:   map[string][]*State{},
+		indexed:     map[string]string{},
+		holders:     map[modelOf][]*State{},
+		heldBy:      map[string][]modelOf{},
+		listing:     newListing(),
+		lapsed:      map[string]bool{},
 		residencies: map[string]residency{},
 		marks:       map[mark]time.Time{},
 		refusals:    map[string]int{},
@@ -74,6 +89,14 @@
 	return d.byService[service]
 }
 
+// Holders returns the engines of a service that may be sent requests for a model, in the order of their ids; the caller must not change
+// it. Among 9,756 engines that hold 3 of 399 models each, a request looks at 73 and not at all.
+func (d *Directory) Holders(service, model string) []*State {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.holders[modelOf{service, model}]
+}
+
 // Revision returns the store's revision of the latest list; 0 before the first one.
 func (d *Directory) Revision() int64 {
 	d.mu.RLock()
@@ -81,13 +104,77 @@
 	return d.revision
 }
 
-// index rebuilds the lists of the services. The caller holds the lock.
-func (d *Directory) index() {
-	d.byService = map[string][]*State{}
-	for _, state := range d.states {
-		d.byService[state.Service] = append(d.byService[state.Service], state)
+// modelOf is a model of a service.
+type modelOf struct{ service, model string }
+
+// reindex brings the lists of the services and of the models in line with the states of some upstreams. Lists that were handed out stay as
+// they are. The caller holds the lock.
+func (d *Directory) reindex(ids ...string) {
+	services := stateIndex[string]{lists: d.byService, copied: map[string]bool{}}
+	models := stateIndex[modelOf]{lists: d.holders, copied: map[modelOf]bool{}}
+	for _, id := range ids {
+		state := d.states[id]
+		if service, ok := d.indexed[id]; ok && (state == nil || state.Service != service) {
+			services.remove(service, id)
+			delete(d.indexed, id)
+		}
+		var held []modelOf
+		if state != nil {
+			services.put(state.Service, state)
+			d.indexed[id] = state.Service
+			held = state.held()
+		}
+		for _, model := range d.heldBy[id] {
+			if !slices.Contains(held, model) {
+				models.remove(model, id)
+			}
+		}
+		for _, model := range held {
+			models.put(model, state)
+		}
+		d.heldBy[id] = held
+		if len(held) == 0 {
+			delete(d.heldBy, id)
+		}
+	}
+}
+
+// stateIndex are lists of states in the order of their ids, of which those that change are copied once.
+type stateIndex[K comparable] struct {
+	lists  map[K][]*State
+	copied map[K]bool
+}
+
+// list returns a list that may be changed.
+func (x *stateIndex[K]) list(key K) []*State {
+	if !x.copied[key] {
+		x.copied[key] = true
+		x.lists[key] = slices.Clone(x.lists[key])
+	}
+	return x.lists[key]
+}
+
+func find(list []*State, id string) (at int, found bool) {
+	return slices.BinarySearchFunc(list, id, func(state *State, id string) int { return strings.Compare(state.ID, id) })
+}
+
+func (x *stateIndex[K]) put(key K, state *State) {
+	list := x.list(key)
+	at, found := find(list, state.ID)
+	if found {
+		list[at] = state
+		return
+	}
+	x.lists[key] = slices.Insert(list, at, state)
+}
+
+func (x *stateIndex[K]) remove(key K, id string) {
+	list := x.list(key)
+	if at, found := find(list, id); found {
+		x.lists[key] = slices.Delete(list, at, at+1)
 	}
-	for _, list := range d.byService {
-		slices.SortFunc(list, func(a, b *State) int { return strings.Compare(a.ID, b.ID) })
+	if len(x.lists[key]) == 0 {
+		delete(x.lists, key)
+		delete(x.copied, key)
 	}
 }
--- a/pkg/fleet/eligible.go
+++ b/pkg/fleet/eligible.go
@@ -33,6 +33,23 @@
 	return listed && !slices.Contains(s.dropped, model)
 }
 
+// held lists the models that the engine may be sent requests for.
+func (s *State) held() []modelOf {
+	var list []modelOf
+	add := func(model string) {
+		if key := (modelOf{s.Service, model}); s.Holds(model) && !slices.Contains(list, key) {
+			list = append(list, key)
+		}
+	}
+	for _, holding := range s.Models {
+		add(holding.Model)
+	}
+	for _, model := range s.loaded {
+		add(model)
+	}
+	return list
+}
+
 // HoldsAdapter reports whether the engine has an adapter of a model that it holds; no adapter ("") is
 // always there.
 func (s *State) HoldsAdapter(model, adapter string) bool {
--- a/pkg/fleet/evacuation.go
+++ b/pkg/fleet/evacuation.go
@@ -33,6 +33,7 @@
 		return change
 	}
 	d.evacuated = maps.Clone(halls)
+	var touched []string
 	for id, state := range d.states {
 		if state.Evacuated == halls[state.Hall] {
 			continue
@@ -43,8 +44,9 @@
 			d.noteBack(id) // Its entry may not tell yet that it is cold.
 		}
 		d.states[id] = &next
+		touched = append(touched, id)
 	}
-	d.index()
+	d.reindex(touched...)
 	return change
 }
 
--- a/pkg/fleet/lapse.go
+++ b/pkg/fleet/lapse.go
@@ -9,27 +9,20 @@
 // Bound of the platform: below the 2 s after which a leaving upstream may get nothing.
 const lapseTime = 1400 * time.Millisecond
 
-// lapseUnlisted lapses or drops the upstreams whose ids are not listed, and returns which; by is what the list has in their
-// place. The caller holds the lock.
-func (d *Directory) lapseUnlisted(listed map[string]bool, by replaced, previousCurrentAt time.Time) []Change {
-	var changes []Change
-	now := time.Now()
-	for id, state := range d.states {
-		if listed[id] {
-			continue
-		}
-		dropAt := state.dropAt(by, previousCurrentAt)
-		switch {
-		case !now.Before(dropAt):
-			changes = append(changes, d.drop(state))
-		case state.DropAt.IsZero():
-			lapsed := *state
-			lapsed.DropAt = dropAt
-			d.states[id] = &lapsed
-			changes = append(changes, Change{Upstream: state.Upstream, Kind: Lapsed})
-		}
+// lapse lapses or drops an upstream that has no entry which counts. The caller holds the lock.
+func (d *Directory) lapse(state *State, previousCurrentAt time.Time) (Change, bool) {
+	dropAt := d.dropAt(state, previousCurrentAt)
+	switch {
+	case !time.Now().Before(dropAt):
+		return d.drop(state), true
+	case state.DropAt.IsZero():
+		lapsed := *state
+		lapsed.DropAt = dropAt
+		d.states[state.ID] = &lapsed
+		d.lapsed[state.ID] = true
+		return Change{Upstream: state.Upstream, Kind: Lapsed}, true
 	}
-	return changes
+	return Change{}, false
 }
 
 // dropAt returns when an upstream without an entry is dropped. One that was leaving, or that another
@@ -37,12 +30,12 @@
 // an earlier list keeps its time. One that lapses with this list has lapseTime from
 // previousCurrentAt, when the entry was last known to be there; that is over already where this
 // box's list was out of date for longer.
-func (s *State) dropAt(by replaced, previousCurrentAt time.Time) time.Time {
+func (d *Directory) dropAt(state *State, previousCurrentAt time.Time) time.Time {
 	switch {
-	case s.Leaving || by.has(&s.Upstream):
+	case state.Leaving || d.listing.hasSuccessor(&state.Upstream):
 		return time.Time{}
-	case !s.DropAt.IsZero():
-		return s.DropAt
+	case !state.DropAt.IsZero():
+		return state.DropAt
 	}
 	return previousCurrentAt.Add(lapseTime)
 }
@@ -53,21 +46,22 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var changes []Change
+	var dropped []string
 	now := time.Now()
-	for _, state := range d.states {
-		if !state.DropAt.IsZero() && !now.Before(state.DropAt) {
+	for id := range d.lapsed {
+		if state := d.states[id]; state != nil && !now.Before(state.DropAt) {
 			changes = append(changes, d.drop(state))
+			dropped = append(dropped, id)
 		}
 	}
-	if len(changes) > 0 {
-		d.index()
-	}
+	d.reindex(dropped...)
 	return changes
 }
 
 // drop removes an upstream and what is kept by its id. The caller holds the lock.
 func (d *Directory) drop(state *State) Change {
 	delete(d.states, state.ID)
+	delete(d.lapsed, state.ID)
 	delete(d.residencies, state.ID)
 	delete(d.refusals, state.ID)
 	delete(d.warmth, state.ID)
--- a/pkg/fleet/list.go
+++ b/pkg/fleet/list.go
@@ -27,6 +27,15 @@
 	Removed ChangeKind = "removed"
 )
 
+// ListChange is what changed in the list of upstreams.
+type ListChange struct {
+	// Put are the entries that are new or other, and Dropped the ids of those that are gone.
+	Put     []Upstream
+	Dropped []string
+	// PreviousCurrentAt is when the list before was last known to be current.
+	PreviousCurrentAt time.Time
+}
+
 // SetList takes a list of all upstreams, unless it is older than the latest one, and returns what
 // changed. previousCurrentAt is when the list before was last known to be current.
 func (d *Directory) SetList(revision int64, list []Upstream, previousCurrentAt time.Time) []Change {
@@ -35,32 +44,83 @@
 	if revision < d.revision {
 		return nil
 	}
-	d.revision = revision
-	live := withoutReplaced(list)
-	changes := d.setListed(live)
-	changes = append(changes, d.lapseUnlisted(ids(live), successors(list), previousCurrentAt)...)
-	d.index()
-	return changes
+	change := ListChange{Put: list, PreviousCurrentAt: previousCurrentAt}
+	listed := make(map[string]bool, len(list))
+	for _, upstream := range list {
+		listed[upstream.ID] = true
+	}
+	for id := range d.listing.entries {
+		if !listed[id] {
+			change.Dropped = append(change.Dropped, id)
+		}
+	}
+	return d.changeList(revision, change)
+}
+
+// ChangeList takes what changed in the list of upstreams since the latest one, unless it is older, and returns what that changed. Its cost
+// goes with what changed, not with how many upstreams there are.
+func (d *Directory) ChangeList(revision int64, change ListChange) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if revision < d.revision {
+		return nil
+	}
+	return d.changeList(revision, change)
 }
 
-// setListed joins each new or changed entry, and returns who joined or began to leave. The caller
-// holds the lock.
-func (d *Directory) setListed(list []Upstream) []Change {
+// changeList is ChangeList for a caller that holds the lock.
+func (d *Directory) changeList(revision int64, change ListChange) []Change {
+	d.revision = revision
+	touched := map[string]bool{}
+	for _, id := range change.Dropped {
+		touchAll(touched, d.listing.remove(id))
+	}
+	for _, entry := range change.Put {
+		touchAll(touched, d.listing.put(entry))
+	}
+	for id := range d.lapsed {
+		touched[id] = true // Its successor may have come.
+	}
+	order := make([]string, 0, len(touched))
+	for id := range touched {
+		order = append(order, id)
+	}
+	slices.Sort(order)
 	var changes []Change
-	for _, upstream := range list {
-		old := d.states[upstream.ID]
-		if old != nil && old.Revision == upstream.Revision && old.DropAt.IsZero() {
-			continue
-		}
-		if kind := changeOf(old, upstream); kind != "" {
-			changes = append(changes, Change{Upstream: upstream, Kind: kind})
+	for _, id := range order {
+		if noted, ok := d.relist(id, change.PreviousCurrentAt); ok {
+			changes = append(changes, noted)
 		}
-		d.noteListed(old, &upstream)
-		d.states[upstream.ID] = d.join(upstream)
 	}
+	d.reindex(order...)
 	return changes
 }
 
+func touchAll(touched map[string]bool, ids []string) {
+	for _, id := range ids {
+		touched[id] = true
+	}
+}
+
+// relist brings the state of one upstream in line with the list, and returns what is worth a note. The caller holds the lock.
+func (d *Directory) relist(id string, previousCurrentAt time.Time) (Change, bool) {
+	old := d.states[id]
+	entry, live := d.listing.live(id)
+	switch {
+	case !live && old == nil:
+		return Change{}, false
+	case !live:
+		return d.lapse(old, previousCurrentAt)
+	case old != nil && old.Revision == entry.Revision && old.DropAt.IsZero():
+		return Change{}, false
+	}
+	d.noteListed(old, &entry)
+	delete(d.lapsed, id)
+	d.states[id] = d.join(entry)
+	kind := changeOf(old, entry)
+	return Change{Upstream: entry, Kind: kind}, kind != ""
+}
+
 // noteListed takes from an entry whether the engine is cold, and whether it is back after its entry had lapsed. The caller holds the
 // lock.
 func (d *Directory) noteListed(old *State, entry *Upstream) {
@@ -80,46 +140,3 @@
 	}
 	return ""
 }
-
-// withoutReplaced leaves out the upstreams at whose address a later one is listed: their processes
-// are gone, though their entries stay until the platform misses their heartbeats.
-func withoutReplaced(list []Upstream) []Upstream {
-	latest := make(map[string]*Upstream, len(list))
-	for n := range list {
-		upstream := &list[n]
-		if known := latest[upstream.Address]; known == nil || upstream.replaces(known) {
-			latest[upstream.Address] = upstream
-		}
-	}
-	return slices.DeleteFunc(slices.Clone(list), func(upstream Upstream) bool {
-		return upstream.Address != "" && latest[upstream.Address].replaces(&upstream)
-	})
-}
-
-// ids returns the ids of upstreams.
-func ids(list []Upstream) map[string]bool {
-	set := make(map[string]bool, len(list))
-	for _, upstream := range list {
-		set[upstream.ID] = true
-	}
-	return set
-}
-
-// replaced is which upstreams without an entry are not coming back.
-type replaced struct{ addresses, names map[string]bool }
-
-// successors returns what a list has in place of upstreams that it does not have: others at their addresses, later lives under
-// their names.
-func successors(list []Upstream) replaced {
-	by := replaced{addresses: make(map[string]bool, len(list)), names: make(map[string]bool, len(list))}
-	for _, upstream := range list {
-		by.addresses[upstream.Address] = true
-		by.names[NameOf(upstream.ID)] = true
-	}
-	return by
-}
-
-// has reports whether an upstream has a successor.
-func (r *replaced) has(upstream *Upstream) bool {
-	return r.addresses[upstream.Address] || r.names[NameOf(upstream.ID)]
-}
--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -178,7 +178,7 @@
 		left := *state
 		left.Leaving = true
 		d.states[id] = &left
-		d.index()
+		d.reindex(id)
 	}
 	return news
 }
--- a/pkg/fleet/updates.go
+++ b/pkg/fleet/updates.go
@@ -1,5 +1,10 @@
 package fleet
 
+import (
+	"cmp"
+	"slices"
+)
+
 // Publish numbers and stores an engine's residency. Only the order holder calls it, for its own
 // term. It returns the update's sequence; 0 if the term is over.
 func (d *Directory) Publish(term int64, engine string, next Residency) int64 {
@@ -11,7 +16,7 @@
 	d.version.Sequence++
 	next.Sequence = d.version.Sequence
 	d.setResidency(engine, next)
-	d.index()
+	d.reindex(engine)
 	return next.Sequence
 }
 
@@ -44,9 +49,9 @@
 		version = Version{Term: d.version.Term}
 	}
 	update := &Update{Version: d.version, Engines: map[string]Residency{}}
-	for id, latest := range d.residencies {
-		if latest.term == version.Term && latest.Sequence > version.Sequence {
-			update.Engines[id] = latest.Residency
+	for _, entry := range d.published[d.publishedAfter(version.Sequence):] {
+		if latest := d.residencies[entry.engine]; latest.term == version.Term && latest.Sequence == entry.sequence {
+			update.Engines[entry.engine] = latest.Residency
 		}
 	}
 	return update
@@ -65,12 +70,14 @@
 	if !d.enterTerm(term) {
 		return false
 	}
+	var touched []string
 	for id, next := range engines {
 		if old := d.residencies[id]; old.term < term || old.Sequence < next.Sequence {
 			d.setResidency(id, next)
+			touched = append(touched, id)
 		}
 	}
-	d.index()
+	d.reindex(touched...)
 	return true
 }
 
@@ -82,14 +89,42 @@
 	}
 	if term > d.version.Term {
 		d.version = Version{Term: term}
+		d.published = nil
 	}
 	return true
 }
 
+// published is that an engine's residency was published under the latest term.
+type published struct {
+	sequence int64
+	engine   string
+}
+
+// sparePublished is how many entries of residencies that later ones replaced a small fleet may have.
+const sparePublished = 64
+
+// notePublished has an engine's residency found by its sequence, so that an update costs what it holds. The caller holds the lock.
+func (d *Directory) notePublished(engine string, sequence int64) {
+	at := d.publishedAfter(sequence)
+	d.published = slices.Insert(d.published, at, published{sequence: sequence, engine: engine})
+	if len(d.published) > 2*len(d.residencies)+sparePublished {
+		d.published = slices.DeleteFunc(d.published, func(entry published) bool {
+			return d.residencies[entry.engine].Sequence != entry.sequence
+		})
+	}
+}
+
+// publishedAfter is the index of the first entry after a sequence. The caller holds the lock.
+func (d *Directory) publishedAfter(sequence int64) int {
+	at, _ := slices.BinarySearchFunc(d.published, sequence+1, func(entry published, to int64) int { return cmp.Compare(entry.sequence, to) })
+	return at
+}
+
 // setResidency stores an engine's residency under the latest term. Only the list renews ListedAt
 // and ends a lapse. The caller holds the lock.
 func (d *Directory) setResidency(engine string, next Residency) {
 	d.residencies[engine] = residency{Residency: next, term: d.version.Term}
+	d.notePublished(engine, next.Sequence)
 	if state := d.states[engine]; state != nil {
 		joined := d.join(state.Upstream)
 		joined.ListedAt, joined.DropAt, joined.listedLeaving = state.ListedAt, state.DropAt, state.listedLeaving
--- a/pkg/mirror/delta.go
+++ b/pkg/mirror/delta.go
@@ -49,32 +49,31 @@
 			delta.Large = append(delta.Large, LargeRecord{Key: key, Revision: revision})
 		}
 	}
-	for key, record := range m.state.Records {
-		if record.Revision <= delta.From || m.missing.has(key) {
-			continue
-		}
-		if len(record.Value) > maxValue {
-			delta.Large = append(delta.Large, LargeRecord{Key: key, Revision: record.Revision})
-		} else {
+	m.changelog.since(delta.From, m.state.Records, func(record kv.Record) {
+		switch {
+		case m.missing.has(record.Key):
+		case len(record.Value) > maxValue:
+			delta.Large = append(delta.Large, LargeRecord{Key: record.Key, Revision: record.Revision})
+		default:
 			delta.Changed = append(delta.Changed, record)
 		}
-	}
+	})
 }
 
 // exists reports whether the service holds a key, as far as this copy knows. The caller holds the lock.
 func (m *Mirror) exists(key string) bool {
-	_, held := m.state.Records[key]
+	_, held := m.state.Records.Get(key)
 	return held || m.missing.has(key)
 }
 
 // keys lists all keys that the service holds, as far as this copy knows. The caller holds the lock.
 func (m *Mirror) keys() []string {
-	keys := make([]string, 0, len(m.state.Records))
-	for key := range m.state.Records {
+	keys := make([]string, 0, m.state.Records.Len())
+	for key := range m.state.Records.All() {
 		keys = append(keys, key)
 	}
 	for key := range m.missing.revisions {
-		if _, held := m.state.Records[key]; !held {
+		if _, held := m.state.Records.Get(key); !held {
 			keys = append(keys, key)
 		}
 	}
@@ -89,42 +88,39 @@
 	if delta.Revision <= m.state.Revision || delta.From > m.state.Revision {
 		return false
 	}
-	records, ok := delta.appliedTo(m.state, m.missing)
+	drop, ok := delta.drops(m.state.Records, m.missing)
 	if !ok {
 		return false
 	}
 	m.missing.apply(delta, m.state.Records)
-	m.removals.addDelta(delta)
-	m.setState(State{Revision: delta.Revision, Records: records, PreviousCurrentAt: m.freshness.byAny, Origin: FromPeer})
+	m.removals.addDelta(delta, m.state.Records.Len())
+	m.change(delta.Revision, FromPeer, delta.Changed, drop, m.freshness.byAny)
 	return true
 }
 
-// appliedTo returns the records of a state with the delta applied; false if the state lacks records
-// that the delta names and does not have.
-func (d Delta) appliedTo(state State, missing missing) (map[string]kv.Record, bool) {
-	records := make(map[string]kv.Record, len(state.Records)+len(d.Changed))
-	for key, record := range state.Records {
-		records[key] = record
+// drops returns the keys of a copy that the delta removes; false if the copy lacks records that the delta names and does not have.
+func (d Delta) drops(records Records, missing missing) ([]string, bool) {
+	if !d.Whole {
+		return d.Removed, true
 	}
+	brought := make(map[string]bool, len(d.Changed))
 	for _, record := range d.Changed {
-		records[record.Key] = record
-	}
-	if !d.Whole {
-		for _, key := range d.Removed {
-			delete(records, key)
-		}
-		return records, true
+		brought[record.Key] = true
 	}
 	named := missing.with(d.Large)
-	all := make(map[string]kv.Record, len(d.Keys))
+	kept := make(map[string]bool, len(d.Keys))
 	for _, key := range d.Keys {
-		record, held := records[key]
-		switch {
-		case held:
-			all[key] = record
-		case !named[key]:
+		_, held := records.Get(key)
+		if !held && !brought[key] && !named[key] {
 			return nil, false
 		}
+		kept[key] = true
+	}
+	var drop []string
+	for key := range records.All() {
+		if !kept[key] {
+			drop = append(drop, key)
+		}
 	}
-	return all, true
+	return drop, true
 }
--- a/pkg/mirror/example_test.go
+++ b/pkg/mirror/example_test.go
@@ -19,12 +19,14 @@
 	changes := make(chan mirror.State, 1)
 	watching := &mirror.Mirror{Store: store, OnChange: func(state mirror.State) { changes <- state }}
 	go watching.Run(ctx)
-	fmt.Println(string((<-changes).Records["config"].Value))
+	record, _ := (<-changes).Records.Get("config")
+	fmt.Println(string(record.Value))
 
 	// Another box gets what it lacks without asking the store.
 	other := &mirror.Mirror{}
 	fmt.Println(other.ApplyDelta(*watching.DeltaSince(other.State().Revision, math.MaxInt)))
-	fmt.Println(string(other.State().Records["config"].Value))
+	record, _ = other.State().Records.Get("config")
+	fmt.Println(string(record.Value))
 	// Output:
 	// v1
 	// true
--- a/pkg/mirror/follow.go
+++ b/pkg/mirror/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"time"
 
@@ -168,7 +167,7 @@
 	if snapshot.Revision > m.state.Revision {
 		m.removals.restart(snapshot.Revision)
 	}
-	m.setState(State{Revision: snapshot.Revision, Records: records, PreviousCurrentAt: previousCurrentAt, Origin: FromSnapshot})
+	m.replace(snapshot.Revision, FromSnapshot, records, previousCurrentAt)
 }
 
 // completeFrom takes the records that this copy lacks from an older snapshot, as far as it has them. The
@@ -177,14 +176,14 @@
 	if len(m.missing.revisions) == 0 {
 		return
 	}
-	next := maps.Clone(m.state.Records)
+	var put []kv.Record
 	for key, revision := range m.missing.revisions {
 		if record, held := records[key]; held && record.Revision >= revision {
-			next[key] = record
+			put = append(put, record)
 			delete(m.missing.revisions, key)
 		}
 	}
-	m.setState(State{Revision: m.state.Revision, Records: next, PreviousCurrentAt: m.freshness.byAny, Origin: FromSnapshot})
+	m.change(m.state.Revision, FromSnapshot, put, nil, m.freshness.byAny)
 }
 
 // applyEvents takes in a batch of a watch, which may be empty. Events that the state has already are
@@ -196,16 +195,10 @@
 		m.confirmByStore()
 		return
 	}
-	next := State{
-		Revision:          m.state.Revision,
-		Records:           maps.Clone(m.state.Records),
-		PreviousCurrentAt: m.freshness.byAny,
-		Origin:            FromWatch,
-	}
+	previousCurrentAt := m.freshness.byAny
 	m.confirmByStore()
-	if next.Records == nil {
-		next.Records = map[string]kv.Record{}
-	}
+	revision := m.state.Revision
+	latest := map[string]kv.Event{}
 	for _, event := range events {
 		record := event.Record
 		if !m.wants(record) {
@@ -213,14 +206,21 @@
 		}
 		m.missing.brought(record)
 		if event.Deleted {
-			delete(next.Records, record.Key)
-			m.removals.add(record.Key, record.Revision)
+			m.removals.add(record.Key, record.Revision, m.state.Records.Len())
+		}
+		latest[record.Key] = event
+		revision = max(revision, record.Revision)
+	}
+	var put []kv.Record
+	var drop []string
+	for key, event := range latest {
+		if event.Deleted {
+			drop = append(drop, key)
 		} else {
-			next.Records[record.Key] = record
+			put = append(put, event.Record)
 		}
-		next.Revision = max(next.Revision, record.Revision)
 	}
-	m.setState(next)
+	m.change(revision, FromWatch, put, drop, previousCurrentAt)
 }
 
 // wants reports whether a record is newer than this copy, or one that it lacks. The caller holds the
--- a/pkg/mirror/large.go
+++ b/pkg/mirror/large.go
@@ -42,9 +42,9 @@
 
 // apply takes in the records that a delta names, and forgets those that it brings or removes. held are
 // the records of before.
-func (m *missing) apply(delta Delta, held map[string]kv.Record) {
+func (m *missing) apply(delta Delta, held Records) {
 	for _, large := range delta.Large {
-		if held[large.Key].Revision < large.Revision {
+		if old, _ := held.Get(large.Key); old.Revision < large.Revision {
 			m.add(large)
 		}
 	}
@@ -110,13 +110,12 @@
 func (m *Mirror) ApplyLarge(record kv.Record) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.missing.has(record.Key) || record.Revision <= m.state.Records[record.Key].Revision {
+	held, _ := m.state.Records.Get(record.Key)
+	if !m.missing.has(record.Key) || record.Revision <= held.Revision {
 		return false
 	}
-	records := maps.Clone(m.state.Records)
-	records[record.Key] = record
 	m.missing.brought(record)
 	m.missing.since = time.Now() // What is missing still was written while this one was on its way.
-	m.setState(State{Revision: m.state.Revision, Records: records, PreviousCurrentAt: m.freshness.byAny, Origin: FromPeer})
+	m.change(m.state.Revision, FromPeer, []kv.Record{record}, nil, m.freshness.byAny)
 	return true
 }
--- a/pkg/mirror/large_test.go
+++ b/pkg/mirror/large_test.go
@@ -24,7 +24,7 @@
 // bring brings a mirror those of its missing records that another one has.
 func bring(to, from *mirror.Mirror) {
 	for _, large := range to.Missing() {
-		if record := from.State().Records[large.Key]; record.Revision >= large.Revision {
+		if record, _ := from.State().Records.Get(large.Key); record.Revision >= large.Revision {
 			to.ApplyLarge(record)
 		}
 	}
@@ -92,7 +92,7 @@
 		Expect(m.Missing()).To(BeEmpty())
 		exchange(peer, m)
 		Expect(peer.Missing()).To(BeEmpty())
-		Expect(peer.State().Records).To(BeEmpty())
+		Expect(peer.State().Records.Len()).To(BeZero())
 	})
 
 	It("is read from the store by a box that asks it", func() {
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -20,14 +20,15 @@
 // State is what the service holds at one revision.
 type State struct {
 	// Revision of the service that the records reflect; 0 before anything was read.
-	Revision int64 `json:"revision"`
-	// Records by key. They are never changed once made.
-	Records map[string]kv.Record `json:"records"`
+	Revision int64
+	Records  Records
+	// Changed are the keys whose records are new, other or gone since the state before; nil if that is not known.
+	Changed []string
 	// PreviousCurrentAt is when the state before this one was last known to be current: what changed
 	// did so later. It is zero for the first state.
-	PreviousCurrentAt time.Time `json:"-"`
+	PreviousCurrentAt time.Time
 	// Origin is where the latest change came from.
-	Origin Origin `json:"-"`
+	Origin Origin
 }
 
 // Origin is where a change of the copy came from.
@@ -65,6 +66,7 @@
 
 	mu        sync.Mutex
 	state     State
+	changelog changelog
 	removals  removals
 	missing   missing
 	freshness freshness
@@ -189,11 +191,36 @@
 	}
 }
 
-// setState stores a state and passes it on. The caller holds the lock.
-func (m *Mirror) setState(state State) {
-	m.state = state
+// change makes the next state by records that are put and keys that are dropped, and passes it on. The caller holds the lock.
+func (m *Mirror) change(revision int64, origin Origin, put []kv.Record, drop []string, previousCurrentAt time.Time) {
+	records := m.state.Records.with(put, drop)
+	m.changelog.add(put, records)
+	changed := make([]string, 0, len(put)+len(drop))
+	for _, record := range put {
+		changed = append(changed, record.Key)
+	}
+	changed = append(changed, drop...)
+	m.state = State{Revision: revision, Records: records, Changed: changed, PreviousCurrentAt: previousCurrentAt, Origin: origin}
 	m.confirmReached()
 	if m.OnChange != nil {
-		m.OnChange(state)
+		m.OnChange(m.state)
+	}
+}
+
+// replace makes the next state of all records that there are. Those that are as they were do not count as changed. The caller holds the
+// lock.
+func (m *Mirror) replace(revision int64, origin Origin, all map[string]kv.Record, previousCurrentAt time.Time) {
+	var put []kv.Record
+	var drop []string
+	for key, record := range all {
+		if old, held := m.state.Records.Get(key); !held || old.Revision != record.Revision {
+			put = append(put, record)
+		}
+	}
+	for key := range m.state.Records.All() {
+		if _, kept := all[key]; !kept {
+			drop = append(drop, key)
+		}
 	}
+	m.change(revision, origin, put, drop, previousCurrentAt)
 }
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -45,7 +45,7 @@
 
 func values(state mirror.State) map[string]string {
 	all := map[string]string{}
-	for key, record := range state.Records {
+	for key, record := range state.Records.All() {
 		all[key] = string(record.Value)
 	}
 	return all
@@ -78,7 +78,7 @@
 			peer := &mirror.Mirror{Store: store}
 			defer start(peer)()
 			synctest.Wait()
-			Expect(peer.State().Records).To(HaveLen(2))
+			Expect(peer.State().Records.Len()).To(Equal(2))
 			mine := &mirror.Mirror{}
 			Expect(mine.ApplyDelta(*peer.DeltaSince(0, math.MaxInt))).To(BeTrue())
 			old := *peer.DeltaSince(0, math.MaxInt)
--- a/pkg/mirror/removals.go
+++ b/pkg/mirror/removals.go
@@ -1,41 +1,48 @@
 package mirror
 
-// maxRemovals is how many removals are remembered; beyond it, deltas name all keys until later
-// removals are remembered again.
-// Chosen, not measured.
-const maxRemovals = 1000
+import (
+	"cmp"
+	"slices"
+)
+
+// leastRemovals is how many removals are remembered at least. A larger copy remembers as many as it has records, so that a hall whose
+// entries lapse at once leaves deltas that name them and not all keys.
+const leastRemovals = 1000
 
 // removals remembers which keys were removed lately (tombstones).
 type removals struct {
 	// floor is the revision after which all removals are remembered.
 	floor int64
-	// at is the revision of each key's latest removal.
-	at map[string]int64
+	// log has the removals in the order of their revisions.
+	log []removal
 }
 
-// add remembers a removal. If there are too many, it forgets all earlier ones.
-func (r *removals) add(key string, revision int64) {
-	if r.at == nil {
-		r.at = map[string]int64{}
-	}
-	if len(r.at) >= maxRemovals {
-		for _, at := range r.at {
-			r.floor = max(r.floor, at)
-		}
-		clear(r.at)
+// removal is that a key was removed at a revision.
+type removal struct {
+	revision int64
+	key      string
+}
+
+// add remembers a removal. If there are too many, it forgets the earlier half.
+func (r *removals) add(key string, revision int64, records int) {
+	at := r.after(revision)
+	r.log = slices.Insert(r.log, at, removal{revision, key})
+	if most := max(leastRemovals, records); len(r.log) > most {
+		forgotten := len(r.log) - most/2
+		r.floor = max(r.floor, r.log[forgotten-1].revision)
+		r.log = slices.Clone(r.log[forgotten:])
 	}
-	r.at[key] = revision
 }
 
 // addDelta remembers what a delta removed, also keys that this copy never had: a box whose copy is between
 // the delta's revisions may have them. Where the delta does not name them, see restart.
-func (r *removals) addDelta(delta Delta) {
+func (r *removals) addDelta(delta Delta, records int) {
 	if delta.Whole {
 		r.restart(delta.Revision)
 		return
 	}
 	for _, key := range delta.Removed {
-		r.add(key, delta.Revision)
+		r.add(key, delta.Revision, records)
 	}
 }
 
@@ -43,7 +50,13 @@
 // never had.
 func (r *removals) restart(revision int64) {
 	r.floor = revision
-	clear(r.at)
+	r.log = nil
+}
+
+// after is the index of the first removal after a revision.
+func (r *removals) after(revision int64) int {
+	n, _ := slices.BinarySearchFunc(r.log, revision+1, func(entry removal, at int64) int { return cmp.Compare(entry.revision, at) })
+	return n
 }
 
 // since returns the keys that were removed after a revision, also those created again later; false
@@ -52,9 +65,11 @@
 	if revision < r.floor {
 		return nil, false
 	}
-	for key, at := range r.at {
-		if at > revision {
-			keys = append(keys, key)
+	seen := map[string]bool{}
+	for _, entry := range r.log[r.after(revision):] {
+		if !seen[entry.key] {
+			seen[entry.key] = true
+			keys = append(keys, entry.key)
 		}
 	}
 	return keys, true
