A request looks at the engines that hold its model, not at all

Each request, each look of one that waits and each question for an adapter went over all engines of the service: 9,756 in the whole fleet, some 6 ms of a core, 33 ms on a fifth of one. Only a request without a holder looks further, until the first engine shows what is lacking.

--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -34,12 +34,16 @@
 // It reads the directory as this box has it: the platform's list, the reports of the order holder and
 // what upstreams answered lately. A miss of that knowledge costs an attempt that is not executed.
 func (r *inflight) candidates() (list []*fleet.State, lacking reason) {
-	upstreams := r.gateway.Directory.OfService(r.service)
-	list = make([]*fleet.State, 0, len(upstreams))
 	now := time.Now()
-	best := unusable
 	r.rests = rests{}
-	for _, state := range upstreams {
+	upstreams := r.gateway.Directory.OfService(r.service)
+	holders := upstreams
+	if r.need.Model != "" {
+		holders = r.gateway.Directory.Holders(r.service, r.need.Model)
+	}
+	list = make([]*fleet.State, 0, len(holders))
+	best := unusable
+	for _, state := range holders {
 		found := r.suitability(state, now)
 		switch found {
 		case suitable:
@@ -49,9 +53,26 @@
 		}
 		best = max(best, found)
 	}
+	if best < lacksModel && r.need.Model != "" {
+		best = max(best, r.bestWithout(upstreams, now))
+	}
 	return list, r.lacking(r.rests.better(best))
 }
 
+// bestWithout is how suitable the best engine is, of which those that hold the model are no better than it.
+func (r *inflight) bestWithout(upstreams []*fleet.State, now time.Time) suitability {
+	best := unusable
+	for _, state := range upstreams {
+		if state.Holds(r.need.Model) {
+			continue
+		}
+		if best = max(best, r.suitability(state, now)); best == lacksModel {
+			break
+		}
+	}
+	return best
+}
+
 // rests are the upstreams that have all that a request needs and asked this box for rest.
 type rests struct {
 	upstreams []string
--- a/pkg/residency/adapterplace.go
+++ b/pkg/residency/adapterplace.go
@@ -31,8 +31,8 @@
 	var best *engine
 	var slow adapterLoad
 	bestCost := 0
-	for _, state := range c.Directory.OfService(want.Service) {
-		if !state.TakesWork() || !want.allows(state.Hall) || !state.Holds(key.model) || slices.Contains(tried, state.ID) || c.unresponsive(state.ID) {
+	for _, state := range c.Directory.Holders(want.Service, want.Model) {
+		if !state.TakesWork() || !want.allows(state.Hall) || slices.Contains(tried, state.ID) || c.unresponsive(state.ID) {
 			continue
 		}
 		e := c.engine(state.ID, want.Service)
