What the order holder does for each engine no longer grows with the square of the fleet

A plan took 6.9 s and 412 MB for 9,756 engines and 399 models, where five a second are wanted: each move was tried on all engines, each try went over all holders of what moves with a search in a list, and each move computed all engines' work anew. Now a move is tried on the 256 engines with the least work, of all halls alike, the holders are told apart by a mark, and a move computes what it changed. The next plan waits twenty times as long as the last one took, so that planning takes a twentieth of a core at most at any size. Fleets of up to 256 engines try all, as before.

A new holder asked all engines for reports at once: as many connections and goroutines as engines. It asks 64 at a time.

--- a/pkg/residency/bench_test.go
+++ b/pkg/residency/bench_test.go
@@ -9,10 +9,10 @@
 
 // BenchmarkPlan plans for fleets of today, grown, and of the size designed for.
 func BenchmarkPlan(b *testing.B) {
-	sizes := []struct{ engines, models int }{{18, 39}, {140, 305}, {600, 440}}
+	sizes := []struct{ engines, models int }{{18, 39}, {140, 305}, {600, 440}, {3000, 399}, {9756, 399}}
 	for _, size := range sizes {
 		b.Run(fmt.Sprintf("%d engines %d models", size.engines, size.models), func(b *testing.B) {
-			in := residency.PlanInput{Megabytes: 220_000, MoveCost: 0.03, Moves: 4, StoreLoads: 4}
+			in := residency.PlanInput{Megabytes: 220_000, MoveCost: 0.03, Moves: min(64, max(4, size.engines/10)), StoreLoads: 4}
 			for n := range size.models {
 				demand := 0.0
 				if n%7 == 0 {
--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -35,9 +35,13 @@
 	Log      *zap.Logger
 }
 
-// planInterval is the time between plans. Chosen, not measured; a plan takes 0.17 to 72 ms
-// (docs/CAPACITY.md).
-const planInterval = 200 * time.Millisecond
+const (
+	// planInterval is the time between plans.
+	planInterval = 200 * time.Millisecond
+	// planPause is how many times as long as a plan took the next one waits, so that planning takes a twentieth of a core at most,
+	// whatever the fleet's size.
+	planPause = 20
+)
 
 // Controller gives orders while its box holds the order lease.
 type Controller struct {
@@ -58,6 +62,9 @@
 	// uses is what all boxes have running with adapters.
 	uses      map[ModelUse]int
 	storeRate storeRate
+	// toLearn are the engines of the latest plan that have yet to be asked for reports, and learning counts those that are being asked.
+	toLearn  []*engine
+	learning int
 	// lastOrders is when each engine, by its name, was last given an order, under any term.
 	lastOrders map[string]time.Time
 }
@@ -81,14 +88,16 @@
 	c.mu.Lock()
 	c.ctx = ctx
 	c.mu.Unlock()
-	ticker := time.NewTicker(planInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(planInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			c.tick(time.Now())
+		case <-timer.C:
+			begun := time.Now()
+			c.tick(begun)
+			timer.Reset(max(planInterval-time.Since(begun), planPause*time.Since(begun)))
 		}
 	}
 }
@@ -154,8 +163,8 @@
 // replicas counts the engines that may be sent what is wanted, as far as its model goes.
 func (c *Controller) replicas(want *Want) int {
 	n := 0
-	for _, state := range c.Directory.OfService(want.Service) {
-		if state.TakesWork() && want.allows(state.Hall) && !c.unresponsive(state.ID) && state.Holds(want.Model) {
+	for _, state := range c.Directory.Holders(want.Service, want.Model) {
+		if state.TakesWork() && want.allows(state.Hall) && !c.unresponsive(state.ID) {
 			n++
 		}
 	}
--- a/pkg/residency/enginereport.go
+++ b/pkg/residency/enginereport.go
@@ -20,26 +20,42 @@
 	return !e.orders.known && e.takesOrders(now)
 }
 
-// learn asks the engine for a report in the background, if its count of orders is not known.
+// maxLearning is how many engines are asked for reports at once that nobody waits for. A new holder of the order lease has to ask all of
+// them; an order that needs a report asks for it itself.
+const maxLearning = 64
+
+// learnNext asks engines for reports in the background, as many at once as it may. The caller holds the lock.
+func (c *Controller) learnNext() {
+	for len(c.toLearn) > 0 && c.learning < maxLearning {
+		next := c.toLearn[0]
+		c.toLearn = c.toLearn[1:]
+		if c.engines[next.id] != next || !next.lockOrdersNow() {
+			continue // It is gone, or another job gives orders and asks itself.
+		}
+		c.learning++
+		go func() {
+			next.learn()
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.learning--
+			c.learnNext()
+		}()
+	}
+}
+
+// learn asks the engine for a report, if its count of orders is not known. The caller holds the order lock, which learn gives up.
 func (e *engine) learn() {
-	select {
-	case e.orderLock <- struct{}{}:
-	default:
-		return // Another job gives orders and asks itself.
+	defer e.unlockOrders()
+	ctx, cancel := context.WithTimeout(e.controller.jobs(), adapterTimeout)
+	defer cancel()
+	if err := e.learnCount(ctx); err != nil {
+		e.controller.Log.Info("engine gave no report", zap.String("engine", e.id), logfield.Error(err))
+		e.mu.Lock()
+		e.backoff.cooldownUntil = time.Now().Add(learnCooldown)
+		e.mu.Unlock()
+		return
 	}
-	go func() {
-		defer e.unlockOrders()
-		ctx, cancel := context.WithTimeout(e.controller.jobs(), adapterTimeout)
-		defer cancel()
-		if err := e.learnCount(ctx); err != nil {
-			e.controller.Log.Info("engine gave no report", zap.String("engine", e.id), logfield.Error(err))
-			e.mu.Lock()
-			e.backoff.cooldownUntil = time.Now().Add(learnCooldown)
-			e.mu.Unlock()
-			return
-		}
-		e.update(func() {})
-	}()
+	e.update(func() {})
 }
 
 // adopt takes an engine's report over.
--- a/pkg/residency/firstreplica.go
+++ b/pkg/residency/firstreplica.go
@@ -60,7 +60,11 @@
 	if model.Demand < storeDemand && p.anyCopy(model.Name) {
 		storeLoads = 0 // An engine that has a copy is free sooner than a load from the store is done.
 	}
-	for _, e := range p.engines {
+	targets := p.targets()
+	if len(model.Halls) > 0 {
+		targets = p.engines // Those that it is bound to may be few.
+	}
+	for _, e := range targets {
 		if !p.mayTake(e, model, storeLoads) || len(model.Halls) > 0 && !slices.Contains(model.Halls, e.Hall) {
 			continue
 		}
--- a/pkg/residency/furtherreplica.go
+++ b/pkg/residency/furtherreplica.go
@@ -9,8 +9,9 @@
 // furtherReplica adds the replica that evens out the engines' work most, if it is worth its cost.
 func (p *planner) furtherReplica() (Move, bool) {
 	var best Move
+	targets := p.targets()
 	for _, model := range p.busiest() {
-		for _, e := range p.engines {
+		for _, e := range targets {
 			if !p.mayTake(e, model, p.storeLoads) {
 				continue
 			}
--- a/pkg/residency/orderround.go
+++ b/pkg/residency/orderround.go
@@ -65,6 +65,16 @@
 	}
 }
 
+// lockOrdersNow reports whether no other job gives the engine orders, and keeps others from it.
+func (e *engine) lockOrdersNow() bool {
+	select {
+	case e.orderLock <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
 func (e *engine) unlockOrders() { <-e.orderLock }
 
 // giveOrder gives one order until the engine has answered it, or reports what it asks for. allowed
--- a/pkg/residency/plan.go
+++ b/pkg/residency/plan.go
@@ -14,6 +14,8 @@
 	Moves int
 	// StoreLoads is how many of the moves may load from the weight store.
 	StoreLoads int
+	// Targets is how many engines each move is tried on; 0 is the usual number.
+	Targets int
 }
 
 // PlanEngine is an engine as the planner sees it.
--- a/pkg/residency/planinput.go
+++ b/pkg/residency/planinput.go
@@ -15,6 +15,8 @@
 	// enginesPerMove is how many engines a large fleet has for each move that one plan may start.
 	// Chosen with commit 742c248, not measured.
 	enginesPerMove = 10
+	// maxMoves bounds the moves of one plan in a fleet of any size: what is left comes with the next one.
+	maxMoves = 64
 	// missedTime is how long a request for a model that no engine held makes the model missed.
 	// Chosen, not measured.
 	missedTime = 10 * time.Second
@@ -26,17 +28,19 @@
 	input := PlanInput{
 		Megabytes:  service.Engines.MemoryMegabytes,
 		MoveCost:   c.MoveCost,
-		Moves:      max(minMoves, len(states)/enginesPerMove),
+		Moves:      min(maxMoves, max(minMoves, len(states)/enginesPerMove)),
 		StoreLoads: c.storeRate.left(now),
 	}
 	running := c.runningModels()
+	c.toLearn = c.toLearn[:0]
 	for _, state := range states {
 		e := c.engine(state.ID, name)
 		if !state.Evacuated && e.shouldLearn(now) {
-			e.learn()
+			c.toLearn = append(c.toLearn, e)
 		}
 		input.Engines = append(input.Engines, e.planEngine(state, service, running[state.ID]))
 	}
+	c.learnNext()
 	c.forgetGone(name, states)
 	rates := c.Demand.Rates(now)
 	for _, model := range service.Engines.Models {
--- a/pkg/residency/planner.go
+++ b/pkg/residency/planner.go
@@ -22,6 +22,13 @@
 	holders map[string][]*planEngine
 	// storeLoads is how many loads from the weight store are left.
 	storeLoads int
+	// byHall are the engines that may be given moves in a fleet with more of them than are tried, those of each hall with the least work
+	// at the plan's beginning first.
+	byHall [][]*planEngine
+	// lookups counts the looks at lists of engines, which affected tells apart by it.
+	lookups int
+	// scratch is the list that affected returned last.
+	scratch []*planEngine
 }
 
 // planEngine is an engine with what the moves planned so far change.
@@ -33,6 +40,8 @@
 	moved bool
 	// work is the engine time that the engine's replicas take, 1 being all of it.
 	work float64
+	// lookup is the latest look that came by the engine.
+	lookup int
 }
 
 func newPlanner(in PlanInput) *planner {
@@ -55,6 +64,7 @@
 	}
 	slices.SortFunc(p.engines, func(a, b *planEngine) int { return strings.Compare(a.ID, b.ID) })
 	p.refresh()
+	p.orderTargets()
 	return p
 }
 
@@ -94,9 +104,8 @@
 func (p *planner) refresh() {
 	p.holders = make(map[string][]*planEngine, len(p.models))
 	for _, e := range p.engines {
-		e.work = 0
+		e.work = p.workOf(e)
 		for _, model := range e.Models {
-			e.work += p.share(model, p.replicas[model])
 			if e.counts() {
 				p.holders[model] = append(p.holders[model], e)
 			}
@@ -104,6 +113,29 @@
 	}
 }
 
+// workOf is the work that an engine's replicas bring.
+func (p *planner) workOf(e *planEngine) float64 {
+	work := 0.0
+	for _, model := range e.Models {
+		work += p.share(model, p.replicas[model])
+	}
+	return work
+}
+
+// refreshAfter computes what a move on an engine changed: the work of that engine, and of those that hold the models that came and went.
+func (p *planner) refreshAfter(e *planEngine, loaded string, evicted []string) {
+	for _, model := range evicted {
+		p.holders[model] = slices.DeleteFunc(p.holders[model], func(holder *planEngine) bool { return holder == e })
+	}
+	if e.counts() {
+		p.holders[loaded] = append(p.holders[loaded], e)
+	}
+	e.work = p.workOf(e)
+	for _, holder := range p.affected(e, append(slices.Clone(evicted), loaded)...) {
+		holder.work = p.workOf(holder)
+	}
+}
+
 // apply changes the planner's state by a move, and returns the move with what it was chosen by.
 func (p *planner) apply(move Move) Move {
 	e := p.byID[move.Engine]
@@ -120,7 +152,7 @@
 	if !move.FromCopy {
 		p.storeLoads--
 	}
-	p.refresh()
+	p.refreshAfter(e, move.Model, move.Evictions)
 	return move
 }
 
--- a/pkg/residency/replicaworth.go
+++ b/pkg/residency/replicaworth.go
@@ -118,15 +118,19 @@
 }
 
 // affected lists the engines whose work changes when the models are loaded on the target or
-// evicted from it, without the target and without engines that do not count.
+// evicted from it, without the target and without engines that do not count. The list holds until the next call.
 func (p *planner) affected(target *planEngine, models ...string) []*planEngine {
-	var list []*planEngine
+	p.lookups++
+	target.lookup = p.lookups
+	list := p.scratch[:0]
 	for _, model := range models {
 		for _, e := range p.holders[model] {
-			if e != target && !slices.Contains(list, e) {
+			if e.lookup != p.lookups {
+				e.lookup = p.lookups
 				list = append(list, e)
 			}
 		}
 	}
+	p.scratch = list
 	return list
 }
