--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -150,8 +150,7 @@
 	b.log.Info("stopped")
 }
 
-// informGrace is how long a starting box waits for a report of its hall's engines. Chosen, not measured
-// (commit cdebc18).
+// informGrace is how long a starting box waits for a report of its hall's engines.
 const informGrace = 10 * time.Second
 
 // Ready reports whether the box should get requests: it knows what is in force, and what its hall's engines hold
--- a/internal/box/box_list_reader.go
+++ b/internal/box/box_list_reader.go
@@ -14,11 +14,11 @@
 )
 
 const (
-	// boxesInterval is how often one of the hall's watchers reads the box list. Chosen, not measured.
+	// boxesInterval is how often one of the hall's watchers reads the box list.
 	boxesInterval = 2 * time.Second
-	// boxesTime bounds one reading of the box list. Chosen, not measured.
+	// boxesTime bounds one reading of the box list.
 	boxesTime = 2 * time.Second
-	// maxListBytes bounds the box list that is read, in bytes. Chosen, not measured.
+	// maxListBytes bounds the box list that is read, in bytes.
 	maxListBytes = 4 << 20
 )
 
--- a/internal/box/bundles_in_force.go
+++ b/internal/box/bundles_in_force.go
@@ -19,7 +19,7 @@
 	"ospreymoor.example/ospreymoor/pkg/records"
 )
 
-// textPeers is how many peers are asked for a bundle's text before the store is. Chosen, not measured.
+// textPeers is how many peers are asked for a bundle's text before the store is.
 const textPeers = 2
 
 // bundlesInForce owns the table of bundles in force, as this box serves it. Generations only grow.
--- a/internal/box/burn_reports.go
+++ b/internal/box/burn_reports.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// burnInterval is how often a box gives its counters to others to keep. Chosen, not measured.
+	// burnInterval is how often a box gives its counters to others to keep.
 	burnInterval = 15 * time.Second
-	// burnKeepers is how many boxes keep another's counters. Chosen, not measured.
+	// burnKeepers is how many boxes keep another's counters.
 	burnKeepers = 2
 )
 
--- a/internal/box/control.go
+++ b/internal/box/control.go
@@ -20,7 +20,7 @@
 )
 
 // leaseCandidates is how many boxes contend for a lease at a time, so that a lease costs little more than its
-// renewals (docs/design/control.md). Chosen, not measured.
+// renewals (docs/design/control.md).
 const leaseCandidates = 2
 
 // control is this box's part in the control of the fleet: any box may hold its hall's lease, the planner's, both or
--- a/internal/box/demand.go
+++ b/internal/box/demand.go
@@ -9,7 +9,7 @@
 	"ospreymoor.example/ospreymoor/pkg/placement"
 )
 
-// demandAge is after how long the report of a silent source no longer counts. Chosen, not measured.
+// demandAge is after how long the report of a silent source no longer counts.
 const demandAge = time.Minute
 
 // demand owns this box's own demand, and what others have reported to it.
--- a/internal/box/demand_reporter.go
+++ b/internal/box/demand_reporter.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// demandInterval is how often demand is reported in a small hall. Chosen, not measured.
+	// demandInterval is how often demand is reported in a small hall.
 	demandInterval = 5 * time.Second
-	// demandBoxes is the size of a hall up to which demand is reported that often. Chosen, not measured.
+	// demandBoxes is the size of a hall up to which demand is reported that often.
 	demandBoxes = 16
 )
 
--- a/internal/box/engine_runs.go
+++ b/internal/box/engine_runs.go
@@ -15,11 +15,11 @@
 )
 
 const (
-	// maxResumes bounds the resumptions of one run. Chosen, not measured.
+	// maxResumes bounds the resumptions of one run.
 	maxResumes = 5
-	// resumePause is the longest pause before a resumption. Chosen, not measured.
+	// resumePause is the longest pause before a resumption.
 	resumePause = 200 * time.Millisecond
-	// cancelTime bounds the cancelling of a run that no caller waits for. Chosen, not measured.
+	// cancelTime bounds the cancelling of a run that no caller waits for.
 	cancelTime = 2 * time.Second
 )
 
--- a/internal/box/hall_controller.go
+++ b/internal/box/hall_controller.go
@@ -12,7 +12,7 @@
 )
 
 // settleTime is how long a new copy must be known before another is dropped for it: boxes that do not know of it yet
-// would find none. Chosen, not measured (docs/design/orders.md; commit cdebc18).
+// would find none.
 const settleTime = 5 * time.Second
 
 // hallController connects the controller of a hall's engines (pkg/orders) to this box: what is known of the hall, and
--- a/internal/box/heartbeat_message.go
+++ b/internal/box/heartbeat_message.go
@@ -6,8 +6,8 @@
 	"ospreymoor.example/ospreymoor/pkg/records"
 )
 
-// fullEvery is how many heartbeats there are to one with all generations. With only what changed in the others,
-// measured: 3991 instead of 5672 B/s a box with 16 boxes (commit a9fadc3); the number itself is chosen.
+// fullEvery is how many heartbeats there are to one with all generations. The others have only what changed: 3991
+// instead of 5672 B/s a box with 16 boxes.
 const fullEvery = 8
 
 // lastHeartbeat is what earlier heartbeats carried, so that the next carries only what changed. The loop of
--- a/internal/box/heartbeats.go
+++ b/internal/box/heartbeats.go
@@ -16,13 +16,13 @@
 
 const (
 	// heartbeatsPerSecond bounds the heartbeats that a box sends, so that a large hall sends them less often.
-	// Chosen, not measured; what it costs is in docs/CAPACITY.md.
+	// What it costs is in docs/CAPACITY.md.
 	heartbeatsPerSecond = 24
-	// heartbeatsToSilence is how many heartbeats are missed before a peer counts as gone. Chosen, not measured.
+	// heartbeatsToSilence is how many heartbeats are missed before a peer counts as gone.
 	heartbeatsToSilence = 5
-	// soonShare is the share of the interval after which an early heartbeat goes out. Chosen, not measured.
+	// soonShare is the share of the interval after which an early heartbeat goes out.
 	soonShare = 4
-	// farLoadsAge is how old another hall's loads get before they are fetched anew. Chosen, not measured.
+	// farLoadsAge is how old another hall's loads get before they are fetched anew.
 	farLoadsAge = 5 * time.Second
 )
 
--- a/internal/box/load_table.go
+++ b/internal/box/load_table.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// silentEngine is after how long without a report an engine counts as silent. Chosen, not measured.
+	// silentEngine is after how long without a report an engine counts as silent.
 	silentEngine = 15 * time.Second
 	// neverTaken is the age of loads that were never taken in: any age above farLoadsAge has them fetched.
 	neverTaken = time.Hour
--- a/internal/box/members.go
+++ b/internal/box/members.go
@@ -2,8 +2,8 @@
 
 import "ospreymoor.example/ospreymoor/pkg/membership"
 
-// watchersPerHall is how many boxes of a hall watch the store; the others learn of changes by heartbeat. Chosen: 14
-// watches in seven halls, where one for each of 380 boxes would count as a call each (docs/design/records.md).
+// watchersPerHall is how many boxes of a hall watch the store; the others learn of changes by heartbeat. 14 watches
+// in seven halls, where one for each of 380 boxes would count as a call each (docs/design/records.md).
 const watchersPerHall = 2
 
 // members is the fleet's entry boxes as this one sees them. Boxes that cannot reach the key-value service take no
--- a/internal/box/model_once.go
+++ b/internal/box/model_once.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// claimedGrace is how long a run that was claimed elsewhere may take to reach its engine. Chosen, not measured.
+	// claimedGrace is how long a run that was claimed elsewhere may take to reach its engine.
 	claimedGrace = 2 * time.Second
-	// claimedPause is the pause between two looks for it. Chosen, not measured.
+	// claimedPause is the pause between two looks for it.
 	claimedPause = 100 * time.Millisecond
 )
 
--- a/internal/box/model_request.go
+++ b/internal/box/model_request.go
@@ -10,7 +10,7 @@
 	"ospreymoor.example/ospreymoor/pkg/bundle"
 )
 
-// digestBytes is how much of a SHA-256 a claim's digest keeps. Chosen: 128 bits cannot collide by chance.
+// digestBytes is how much of a SHA-256 a claim's digest keeps. 128 bits cannot collide by chance.
 const digestBytes = 16
 
 // modelRequest is one caller's request on a model, resolved against the bundle in force.
--- a/internal/box/outcomes.go
+++ b/internal/box/outcomes.go
@@ -9,12 +9,12 @@
 )
 
 const (
-	// outcomesKept bounds the claimed runs that a box remembers. Chosen, not measured.
+	// outcomesKept bounds the claimed runs that a box remembers.
 	outcomesKept = 10_000
 	// answerBytesKept bounds the plain services' answers that it keeps for later attempts, in bytes of their bodies.
-	// Chosen, not measured (docs/design/claims.md).
+	// See docs/design/claims.md.
 	answerBytesKept = 16 << 20
-	// longestOutcomeWait bounds how long another box may wait for the end of a run. Chosen, not measured.
+	// longestOutcomeWait bounds how long another box may wait for the end of a run.
 	longestOutcomeWait = 30 * time.Second
 )
 
--- a/internal/box/peer_call.go
+++ b/internal/box/peer_call.go
@@ -7,7 +7,7 @@
 	"ospreymoor.example/ospreymoor/internal/peer"
 )
 
-// peerCallTime bounds one call to another box. Chosen, not measured.
+// peerCallTime bounds one call to another box.
 const peerCallTime = 2 * time.Second
 
 // callPeer calls a method of the box at a peer address within peerCallTime.
--- a/internal/box/planner.go
+++ b/internal/box/planner.go
@@ -16,17 +16,16 @@
 )
 
 const (
-	// planInterval is the pause between two plans. Chosen, not measured.
+	// planInterval is the pause between two plans.
 	planInterval = time.Second
 	// planShare makes a planner that takes long plan less often: it takes no more than one part in so many of a core.
-	// Chosen (commit 4a19c4e); its effect by size of the fleet is in docs/CAPACITY.md.
+	// Its effect by size of the fleet is in docs/CAPACITY.md.
 	planShare = 50
-	// planTime bounds the writing of one plan. Chosen, not measured.
+	// planTime bounds the writing of one plan.
 	planTime = 3 * time.Second
-	// retireAfter is how long copies of old weights stay: longer than a record takes to be everywhere. Chosen, not
-	// measured (commit cdebc18).
+	// retireAfter is how long copies of old weights stay: longer than a record takes to be everywhere.
 	retireAfter = 10 * time.Second
-	// sweepInterval is the pause between two sweeps of old claims. Chosen, not measured.
+	// sweepInterval is the pause between two sweeps of old claims.
 	sweepInterval = 2 * time.Minute
 )
 
--- a/internal/box/record_applier.go
+++ b/internal/box/record_applier.go
@@ -14,7 +14,7 @@
 	"ospreymoor.example/ospreymoor/pkg/records"
 )
 
-// adoptRetry is the pause after a table could not be put in force, such as for lack of a text. Chosen, not measured.
+// adoptRetry is the pause after a table could not be put in force, such as for lack of a text.
 const adoptRetry = 500 * time.Millisecond
 
 // recordApplier turns records that came into the cache into the state that requests are served by.
--- a/internal/box/refusal_rules.go
+++ b/internal/box/refusal_rules.go
@@ -36,7 +36,7 @@
 	remedyUnknown = "ask again with the same request key; do not send the request under another key"
 )
 
-// comeBack is when to come back if nothing better is known. Chosen, not measured.
+// comeBack is when to come back if nothing better is known.
 const comeBack = time.Second
 
 // notRun refuses a request that did not run and will not.
--- a/internal/box/retry.go
+++ b/internal/box/retry.go
@@ -7,12 +7,11 @@
 )
 
 const (
-	// retryShare is the share of requests that may be sent to a second upstream. Chosen, not measured; held by
-	// overload_test.go.
+	// retryShare is the share of requests that may be sent to a second upstream. Held by overload_test.go.
 	retryShare = 0.1
-	// maxAttempts bounds the upstreams that one repeatable request is sent to. Chosen, not measured.
+	// maxAttempts bounds the upstreams that one repeatable request is sent to.
 	maxAttempts = 3
-	// avoidTime is how long an upstream that failed gets nothing if others can take requests. Chosen, not measured.
+	// avoidTime is how long an upstream that failed gets nothing if others can take requests.
 	avoidTime = 5 * time.Second
 )
 
--- a/internal/box/run_once.go
+++ b/internal/box/run_once.go
@@ -9,7 +9,7 @@
 	"ospreymoor.example/ospreymoor/pkg/claims"
 )
 
-// maxClaims bounds how often one request claims its key anew after a run under it never began. Chosen, not measured.
+// maxClaims bounds how often one request claims its key anew after a run under it never began.
 const maxClaims = 3
 
 // onceRun is the one path of requests that may run at most once: the key is claimed with the upstream before
--- a/internal/box/service_once.go
+++ b/internal/box/service_once.go
@@ -15,7 +15,7 @@
 )
 
 // maxAnswerBytes bounds the answer of a call that may not be repeated, which is read whole so that later attempts get
-// it too. Chosen, not measured (docs/design/claims.md).
+// it too (docs/design/claims.md).
 const maxAnswerBytes = 1 << 20
 
 // serviceOnce is a call that may run at most once. A plain service cannot confirm that a call never ran, so its answer
--- a/internal/box/service_proxy.go
+++ b/internal/box/service_proxy.go
@@ -15,7 +15,7 @@
 	"ospreymoor.example/ospreymoor/pkg/routing"
 )
 
-// serviceSlots is how many calls a plain service is taken to serve at once. Chosen, not measured.
+// serviceSlots is how many calls a plain service is taken to serve at once.
 const serviceSlots = 64
 
 // serviceProxy forwards callers' calls to plain services, over HTTP.
--- a/internal/box/service_repeatable.go
+++ b/internal/box/service_repeatable.go
@@ -9,7 +9,7 @@
 	"ospreymoor.example/ospreymoor/internal/engine"
 )
 
-// copyBytes is the size of the pieces that an answer is copied in. Chosen, not measured.
+// copyBytes is the size of the pieces that an answer is copied in.
 const copyBytes = 32 << 10
 
 // serveRepeatable sends a call to one upstream after another, until one answers. modelServer.serveRepeatable names
--- a/internal/box/store_follower.go
+++ b/internal/box/store_follower.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// storeRetry is the pause after a watch ended or could not be made. Chosen, not measured.
+	// storeRetry is the pause after a watch ended or could not be made.
 	storeRetry = time.Second
-	// pollInterval is how often a box that does not watch the store reads it itself. Chosen, not measured.
+	// pollInterval is how often a box that does not watch the store reads it itself.
 	pollInterval = 30 * time.Second
 )
 
--- a/internal/box/transports.go
+++ b/internal/box/transports.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// dialTime bounds the making of one connection. Chosen, not measured.
+	// dialTime bounds the making of one connection.
 	dialTime = time.Second
-	// idleTime is how long an idle connection stays open. Chosen, not measured.
+	// idleTime is how long an idle connection stays open.
 	idleTime = 2 * time.Minute
 )
 
--- a/internal/cluster/activity_codec.go
+++ b/internal/cluster/activity_codec.go
@@ -20,8 +20,8 @@
 // activityForm is the first byte: a later form has another one, and is not read as this one.
 const activityForm = 1
 
-// maxActivityItems bounds the length of one list, so that a length that is wrong takes no memory. Chosen, not
-// measured: 600 upstreams and a few thousand uses are expected.
+// maxActivityItems bounds the length of one list, so that a length that is wrong takes no memory. 600
+// upstreams and a few thousand uses are expected.
 const maxActivityItems = 1 << 16
 
 // errActivity is the error of activity in a form that this box does not read.
--- a/internal/cluster/calls.go
+++ b/internal/cluster/calls.go
@@ -9,20 +9,19 @@
 
 const (
 	// exchangeInterval is the least time between two exchanges with one box, and memberInterval
-	// that between a box and the relay of its hall. Chosen, not measured.
+	// that between a box and the relay of its hall.
 	exchangeInterval = 150 * time.Millisecond
 	memberInterval   = 250 * time.Millisecond
-	// silence is after how long a box calls another one whose part it is to call. Chosen, not
-	// measured.
+	// silence is after how long a box calls another one whose part it is to call.
 	silence = 4 * exchangeInterval
 	// randomInterval is how often a box of a large fleet calls another one at random, so that
-	// updates also spread where relays fail. Chosen, not measured.
+	// updates also spread where relays fail.
 	randomInterval = 2 * time.Second
-	// lostFailures is after how many failed exchanges in a row a box counts as lost. Chosen, not
-	// measured: one failure may be a dropped connection.
+	// lostFailures is after how many failed exchanges in a row a box counts as lost. One failure
+	// may be a dropped connection.
 	lostFailures = 2
 	// backoffStep is the pause after a failed exchange, by failures in a row, and longestBackoff
-	// bounds it. Chosen, not measured.
+	// bounds it.
 	backoffStep    = 200 * time.Millisecond
 	longestBackoff = 2 * time.Second
 )
--- a/internal/cluster/content.go
+++ b/internal/cluster/content.go
@@ -17,10 +17,10 @@
 
 const (
 	// maxContentBytes bounds an unpacked content, in bytes: a few records of the largest size that the
-	// store holds, as one message between boxes may have. Chosen, not measured.
+	// store holds, as one message between boxes may have.
 	maxContentBytes = 8 << 20
 	// keptContents is how many packed contents a box keeps, so that transfers end that began before the
-	// latest change. Chosen, not measured: a configuration of 1,400 routes packs to 20 KB.
+	// latest change. A configuration of 1,400 routes packs to 20 KB.
 	keptContents = 16
 )
 
--- a/internal/cluster/crashes.go
+++ b/internal/cluster/crashes.go
@@ -12,14 +12,14 @@
 
 const (
 	// crashTellings is in how many messages a box is told each piece of news of requests under which upstreams crashed: an
-	// answer to a call may be lost unnoticed. Chosen, not measured.
+	// answer to a call may be lost unnoticed.
 	crashTellings = 2
 	// maxToldCrashes bounds the requests of which one message tells, in entries; the others wait. With 20 bytes each they take a
-	// link of 10 Mbit/s 16 ms. Chosen, not measured: ten engines' requests.
+	// link of 10 Mbit/s 16 ms. Ten engines' requests.
 	maxToldCrashes = 1000
 	// urgentRate and urgentBurst bound how often a box tells others at once, outside of the regular exchanges: a relay of 73
-	// boxes then makes 73 calls. Chosen, not measured: the first two crashes under a request and one to spare; when many
-	// upstreams crash together the rest waits for the next exchanges.
+	// boxes then makes 73 calls. The first two crashes under a request and one to spare; when many upstreams crash together
+	// the rest waits for the next exchanges.
 	urgentRate  = 1
 	urgentBurst = 3
 )
--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -17,7 +17,7 @@
 	"ospreymoor.example/ospreymoor/pkg/residency"
 )
 
-// CallTimeout bounds one call of another box. Chosen, not measured.
+// CallTimeout bounds one call of another box.
 const CallTimeout = 600 * time.Millisecond
 
 // Config is what an exchange works with. These are the owners of what it passes on.
--- a/internal/cluster/fetch.go
+++ b/internal/cluster/fetch.go
@@ -17,16 +17,15 @@
 
 const (
 	// largeValueBytes is the longest value that is sent with other changes, in bytes. Longer ones are
-	// fetched on their own, so that nothing waits behind them. Chosen, not measured: above the entry of an
-	// upstream (about 500 bytes), below a configuration (15 KB and more).
+	// fetched on their own, so that nothing waits behind them. Above the entry of an upstream (about 500
+	// bytes), below a configuration (15 KB and more).
 	largeValueBytes = 8 << 10
 	// maxAnswerBytes is the longest newer state that an answer to a fetch holds, in bytes; a longer one is packed
-	// and fetched in pieces. It takes a link of 10 Mbit/s 27 ms. Chosen, not measured.
+	// and fetched in pieces. It takes a link of 10 Mbit/s 27 ms.
 	maxAnswerBytes = 32 << 10
 	// maxExchangedBytes is the longest newer state that an answer to an exchange holds, in bytes; a longer one is
-	// fetched. A box that takes all others for lost calls each every two seconds, and from 380 of them gets
-	// 0.8 MB/s at most, so that its link cannot keep it behind. Chosen, not measured: a change of an upstream
-	// takes about 700 bytes.
+	// fetched. A box that takes all others for lost calls each every two seconds, and from 380 of them gets 0.8
+	// MB/s at most, so that its link cannot keep it behind. A change of an upstream takes about 700 bytes.
 	maxExchangedBytes = 4 << 10
 )
 
--- a/internal/cluster/holder.go
+++ b/internal/cluster/holder.go
@@ -3,7 +3,7 @@
 import "time"
 
 // holderTTL is how long a report of the order holder counts, from when the holder itself sent it.
-// Chosen, not measured: a little longer than the order lease lasts (3 s).
+// A little longer than the order lease lasts (3 s).
 const holderTTL = 4 * time.Second
 
 // holderReport is the latest report of the order holder, and when the holder itself sent it.
--- a/internal/cluster/keepers.go
+++ b/internal/cluster/keepers.go
@@ -7,8 +7,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// keeperRetry is for how long a box that did not answer is not asked again as a keeper. Chosen, not measured: a request
-// that finds out anew waits for customers.Spender's timeout in vain.
+// keeperRetry is for how long a box that did not answer is not asked again as a keeper. A request that finds out anew
+// waits for customers.Spender's timeout in vain.
 const keeperRetry = time.Second
 
 // keeperOf returns the box that keeps a customer's quota, or an engine's reservations, for all boxes, this one among them.
@@ -113,7 +113,7 @@
 	startShare = 0.6
 	// unlistedShare is the part of a limit that a box holds which the store does not list yet: it does not know how many
 	// others there are. Three boxes that had just started for the first time each took itself for all of them, and spent 1.2
-	// of what was allowed in the first two seconds. Chosen, not measured: a hundredth of a limit grants single requests.
+	// of what was allowed in the first two seconds. A hundredth of a limit grants single requests.
 	unlistedShare = 0.01
 )
 
--- a/internal/cluster/leaving.go
+++ b/internal/cluster/leaving.go
@@ -2,8 +2,8 @@
 
 import "sync"
 
-// maxToldLeaving bounds the upstreams that one message tells of as leaving: with 40 bytes each they take a link of 10 Mbit/s 4 ms. Chosen,
-// not measured: a sixth of the engines of the size designed for.
+// maxToldLeaving bounds the upstreams that one message tells of as leaving: with 40 bytes each they take a link of 10 Mbit/s 4 ms. A sixth
+// of the engines of the size designed for.
 const maxToldLeaving = 100
 
 // leavingTurns is from where in the list of leaving upstreams each box is told next. Each message goes on where the one before ended, so that
--- a/internal/cluster/members.go
+++ b/internal/cluster/members.go
@@ -40,10 +40,10 @@
 
 const (
 	// reportTTL is how long a box's report of itself counts: its load summary, and that it
-	// reaches the store. Chosen, not measured: ten exchanges of a small fleet.
+	// reaches the store. Ten exchanges of a small fleet.
 	reportTTL = 1500 * time.Millisecond
 	// memberTTL is how long a box is kept that the store does not list and that sends nothing.
-	// Chosen, not measured: ten times what a relay takes to answer again.
+	// Ten times what a relay takes to answer again.
 	memberTTL = 15 * time.Second
 )
 
--- a/internal/cluster/pace.go
+++ b/internal/cluster/pace.go
@@ -11,16 +11,16 @@
 
 const (
 	// activityShare is the part of this box's link that what it tells of activity may take. The rest is for
-	// changes, which must not wait behind it, and for callers. Chosen, not measured.
+	// changes, which must not wait behind it, and for callers.
 	activityShare = 0.5
 	// packedActivityBytes is from which length on activity is packed: below, the processor time costs more
-	// than the bytes. Chosen, not measured: the loads of 140 upstreams take 8 KB, those of 600 33 KB.
+	// than the bytes. The loads of 140 upstreams take 8 KB, those of 600 33 KB.
 	packedActivityBytes = 16 << 10
 	// earlyTurn is when a box may be told again, in hundredths of an equal turn: boxes ask at times of their
-	// own, and what one does not use another may. Chosen, not measured.
+	// own, and what one does not use another may.
 	earlyTurn = 75
 	// bunchTime is how much of the activity's part may be under way when a box is told: a box that calls all
-	// others at once tells them all, and a change waits no longer than this. Chosen, not measured.
+	// others at once tells them all, and a change waits no longer than this.
 	bunchTime = 20 * time.Millisecond
 	// These are about how long the parts of activity are as JSON, in bytes.
 	loadBytes    = 55
--- a/internal/cluster/pending.go
+++ b/internal/cluster/pending.go
@@ -28,7 +28,7 @@
 }
 
 // maxPending bounds the prompts that wait for a box that does not answer, in entries; the oldest
-// ones go first. Chosen, not measured.
+// ones go first.
 const maxPending = 500
 
 // NewPendingUpdates returns a queue without updates.
--- a/internal/cluster/reservations.go
+++ b/internal/cluster/reservations.go
@@ -11,8 +11,8 @@
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
 )
 
-// reserveTimeout bounds a call for a reservation: it is advice, and not worth more of a request's target. Chosen, not
-// measured: an answer takes 3 ms between halls.
+// reserveTimeout bounds a call for a reservation: it is advice, and not worth more of a request's target. An answer
+// takes 3 ms between halls.
 const reserveTimeout = 30 * time.Millisecond
 
 // errFreshLoads means that boxes know each other's loads so soon that a reservation adds nothing.
--- a/internal/cluster/store.go
+++ b/internal/cluster/store.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// Watchers is how many boxes watch the store for all. Chosen, not measured: the least number
-// that goes on when one is lost.
+// Watchers is how many boxes watch the store for all. The least number that goes on when one
+// is lost.
 const Watchers = 2
 
 // notWatching is the rank of a box that does not watch the store for others.
--- a/internal/cluster/summary.go
+++ b/internal/cluster/summary.go
@@ -56,8 +56,7 @@
 	return &own
 }
 
-// sumTTL is for how long a relay uses one sum. Chosen, not measured: a fifth of the time between two exchanges of a
-// box with its relay.
+// sumTTL is for how long a relay uses one sum. A fifth of the time between two exchanges of a box with its relay.
 const sumTTL = 50 * time.Millisecond
 
 // relaySum is what a relay's hall and the other relays report, added up once for all boxes of the hall: a relay of 50
--- a/internal/cluster/transfer.go
+++ b/internal/cluster/transfer.go
@@ -13,12 +13,12 @@
 
 const (
 	// busyPause is how long a box waits at least before it asks a busy one again, and as long again at
-	// random. Chosen, not measured: about what one of four transfers on a link of 10 Mbit/s takes.
+	// random. About what one of four transfers on a link of 10 Mbit/s takes.
 	busyPause = 50 * time.Millisecond
 	// transferTime bounds one transfer with its waits, in case its sender stays busy. What arrived is
-	// lost then. Chosen, not measured: below the bound on a change in a large fleet (7 s).
+	// lost then. Below the bound on a change in a large fleet (7 s).
 	transferTime = 4 * time.Second
-	// maxFailures is how many pieces in a row may fail before a transfer is given up. Chosen, not measured.
+	// maxFailures is how many pieces in a row may fail before a transfer is given up.
 	maxFailures = 3
 )
 
--- a/internal/cmd/dev.go
+++ b/internal/cmd/dev.go
@@ -23,10 +23,10 @@
 }
 
 const (
-	// devStartTime bounds the time until all models are loaded: 60 s, chosen, not measured.
+	// devStartTime bounds the time until all models are loaded: 60 s.
 	devStartTime = 60 * time.Second
 	// devFirstToken and devTokenTime are the engine stand-ins' times to the first token and between
-	// tokens: 20 ms and 5 ms, chosen, not measured.
+	// tokens: 20 ms and 5 ms.
 	devFirstToken = 20 * time.Millisecond
 	devTokenTime  = 5 * time.Millisecond
 )
--- a/internal/cmd/dev_platform.go
+++ b/internal/cmd/dev_platform.go
@@ -68,7 +68,7 @@
 	return c.tryPlatform(ctx, front, out)
 }
 
-// Times of dev: chosen, not measured.
+// Times of dev.
 const (
 	// devLeaseTTL is how long the order lease lasts without a renewal: the least that node takes.
 	devLeaseTTL = minOrderLeaseTTL
--- a/internal/cmd/node.go
+++ b/internal/cmd/node.go
@@ -31,7 +31,6 @@
 
 const (
 	// minOrderLeaseTTL is the shortest order lease: a lease is renewed three times in that time.
-	// Chosen, not measured (commit bc3a7c4).
 	minOrderLeaseTTL = 3 * time.Second
 	// maxPort is the highest port number of TCP.
 	maxPort = 65535
--- a/internal/cmd/report_burn_picture.go
+++ b/internal/cmd/report_burn_picture.go
@@ -8,7 +8,7 @@
 	ospreymoorv1 "ospreymoor.example/ospreymoor/internal/gen/ospreymoor/v1"
 )
 
-// Sizes of the picture in pixels, chosen by eye.
+// Sizes of the picture in pixels.
 const (
 	pictureHeight  = 420
 	pictureBar     = 36
--- a/internal/cmd/report_requests_picture.go
+++ b/internal/cmd/report_requests_picture.go
@@ -9,7 +9,7 @@
 	"ospreymoor.example/ospreymoor/internal/requestlog"
 )
 
-// pictureWidth is the width of a picture over time in pixels, chosen by eye.
+// pictureWidth is the width of a picture over time in pixels.
 const pictureWidth = 1000
 
 // draw writes the picture: how many requests ended with each outcome, second by second.
--- a/internal/cmd/serve.go
+++ b/internal/cmd/serve.go
@@ -18,7 +18,7 @@
 )
 
 // minLeaseTTL is the shortest lease that may be set: a lease is renewed three times in its time, and the store counts
-// whole seconds. Chosen, not measured.
+// whole seconds.
 const minLeaseTTL = 3 * time.Second
 
 // ospreymoor serve --id BOX --hall HALL --platform URL --listen ADDR --peer-listen ADDR [flags]
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -27,7 +27,7 @@
 	"ospreymoor.example/ospreymoor/pkg/placement"
 )
 
-// The size of the fleet: chosen, not measured.
+// The size of the fleet.
 const (
 	halls          = 2
 	boxesPerHall   = 2
@@ -223,7 +223,7 @@
 }
 
 // boxConfig has the defaults of `serve`, but for more writes a second to the platform, a bounded
-// drain after a short notice, and a lower move cost: all chosen, not measured.
+// drain after a short notice, and a lower move cost.
 func (f *Fleet) boxConfig(hall, id, peerAddress string) box.Config {
 	operators := map[string]string{}
 	for customer, token := range operatorTokens {
--- a/internal/dev/try_out.go
+++ b/internal/dev/try_out.go
@@ -19,7 +19,7 @@
 	"ospreymoor.example/ospreymoor/pkg/pause"
 )
 
-// retryPause is the pause before a call that failed is tried again: 100 ms, chosen, not measured.
+// retryPause is the pause before a call that failed is tried again: 100 ms.
 const retryPause = 100 * time.Millisecond
 
 // RollExamples signs the example bundles off, rolls them, and waits until each model answers.
@@ -186,7 +186,7 @@
 	return request
 }
 
-// returns is how often a request comes back that is refused with a time: chosen, not measured.
+// returns is how often a request comes back that is refused with a time.
 const returns = 5
 
 // comeBack sends a request again when its refusal says so, a few times, and reports each refusal to out.
--- a/internal/engine/transport.go
+++ b/internal/engine/transport.go
@@ -10,7 +10,7 @@
 	"github.com/juju/errors"
 )
 
-// Times of connections: chosen, not measured (commit 1f8341d).
+// Times of connections.
 const (
 	// idleConnTimeout is how long an idle connection is kept.
 	idleConnTimeout = 90 * time.Second
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -4,7 +4,6 @@
 
 // budgetShare is the part of the allowed ratio and slack that is used: the boxes keep to their shares
 // without asking each other.
-// Chosen, not measured (commit bc3a7c4).
 const budgetShare = 0.8
 
 // RetryLimits bound the retries at a service over all boxes.
--- a/internal/gateway/choice.go
+++ b/internal/gateway/choice.go
@@ -143,14 +143,11 @@
 }
 
 const (
-	// pacePause is the pause before another look at engines that have prompts enough to read. Chosen, not
-	// measured.
+	// pacePause is the pause before another look at engines that have prompts enough to read.
 	pacePause = 10 * time.Millisecond
-	// longestPacePause bounds the pause where engines say when they have time: others may give it up before. Chosen, not
-	// measured.
+	// longestPacePause bounds the pause where engines say when they have time: others may give it up before.
 	longestPacePause = 100 * time.Millisecond
-	// paceShare is the part of the route's target up to which a request is held back for that. Chosen, not
-	// measured.
+	// paceShare is the part of the route's target up to which a request is held back for that.
 	paceShare = 0.6
 )
 
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -18,11 +18,10 @@
 
 const (
 	// crashCheckTimeout bounds one look at an upstream: its host refuses a connection within one round trip. A host that is
-	// silent, as behind a cut, does not show whether the upstream crashed. Chosen, not measured: thirty round trips between
-	// halls.
+	// silent, as behind a cut, does not show whether the upstream crashed. Thirty round trips between halls.
 	crashCheckTimeout = 100 * time.Millisecond
 	// crashCheckTTL is for how long what was found counts: all answers of an upstream that crashes break within 3 ms
-	// (measured on a day in which 24 did), and its process needs seconds to come back. Chosen, not measured.
+	// (measured on a day in which 24 did), and its process needs seconds to come back.
 	crashCheckTTL = 500 * time.Millisecond
 )
 
--- a/internal/gateway/customer.go
+++ b/internal/gateway/customer.go
@@ -63,8 +63,8 @@
 	}
 }
 
-// maxCustomerNames bounds the customers that metrics name; the others are counted together. Chosen, not measured: names
-// come from the configuration alone, and hundreds are planned for.
+// maxCustomerNames bounds the customers that metrics name; the others are counted together. Names come from the
+// configuration alone, and hundreds are planned for.
 const maxCustomerNames = 500
 
 // otherCustomers is the name of those beyond.
--- a/internal/gateway/deadlines.go
+++ b/internal/gateway/deadlines.go
@@ -18,14 +18,11 @@
 
 const (
 	// upstreamWaitShare is the longest wait for a candidate, as a share of the route's target.
-	// Chosen, not measured (commit bc3a7c4); 0.6 for callers that come back was tried and lost, mean
-	// worth 0.654 with it and 0.662 without (commit 6c9f957).
 	upstreamWaitShare = 0.22
 	// loadWaitShare is the longest wait for a load whose end is known, as a share of the route's target:
-	// the rest is for the prompt. Chosen, not measured.
+	// the rest is for the prompt.
 	loadWaitShare = 0.8
 	// leastUpstreamWait is the longest wait on routes with a short target or none.
-	// Chosen, not measured (commit bc3a7c4).
 	leastUpstreamWait = 50 * time.Millisecond
 )
 
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -11,15 +11,13 @@
 // second one after a half.
 const (
 	// balancerDelay is how long the balancer may take to notice that a box is not ready. Until then
-	// connections are kept as usual; after it, each ends with its next answer.
-	// Chosen, not measured: 2.5 s before, shortened with acceptTime (commit c542a72).
+	// connections are kept as usual; after it, each ends with its next answer. 2.5 s before,
+	// shortened with acceptTime.
 	balancerDelay = 2 * time.Second
 	// acceptTime is how long requests are still accepted: a later one might not end within the grace
-	// time. Measured: a stream that was accepted 3.3 s after the announcement could not end in time
-	// (commit c542a72).
+	// time. Measured: a stream that was accepted 3.3 s after the announcement could not end in time.
 	acceptTime = 2800 * time.Millisecond
 	// drainMargin is kept free at the end of the grace time, for the rest of the process to stop.
-	// Chosen, not measured (commit bc3a7c4).
 	drainMargin = 300 * time.Millisecond
 )
 
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -28,13 +28,11 @@
 
 const (
 	// maxHeaderBytes bounds a request's head, whatever the configuration has.
-	// Chosen, not measured (commit bc3a7c4).
 	maxHeaderBytes = 64 << 10
 	// headerTimeout bounds the time in which a head comes in.
-	// Chosen, not measured (commit bc3a7c4).
 	headerTimeout = 10 * time.Second
 	// idleCheck is the interval at which idle connections are looked at: they are closed at most this
-	// much late. Chosen, not measured (commit bc3a7c4).
+	// much late.
 	idleCheck = 500 * time.Millisecond
 )
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -15,7 +15,6 @@
 
 // maxHeldAnswer is the size in bytes up to which a plain answer is held until it is whole, so that a
 // broken one can be replaced by another upstream's. A longer one is passed on as it comes.
-// Chosen, not measured (commit bc3a7c4).
 const maxHeldAnswer = 1 << 20
 
 // servePlain answers a request whose answer comes in one piece.
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -14,7 +14,6 @@
 )
 
 // directoryPoll is the pause before another look at the directory of upstreams.
-// Chosen, not measured (commit bc3a7c4).
 const directoryPoll = 20 * time.Millisecond
 
 // provide requests what is lacking from the order holder, and returns how long to wait before another
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -117,18 +117,14 @@
 // The least retry-after of refusals.
 const (
 	// retrySoon is for a cause that another box or another attempt does not meet.
-	// Chosen, not measured (commit bc3a7c4).
 	retrySoon = 50 * time.Millisecond
 	// retryWhenFull is for engines that are busy for longer than the target allows.
-	// Chosen, not measured (commit 21fe9e9).
 	retryWhenFull = 150 * time.Millisecond
 	// retryWhenLimited is for upstreams that turned the request down until no attempt was left.
-	// Chosen, not measured (commit bc3a7c4).
 	retryWhenLimited = 300 * time.Millisecond
 	// retryWhenEvacuated is for halls that an operator has evacuated and regions without upstreams, which last seconds at least.
 	retryWhenEvacuated = time.Second
 	// retryWhenConfigured is for a box that has just started.
-	// Chosen, not measured (commit bc3a7c4).
 	retryWhenConfigured = 500 * time.Millisecond
 )
 
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -16,7 +16,6 @@
 // number of times.
 
 // maxSent bounds the attempts of one request, with those that upstreams did not execute.
-// Chosen, not measured (commit bc3a7c4).
 const maxSent = 4
 
 // takeAttempt takes one attempt out of the request's limits and, from the second one that reaches an
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -54,7 +54,7 @@
 
 // firstTableWait is how long a request waits for the configuration of a box that has just started. After all boxes lost
 // power, requests reach each one 0.1 to 0.2 s before it has its configuration: refused, 390 of them came back after as long
-// again, most of them late. It is less than the shortest target in use. Chosen within those.
+// again, most of them late. It is less than the shortest target in use.
 const firstTableWait = 250 * time.Millisecond
 
 // firstTable returns the configuration in force. It waits a while for the first one, and returns nil if there is none by
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -18,7 +18,7 @@
 	"go.uber.org/zap/zapcore"
 )
 
-// All figures are chosen, not measured (commit 47d0189).
+// All figures are.
 const (
 	// queueLength is the number of lines that each of the two queues holds.
 	queueLength = 4096
--- a/internal/orderlease/handover.go
+++ b/internal/orderlease/handover.go
@@ -79,9 +79,9 @@
 }
 
 const (
-	// tryTimeout bounds one try to take over. Chosen, not measured.
+	// tryTimeout bounds one try to take over.
 	tryTimeout = time.Second
-	// tryPause is the pause between two tries. Chosen, not measured.
+	// tryPause is the pause between two tries.
 	tryPause = 150 * time.Millisecond
 )
 
--- a/internal/orderlease/lease.go
+++ b/internal/orderlease/lease.go
@@ -24,20 +24,19 @@
 
 const (
 	// marginsPerTTL is the order lease's TTL by the margin before its end at which the holder
-	// stops acting. Chosen, not measured.
+	// stops acting.
 	marginsPerTTL = 4
-	// wakeSpread spreads the boxes that see the order lease free, so that one takes it. Chosen,
-	// not measured.
+	// wakeSpread spreads the boxes that see the order lease free, so that one takes it.
 	wakeSpread = 250 * time.Millisecond
 	// followerDelay is by how much longer boxes of a large fleet wait that follow a relay: relays
-	// know already what is asked for, and have the most processor time. Chosen, not measured: a relay
-	// takes the order lease within wakeSpread, and its hall learns of it by the next exchange.
+	// know already what is asked for, and have the most processor time. A relay takes the order lease
+	// within wakeSpread, and its hall learns of it by the next exchange.
 	followerDelay = 400 * time.Millisecond
 	// followerSpread spreads those boxes: of 300 one comes each 3 ms, and taking the order lease
-	// takes three calls. Chosen, not measured.
+	// takes three calls.
 	followerSpread = time.Second
 	// orderGapMargin is added to the bound on how far apart orders of two boxes to one engine must
-	// be. Chosen, not measured (commit bc3a7c4).
+	// be.
 	orderGapMargin = 500 * time.Millisecond
 )
 
--- a/internal/orderlease/resign.go
+++ b/internal/orderlease/resign.go
@@ -14,10 +14,10 @@
 )
 
 const (
-	// resignCheck is how often a holder looks whether it should resign. Chosen, not measured.
+	// resignCheck is how often a holder looks whether it should resign.
 	resignCheck = 250 * time.Millisecond
 	// resignAfter is how long a holder may be without a renewal, while others reach the store,
-	// before it resigns. Chosen, not measured: renewals are a third of the TTL apart.
+	// before it resigns. Renewals are a third of the TTL apart.
 	resignAfter = 2500 * time.Millisecond
 )
 
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -12,7 +12,6 @@
 )
 
 // maxFrameBytes bounds one message, in bytes: a few records of the largest size that the store holds (1 MiB).
-// Chosen, not measured.
 const maxFrameBytes = 8 << 20
 
 // errFrame is the error of input that is no message; the connection is closed.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -20,7 +20,7 @@
 // handler answers one method.
 type handler func(ctx context.Context, raw *json.RawMessage) (any, error)
 
-// acceptPause is the pause after an error of accept, as when the process has no descriptors left. Chosen, not measured.
+// acceptPause is the pause after an error of accept, as when the process has no descriptors left.
 const acceptPause = 100 * time.Millisecond
 
 // Server answers the calls of other boxes.
--- a/internal/requestlog/request.go
+++ b/internal/requestlog/request.go
@@ -83,7 +83,7 @@
 	Lines, Skipped int
 }
 
-// maxLineBytes bounds a line: more than any line that a box writes. Chosen, not measured.
+// maxLineBytes bounds a line: more than any line that a box writes.
 const maxLineBytes = 1 << 20
 
 // Read adds the lines of a log. A line may have a prefix before its JSON, such as a collector's time
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -65,7 +65,7 @@
 	StartedLeaving int `json:"startedLeaving"`
 }
 
-// compressMinBytes is the length in bytes from which a message is compressed: chosen, not measured.
+// compressMinBytes is the length in bytes from which a message is compressed.
 const compressMinBytes = 4096
 
 // NewEngine returns an empty engine.
--- a/internal/standin/engine_runs.go
+++ b/internal/standin/engine_runs.go
@@ -11,7 +11,7 @@
 	enginev1 "ospreymoor.example/ospreymoor/internal/gen/ospreymoor/engine/v1"
 )
 
-// defaultPieces is how many pieces answer a request that sets no limit: chosen, not measured.
+// defaultPieces is how many pieces answer a request that sets no limit.
 const defaultPieces = 16
 
 // run is one request on the engine. Its pieces are kept, so that it can be resumed.
--- a/internal/standin/weights.go
+++ b/internal/standin/weights.go
@@ -14,7 +14,7 @@
 	weightStarts = 2
 	// weightStreams is how many loads it serves at once at full speed: size of the users' weight store.
 	weightStreams = 8
-	// weightBurst is how many loads an idle store begins at once: chosen, not measured.
+	// weightBurst is how many loads an idle store begins at once.
 	weightBurst = 4
 )
 
--- a/internal/storeview/quarantine.go
+++ b/internal/storeview/quarantine.go
@@ -20,20 +20,20 @@
 const quarantinePart = "quarantine/"
 
 const (
-	// holdCheck is how often this box looks for requests to record. Chosen, not measured: all boxes forget a request that is
-	// held when they lose power before it is recorded.
+	// holdCheck is how often this box looks for requests to record. All boxes forget a request that is held when they lose
+	// power before it is recorded.
 	holdCheck = 250 * time.Millisecond
-	// holdRetry is the pause after a write that failed. Chosen, not measured: as that of a registration.
+	// holdRetry is the pause after a write that failed. As that of a registration.
 	holdRetry = time.Second
-	// witnessDelay is how long a box that saw a crash leaves the record to the box that keeps it. Chosen, not measured: a
-	// write is on all boxes within half a second.
+	// witnessDelay is how long a box that saw a crash leaves the record to the box that keeps it. A write is on all boxes
+	// within half a second.
 	witnessDelay = 2 * time.Second
 	// maxHoldTTL is the longest lease of a record; it is made anew where the request is held for longer. Bound of the
 	// platform.
 	maxHoldTTL = 10 * time.Minute
-	// leastHoldTTL is for how long a request must still be held to be recorded. Chosen, not measured.
+	// leastHoldTTL is for how long a request must still be held to be recorded.
 	leastHoldTTL = 5 * time.Second
-	// holdTimeout bounds one call of the store. Chosen, not measured.
+	// holdTimeout bounds one call of the store.
 	holdTimeout = 2 * time.Second
 )
 
--- a/internal/storeview/registration.go
+++ b/internal/storeview/registration.go
@@ -16,13 +16,13 @@
 
 const (
 	// registrationTTL is how long a box that is gone stays listed: it is called in vain meanwhile, each two seconds, by
-	// few. A shorter one costs more renewals. Chosen, not measured.
+	// few. A shorter one costs more renewals.
 	registrationTTL = 30 * time.Second
-	// registrationRenewal is the time between renewals. Chosen, not measured: a third of the TTL.
+	// registrationRenewal is the time between renewals. A third of the TTL.
 	registrationRenewal = 10 * time.Second
-	// registrationRetry is the pause after a failure. Chosen, not measured.
+	// registrationRetry is the pause after a failure.
 	registrationRetry = time.Second
-	// deregisterTimeout bounds the end of the registration at a stop. Chosen, not measured.
+	// deregisterTimeout bounds the end of the registration at a stop.
 	deregisterTimeout = time.Second
 )
 
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -11,7 +11,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// Limits of connections. All were chosen, not measured (commit bc3a7c4).
+// Limits of connections.
 const (
 	// dialTimeout bounds the opening of a connection.
 	dialTimeout = 400 * time.Millisecond
--- a/pkg/admission/limits.go
+++ b/pkg/admission/limits.go
@@ -8,10 +8,9 @@
 )
 
 const (
-	// burstTime is how much of a rate limit can be used at once. Chosen, not measured.
+	// burstTime is how much of a rate limit can be used at once.
 	burstTime = time.Second
 	// inFlightRetry is after how long a request that met an in-flight limit may be sent again.
-	// Chosen, not measured.
 	inFlightRetry = time.Second
 )
 
--- a/pkg/admission/refusal.go
+++ b/pkg/admission/refusal.go
@@ -14,11 +14,11 @@
 )
 
 const (
-	// minRetry and maxRetry bound the time to come back, before the jitter. Chosen, not measured.
+	// minRetry and maxRetry bound the time to come back, before the jitter.
 	minRetry = 200 * time.Millisecond
 	maxRetry = time.Minute
 	// retryJitter is the part of the time to come back that is added at random at most, so that
-	// refused callers do not come back together. Chosen, not measured.
+	// refused callers do not come back together.
 	retryJitter = 0.2
 )
 
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -95,11 +95,11 @@
 // Defaults of fields that may be left out.
 const (
 	DefaultPool = "llm"
-	// DefaultObjective is a share of requests: 0.95, chosen, not measured.
+	// DefaultObjective is a share of requests: 0.95.
 	DefaultObjective = 0.95
-	// defaultMaxTokens is 4096 tokens, chosen, not measured.
+	// defaultMaxTokens is 4096 tokens.
 	defaultMaxTokens = 4096
-	// defaultServiceTimeout is 30 s, chosen, not measured.
+	// defaultServiceTimeout is 30 s.
 	defaultServiceTimeout = 30 * time.Second
 	// defaultWeight is an equal share for each customer.
 	defaultWeight = 1
--- a/pkg/bundle/registry.go
+++ b/pkg/bundle/registry.go
@@ -49,7 +49,7 @@
 	texts map[string]*Bundle
 }
 
-// changeTimeout bounds one change when its context has no deadline: 10 s, chosen, not measured.
+// changeTimeout bounds one change when its context has no deadline: 10 s.
 const changeTimeout = 10 * time.Second
 
 // SignOff stores a checked text for good and returns its digest. Doing it again with the same text
--- a/pkg/burn/burn.go
+++ b/pkg/burn/burn.go
@@ -32,12 +32,11 @@
 )
 
 const (
-	// slotSpan is the span of one slot of the windows: 5 min, chosen, not measured.
+	// slotSpan is the span of one slot of the windows: 5 min.
 	slotSpan = 5 * time.Minute
-	// longSlots is the long window, 12 slots or an hour: chosen, not measured.
+	// longSlots is the long window, 12 slots or an hour.
 	longSlots = 12
-	// shortSlots is the short window, the slot under way and the one before: 5 to 10 min, chosen,
-	// not measured.
+	// shortSlots is the short window, the slot under way and the one before: 5 to 10 min.
 	shortSlots = 2
 )
 
--- a/pkg/burn/report.go
+++ b/pkg/burn/report.go
@@ -13,8 +13,7 @@
 	order     []string
 }
 
-// maxIncarnations bounds the snapshots kept; the one that came first goes first: 64, chosen, not
-// measured.
+// maxIncarnations bounds the snapshots kept; the one that came first goes first: 64.
 const maxIncarnations = 64
 
 // NewKeeper returns an empty keeper.
--- a/pkg/claims/claims.go
+++ b/pkg/claims/claims.go
@@ -61,11 +61,11 @@
 }
 
 const (
-	// defaultWindow is Config.Window if it is 0: 1 h, chosen, not measured.
+	// defaultWindow is Config.Window if it is 0: 1 h.
 	defaultWindow = time.Hour
-	// maxSkew is the time that a caller's clock may be ahead: 1 min, chosen, not measured.
+	// maxSkew is the time that a caller's clock may be ahead: 1 min.
 	maxSkew = time.Minute
-	// callTimeout bounds one call of Claim, Lookup or Release: 2 s, chosen, not measured.
+	// callTimeout bounds one call of Claim, Lookup or Release: 2 s.
 	callTimeout = 2 * time.Second
 )
 
--- a/pkg/claims/shards.go
+++ b/pkg/claims/shards.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// bucketSpan is the span of key times that share documents: 1 min, chosen, not measured.
+	// bucketSpan is the span of key times that share documents: 1 min.
 	bucketSpan = time.Minute
-	// shardsPerBucket is the number of documents of one bucket: 4, chosen, not measured.
+	// shardsPerBucket is the number of documents of one bucket: 4.
 	shardsPerBucket = 4
 	// maxShardClaims keeps a document below kv.MaxValueBytes, bound of the platform: 4000 claims leave
 	// 262 bytes for each.
--- a/pkg/claims/sweep.go
+++ b/pkg/claims/sweep.go
@@ -13,7 +13,7 @@
 const floorKey = "claims-floor"
 
 // windowsKept is the number of windows for which a claim is kept, so that boxes whose clocks
-// differ by up to one window do no harm: 2, chosen, not measured.
+// differ by up to one window do no harm: 2.
 const windowsKept = 2
 
 // floor records which buckets are forgotten, by their numbers.
--- a/pkg/customers/account.go
+++ b/pkg/customers/account.go
@@ -19,8 +19,7 @@
 	// touch, as spent of what is allowed, and falsely refused: 1.28 and 3.0% at 0, 1.16 and 5.6% at 0.1, 0.93 and 12.2%
 	// at 0.2.
 	reserveShare = 0.2
-	// leastBurst is the burst of a limit without one, as time at its rate. Chosen, not measured: any above 0 allows single
-	// requests.
+	// leastBurst is the burst of a limit without one, as time at its rate. Any above 0 allows single requests.
 	leastBurst = 100 * time.Millisecond
 	// leastRate keeps the wait at an account without a rate finite, in units a second.
 	leastRate = 0.001
@@ -120,8 +119,8 @@
 }
 
 const (
-	// leastWait and longestWait bound the time after which a caller is told to come back. Chosen, not measured: callers
-	// wait for a few seconds at most, and what is told of a longer time is a guess.
+	// leastWait and longestWait bound the time after which a caller is told to come back. Callers wait for a few
+	// seconds at most, and what is told of a longer time is a guess.
 	leastWait   = 50 * time.Millisecond
 	longestWait = 10 * time.Second
 )
--- a/pkg/customers/credential.go
+++ b/pkg/customers/credential.go
@@ -30,8 +30,8 @@
 const (
 	// scheme is that of a key among the schemes of HTTP authentication; its case does not matter.
 	scheme = "bearer"
-	// maxKeyBytes bounds a key, so that long ones cost no digest. Chosen, not measured: keys of 20 bytes
-	// are in use, and signed tokens of a few hundred.
+	// maxKeyBytes bounds a key, so that long ones cost no digest. Keys of 20 bytes are in use, and
+	// signed tokens of a few hundred.
 	maxKeyBytes = 1 << 10
 )
 
--- a/pkg/customers/keeper.go
+++ b/pkg/customers/keeper.go
@@ -7,7 +7,7 @@
 )
 
 // accountTTL is how long an account is kept that nobody asks: by then it has long filled, and a new one loses the customer
-// no more than the rest of its burst. Chosen, not measured.
+// no more than the rest of its burst.
 const accountTTL = 10 * time.Minute
 
 // Keeper keeps the accounts of customers that this box is asked for. It is safe for concurrent use.
--- a/pkg/customers/spender.go
+++ b/pkg/customers/spender.go
@@ -8,20 +8,20 @@
 
 const (
 	// askTimeout bounds one ask of a keeper. A request of a service that aims at 0.3 s waits for two in vain at most,
-	// and then goes by its box's own account. Chosen, not measured: an answer takes 3 ms between halls.
+	// and then goes by its box's own account. An answer takes 3 ms between halls.
 	askTimeout = 100 * time.Millisecond
 	// longestClosed is for how long a box refuses a customer's requests without asking, after a keeper refused one. It
-	// bounds what a flood of one customer costs its keeper to five asks a second from each box. Chosen, not measured.
+	// bounds what a flood of one customer costs its keeper to five asks a second from each box.
 	longestClosed = 200 * time.Millisecond
-	// maxBatch is how many requests one ask is for. Chosen, not measured.
+	// maxBatch is how many requests one ask is for.
 	maxBatch = 256
-	// maxWaiting bounds the requests of one customer that wait for an answer; those beyond are refused. Chosen, not
-	// measured: what a box takes in within both timeouts at 10,000 requests a second.
+	// maxWaiting bounds the requests of one customer that wait for an answer; those beyond are refused. What a box
+	// takes in within both timeouts at 10,000 requests a second.
 	maxWaiting = 2000
 	// settleTTL is for how long what was spent on other accounts is still to be settled with the fleet's. Later the fleet's
-	// account has known for long that this box is out of touch, and holds no part for it. Chosen, not measured.
+	// account has known for long that this box is out of touch, and holds no part for it.
 	settleTTL = 2 * time.Second
-	// settleInterval is the time between two tries to settle. Chosen, not measured.
+	// settleInterval is the time between two tries to settle.
 	settleInterval = 250 * time.Millisecond
 )
 
--- a/pkg/dispatch/choice.go
+++ b/pkg/dispatch/choice.go
@@ -9,19 +9,17 @@
 
 const (
 	// preferenceBonus is the part of the uncached prompt's time by which the preferred engine is
-	// ahead of the others. Chosen; 0.5 was tried: mean worth 0.673 instead of 0.664 with noise of
-	// 0.007, and no gain beside other changes (commit 6543eb2).
+	// ahead of the others.
 	preferenceBonus = 0.2
-	// jitter spreads choices among upstreams that are about equal. Chosen, not measured.
+	// jitter spreads choices among upstreams that are about equal.
 	jitter = 2 * time.Millisecond
 	// crowdedShare is the part of the longest pause in time from which an engine counts as crowded, since
 	// other boxes send prompts that this one does not know of yet. Measured: mean worth of 18 plays 0.597
 	// without it, 0.610, 0.615 and 0.610 at 1, 0.7 and 0.5.
 	crowdedShare = 0.7
-	// busyPenalty is for an engine that loads or unloads a model. Chosen, not measured.
+	// busyPenalty is for an engine that loads or unloads a model.
 	busyPenalty = 2 * time.Millisecond
 	// failurePenalty is the time that a share of failures of 1 above the usual one counts for.
-	// Chosen, not measured.
 	failurePenalty = 400 * time.Millisecond
 )
 
--- a/pkg/dispatch/ejection.go
+++ b/pkg/dispatch/ejection.go
@@ -7,21 +7,18 @@
 )
 
 const (
-	// outcomeWeight is the weight of one outcome in the running mean of failures. Chosen, not
-	// measured.
+	// outcomeWeight is the weight of one outcome in the running mean of failures.
 	outcomeWeight = 0.15
 	// ejectionMargin is how far an upstream's share of failures lies above the usual one for an
-	// ejection. Chosen, not measured.
+	// ejection.
 	ejectionMargin = 0.25
-	// minOutcomes is how many outcomes since the last ejection the next one needs. Chosen, not
-	// measured.
+	// minOutcomes is how many outcomes since the last ejection the next one needs.
 	minOutcomes = 4
 	// minEjection is the length of a first ejection, and maxEjection that of the longest. Each one
-	// is twice as long as the one before. Chosen, not measured.
+	// is twice as long as the one before.
 	minEjection = 2 * time.Second
 	maxEjection = 8 * time.Second
-	// ejectionReset is the time after an ejection from which the next one is short again. Chosen,
-	// not measured.
+	// ejectionReset is the time after an ejection from which the next one is short again.
 	ejectionReset = 10 * time.Second
 )
 
--- a/pkg/dispatch/factors.go
+++ b/pkg/dispatch/factors.go
@@ -6,18 +6,17 @@
 )
 
 const (
-	// upstreamFactorWeight is the weight of one observation in an upstream's factor. Chosen, not
-	// measured.
+	// upstreamFactorWeight is the weight of one observation in an upstream's factor.
 	upstreamFactorWeight = 0.05
-	// modelFactorWeight is the weight of one observation in a model's factor. Chosen; learning
-	// faster at first was tried: mean worth 0.684 instead of 0.691 (commit 6543eb2).
+	// modelFactorWeight is the weight of one observation in a model's factor. Learning faster
+	// at first was tried: mean worth 0.684 instead of 0.691.
 	modelFactorWeight = 0.1
-	// minFactor and maxFactor bound both factors and each observation. Chosen; the upper one was
-	// lowered from 4 without a run of its own (commit 7f8d64f).
+	// minFactor and maxFactor bound both factors and each observation. The upper one was lowered
+	// from 4 without a run of its own.
 	minFactor = 0.2
 	maxFactor = 1.5
 	// minPredicted is the shortest prediction that is learned from: below it the observed time is
-	// mostly overhead. Chosen, not measured.
+	// mostly overhead.
 	minPredicted = 8 * time.Millisecond
 )
 
--- a/pkg/dispatch/observations.go
+++ b/pkg/dispatch/observations.go
@@ -4,10 +4,10 @@
 
 const (
 	// maxPendingPrompts bounds the prompts that wait for TakeObservations; what comes beyond is
-	// not shared with peers. Chosen, not measured.
+	// not shared with peers.
 	maxPendingPrompts = 2000
 	// maxMergedOutcomes bounds the successes, the failures and the pauses that one message of a peer
-	// counts for at one upstream. Chosen, not measured.
+	// counts for at one upstream.
 	maxMergedOutcomes = 20
 )
 
--- a/pkg/dispatch/pauses.go
+++ b/pkg/dispatch/pauses.go
@@ -17,14 +17,13 @@
 // token comes as soon as before; where all engines are slow it comes later (0.33 s for 0.30 s, 0.46 s for 0.34 s).
 const (
 	// mostPauseShare is the share at first, and at most. The rest is for short prompts, which nobody reserves time for.
-	// Chosen, not measured.
 	mostPauseShare = 0.9
 	// leastPauseShare bounds it: where all engines are slow, less only has prompts wait. Measured in a replay of 60 boxes
 	// before 10 such engines that read half of their time, as the part of prompts with too long a pause: 6 to 8% at 0.55,
 	// 8 to 10% at 0.5.
 	leastPauseShare = 0.55
 	// pauseShareGain is what a stream in time gives back, and pauseShareLoss the part that one with too long a pause takes.
-	// Chosen, not measured: from the least to the most takes 350 streams.
+	// From the least to the most takes 350 streams.
 	pauseShareGain = 0.001
 	pauseShareLoss = 0.3
 )
--- a/pkg/dispatch/prediction.go
+++ b/pkg/dispatch/prediction.go
@@ -24,12 +24,11 @@
 )
 
 const (
-	// fullPenalty is added where no slot or not enough memory is free. Chosen, not measured.
+	// fullPenalty is added where no slot or not enough memory is free.
 	fullPenalty = 400 * time.Millisecond
-	// otherHallPenalty is added for the way to an upstream of another hall. Chosen, not measured.
+	// otherHallPenalty is added for the way to an upstream of another hall.
 	otherHallPenalty = 2 * time.Millisecond
-	// memoryFullShare is the share of an engine's memory from which it counts as full. Chosen, not
-	// measured.
+	// memoryFullShare is the share of an engine's memory from which it counts as full.
 	memoryFullShare = 0.92
 )
 
--- a/pkg/dispatch/prefixcache.go
+++ b/pkg/dispatch/prefixcache.go
@@ -7,11 +7,10 @@
 
 const (
 	// prefixCacheShare is the part of an engine's memory, in tokens, that is expected to hold
-	// prefixes of earlier prompts. Chosen, not measured.
+	// prefixes of earlier prompts.
 	prefixCacheShare = 0.7
 	// reshareInterval is after how long the peers are sent a prompt again that goes to the same
-	// engine. In between they know it as well, only not that it was used again. Chosen, not
-	// measured on its own (commit 2839926).
+	// engine. In between they know it as well, only not that it was used again.
 	reshareInterval = 5 * time.Second
 )
 
--- a/pkg/dispatch/reservations.go
+++ b/pkg/dispatch/reservations.go
@@ -121,7 +121,7 @@
 
 const (
 	// reservedShare is the part of the longest pause in time from which reading a prompt is worth a reservation. Shorter ones
-	// pause streams little, and are many. Chosen, not measured.
+	// pause streams little, and are many.
 	reservedShare = 0.1
 	// leastBudgetShare is the part of the longest pause in time that any engine may read prompts and make the event's
 	// tokens: an engine's pauseShare, where that is more. Measured in a replay of 60 boxes before 10 slow engines that read
--- a/pkg/dispatch/services.go
+++ b/pkg/dispatch/services.go
@@ -23,14 +23,14 @@
 // reported load and by these shares: of 330 requests a second 53 to 56%, none; of 250 before 3 upstreams 61 to 63%, none;
 // of 250 where one upstream is twice as slow 37 to 38%, 0.1% at most.
 const (
-	// answerTimeWeight is the weight of one answer in an upstream's answer time. Chosen, not measured.
+	// answerTimeWeight is the weight of one answer in an upstream's answer time.
 	answerTimeWeight = 0.1
 	// answerTimeMemory is after how long without an answer an upstream's own answer time counts for 1/e beside that of the
-	// service: one that was slow gets few requests, and would stay slow in memory. Chosen, not measured.
+	// service: one that was slow gets few requests, and would stay slow in memory.
 	answerTimeMemory = 5 * time.Second
-	// firstAnswerTime is the answer time of a service that has not answered yet. Chosen, not measured.
+	// firstAnswerTime is the answer time of a service that has not answered yet.
 	firstAnswerTime = 50 * time.Millisecond
-	// leastAnswerTime bounds an answer time, by which loads are divided. Chosen, not measured.
+	// leastAnswerTime bounds an answer time, by which loads are divided.
 	leastAnswerTime = time.Millisecond
 )
 
--- a/pkg/dispatch/tracker.go
+++ b/pkg/dispatch/tracker.go
@@ -42,7 +42,7 @@
 	cacheCapacity int
 }
 
-// runTimeWeight is the weight of one request in an upstream's run time. Chosen, not measured.
+// runTimeWeight is the weight of one request in an upstream's run time.
 const runTimeWeight = 0.05
 
 // noteRun takes the time of one request from its first token to its end.
--- a/pkg/dispatch/unresponsive.go
+++ b/pkg/dispatch/unresponsive.go
@@ -3,7 +3,7 @@
 import "time"
 
 // An upstream is unresponsive after this many failures in a row over this time, until a request
-// succeeds or none has failed for a while. All are chosen, not measured.
+// succeeds or none has failed for a while.
 const (
 	unresponsiveFailures = 3
 	unresponsiveSpan     = 300 * time.Millisecond
--- a/pkg/eventstream/eventstream.go
+++ b/pkg/eventstream/eventstream.go
@@ -15,7 +15,6 @@
 )
 
 // MaxEventBytes bounds one event, so that a faulty upstream can't fill the memory.
-// Chosen, not measured (commit bc3a7c4).
 const MaxEventBytes = 1 << 20
 
 // Kinds of failure.
--- a/pkg/fleet/marks.go
+++ b/pkg/fleet/marks.go
@@ -10,17 +10,13 @@
 
 const (
 	// missTime is how long a model or adapter counts as missing that an engine answered to lack.
-	// Chosen, not measured.
 	missTime = 400 * time.Millisecond
 	// goneTime is how long an upstream gets nothing at whose address another one answered.
-	// Chosen, not measured.
 	goneTime = 5 * time.Second
 	// unreachableTime is how long an upstream that took no connection gets nothing the first time;
 	// it doubles with each further time in a row.
-	// Chosen, not measured.
 	unreachableTime = 500 * time.Millisecond
 	// longUnreachableTime bounds it.
-	// Chosen, not measured.
 	longUnreachableTime = 2 * time.Second
 	// maxDoublings bounds the exponent, so that the shift can't overflow.
 	// More than enough to reach longUnreachableTime, which two doublings reach.
--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -138,7 +138,7 @@
 	}
 }
 
-// maxUnreadable bounds what is kept of a value that can't be read, in bytes, for its log line. Chosen, not measured.
+// maxUnreadable bounds what is kept of a value that can't be read, in bytes, for its log line.
 const maxUnreadable = 40
 
 // Note takes in a notice of an upstream, and calls OnNotice if it tells something new.
@@ -236,7 +236,7 @@
 func (a Against) Any() bool { return a.LeavingFor > 0 || a.RestLeft > 0 }
 
 // toldMemory is for how long what an upstream told is kept while no list has it. A list of a store that was away may have lost entries
-// that come back; afterwards an id is not seen again. Chosen, not measured: well above the outages that the platform names.
+// that come back; afterwards an id is not seen again. Well above the outages that the platform names.
 const toldMemory = 5 * time.Minute
 
 // expireTold forgets what upstreams told that are gone, and rests that are over. The caller holds the lock.
--- a/pkg/kv/budget.go
+++ b/pkg/kv/budget.go
@@ -22,7 +22,6 @@
 }
 
 // burstSeconds is how many seconds of its share a process may use at once.
-// Chosen, not measured.
 const burstSeconds = 5
 
 // WithBudget returns store with each call counted and held to the budget. A call waits for its turn;
--- a/pkg/kv/document.go
+++ b/pkg/kv/document.go
@@ -16,14 +16,11 @@
 const (
 	// opsKept is how many operation ids a document remembers: more than the writers that can come
 	// between a lost answer and the read-back within the time an update may take.
-	// Chosen, not measured.
 	opsKept = 64
 	// firstRetryPause is the pause after a try that failed; it doubles with each further try, so that
 	// many writers of one document come apart, up to longRetryPause.
-	// Chosen, not measured.
 	firstRetryPause = 20 * time.Millisecond
 	// longRetryPause bounds it.
-	// Chosen, not measured.
 	longRetryPause = 500 * time.Millisecond
 )
 
--- a/pkg/kv/etcd.go
+++ b/pkg/kv/etcd.go
@@ -29,7 +29,6 @@
 }
 
 // defaultCallTimeout bounds a call where the config gives no bound.
-// Chosen, not measured.
 const defaultCallTimeout = 2 * time.Second
 
 // NewEtcd returns a Store that calls the etcd v3 API over HTTP and JSON, for `ospreymoor serve`.
--- a/pkg/kv/etcd_call.go
+++ b/pkg/kv/etcd_call.go
@@ -14,7 +14,6 @@
 )
 
 // maxAnswerBytes bounds an answer, in bytes: a list of full values in base64, at most.
-// Chosen, not measured.
 const maxAnswerBytes = 64 << 20
 
 // read makes a call that changes nothing: every failure is ErrUnavailable.
--- a/pkg/kv/kv.go
+++ b/pkg/kv/kv.go
@@ -19,7 +19,6 @@
 )
 
 // MaxValueBytes is the largest value that is sent to the service, in bytes.
-// Chosen, not measured.
 const MaxValueBytes = 1 << 20
 
 // Kinds of failure. Each message names what to do next. After ErrNotFound, ErrConflict, ErrUnavailable,
@@ -91,8 +90,7 @@
 	Next func(ctx context.Context) (wait time.Duration, ok bool)
 }
 
-// pollWait is how long the service may hold back the answer to a poll where the watcher does not set it. Chosen, not
-// measured.
+// pollWait is how long the service may hold back the answer to a poll where the watcher does not set it.
 const pollWait = 5 * time.Second
 
 // NextPoll waits until the next poll is wanted, and returns how long the service may hold back its answer; false ends
--- a/pkg/kv/memory.go
+++ b/pkg/kv/memory.go
@@ -213,7 +213,6 @@
 }
 
 // expiryCheckInterval bounds how late a watch sends that a lease has run out.
-// Chosen, not measured.
 const expiryCheckInterval = 250 * time.Millisecond
 
 // expire ends the leases whose time is over. The caller holds the lock.
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -24,22 +24,17 @@
 
 const (
 	// defaultTTL is the TTL where the config gives none; both ways give one.
-	// Chosen, not measured.
 	defaultTTL = 6 * time.Second
 	// renewalsPerTTL is how many times in a TTL the lease is looked after, jitter apart. The call that
 	// revokes the lease may take the same part of the TTL.
-	// Chosen, not measured.
 	renewalsPerTTL = 3
 	// marginsPerTTL is the TTL by the margin where the config gives none.
-	// Chosen, not measured.
 	marginsPerTTL = 3
 	// jitterFraction is the pause between two looks by the most that chance adds to it, so that
 	// contenders do not ask at the same time.
-	// Chosen, not measured.
 	jitterFraction = 4
 	// retriesAfterTTL is for how many TTLs after it had to stop acting a holder goes on renewing: a
 	// service that was away may give the lease its full time again.
-	// Chosen, not measured.
 	retriesAfterTTL = 2
 )
 
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -83,7 +83,7 @@
 	at   time.Time
 }
 
-// defaultLapse holds until SetSilence is called: 5 s, chosen, not measured.
+// defaultLapse holds until SetSilence is called: 5 s.
 const defaultLapse = 5 * time.Second
 
 // NewView returns the empty view of a box with an id.
--- a/pkg/mirror/follow.go
+++ b/pkg/mirror/follow.go
@@ -13,17 +13,13 @@
 	// firstRetryPause is the pause after the service broke off or refused. It doubles with each
 	// further time up to longRetryPause, so that a service that is away is not flooded while its
 	// return is noticed soon. It begins anew once a watch lasted longer than longRetryPause.
-	// Chosen, not measured.
 	firstRetryPause = 100 * time.Millisecond
 	// longRetryPause bounds it.
-	// Chosen, not measured.
 	longRetryPause = time.Second
 	// pausedCheck is how often a paused mirror looks whether it should ask again.
-	// Chosen, not measured.
 	pausedCheck = 100 * time.Millisecond
 	// lostRetry is how often a paused mirror asks a service that it lost, so that this box knows
 	// whether it reaches the service.
-	// Chosen, not measured.
 	lostRetry = 2 * time.Second
 )
 
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -90,8 +90,8 @@
 	at       time.Time
 }
 
-// maxAwaited bounds the confirmations that are kept. Chosen, not measured: the exchanges of two seconds, longer
-// than a copy takes from another box.
+// maxAwaited bounds the confirmations that are kept. The exchanges of two seconds, longer than a copy takes
+// from another box.
 const maxAwaited = 8
 
 // connection is how the calls to the service went.
--- a/pkg/orders/orders.go
+++ b/pkg/orders/orders.go
@@ -106,18 +106,18 @@
 }
 
 const (
-	// defaultInterval is the pause between two looks at an engine: 1 s, chosen, not measured. A
-	// look costs 0.033% of a core (docs/CAPACITY.md), 2.8% for the 86 engines of a hall.
+	// defaultInterval is the pause between two looks at an engine: 1 s. A look costs 0.033% of
+	// a core (docs/CAPACITY.md), 2.8% for the 86 engines of a hall.
 	defaultInterval = time.Second
-	// orderTimeout bounds one look at an engine with the order that follows it: 5 s, chosen, not measured.
+	// orderTimeout bounds one look at an engine with the order that follows it: 5 s.
 	orderTimeout = 5 * time.Second
 	// defaultOrderLife is the longest time an order may take effect after it was sent to an engine
-	// that is not fenced: 30 s, chosen, not measured.
+	// that is not fenced: 30 s.
 	defaultOrderLife = 30 * time.Second
 	// reportLapseIntervals is the number of intervals without an answer after which an engine's
-	// load is no longer published: 5, chosen, not measured.
+	// load is no longer published: 5.
 	reportLapseIntervals = 5
-	// ordersPerLook bounds the orders that follow each other without a pause: 16, chosen, not measured.
+	// ordersPerLook bounds the orders that follow each other without a pause: 16.
 	ordersPerLook = 16
 )
 
--- a/pkg/placement/demand.go
+++ b/pkg/placement/demand.go
@@ -12,17 +12,17 @@
 // Meter there were 2426 to 2764 moves in 20 min, then 137 to 317 (docs/design/placement.md).
 
 const (
-	// calmLoad is the share of an engine's slots up to which load costs nothing: 0.6, chosen, not measured.
+	// calmLoad is the share of an engine's slots up to which load costs nothing: 0.6.
 	calmLoad = 0.6
 	// hotLoad is the share of an engine's slots above which replicas are added: 0.75. Measured: 0.65
-	// and 0.85 differ by no more than the seeds do (commit 47e8f54).
+	// and 0.85 differ by no more than the seeds do.
 	hotLoad = 0.75
-	// splitRounds is the number of rounds that even out the split of demand: 6, chosen, not measured.
+	// splitRounds is the number of rounds that even out the split of demand: 6.
 	splitRounds = 6
-	// hottestTried is the number of hot engines tried for one more replica: 8, chosen, not measured.
+	// hottestTried is the number of hot engines tried for one more replica: 8.
 	hottestTried = 8
 	// leastRoom is the share of an engine's slots that is always counted as free, so that no
-	// replica's part falls to nothing: 0.05, chosen, not measured.
+	// replica's part falls to nothing: 0.05.
 	leastRoom = 0.05
 )
 
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -77,7 +77,7 @@
 // Settings weigh the plan's aims.
 type Settings struct {
 	// MoveCost is the least gain of one load or eviction, in the units of loadCost: a higher
-	// cost moves less. Measured: 0.3 attains most, 3 moves least (commit 47e8f54).
+	// cost moves less. Measured: 0.3 attains most, 3 moves least.
 	MoveCost float64
 	// Replicas is the number of replicas that a model gets where memory is left, so that the loss
 	// of an engine leaves one; 0 takes 2.
@@ -106,9 +106,9 @@
 }
 
 const (
-	// defaultReplicas is Settings.Copies if it is 0: 2 replicas, chosen, not measured.
+	// defaultReplicas is Settings.Copies if it is 0: 2 replicas.
 	defaultReplicas = 2
-	// defaultMaxLoads is Settings.Pending if it is 0: 8 loads, chosen, not measured.
+	// defaultMaxLoads is Settings.Pending if it is 0: 8 loads.
 	defaultMaxLoads = 8
 )
 
--- a/pkg/placement/steps.go
+++ b/pkg/placement/steps.go
@@ -80,7 +80,7 @@
 
 // replaceOld puts new weights in the place of old replicas, one by one, until there are as many
 // of each: then switchServing lets the new ones serve. Waiting for equal numbers side by side got
-// stuck when memory was tight (commit cdebc18).
+// stuck when memory was tight.
 func (b *builder) replaceOld() {
 	for _, u := range b.sorted(func(u *unit) bool { return u.wanted && b.serving[u.Model] != u.Item.Name }) {
 		old := b.units[b.serving[u.Model]]
--- a/pkg/quarantine/register.go
+++ b/pkg/quarantine/register.go
@@ -14,18 +14,17 @@
 	// together is the longest time between crashes of upstreams that fell for one cause. A request that crashes upstreams gets to
 	// the next one only when the last is gone: 61 to 1,850 ms passed between two crashes on a recorded day.
 	together = 50 * time.Millisecond
-	// memory is for how long a record is kept after its latest crash, or after the request may be sent again. Chosen, not
-	// measured: a request that comes again once in half an hour crashes three upstreams in an hour and a half.
+	// memory is for how long a record is kept after its latest crash, or after the request may be sent again. A request
+	// that comes again once in half an hour crashes three upstreams in an hour and a half.
 	memory = 30 * time.Minute
 	// answeredMemory is for how long a request that was answered is remembered as such: reports of crashes before that may
-	// still come. Chosen, not measured: far longer than a report is under way.
+	// still come. Far longer than a report is under way.
 	answeredMemory = time.Minute
 	// keptCrashes is how many crashes of a record are kept, the latest. It bounds the hold to 2^5 times the first one.
 	keptCrashes = 8
-	// pruneInterval is how often records that are over are dropped. Chosen, not measured.
+	// pruneInterval is how often records that are over are dropped.
 	pruneInterval = 10 * time.Second
-	// maxRecords bounds the records of a box, at 0.2 KB each. Chosen, not measured: the requests under way when 60 engines
-	// crash at once.
+	// maxRecords bounds the records of a box, at 0.2 KB each. The requests under way when 60 engines crash at once.
 	maxRecords = 4096
 )
 
--- a/pkg/residency/adapterload.go
+++ b/pkg/residency/adapterload.go
@@ -8,14 +8,14 @@
 )
 
 const (
-	// adapterTime is how long an adapter's load takes on an engine that is not busy. Chosen; some
-	// 10 ms on the users' bench (docs/FINDINGS.md).
+	// adapterTime is how long an adapter's load takes on an engine that is not busy. Some 10 ms
+	// on the users' bench (docs/FINDINGS.md).
 	adapterTime = 11 * time.Millisecond
 	// adapterTimeout bounds the load of one adapter with the unloads before it, and one attempt to
-	// learn an engine's count of orders. Chosen, not measured.
+	// learn an engine's count of orders.
 	adapterTimeout = 2 * time.Second
 	// uncertainCooldown is how long an engine gets no adapters after an order that may have been
-	// carried out: until its report covers the order. Chosen, not measured.
+	// carried out: until its report covers the order.
 	uncertainCooldown = reportLag
 )
 
--- a/pkg/residency/adapterplace.go
+++ b/pkg/residency/adapterplace.go
@@ -10,13 +10,11 @@
 // The costs of loading an adapter on an engine are in running requests: they add to the engine's
 // own, and the cheapest engine gets the adapter.
 const (
-	// evictAdapterCost is the cost of having to evict an adapter first. Chosen, not measured.
+	// evictAdapterCost is the cost of having to evict an adapter first.
 	evictAdapterCost = 6
-	// avoidCost is the cost of an engine that failed an order within avoidTime. Chosen with commit
-	// 742c248, not measured.
+	// avoidCost is the cost of an engine that failed an order within avoidTime.
 	avoidCost = 40
-	// queueCost is the cost of each adapter whose load or unload is under way or waits. Chosen, not
-	// measured.
+	// queueCost is the cost of each adapter whose load or unload is under way or waits.
 	queueCost = 8
 )
 
--- a/pkg/residency/adapterstate.go
+++ b/pkg/residency/adapterstate.go
@@ -37,8 +37,7 @@
 	running int
 }
 
-// adapterIdleTime is how long an adapter must not have been used before it may be evicted. Chosen
-// with commit 5a97c09 (700 ms before), not measured.
+// adapterIdleTime is how long an adapter must not have been used before it may be evicted.
 const adapterIdleTime = 250 * time.Millisecond
 
 // idle reports whether the adapter may be evicted.
--- a/pkg/residency/demand.go
+++ b/pkg/residency/demand.go
@@ -19,14 +19,13 @@
 }
 
 const (
-	// bucketSpan is the time of one bucket of demand. Chosen, not measured.
+	// bucketSpan is the time of one bucket of demand.
 	bucketSpan = 250 * time.Millisecond
-	// slowBuckets is how many buckets the slow rate is the mean of: 5 s. Chosen, not measured.
+	// slowBuckets is how many buckets the slow rate is the mean of: 5 s.
 	slowBuckets = 20
-	// fastBuckets is how many buckets the fast rate is the mean of: 2.5 s. Chosen, not measured.
+	// fastBuckets is how many buckets the fast rate is the mean of: 2.5 s.
 	fastBuckets = 10
 	// trendWeight is the part of a rise, fast rate less slow rate, that is expected once more.
-	// Chosen, not measured.
 	trendWeight = 1.0
 )
 
--- a/pkg/residency/enginereport.go
+++ b/pkg/residency/enginereport.go
@@ -9,8 +9,7 @@
 	"ospreymoor.example/ospreymoor/pkg/logfield"
 )
 
-// learnCooldown is how long an engine that gave no report is left alone. Chosen with commit c542a72,
-// not measured.
+// learnCooldown is how long an engine that gave no report is left alone.
 const learnCooldown = time.Second
 
 // shouldLearn reports whether the engine should be asked for a report.
--- a/pkg/residency/ensure.go
+++ b/pkg/residency/ensure.go
@@ -36,8 +36,7 @@
 func (w *Want) allows(hall string) bool { return len(w.Halls) == 0 || slices.Contains(w.Halls, hall) }
 
 // crowdedWork is the work, in milliseconds of an engine's time, that is noted for a model each time
-// that its engines have no place for an adapter: another replica brings more places. Chosen with commit
-// 5a97c09, not measured.
+// that its engines have no place for an adapter: another replica brings more places.
 const crowdedWork = 60
 
 // Ensure has an adapter of a model loaded on an engine that holds the model, and returns where.
--- a/pkg/residency/eviction.go
+++ b/pkg/residency/eviction.go
@@ -8,17 +8,15 @@
 
 const (
 	// patientAbsence and urgentAbsence are the costs of evicting an idle model's last replica, in squared
-	// engine time: the next callers wait for its load, or are refused until it is done. Chosen, not measured.
+	// engine time: the next callers wait for its load, or are refused until it is done.
 	patientAbsence = 0.05
 	urgentAbsence  = 1.0
 	// drainCost is that of evicting a model whose requests run, since the move waits for their ends.
-	// Chosen, not measured.
 	drainCost = 0.1
 	// askedEvictionLimit is how much the other engines' squared work may grow for the first replica
-	// of a model that is asked for, beside the model's demand. Chosen, not measured (commit 21fe9e9).
+	// of a model that is asked for, beside the model's demand.
 	askedEvictionLimit = 0.7
-	// idleEvictionLimit is the same for a model that nobody asks for. Chosen, not measured (commit
-	// 21fe9e9).
+	// idleEvictionLimit is the same for a model that nobody asks for.
 	idleEvictionLimit = 0.05
 )
 
--- a/pkg/residency/firstreplica.go
+++ b/pkg/residency/firstreplica.go
@@ -50,7 +50,7 @@
 }
 
 // storeDemand is the demand from which a model's first replica may come from the weight store though an
-// engine keeps a copy. Chosen, not measured.
+// engine keeps a copy.
 const storeDemand = 0.3
 
 // placeFirst chooses the engine where a model's first replica costs least.
--- a/pkg/residency/furtherreplica.go
+++ b/pkg/residency/furtherreplica.go
@@ -29,7 +29,7 @@
 	return best, best.Model != ""
 }
 
-// maxBusiest bounds how many models are tried for one more replica. Chosen, not measured.
+// maxBusiest bounds how many models are tried for one more replica.
 const maxBusiest = 12
 
 // busiest lists the held models with the most work on each of their engines, busiest first.
--- a/pkg/residency/hedge.go
+++ b/pkg/residency/hedge.go
@@ -9,11 +9,10 @@
 )
 
 const (
-	// hedgeDelay is after how long an adapter's load is begun on another engine too. Chosen, some
-	// seven times adapterTime, not measured (commit 742c248, docs/design/platform.md).
+	// hedgeDelay is after how long an adapter's load is begun on another engine too. It is
+	// some seven times adapterTime (docs/design/platform.md).
 	hedgeDelay = 80 * time.Millisecond
-	// maxHedgedLoads bounds on how many engines an adapter is loaded for one request. Chosen with
-	// commit 742c248, not measured.
+	// maxHedgedLoads bounds on how many engines an adapter is loaded for one request.
 	maxHedgedLoads = 3
 )
 
--- a/pkg/residency/modelrecord.go
+++ b/pkg/residency/modelrecord.go
@@ -72,8 +72,7 @@
 	return held
 }
 
-// freshTime is how long a loaded model stays on an engine at least. Chosen with commit 7f8d64f, not
-// measured.
+// freshTime is how long a loaded model stays on an engine at least.
 const freshTime = 6 * time.Second
 
 // fresh lists the models that were loaded within freshTime.
--- a/pkg/residency/move.go
+++ b/pkg/residency/move.go
@@ -11,14 +11,13 @@
 )
 
 const (
-	// noticeTime is how long a withdrawal takes to be known on all boxes. Chosen, not measured.
+	// noticeTime is how long a withdrawal takes to be known on all boxes.
 	noticeTime = 250 * time.Millisecond
-	// moveTimeout bounds a whole move. Chosen, not measured.
+	// moveTimeout bounds a whole move.
 	moveTimeout = 40 * time.Second
-	// unloadTime is how long the last runs of withdrawn models and their unload usually take. Chosen
-	// with commit 742c248, not measured.
+	// unloadTime is how long the last runs of withdrawn models and their unload usually take.
 	unloadTime = 400 * time.Millisecond
-	// moveCooldown is how long an engine is left alone after a move failed. Chosen, not measured.
+	// moveCooldown is how long an engine is left alone after a move failed.
 	moveCooldown = listLag
 )
 
--- a/pkg/residency/moveorders.go
+++ b/pkg/residency/moveorders.go
@@ -10,14 +10,12 @@
 
 const (
 	// pollInterval is how often the directory and the running requests are read while a move waits.
-	// Chosen, not measured.
 	pollInterval = 20 * time.Millisecond
 	// listLag is how long the platform's list may lag behind an engine before the engine is asked.
-	// Chosen, not measured.
 	listLag = 1500 * time.Millisecond
 	// drainTime is how long the runs of withdrawn models are waited for before the unload is ordered:
 	// an engine that is ordered to unload a model waits for its runs and takes no other order
-	// meanwhile. Chosen with commit 5a97c09, not measured.
+	// meanwhile.
 	drainTime = 3 * time.Second
 )
 
--- a/pkg/residency/orderround.go
+++ b/pkg/residency/orderround.go
@@ -13,27 +13,23 @@
 )
 
 const (
-	// orderTimeout is after how long an order counts as unanswered. Chosen, not measured.
+	// orderTimeout is after how long an order counts as unanswered.
 	orderTimeout = 400 * time.Millisecond
-	// reportTimeout bounds one question for a report. Chosen, not measured.
+	// reportTimeout bounds one question for a report.
 	reportTimeout = 500 * time.Millisecond
-	// reportLag is how long an engine's report may lag behind an order. Chosen above the lag of the
-	// platform's reports, not measured.
+	// reportLag is how long an engine's report may lag behind an order.
 	reportLag = 600 * time.Millisecond
-	// orderTries bounds how often an order is sent with one expected count. Chosen, not measured.
+	// orderTries bounds how often an order is sent with one expected count.
 	orderTries = 6
-	// orderRounds is how often an order is tried, each time with a newly learned count. Chosen with
-	// commit 000b5d9, not measured.
+	// orderRounds is how often an order is tried, each time with a newly learned count.
 	orderRounds = 2
-	// conflictPause is the first wait after a conflict. Chosen, not measured.
+	// conflictPause is the first wait after a conflict.
 	conflictPause = 8 * time.Millisecond
-	// conflictGrowth is the factor from one wait to the next. Chosen, not measured.
+	// conflictGrowth is the factor from one wait to the next.
 	conflictGrowth = 3
 	// longConflictPause is the wait beyond which an order is not sent again with the same count.
-	// Chosen, not measured.
 	longConflictPause = 600 * time.Millisecond
-	// avoidTime is how long other engines are preferred to one that failed an order. Chosen with
-	// commit 742c248, not measured.
+	// avoidTime is how long other engines are preferred to one that failed an order.
 	avoidTime = 800 * time.Millisecond
 )
 
--- a/pkg/residency/permission.go
+++ b/pkg/residency/permission.go
@@ -57,8 +57,8 @@
 	c.storeRate = storeRate{}
 }
 
-// lastOrdersKept is how long the time of an engine's last order is kept. Chosen well above the time
-// that a new holder waits for a former one, not measured.
+// lastOrdersKept is how long the time of an engine's last order is kept. It is well above the time
+// that a new holder waits for a former one.
 const lastOrdersKept = time.Minute
 
 // LastOrders returns how long ago each engine was given its last order, under any term, by name. The next
--- a/pkg/residency/planinput.go
+++ b/pkg/residency/planinput.go
@@ -10,15 +10,13 @@
 )
 
 const (
-	// minMoves is how many moves one plan may start in a small fleet. Chosen, not measured.
+	// minMoves is how many moves one plan may start in a small fleet.
 	minMoves = 4
 	// enginesPerMove is how many engines a large fleet has for each move that one plan may start.
-	// Chosen with commit 742c248, not measured.
 	enginesPerMove = 10
 	// maxMoves bounds the moves of one plan in a fleet of any size: what is left comes with the next one.
 	maxMoves = 64
 	// missedTime is how long a request for a model that no engine held makes the model missed.
-	// Chosen, not measured.
 	missedTime = 10 * time.Second
 )
 
--- a/pkg/residency/replicaworth.go
+++ b/pkg/residency/replicaworth.go
@@ -11,20 +11,18 @@
 
 const (
 	// missedWorth is the worth of a first replica of any model that is asked for, in squared engine
-	// time. Chosen; first replicas always went first before (commit 716f2f0).
+	// time. First replicas always went first before.
 	missedWorth = 0.3
-	// demandWorth is added to it for each unit of the model's demand. Chosen (commit 716f2f0).
+	// demandWorth is added to it for each unit of the model's demand.
 	demandWorth = 3
 	// hallBonus is the worth of a busy model's first replica in a hall, in squared engine time for
 	// each unit of the model's demand: a hall that is cut off serves only what it holds. Measured
 	// against 0.05: mean worth 0.664 to 0.679 and 0.687 to 0.691 on mk-ospreymoor, 0.712 to 0.708 on
-	// sv-airmaps; the noise is 0.007 (commit 6543eb2).
+	// sv-airmaps; the noise is 0.007.
 	hallBonus = 0.25
-	// freeMemoryCost is the part of a move's cost that counts if nothing is evicted. Chosen, not
-	// measured.
+	// freeMemoryCost is the part of a move's cost that counts if nothing is evicted.
 	freeMemoryCost = 0.35
 	// copyLoadCost is the part of a move's cost that counts for a load from the engine's own copy.
-	// Chosen, not measured.
 	copyLoadCost = 0.4
 )
 
@@ -72,7 +70,7 @@
 }
 
 // loadHorizon is how far ahead a replica's worth is weighed: one that serves after that time is worth
-// half of one that serves at once. Chosen, not measured.
+// half of one that serves at once.
 const loadHorizon = 5 * time.Second
 
 // moveTime is how long it takes until the engine serves a model: the last requests of the models that
--- a/pkg/residency/storerate.go
+++ b/pkg/residency/storerate.go
@@ -8,10 +8,10 @@
 )
 
 const (
-	// storeBurst is how many loads from the weight store may begin at once. Chosen, not measured.
+	// storeBurst is how many loads from the weight store may begin at once.
 	storeBurst = 4
-	// storeShare is the part of the weight store's rate that is used. Chosen, not measured: the
-	// platform's bound is the whole rate.
+	// storeShare is the part of the weight store's rate that is used. The platform's bound is
+	// the whole rate.
 	storeShare = 0.95
 )
 
@@ -38,7 +38,7 @@
 
 // drawLoad waits until the weight store allows a planned load, at the moment of its order. Drawn upon
 // when planned, the platform's bound was broken on four of eighty days, since the unloads before the
-// loads bunched their orders (commit 47d0189). It reports whether the load may be ordered.
+// loads bunched their orders. It reports whether the load may be ordered.
 func (c *Controller) drawLoad(ctx context.Context, term int64) bool {
 	c.mu.Lock()
 	limiter := c.storeRate.limiter
--- a/pkg/routing/budget.go
+++ b/pkg/routing/budget.go
@@ -8,10 +8,9 @@
 )
 
 const (
-	// retryBurst bounds the retries that are saved up, of the share and of the floor each. Chosen,
-	// not measured.
+	// retryBurst bounds the retries that are saved up, of the share and of the floor each.
 	retryBurst = 10
-	// retryFloor is the retries a second that are allowed beside the share. Chosen, not measured.
+	// retryFloor is the retries a second that are allowed beside the share.
 	retryFloor = 1
 )
 
--- a/pkg/routing/choice.go
+++ b/pkg/routing/choice.go
@@ -9,13 +9,13 @@
 )
 
 const (
-	// prefixGain is the wait that a prompt cached in whole is worth. Chosen, not measured.
+	// prefixGain is the wait that a prompt cached in whole is worth.
 	prefixGain = 150 * time.Millisecond
 	// nearlyEqual is the difference of costs below which the choice is random. Measured: at 20 ms
-	// the 5 ms to another hall did not count; policy as before (commit cae259d).
+	// the 5 ms to another hall did not count; policy as before.
 	nearlyEqual = time.Millisecond
-	// staleReport is the age from which a report is not used any more. Chosen; without it all
-	// requests after a rush were refused while the platform was away (commit 5dd1e06).
+	// staleReport is the age from which a report is not used any more. Without it all
+	// requests after a rush were refused while the platform was away.
 	staleReport = 10 * time.Second
 )
 
--- a/pkg/routing/prefixes.go
+++ b/pkg/routing/prefixes.go
@@ -6,11 +6,11 @@
 )
 
 const (
-	// maxEntries bounds the blocks that are remembered. Chosen, not measured.
+	// maxEntries bounds the blocks that are remembered.
 	maxEntries = 20_000
-	// blockBytes is the length of prompt that one block stands for. Chosen, not measured.
+	// blockBytes is the length of prompt that one block stands for.
 	blockBytes = 256
-	// maxBlocks bounds how much of a prompt is looked at. Chosen, not measured.
+	// maxBlocks bounds how much of a prompt is looked at.
 	maxBlocks = 16
 )
 
--- a/pkg/routing/router.go
+++ b/pkg/routing/router.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// defaultService is the expected time in a slot before any was measured. Chosen, not measured.
+	// defaultService is the expected time in a slot before any was measured.
 	defaultService = 2 * time.Second
-	// serviceWeight is the weight of one measured time in the running mean. Chosen, not measured.
+	// serviceWeight is the weight of one measured time in the running mean.
 	serviceWeight = 0.05
 )
 
--- a/pkg/spectest/link.go
+++ b/pkg/spectest/link.go
@@ -9,7 +9,7 @@
 )
 
 // segment is how many bytes of one connection are sent before those of another may follow.
-// Chosen, not measured: small against the messages of specs.
+// Small against the messages of specs.
 const segment = 4 << 10
 
 // Link is a box's link to the network: all that the box sends shares one direction, all that it
