One copy of newer state for all boxes that follow a relay, in place of one for each

Cause: what is too long for an answer was packed for each box that asked. Of 164 boxes that follow one relay each asked four times a second, the relay kept 16 copies, so that most were dropped before they were fetched, and packing took its processor.

One that was sent on by a box of another version is asked for at its origin again.

--- a/internal/cluster/content.go
+++ b/internal/cluster/content.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/juju/errors"
 
@@ -49,22 +48,25 @@
 	return key, revision, err == nil
 }
 
-// wholePrefix begins the id of a copy of the whole store, followed by its revision.
-const wholePrefix = "whole/"
+// sharedPrefix begins the id of a copy of newer state that any box may send which has fetched it.
+const sharedPrefix = "since/"
 
-// wholeContent is a copy of the whole store at a revision. All boxes that have fetched it send it on.
-func wholeContent(revision int64) contentID { return contentID(fmt.Sprint(wholePrefix, revision)) }
+// sharedContent is what is newer than a revision of the store, as of a later one.
+func sharedContent(from, to int64) contentID {
+	return contentID(fmt.Sprint(sharedPrefix, from, "/", to))
+}
 
-// shared returns the revision of a content that any box may send which has fetched it.
+// shared returns the revision as of which a content is that any box may send which has fetched it.
 func (id contentID) shared() (revision int64, ok bool) {
 	if _, revision, ok = id.record(); ok {
 		return revision, true
 	}
-	text, ok := strings.CutPrefix(string(id), wholePrefix)
+	text, ok := strings.CutPrefix(string(id), sharedPrefix)
 	if !ok {
 		return 0, false
 	}
-	revision, err := strconv.ParseInt(text, 10, 64)
+	_, to, _ := strings.Cut(text, "/")
+	revision, err := strconv.ParseInt(to, 10, 64)
 	return revision, err == nil
 }
 
@@ -72,28 +74,8 @@
 type contents struct {
 	mu   sync.Mutex
 	list []content
-	// copies numbers the copies that were packed.
-	copies int
-	// whole is the latest copy of the whole store, and wholeAt when it came.
-	whole   content
-	wholeAt time.Time
-}
-
-// addWhole keeps a packed copy of the whole store, in place of an older one.
-func (c *contents) addWhole(id contentID, packed []byte) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.whole, c.wholeAt = content{id: id, packed: packed}, time.Now()
-}
-
-// latestWhole returns the id of a copy of the whole store that is not older than age; empty if there is none.
-func (c *contents) latestWhole(age time.Duration) contentID {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.whole.id == "" || time.Since(c.wholeAt) > age {
-		return ""
-	}
-	return c.whole.id
+	// shared are the latest copies of newer state that boxes send on, the newest last.
+	shared []sharedCopy
 }
 
 // content is one of them.
@@ -102,23 +84,13 @@
 	packed []byte
 }
 
-// addCopy keeps a packed copy of newer state, and returns its id.
-func (c *contents) addCopy(packed []byte) contentID {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.copies++
-	id := contentID(fmt.Sprint("copy/", c.copies))
-	c.add(content{id: id, packed: packed})
-	return id
-}
-
 // get returns a content; that of a record is packed from the box's copy of the store if it has that
 // revision. It is nil if the box does not have it.
 func (c *contents) get(id contentID, records mirror.Records) ([]byte, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if id != "" && id == c.whole.id {
-		return c.whole.packed, nil
+	if at := slices.IndexFunc(c.shared, func(kept sharedCopy) bool { return kept.id == id }); at >= 0 {
+		return c.shared[at].packed, nil
 	}
 	at := slices.IndexFunc(c.list, func(kept content) bool { return kept.id == id })
 	if at >= 0 {
--- a/internal/cluster/fetch.go
+++ b/internal/cluster/fetch.go
@@ -105,12 +105,14 @@
 	if err != nil {
 		return copyAnswer{}, err
 	}
-	if _, shared := id.shared(); shared {
-		e.sender.contents.addWhole(id, packed)
+	answer, err := unmarshalAnswer(text)
+	if err != nil {
+		return copyAnswer{}, err
 	}
-	var answer copyAnswer
-	if err := json.Unmarshal(text, &answer); err != nil {
-		return copyAnswer{}, errors.WithType(err, errContent)
+	if _, shared := id.shared(); shared && answer.Delta != nil {
+		e.sender.contents.addShared(sharedCopy{
+			content: content{id: id, packed: packed}, from: answer.Delta.From, to: answer.Delta.Revision, version: answer.Since, at: time.Now(),
+		})
 	}
 	return answer, nil
 }
@@ -127,31 +129,38 @@
 	return nil
 }
 
-// wholeAge is how old a copy of the whole store may be that a box is sent which has none: what changed since comes with the next exchange.
-const wholeAge = 5 * time.Second
-
 // answerCopy answers a fetch.
 func (e *Exchange) answerCopy(_ context.Context, request copyRequest) (copyAnswer, error) {
-	if request.Revision == 0 && request.Pieces {
-		// Boxes that start together fetch one copy, which is packed once and sent on by those that have it.
-		if id := e.sender.contents.latestWhole(wholeAge); id != "" {
-			return copyAnswer{Packed: id}, nil
-		}
+	if !request.Pieces {
+		return e.newerThan(request), nil
+	}
+	now := time.Now()
+	if id := e.sender.contents.sharedFor(request, now); id != "" {
+		return copyAnswer{Packed: id}, nil
 	}
-	answer := e.newerThan(request)
-	if !request.Pieces || answer.bytes() <= maxAnswerBytes {
+	from := request
+	if request.Revision > 0 {
+		from = widened(request, e.Mirror.State().Revision, e.Directory.Version())
+	}
+	answer := e.newerThan(from)
+	if answer.bytes() <= maxAnswerBytes || answer.Delta == nil {
 		return answer, nil
 	}
+	answer.Since = from.Version
 	packed, err := packAnswer(answer)
 	if err != nil {
 		return copyAnswer{}, err
 	}
-	if request.Revision == 0 {
-		id := wholeContent(answer.Delta.Revision)
-		e.sender.contents.addWhole(id, packed)
-		return copyAnswer{Packed: id}, nil
-	}
-	return copyAnswer{Packed: e.sender.contents.addCopy(packed)}, nil
+	id := sharedContent(from.Revision, answer.Delta.Revision)
+	e.sender.contents.addShared(sharedCopy{
+		content: content{id: id, packed: packed}, from: from.Revision, to: answer.Delta.Revision, version: from.Version, at: now,
+	})
+	return copyAnswer{Packed: id}, nil
+}
+
+func unmarshalAnswer(text []byte) (answer copyAnswer, err error) {
+	err = json.Unmarshal(text, &answer)
+	return answer, errors.WithType(err, errContent)
 }
 
 func packAnswer(answer copyAnswer) ([]byte, error) {
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -139,6 +139,8 @@
 	// Packed names a content to fetch that is this answer, where it is too long to be sent at once. It
 	// comes alone.
 	Packed contentID `json:"packed,omitempty"`
+	// Since is the version of the directory after which Update is, in a packed answer.
+	Since fleet.Version `json:"since,omitzero"`
 }
 
 // pieceRequest asks for a part of a packed content.
--- a/internal/cluster/sender.go
+++ b/internal/cluster/sender.go
@@ -73,8 +73,7 @@
 	return true, holders[:min(namedHolders, len(holders))]
 }
 
-// completed notes that a box was sent the last piece of a content. Records and copies of the whole store can be fetched from it from then
-// on; other copies of newer state are for one box only.
+// completed notes that a box was sent the last piece of a content, which can be fetched from it from then on.
 func (s *sender) completed(request pieceRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/internal/cluster/sharedcopy_test.go
@@ -0,0 +1,89 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/kv"
+	"ospreymoor.example/ospreymoor/pkg/mirror"
+	"ospreymoor.example/ospreymoor/pkg/quarantine"
+	"ospreymoor.example/ospreymoor/pkg/spectest"
+)
+
+// Boxes of one hall of the whole fleet logged "the box does not have this content" soon after all had started: their relay had packed a copy
+// for each of 164 boxes and kept 16, and its processor was taken by packing, so that its own calls ran out of time ("peer lost").
+var _ = Describe("newer state for many boxes that follow one relay", func() {
+	// relay has a store of many records, and more with each call.
+	relay := func() (e *Exchange, change func()) {
+		m := &mirror.Mirror{}
+		e = NewExchange(Config{Mirror: m, Directory: fleet.New(), Quarantine: quarantine.NewRegister(quarantine.DefaultPolicy), Log: zap.NewNop()})
+		revision := int64(0)
+		change = func() {
+			delta := mirror.Delta{From: revision}
+			for range 200 {
+				revision++
+				delta.Changed = append(delta.Changed, kv.Record{Key: fmt.Sprint("servers/", revision%2000), Value: make([]byte, 300), Revision: revision})
+			}
+			delta.Revision = revision
+			m.ApplyDelta(delta)
+		}
+		for range 10 {
+			change()
+		}
+		return e, change
+	}
+
+	It("is packed a few times, and every box gets what it was named", func() {
+		spectest.Bubble(func() {
+			for _, boxes := range []int{20, 160, 500} {
+				e, change := relay()
+				named := map[contentID]int{}
+				for round := range 4 {
+					for box := range boxes {
+						request := copyRequest{Revision: int64(1800 + 200*round - box%150), Pieces: true}
+						answer, err := e.answerCopy(context.Background(), request)
+						Expect(err).NotTo(HaveOccurred())
+						Expect(answer.Packed).NotTo(BeEmpty())
+						named[answer.Packed]++
+						receiver := &mirror.Mirror{}
+						receiver.ApplyDelta(mirror.Delta{Revision: request.Revision})
+						packed, err := e.sender.contents.get(answer.Packed, mirror.Records{})
+						Expect(err).NotTo(HaveOccurred())
+						Expect(packed).NotTo(BeEmpty(), "the box does not have what it named")
+						time.Sleep(250 * time.Millisecond / time.Duration(boxes))
+					}
+					change()
+				}
+				GinkgoWriter.Printf("%d boxes: %d copies packed for %d requests\n", boxes, len(named), 4*boxes)
+				Expect(len(named)).To(BeNumerically("<=", 4*3), "%d boxes", boxes)
+			}
+		})
+	})
+
+	It("brings each to the same state, whatever it had", func() {
+		e, change := relay()
+		for n := range 3 {
+			for _, revision := range []int64{0, 1500, 1900, 1999} {
+				answer, err := e.answerCopy(context.Background(), copyRequest{Revision: revision, Pieces: true})
+				Expect(err).NotTo(HaveOccurred())
+				if answer.Packed != "" {
+					packed, err := e.sender.contents.get(answer.Packed, mirror.Records{})
+					Expect(err).NotTo(HaveOccurred())
+					text, err := unpack(packed)
+					Expect(err).NotTo(HaveOccurred())
+					answer, err = unmarshalAnswer(text)
+					Expect(err).NotTo(HaveOccurred())
+				}
+				Expect(answer.Delta.From).To(BeNumerically("<=", revision))
+				Expect(answer.Delta.Revision).To(BeNumerically(">=", int64(2000)), "round %d, from %d", n, revision)
+			}
+			change()
+		}
+	})
+})
--- a/internal/cluster/transfer.go
+++ b/internal/cluster/transfer.go
@@ -30,8 +30,9 @@
 type transfer struct {
 	exchange *Exchange
 	content  contentID
-	// address is the box that is asked.
+	// address is the box that is asked, and origin the one that named the content.
 	address  string
+	origin   string
 	received []byte
 	failures int
 }
@@ -47,7 +48,7 @@
 func (e *Exchange) fetchPackedContent(ctx context.Context, address string, id contentID) (value, packed []byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, transferTime)
 	defer cancel()
-	t := &transfer{exchange: e, content: id, address: address}
+	t := &transfer{exchange: e, content: id, address: address, origin: address}
 	for {
 		complete, err := t.step(ctx)
 		if err != nil {
@@ -72,6 +73,10 @@
 		return false, pause.For(ctx, busyPause)
 	case answer.Busy:
 		return false, t.wait(ctx, answer.Holders)
+	case answer.Size == 0 && t.address != t.origin:
+		// Whoever was sent it may not keep it, as a box of another version.
+		t.address, t.received = t.origin, nil
+		return false, pause.For(ctx, busyPause)
 	case answer.Size == 0 || answer.Size > maxContentBytes:
 		return false, errors.Annotatef(errNotHeld, "%s at %s", t.content, t.address)
 	}
--- a/internal/cluster/transfer_test.go
+++ b/internal/cluster/transfer_test.go
@@ -96,7 +96,7 @@
 		Expect(c.get(recordContent("op/config", 6), records)).To(BeNil())
 		By("but only the latest ones")
 		for range keptContents {
-			c.addCopy(nil)
+			c.add(content{id: "another"})
 		}
 		Expect(c.get(id, records)).To(BeNil())
 	})
