--- a/internal/storeview/upstreams.go
+++ b/internal/storeview/upstreams.go
@@ -65,19 +65,32 @@
 // NoteChanges logs upstreams that joined, went or began to leave, and has those that went forgotten.
 // It is safe for concurrent use.
 func (v *View) NoteChanges(changes []fleet.Change) {
+	revision := v.config.Directory.Revision()
+	counts := map[fleet.ChangeKind]int{}
 	for _, change := range changes {
-		v.noteChange(change, v.config.Directory.Revision())
+		counts[change.Kind]++
+		if change.Kind == fleet.Removed {
+			v.config.Forget(change.Upstream.ID)
+		}
+		if counts[change.Kind] <= maxChangeLines {
+			v.logChange(change, revision)
+		}
+	}
+	for kind, count := range counts {
+		if count > maxChangeLines {
+			v.config.Log.Info("upstreams changed at once", zap.String("kind", string(kind)), zap.Int("count", count), zap.Int64("revision", revision))
+		}
 	}
 }
 
-func (v *View) noteChange(change fleet.Change, revision int64) {
+// maxChangeLines is how many lines of a kind one change of the list has; a start lists all upstreams of the fleet at once.
+const maxChangeLines = 50
+
+func (v *View) logChange(change fleet.Change, revision int64) {
 	v.config.Log.Info("upstream "+string(change.Kind),
 		zap.String("backend", change.Upstream.ID),
 		zap.String("service", change.Upstream.Service),
 		zap.String("address", change.Upstream.Address),
 		zap.Duration("notice", change.Upstream.Notice),
 		zap.Int64("revision", revision))
-	if change.Kind == fleet.Removed {
-		v.config.Forget(change.Upstream.ID)
-	}
 }
