--- a/internal/gateway/coldstart.go
+++ b/internal/gateway/coldstart.go
@@ -22,6 +22,9 @@
 
 // coldAsks is what a request asked of the keepers of cold engines.
 type coldAsks struct {
+	// start is for how long upstreams of the service are cold after a start, and perSecond what they bear; 0 sets no bound.
+	start     time.Duration
+	perSecond float64
 	// asked counts the asks, and grant is the latest that was granted.
 	asked int
 	grant coldGrant
@@ -29,10 +32,10 @@
 
 // isCold reports whether an upstream is cold, and until when this request must not go there; zero, and it may ask.
 func (r *inflight) isCold(upstream string, now time.Time) (cold bool, until time.Time) {
-	if r.coldPerSecond <= 0 {
+	if r.cold.perSecond <= 0 {
 		return false, time.Time{}
 	}
-	known := r.gateway.Directory.Coldness(upstream, r.coldStart)
+	known := r.gateway.Directory.Coldness(upstream, r.cold.start)
 	switch {
 	case !known.Cold:
 		return false, time.Time{}
@@ -52,7 +55,7 @@
 		return true
 	}
 	r.cold.asked++
-	grant, err := r.gateway.AskCold(ctx, dispatch.ColdAsk{Engine: id, PerSecond: r.coldPerSecond})
+	grant, err := r.gateway.AskCold(ctx, dispatch.ColdAsk{Engine: id, PerSecond: r.cold.perSecond})
 	now := time.Now()
 	if err != nil {
 		grant = dispatch.ColdGrant{Wait: coldRetry} // Whoever asks the keeper logs when it loses and regains it.
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -11,7 +11,7 @@
 	"ospreymoor.example/ospreymoor/pkg/routes"
 )
 
-// inflight is one request under way, from its route to its final answer. One goroutine uses it. It has 21 fields because it is all that
+// inflight is one request under way, from its route to its final answer. One goroutine uses it. It has 19 fields because it is all that
 // the box knows of one request.
 type inflight struct {
 	gateway *Gateway
@@ -39,10 +39,8 @@
 	endpoint *fleet.Endpoint
 	// known is what this box knows of upstreams that crashed under the request.
 	known knownCrashes
-	// coldStart and coldPerSecond are those of the service.
-	coldStart     time.Duration
-	coldPerSecond float64
-	cold          coldAsks
+	// cold is what holds of upstreams that are cold, and what was asked of their keepers.
+	cold coldAsks
 	// holds is how many bytes of answers it holds of the box's memory for callers.
 	holds int64
 	// bound means that only upstreams in some regions may serve the request.
@@ -67,7 +65,7 @@
 		deadlines: newDeadlines(route, request),
 	}
 	if described := table.Services[service]; described != nil {
-		r.coldStart, r.coldPerSecond = described.ColdStart, described.ColdPerSecond
+		r.cold.start, r.cold.perSecond = described.ColdStart, described.ColdPerSecond
 	}
 	return r
 }
--- a/pkg/fleet/cold.go
+++ b/pkg/fleet/cold.go
@@ -14,8 +14,8 @@
 // maxCold bounds how long an engine is taken as cold by what it says of itself.
 const maxCold = 10 * time.Minute
 
-// warmth is what is known of one engine.
-type warmth struct {
+// coldRecord is what is known of one engine.
+type coldRecord struct {
 	// coldUntil is by what the engine says; backAt is since when it is back.
 	coldUntil, backAt time.Time
 	// heldUntil is until when this box sends it nothing, as its keeper told.
@@ -33,7 +33,7 @@
 func (d *Directory) Coldness(id string, start time.Duration) Coldness {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	known, ok := d.warmth[id]
+	known, ok := d.cold[id]
 	unreachable := d.refusals[id] > 0
 	if !ok && !unreachable {
 		return Coldness{}
@@ -47,14 +47,14 @@
 func (d *Directory) HoldCold(id string, until time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	known := d.warmth[id]
+	known := d.cold[id]
 	known.heldUntil = until
-	d.warmth[id] = known
+	d.cold[id] = known
 }
 
 // noteCold takes for how long an engine says that it is cold; 0 ends that. The caller holds the lock.
 func (d *Directory) noteCold(id string, span time.Duration) {
-	known, ok := d.warmth[id]
+	known, ok := d.cold[id]
 	if span <= 0 && !ok {
 		return
 	}
@@ -62,21 +62,21 @@
 	if span > 0 {
 		known.coldUntil = time.Now().Add(min(span, maxCold))
 	}
-	d.warmth[id] = known
+	d.cold[id] = known
 }
 
 // noteBack notes that an engine is back, and perhaps cold. The caller holds the lock.
 func (d *Directory) noteBack(id string) {
-	known := d.warmth[id]
+	known := d.cold[id]
 	known.backAt = time.Now()
-	d.warmth[id] = known
+	d.cold[id] = known
 }
 
-// expireWarmth forgets what is over. The caller holds the lock.
-func (d *Directory) expireWarmth(now time.Time) {
-	for id, known := range d.warmth {
+// expireCold forgets what is over. The caller holds the lock.
+func (d *Directory) expireCold(now time.Time) {
+	for id, known := range d.cold {
 		if now.After(known.coldUntil) && now.After(known.heldUntil) && now.Sub(known.backAt) > maxCold {
-			delete(d.warmth, id)
+			delete(d.cold, id)
 		}
 	}
 }
--- a/pkg/fleet/cold_test.go
+++ b/pkg/fleet/cold_test.go
@@ -85,7 +85,7 @@
 			d.SetList(2, nil, time.Now())
 			time.Sleep(lapseTime + time.Second)
 			d.DropLapsed()
-			Expect(d.warmth).To(BeEmpty())
+			Expect(d.cold).To(BeEmpty())
 		})
 	})
 })
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -47,8 +47,8 @@
 	// evacuated are the halls whose upstreams get nothing new, as of the store's revision evacuatedAt.
 	evacuated   map[string]bool
 	evacuatedAt int64
-	// warmth is what is known of cold engines, by id.
-	warmth map[string]warmth
+	// cold is what is known of engines that are cold or may be, by id.
+	cold map[string]coldRecord
 
 	// Rests is how the rests are kept that upstreams ask for. It is to be set before the first answer.
 	Rests Rests
@@ -70,7 +70,7 @@
 		marks:       map[mark]time.Time{},
 		refusals:    map[string]int{},
 		told:        map[string]told{},
-		warmth:      map[string]warmth{},
+		cold:        map[string]coldRecord{},
 		Rests:       DefaultRests,
 	}
 }
--- a/pkg/fleet/lapse.go
+++ b/pkg/fleet/lapse.go
@@ -64,6 +64,6 @@
 	delete(d.lapsed, state.ID)
 	delete(d.residencies, state.ID)
 	delete(d.refusals, state.ID)
-	delete(d.warmth, state.ID)
+	delete(d.cold, state.ID)
 	return Change{Upstream: state.Upstream, Kind: Removed}
 }
--- a/pkg/fleet/marks.go
+++ b/pkg/fleet/marks.go
@@ -78,5 +78,5 @@
 		}
 	}
 	d.expireTold(now)
-	d.expireWarmth(now)
+	d.expireCold(now)
 }
--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -159,7 +159,7 @@
 	news = n
 	news.Leaving = n.Leaving && known.leavingAt.IsZero()
 	if n.Cold > 0 {
-		if time.Now().Before(d.warmth[id].coldUntil) {
+		if time.Now().Before(d.cold[id].coldUntil) {
 			news.Cold = 0
 		}
 		d.noteCold(id, n.Cold)
