--- a/internal/storeview/upstreams.go
+++ b/internal/storeview/upstreams.go
@@ -11,9 +11,10 @@
 	"ospreymoor.example/ospreymoor/pkg/mirror"
 )
 
-// listEntry is what a record of the list of upstreams was decoded to.
+// listEntry is what a record of the list of upstreams names.
 type listEntry struct {
-	fleet.Upstream
+	// id of the upstream.
+	id string
 	// unusable is why it names no upstream to use; empty if it names one.
 	unusable string
 }
@@ -29,16 +30,17 @@
 			delete(v.upstreams, key)
 		}
 		var entry listEntry
+		var upstream fleet.Upstream
 		if held {
-			entry = v.decodeEntry(record, old.unusable)
+			upstream, entry = v.decodeEntry(record, old.unusable)
 			v.upstreams[key] = entry
 		}
 		usable := held && entry.unusable == ""
-		if was && old.unusable == "" && (!usable || old.ID != entry.ID) {
-			change.Dropped = append(change.Dropped, old.ID)
+		if was && old.unusable == "" && (!usable || old.id != entry.id) {
+			change.Dropped = append(change.Dropped, old.id)
 		}
 		if usable {
-			change.Put = append(change.Put, entry.Upstream)
+			change.Put = append(change.Put, upstream)
 		}
 	}
 	v.NoteChanges(v.config.Directory.ChangeList(state.Revision, change))
@@ -46,10 +48,10 @@
 
 // decodeEntry decodes a record. One that names no upstream is logged once for each reason, as was the reason of the record before:
 // its writer may write it again each second.
-func (v *View) decodeEntry(record kv.Record, was string) listEntry {
+func (v *View) decodeEntry(record kv.Record, was string) (fleet.Upstream, listEntry) {
 	upstream, err := v.config.Platform.DecodeUpstream(record)
 	if err == nil {
-		return listEntry{Upstream: upstream}
+		return upstream, listEntry{id: upstream.ID}
 	}
 	entry := listEntry{unusable: fleet.EntryReason(err)}
 	if v.config.Metrics != nil {
@@ -59,7 +61,7 @@
 		v.config.Log.Warn("upstream entry unreadable",
 			zap.String("key", record.Key), zap.String("reason", entry.unusable), zap.Int64("revision", record.Revision), logfield.Error(err))
 	}
-	return entry
+	return fleet.Upstream{}, entry
 }
 
 // NoteChanges logs upstreams that joined, went or began to leave, and has those that went forgotten.
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -30,17 +30,17 @@
 // join makes the state of a listed upstream from its entry and its residency. The caller holds the
 // lock.
 func (d *Directory) join(upstream Upstream) *State {
-	state := &State{Upstream: upstream, ListedAt: time.Now(), adapters: map[string][]string{}, listedLeaving: upstream.Leaving}
+	state := &State{Upstream: upstream, ListedAt: time.Now(), listedLeaving: upstream.Leaving}
 	state.Evacuated = d.evacuated[upstream.Hall]
 	if !d.told[upstream.ID].leavingAt.IsZero() {
 		state.Leaving = true // An answer told it ahead of the list, which may be older.
 	}
 	for _, holding := range upstream.Models {
-		state.adapters[holding.Model] = holding.Adapters
+		state.setAdapters(holding.Model, holding.Adapters)
 	}
 	if latest, ok := d.residencies[upstream.ID]; ok {
 		for model, adapters := range latest.Adapters {
-			state.adapters[model] = adapters
+			state.setAdapters(model, adapters)
 		}
 		state.withdrawn = latest.Withdrawn
 		state.loaded = latest.Loaded
@@ -49,3 +49,14 @@
 	}
 	return state
 }
+
+// setAdapters sets the adapters of a model. Most engines of a large fleet have none, and no map for them.
+func (s *State) setAdapters(model string, adapters []string) {
+	if s.adapters == nil {
+		if len(adapters) == 0 {
+			return
+		}
+		s.adapters = map[string][]string{}
+	}
+	s.adapters[model] = adapters
+}
