A service's list of upstreams is copied when it is asked for, not with each change

Each change copied the sorted list of its service, 80 KB at 10,000 upstreams, though nobody reads the list of all engines between most changes: requests look at the holders of their model.

--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -36,10 +36,11 @@
 func (r *inflight) candidates() (list []*fleet.State, lacking reason) {
 	now := time.Now()
 	r.rests = rests{}
-	upstreams := r.gateway.Directory.OfService(r.service)
-	holders := upstreams
+	var holders []*fleet.State
 	if r.need.Model != "" {
 		holders = r.gateway.Directory.Holders(r.service, r.need.Model)
+	} else {
+		holders = r.gateway.Directory.OfService(r.service)
 	}
 	list = make([]*fleet.State, 0, len(holders))
 	best := unusable
@@ -54,15 +55,15 @@
 		best = max(best, found)
 	}
 	if best < lacksModel && r.need.Model != "" {
-		best = max(best, r.bestWithout(upstreams, now))
+		best = max(best, r.bestWithout(now))
 	}
 	return list, r.lacking(r.rests.better(best))
 }
 
 // bestWithout is how suitable the best engine is, of which those that hold the model are no better than it.
-func (r *inflight) bestWithout(upstreams []*fleet.State, now time.Time) suitability {
+func (r *inflight) bestWithout(now time.Time) suitability {
 	best := unusable
-	for _, state := range upstreams {
+	for _, state := range r.gateway.Directory.OfService(r.service) {
 		if state.Holds(r.need.Model) {
 			continue
 		}
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -11,7 +11,6 @@
 
 import (
 	"slices"
-	"strings"
 	"sync"
 	"time"
 )
@@ -20,8 +19,8 @@
 type Directory struct {
 	mu     sync.RWMutex
 	states map[string]*State
-	// byService holds the states of a service in the order of their ids, and indexed under which service each id is there.
-	byService map[string][]*State
+	// byService holds the states of each service, and indexed under which service each id is there.
+	byService map[string]*serviceStates
 	indexed   map[string]string
 	// holders holds the states of the engines that may be sent requests for a model, in the order of their ids, and heldBy the models under
 	// which each id is there.
@@ -60,7 +59,7 @@
 func New() *Directory {
 	return &Directory{
 		states:      map[string]*State{},
-		byService:   map[string][]*State{},
+		byService:   map[string]*serviceStates{},
 		indexed:     map[string]string{},
 		holders:     map[modelOf][]*State{},
 		heldBy:      map[string][]modelOf{},
@@ -86,7 +85,10 @@
 func (d *Directory) OfService(service string) []*State {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	return d.byService[service]
+	if states := d.byService[service]; states != nil {
+		return states.list()
+	}
+	return nil
 }
 
 // Holders returns the engines of a service that may be sent requests for a model, in the order of their ids; the caller must not change
@@ -110,17 +112,16 @@
 // reindex brings the lists of the services and of the models in line with the states of some upstreams. Lists that were handed out stay as
 // they are. The caller holds the lock.
 func (d *Directory) reindex(ids ...string) {
-	services := stateIndex[string]{lists: d.byService, copied: map[string]bool{}}
-	models := stateIndex[modelOf]{lists: d.holders, copied: map[modelOf]bool{}}
+	models := holderIndex{lists: d.holders, copied: map[modelOf]bool{}}
 	for _, id := range ids {
 		state := d.states[id]
 		if service, ok := d.indexed[id]; ok && (state == nil || state.Service != service) {
-			services.remove(service, id)
+			d.byService[service].remove(id)
 			delete(d.indexed, id)
 		}
 		var held []modelOf
 		if state != nil {
-			services.put(state.Service, state)
+			d.ofService(state.Service).put(state)
 			d.indexed[id] = state.Service
 			held = state.held()
 		}
@@ -139,42 +140,12 @@
 	}
 }
 
-// stateIndex are lists of states in the order of their ids, of which those that change are copied once.
-type stateIndex[K comparable] struct {
-	lists  map[K][]*State
-	copied map[K]bool
-}
-
-// list returns a list that may be changed.
-func (x *stateIndex[K]) list(key K) []*State {
-	if !x.copied[key] {
-		x.copied[key] = true
-		x.lists[key] = slices.Clone(x.lists[key])
-	}
-	return x.lists[key]
-}
-
-func find(list []*State, id string) (at int, found bool) {
-	return slices.BinarySearchFunc(list, id, func(state *State, id string) int { return strings.Compare(state.ID, id) })
-}
-
-func (x *stateIndex[K]) put(key K, state *State) {
-	list := x.list(key)
-	at, found := find(list, state.ID)
-	if found {
-		list[at] = state
-		return
-	}
-	x.lists[key] = slices.Insert(list, at, state)
-}
-
-func (x *stateIndex[K]) remove(key K, id string) {
-	list := x.list(key)
-	if at, found := find(list, id); found {
-		x.lists[key] = slices.Delete(list, at, at+1)
-	}
-	if len(x.lists[key]) == 0 {
-		delete(x.lists, key)
-		delete(x.copied, key)
+// ofService returns the states of a service. The caller holds the lock.
+func (d *Directory) ofService(service string) *serviceStates {
+	states := d.byService[service]
+	if states == nil {
+		states = &serviceStates{}
+		d.byService[service] = states
 	}
+	return states
 }
