A copy of newer state is kept for as long as boxes may fetch it

Seen on the whole fleet 1.6 s before traffic: boxes that had started were 2,000 to 6,000 of 11,674 revisions behind, and logged "since/1/11673 ... the box does not have this content". Cause: a new copy each 0.4 s of which six were kept, where one of 0.7 MB takes seconds to reach 164 boxes, two at a time. Who is thousands of entries behind now gets a copy that is up to 4 s old, as long as it is long itself, and what changed since with the next exchange; copies are kept until 4 s after they were last named, up to 8 MB; a box that lacks little is not sent a long one.

--- a/internal/cluster/sharedcopy.go
+++ b/internal/cluster/sharedcopy.go
@@ -1,21 +1,26 @@
 package cluster
 
 import (
+	"slices"
 	"time"
 
 	"ospreymoor.example/ospreymoor/pkg/fleet"
 )
 
 // This file has newer state packed once for many boxes. Those that follow one relay ask it for about the same at about the same time: of 164
-// boxes each was packed a copy of its own, four times a second, and a copy was dropped for later ones before it had been fetched.
+// boxes each was packed a copy of its own, four times a second, and a copy was dropped for later ones before it had been fetched. Where
+// they are far behind, a copy takes seconds to reach all of them, and is kept until then.
 
 const (
-	// sharedCopies is how many shared copies a box keeps, so that transfers of earlier ones end.
-	sharedCopies = 6
-	// sharedAge is how old a copy may be that a box is sent: what changed since comes with its next exchange. One of the whole store may
-	// be as old as wholeAge.
-	sharedAge = 400 * time.Millisecond
-	wholeAge  = 5 * time.Second
+	// maxSharedBytes bounds the shared copies that a box keeps, as packed.
+	maxSharedBytes = 8 << 20
+	// sharedAge is how old a short copy may be that a box is sent: what changed since comes with its next exchange. One that takes long to
+	// send may be as old as longSharedAge, from longCopy packed bytes on, so that those who have it can send it on.
+	sharedAge     = 400 * time.Millisecond
+	longSharedAge = 4 * time.Second
+	longCopy      = 256 << 10
+	// mostOfCopy bounds a copy by what the box that asks lacks of it: a longer one is not worth its way.
+	mostOfCopy = 4
 )
 
 // sharedCopy is newer state for all boxes whose own is not older than where it begins.
@@ -25,24 +30,37 @@
 	// version is that of the directory after which its residencies are.
 	version fleet.Version
 	at      time.Time
+	// named is when a box was last told to fetch it.
+	named time.Time
 }
 
 // serves reports whether the copy brings a box up to date that asks now.
 func (s *sharedCopy) serves(request copyRequest, now time.Time) bool {
-	age := sharedAge
-	if s.from == 0 {
-		age = wholeAge
-	}
+	lacking := s.to - request.Revision
 	covers := s.from <= request.Revision && !request.Version.Before(s.version)
-	return covers && s.to > request.Revision && now.Sub(s.at) <= age && (s.from > 0 || request.Revision == 0)
+	return covers && lacking > 0 && mostOfCopy*lacking >= s.to-s.from && now.Sub(s.at) <= s.mostAge()
+}
+
+// mostAge is how old the copy may be that a box is sent.
+func (s *sharedCopy) mostAge() time.Duration {
+	long := min(1, float64(len(s.packed))/longCopy)
+	return sharedAge + time.Duration(long*float64(longSharedAge-sharedAge))
 }
 
-// addShared keeps a copy that boxes send on.
+// addShared keeps a copy that boxes send on, in place of those that no box can be fetching any more.
 func (c *contents) addShared(added sharedCopy) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.shared = slices.DeleteFunc(c.shared, func(kept sharedCopy) bool { return added.at.Sub(kept.named) > transferTime })
+	added.named = added.at
 	c.shared = append(c.shared, added)
-	c.shared = c.shared[max(0, len(c.shared)-sharedCopies):]
+	bytes := 0
+	for i := len(c.shared) - 1; i >= 0; i-- {
+		if bytes += len(c.shared[i].packed); bytes > maxSharedBytes && i < len(c.shared)-1 {
+			c.shared = slices.Clone(c.shared[i+1:])
+			break
+		}
+	}
 }
 
 // sharedFor returns the id of a copy that serves a request; empty if there is none.
@@ -51,6 +69,7 @@
 	defer c.mu.Unlock()
 	for i := len(c.shared) - 1; i >= 0; i-- {
 		if c.shared[i].serves(request, now) {
+			c.shared[i].named = now
 			return c.shared[i].id
 		}
 	}
--- a/internal/cluster/sharedcopy_test.go
+++ b/internal/cluster/sharedcopy_test.go
@@ -66,6 +66,42 @@
 		})
 	})
 
+	// Boxes that start while thousands of entries come are thousands behind, each by another number; a copy of 0.7 MB takes seconds to reach
+	// all of them, and a new one each 0.4 s was dropped before.
+	It("is kept for as long as boxes may fetch it, also where each is far behind by another number", func() {
+		spectest.Bubble(func() {
+			for _, boxes := range []int{60, 164, 500} {
+				m := &mirror.Mirror{}
+				e := NewExchange(Config{Mirror: m, Directory: fleet.New(), Quarantine: quarantine.NewRegister(quarantine.DefaultPolicy), Log: zap.NewNop()})
+				delta := mirror.Delta{Revision: 8000}
+				for n := range 8000 {
+					delta.Changed = append(delta.Changed, kv.Record{Key: fmt.Sprint("servers/", n), Value: incompressible(120), Revision: int64(n + 1)})
+				}
+				m.ApplyDelta(delta)
+				named := map[contentID]time.Time{}
+				for round := range 16 {
+					for box := range boxes {
+						answer, err := e.answerCopy(context.Background(), copyRequest{Revision: int64(1 + box*37%6000), Pieces: true})
+						Expect(err).NotTo(HaveOccurred())
+						named[answer.Packed] = time.Now()
+					}
+					time.Sleep(250 * time.Millisecond)
+					revision := int64(8001 + round)
+					m.ApplyDelta(mirror.Delta{From: revision - 1, Revision: revision, Changed: []kv.Record{{Key: "servers/1", Value: incompressible(120), Revision: revision}}})
+					for id, at := range named {
+						packed, err := e.sender.contents.get(id, mirror.Records{})
+						Expect(err).NotTo(HaveOccurred())
+						if time.Since(at) < transferTime {
+							Expect(packed).NotTo(BeEmpty(), "round %d: %s, named %v ago", round, id, time.Since(at))
+						}
+					}
+				}
+				GinkgoWriter.Printf("%d boxes far behind: %d copies packed for %d requests\n", boxes, len(named), 16*boxes)
+				Expect(len(named)).To(BeNumerically("<=", 8))
+			}
+		})
+	})
+
 	It("brings each to the same state, whatever it had", func() {
 		e, change := relay()
 		for n := range 3 {
