Deadlines of slow callers leave nothing behind on a connection, and a suspended box doesn't take its own pause for its caller's

And a write began with its deadline over. The body's deadline is now set once it has paused, and a write counts two halves.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -36,18 +36,19 @@
 	if table := g.Table(); table != nil && table.Limits.MaxBodyBytes > 0 {
 		reader = http.MaxBytesReader(w, r.Body, table.Limits.MaxBodyBytes)
 	}
-	connection := http.NewResponseController(w)
+	// The deadline is set once the body has paused, so that none is left behind for what the server reads of the connection after the body.
+	stalled := time.AfterFunc(bodyStall, func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now()) })
+	defer stalled.Stop()
 	body := Body{holdings: g.Holdings}
 	for {
-		_ = connection.SetReadDeadline(time.Now().Add(bodyStall)) // Without it, the caller's deadline bounds the request.
 		piece := make([]byte, min(bodyPiece, max(512, cap(body.Bytes))))
 		n, err := reader.Read(piece)
+		stalled.Reset(bodyStall)
 		if n > 0 && !g.Holdings.Take(int64(n)) {
 			return g.refuseBody(w, &body, http.StatusServiceUnavailable)
 		}
 		body.Bytes = append(body.Bytes, piece[:n]...)
 		if err == io.EOF {
-			_ = connection.SetReadDeadline(time.Time{})
 			return body
 		}
 		if err != nil {
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -8,7 +8,8 @@
 	"github.com/juju/errors"
 )
 
-// writeStall is after how long a connection ends whose caller takes nothing of its answer. The request's upstream is then free at once.
+// writeStall is after how long a connection ends whose caller takes nothing of its answer. The request's upstream is then free at once. It is
+// counted in two halves, since a process that was suspended finds the first one over without the caller having had any time.
 const writeStall = 4 * time.Second
 
 // stallListener accepts connections that end when their callers stop reading.
@@ -28,14 +29,21 @@
 
 // Write sends all of p, or fails.
 func (c stallConn) Write(p []byte) (int, error) {
-	sent := 0
+	sent, stalls := 0, 0
 	for {
-		_ = c.SetWriteDeadline(time.Now().Add(writeStall)) // It fails only on a closed connection, as does the write.
+		_ = c.SetWriteDeadline(time.Now().Add(writeStall / 2)) // It fails only on a closed connection, as does the write.
 		n, err := c.Conn.Write(p[sent:])
 		sent += n
-		if n > 0 && sent < len(p) && errors.Is(err, os.ErrDeadlineExceeded) {
-			continue
+		switch {
+		case sent == len(p) || !errors.Is(err, os.ErrDeadlineExceeded):
+			return sent, err
+		case n > 0:
+			stalls = 0
+		default:
+			stalls++
+		}
+		if stalls == 2 {
+			return sent, err
 		}
-		return sent, err
 	}
 }
