--- a/internal/cluster/pace_test.go
+++ b/internal/cluster/pace_test.go
@@ -28,7 +28,7 @@
 		Leaving:   func() bool { return false },
 	})
 	for n := range upstreams {
-		choice := dispatch.Choice{Upstream: &fleet.State{Upstream: fleet.Upstream{ID: fmt.Sprintf("i-%010x", n*7919)}}}
+		choice := dispatch.Choice{Upstream: &fleet.State{Upstream: &fleet.Upstream{ID: fmt.Sprintf("i-%010x", n*7919)}}}
 		e.Loads.Begin(choice, dispatch.Requirements{Service: "s"})
 	}
 	return e
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -107,7 +107,7 @@
 func (r *inflight) broke(ctx context.Context, choice dispatch.Choice, status int, took time.Duration, err error) {
 	r.gateway.Loads.RecordOutcome(choice.Upstream.ID, false)
 	var found []zap.Field
-	if at, crashed := r.gateway.crashed(ctx, choice.Upstream.Upstream); crashed {
+	if at, crashed := r.gateway.crashed(ctx, *choice.Upstream.Upstream); crashed {
 		r.gateway.Quarantine.NoteCrash(r.fingerprint(), choice.Upstream.ID, at)
 		r.gateway.Metrics.GetOrCreateCounter("ospreymoor_requests_crashed_under_total").Inc()
 		found = []zap.Field{zap.Bool("crashed", true), zap.Stringer("content", r.fingerprint())}
--- a/internal/gateway/evacuation_test.go
+++ b/internal/gateway/evacuation_test.go
@@ -20,7 +20,7 @@
 		var list []fleet.Upstream
 		for n := range 4 {
 			for _, kind := range []string{"p", "e"} {
-				entry := f.Directory.Get(fmt.Sprint(kind, n)).Upstream
+				entry := *f.Directory.Get(fmt.Sprint(kind, n)).Upstream
 				entry.Hall, entry.Revision = fmt.Sprint("h", n%2), 2
 				list = append(list, entry)
 			}
--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -65,7 +65,7 @@
 				list := []fleet.Upstream{}
 				for _, id := range []string{"p0", "p1", "e0", "e2"} {
 					state := f.Directory.Get(id)
-					entry := state.Upstream
+					entry := *state.Upstream
 					entry.Leaving, entry.Revision = false, 2
 					list = append(list, entry)
 				}
--- a/internal/gateway/regions_test.go
+++ b/internal/gateway/regions_test.go
@@ -24,7 +24,7 @@
 		var list []fleet.Upstream
 		for n := range 4 {
 			for _, kind := range []string{"p", "e"} {
-				entry := f.Directory.Get(fmt.Sprint(kind, n)).Upstream
+				entry := *f.Directory.Get(fmt.Sprint(kind, n)).Upstream
 				entry.Hall, entry.Revision = fmt.Sprint(n), 2
 				list = append(list, entry)
 			}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -98,7 +98,7 @@
 			})
 			boxes = append(boxes, box)
 		}
-		choice := dispatch.Choice{Upstream: &fleet.State{Upstream: fleet.Upstream{ID: "e1"}}}
+		choice := dispatch.Choice{Upstream: &fleet.State{Upstream: &fleet.Upstream{ID: "e1"}}}
 		defer boxes[1].Gateway.Loads.Begin(choice, dispatch.Requirements{Service: "s"}).End()
 		running := func() int { return boxes[0].Gateway.Loads.Total("e1").Running }
 		Eventually(running).WithTimeout(time.Minute).Should(Equal(1))
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -125,7 +125,7 @@
 }
 
 func (f *largeFleet) begin(node int, engine string) *dispatch.Ticket {
-	choice := dispatch.Choice{Upstream: &fleet.State{Upstream: fleet.Upstream{ID: engine}}}
+	choice := dispatch.Choice{Upstream: &fleet.State{Upstream: &fleet.Upstream{ID: engine}}}
 	return f.nodes[node].Gateway.Loads.Begin(choice, dispatch.Requirements{Service: "s"})
 }
 
--- a/internal/node/small_boxes_test.go
+++ b/internal/node/small_boxes_test.go
@@ -138,7 +138,7 @@
 // serveRequests has each upstream a request under way, and each box outcomes to tell.
 func (s *smallBoxes) serveRequests(ctx context.Context) {
 	for n := range s.size.upstreams {
-		choice := dispatch.Choice{Upstream: &fleet.State{Upstream: fleet.Upstream{ID: upstreamName(n)}}}
+		choice := dispatch.Choice{Upstream: &fleet.State{Upstream: &fleet.Upstream{ID: upstreamName(n)}}}
 		s.nodes[n%s.size.boxes].Gateway.Loads.Begin(choice, dispatch.Requirements{Service: "s"})
 	}
 	for n, node := range s.nodes {
--- a/internal/storeview/size_bench_test.go
+++ b/internal/storeview/size_bench_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
 
 	"ospreymoor.example/ospreymoor/pkg/fleet"
 	"ospreymoor.example/ospreymoor/pkg/kv"
@@ -99,6 +100,54 @@
 	})
 })
 
+// entryOf is an engine's entry with names of its own, as decoding gives it.
+func entryOf(record kv.Record) fleet.Upstream {
+	n := record.Revision
+	name := func(kind string, n int64) string { return fmt.Sprint(kind, n) }
+	return fleet.Upstream{
+		ID: fleet.IncarnationID(record.Key, 1771376890000+n), Service: name("llm", 1), Hall: name("h", n%7), Address: fmt.Sprintf("10.0.%d.%d:8501", n/250, n%250),
+		Slots: 64, Revision: n,
+		Models: []fleet.Holding{
+			{Model: name("m", n%440), Adapters: append(make([]string, 0, 4), name("a", n%100), name("a", n%101))},
+			{Model: name("m", n%439)}, {Model: name("m", n%438)},
+		},
+		InMemory: append(make([]string, 0, 4), name("m", n%440), name("m", n%439)),
+		OnDisk:   append(make([]string, 0, 4), name("m", n%440), name("m", n%439), name("m", n%438), name("m", n%437)),
+	}
+}
+
+// A box has 64 MB for its control, before 20,000 upstreams; half of it is what the collector may leave. Entries whose names were copies of
+// their own, kept twice, with a map for each engine took 2,450 bytes each.
+var _ = Describe("the memory that an upstream takes of a box", func() {
+	It("leaves room for 20,000", func() {
+		const upstreams = 4000
+		live := func() uint64 {
+			runtime.GC()
+			runtime.GC()
+			var stats runtime.MemStats
+			runtime.ReadMemStats(&stats)
+			return stats.HeapAlloc
+		}
+		f := newFixture(kv.NewMemory().Store())
+		f.config.Log = zap.NewNop() // The observer of the specs keeps each line.
+		f.config.Platform.DecodeUpstream = func(record kv.Record) (fleet.Upstream, error) { return entryOf(record), nil }
+		before := live()
+		for revision := int64(0); revision < upstreams; {
+			delta := mirror.Delta{From: revision}
+			for range 50 {
+				revision++
+				delta.Changed = append(delta.Changed, kv.Record{Key: upstreamKey(int(revision)), Value: make([]byte, 450), Revision: revision})
+			}
+			delta.Revision = revision
+			f.View.Mirror().ApplyDelta(delta)
+		}
+		taken := (live() - before) / upstreams
+		GinkgoWriter.Println("bytes an upstream:", taken)
+		Expect(f.config.Directory.OfService("llm1")).To(HaveLen(upstreams))
+		Expect(taken).To(BeNumerically("<", 32<<20/20000))
+	})
+})
+
 // BenchmarkChange is what one box does for 20 entries that change among all of a fleet.
 func BenchmarkChange(b *testing.B) {
 	for _, size := range []int{60, 600, 3000, 10000} {
--- a/internal/storeview/upstreams.go
+++ b/internal/storeview/upstreams.go
@@ -6,62 +6,52 @@
 	"go.uber.org/zap"
 
 	"ospreymoor.example/ospreymoor/pkg/fleet"
-	"ospreymoor.example/ospreymoor/pkg/kv"
 	"ospreymoor.example/ospreymoor/pkg/logfield"
 	"ospreymoor.example/ospreymoor/pkg/mirror"
 )
 
-// listEntry is what a record of the list of upstreams names.
-type listEntry struct {
-	// id of the upstream.
-	id string
-	// unusable is why it names no upstream to use; empty if it names one.
-	unusable string
-}
-
 // takeUpstreams takes the changes of the list of upstreams. Entries that name no upstream to use are left out, whatever the upstream was
 // before.
 func (v *View) takeUpstreams(state mirror.State, changed []string) {
 	change := fleet.ListChange{PreviousCurrentAt: state.PreviousCurrentAt}
 	for _, key := range changed {
 		old, was := v.upstreams[key]
-		record, held := state.Records.Get(key)
-		if !held {
+		upstream, usable := v.decodeEntry(key, state)
+		if was && (!usable || old != upstream.ID) {
+			change.Dropped = append(change.Dropped, old)
 			delete(v.upstreams, key)
 		}
-		var entry listEntry
-		var upstream fleet.Upstream
-		if held {
-			upstream, entry = v.decodeEntry(record, old.unusable)
-			v.upstreams[key] = entry
-		}
-		usable := held && entry.unusable == ""
-		if was && old.unusable == "" && (!usable || old.id != entry.id) {
-			change.Dropped = append(change.Dropped, old.id)
-		}
 		if usable {
 			change.Put = append(change.Put, upstream)
+			v.upstreams[key] = upstream.ID
 		}
 	}
 	v.NoteChanges(v.config.Directory.ChangeList(state.Revision, change))
 }
 
-// decodeEntry decodes a record. One that names no upstream is logged once for each reason, as was the reason of the record before:
-// its writer may write it again each second.
-func (v *View) decodeEntry(record kv.Record, was string) (fleet.Upstream, listEntry) {
+// decodeEntry decodes the record of a key, and reports whether it names an upstream to use. One that does not is logged once for each
+// reason: its writer may write it again each second.
+func (v *View) decodeEntry(key string, state mirror.State) (upstream fleet.Upstream, usable bool) {
+	was := v.unusable[key]
+	delete(v.unusable, key)
+	record, held := state.Records.Get(key)
+	if !held {
+		return fleet.Upstream{}, false
+	}
 	upstream, err := v.config.Platform.DecodeUpstream(record)
 	if err == nil {
-		return upstream, listEntry{id: upstream.ID}
+		return upstream, true
 	}
-	entry := listEntry{unusable: fleet.EntryReason(err)}
+	reason := fleet.EntryReason(err)
+	v.unusable[key] = reason
 	if v.config.Metrics != nil {
-		v.config.Metrics.GetOrCreateCounter(fmt.Sprintf("ospreymoor_upstream_entries_unusable_total{reason=%q}", entry.unusable)).Inc()
+		v.config.Metrics.GetOrCreateCounter(fmt.Sprintf("ospreymoor_upstream_entries_unusable_total{reason=%q}", reason)).Inc()
 	}
-	if entry.unusable != was {
+	if reason != was {
 		v.config.Log.Warn("upstream entry unreadable",
-			zap.String("key", record.Key), zap.String("reason", entry.unusable), zap.Int64("revision", record.Revision), logfield.Error(err))
+			zap.String("key", record.Key), zap.String("reason", reason), zap.Int64("revision", record.Revision), logfield.Error(err))
 	}
-	return fleet.Upstream{}, entry
+	return fleet.Upstream{}, false
 }
 
 // NoteChanges logs upstreams that joined, went or began to leave, and has those that went forgotten.
--- a/internal/storeview/view.go
+++ b/internal/storeview/view.go
@@ -54,8 +54,9 @@
 
 	// last are the records of the copy that was taken last.
 	last mirror.Records
-	// upstreams are the entries of the last list, by key.
-	upstreams map[string]listEntry
+	// upstreams are the ids that the last list's entries name, by key, and unusable why others name no upstream to use.
+	upstreams map[string]string
+	unusable  map[string]string
 	// boxByKey are the boxes of the last list, by key.
 	boxByKey map[string]registeredBox
 	// evacuated are the halls that are evacuated.
@@ -64,7 +65,10 @@
 
 // New returns a view without a copy; Run fills it.
 func New(config Config) *View {
-	v := &View{config: config, spread: rand.N(stalenessSpread), awaitsUntil: time.Now().Add(copyWait + rand.N(copySpread)), upstreams: map[string]listEntry{}, boxByKey: map[string]registeredBox{}, evacuated: map[string]bool{}}
+	v := &View{
+		config: config, spread: rand.N(stalenessSpread), awaitsUntil: time.Now().Add(copyWait + rand.N(copySpread)),
+		upstreams: map[string]string{}, unusable: map[string]string{}, boxByKey: map[string]registeredBox{}, evacuated: map[string]bool{},
+	}
 	v.mirror = &mirror.Mirror{
 		Store:          config.Platform.Store,
 		OnChange:       v.take,
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -17,7 +17,7 @@
 	It("counts as the nearest level where it is beyond them", func() {
 		for urgency, level := range map[int]int{-3: 0, 0: 0, 2: 2, 9: dispatch.UrgencyLevels - 1} {
 			tracker := dispatch.NewLoadTracker()
-			choice := dispatch.Choice{Upstream: &fleet.State{Upstream: fleet.Upstream{ID: "e"}}, Uncached: 100}
+			choice := dispatch.Choice{Upstream: &fleet.State{Upstream: &fleet.Upstream{ID: "e"}}, Uncached: 100}
 			request := need("x")
 			request.Urgency = urgency
 			tracker.Begin(choice, request)
--- a/pkg/dispatch/reservations_test.go
+++ b/pkg/dispatch/reservations_test.go
@@ -62,7 +62,7 @@
 	choose := func(promptTokens int, gap time.Duration) (dispatch.Reservation, bool) {
 		need := dispatch.Requirements{Service: "s", Model: "m", PromptTokens: promptTokens, GapTarget: gap, EventTokens: 6}
 		chooser := dispatch.Chooser{Loads: dispatch.NewLoadTracker()}
-		choice, ok := chooser.Choose(need, []*fleet.State{{Upstream: fleet.Upstream{ID: "e", Service: "s", Slots: 64}}})
+		choice, ok := chooser.Choose(need, []*fleet.State{{Upstream: &fleet.Upstream{ID: "e", Service: "s", Slots: 64}}})
 		Expect(ok).To(BeTrue())
 		return choice.Reservation(need)
 	}
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -19,13 +19,11 @@
 type Directory struct {
 	mu     sync.RWMutex
 	states map[string]*State
-	// byService holds the states of each service, and indexed under which service each id is there.
+	// byService holds the states of each service, and holders those of the engines that may be sent requests for a model, in the order of
+	// their ids. indexed are the states that are there.
 	byService map[string]*serviceStates
-	indexed   map[string]string
-	// holders holds the states of the engines that may be sent requests for a model, in the order of their ids, and heldBy the models under
-	// which each id is there.
-	holders map[modelOf][]*State
-	heldBy  map[string][]modelOf
+	holders   map[modelOf][]*State
+	indexed   map[string]*State
 	// listing is the latest list, and lapsed are the ids of the states without an entry in it.
 	listing listing
 	lapsed  map[string]bool
@@ -60,9 +58,8 @@
 	return &Directory{
 		states:      map[string]*State{},
 		byService:   map[string]*serviceStates{},
-		indexed:     map[string]string{},
 		holders:     map[modelOf][]*State{},
-		heldBy:      map[string][]modelOf{},
+		indexed:     map[string]*State{},
 		listing:     newListing(),
 		lapsed:      map[string]bool{},
 		residencies: map[string]residency{},
@@ -114,29 +111,27 @@
 func (d *Directory) reindex(ids ...string) {
 	models := holderIndex{lists: d.holders, copied: map[modelOf]bool{}}
 	for _, id := range ids {
-		state := d.states[id]
-		if service, ok := d.indexed[id]; ok && (state == nil || state.Service != service) {
-			d.byService[service].remove(id)
+		before, state := d.indexed[id], d.states[id]
+		if before != nil && (state == nil || state.Service != before.Service) {
+			d.byService[before.Service].remove(id)
 			delete(d.indexed, id)
 		}
 		var held []modelOf
 		if state != nil {
 			d.ofService(state.Service).put(state)
-			d.indexed[id] = state.Service
+			d.indexed[id] = state
 			held = state.held()
 		}
-		for _, model := range d.heldBy[id] {
-			if !slices.Contains(held, model) {
-				models.remove(model, id)
+		if before != nil {
+			for _, model := range before.held() {
+				if !slices.Contains(held, model) {
+					models.remove(model, id)
+				}
 			}
 		}
 		for _, model := range held {
 			models.put(model, state)
 		}
-		d.heldBy[id] = held
-		if len(held) == 0 {
-			delete(d.heldBy, id)
-		}
 	}
 }
 
--- a/pkg/fleet/eligible.go
+++ b/pkg/fleet/eligible.go
@@ -23,14 +23,17 @@
 // Holds reports whether the engine may be sent requests for a model. What the order holder published
 // goes before the list, which is older while an order is carried out.
 func (s *State) Holds(model string) bool {
-	if slices.Contains(s.withdrawn, model) {
+	listed := slices.ContainsFunc(s.Models, func(h Holding) bool { return h.Model == model })
+	switch published := s.residency; {
+	case published == nil:
+		return listed
+	case slices.Contains(published.Withdrawn, model):
 		return false
-	}
-	if slices.Contains(s.loaded, model) {
+	case slices.Contains(published.Loaded, model):
 		return true
+	default:
+		return listed && !slices.Contains(published.Dropped, model)
 	}
-	listed := slices.ContainsFunc(s.Models, func(h Holding) bool { return h.Model == model })
-	return listed && !slices.Contains(s.dropped, model)
 }
 
 // held lists the models that the engine may be sent requests for.
@@ -44,8 +47,10 @@
 	for _, holding := range s.Models {
 		add(holding.Model)
 	}
-	for _, model := range s.loaded {
-		add(model)
+	if s.residency != nil {
+		for _, model := range s.residency.Loaded {
+			add(model)
+		}
 	}
 	return list
 }
@@ -53,7 +58,7 @@
 // HoldsAdapter reports whether the engine has an adapter of a model that it holds; no adapter ("") is
 // always there.
 func (s *State) HoldsAdapter(model, adapter string) bool {
-	return adapter == "" || slices.Contains(s.adapters[model], adapter)
+	return adapter == "" || slices.Contains(s.adapters(model), adapter)
 }
 
 // Unavailable reports whether a mark is set on the upstream, or on the model and adapter that a request
--- a/pkg/fleet/lapse.go
+++ b/pkg/fleet/lapse.go
@@ -20,7 +20,7 @@
 		lapsed.DropAt = dropAt
 		d.states[state.ID] = &lapsed
 		d.lapsed[state.ID] = true
-		return Change{Upstream: state.Upstream, Kind: Lapsed}, true
+		return Change{Upstream: *state.Upstream, Kind: Lapsed}, true
 	}
 	return Change{}, false
 }
@@ -32,7 +32,7 @@
 // box's list was out of date for longer.
 func (d *Directory) dropAt(state *State, previousCurrentAt time.Time) time.Time {
 	switch {
-	case state.Leaving || d.listing.hasSuccessor(&state.Upstream):
+	case state.Leaving || d.listing.hasSuccessor(state.Upstream):
 		return time.Time{}
 	case !state.DropAt.IsZero():
 		return state.DropAt
@@ -65,5 +65,5 @@
 	delete(d.residencies, state.ID)
 	delete(d.refusals, state.ID)
 	delete(d.cold, state.ID)
-	return Change{Upstream: state.Upstream, Kind: Removed}
+	return Change{Upstream: *state.Upstream, Kind: Removed}
 }
--- a/pkg/fleet/list.go
+++ b/pkg/fleet/list.go
@@ -114,11 +114,11 @@
 	case old != nil && old.Revision == entry.Revision && old.DropAt.IsZero():
 		return Change{}, false
 	}
-	d.noteListed(old, &entry)
+	d.noteListed(old, entry)
 	delete(d.lapsed, id)
 	d.states[id] = d.join(entry)
 	kind := changeOf(old, entry)
-	return Change{Upstream: entry, Kind: kind}, kind != ""
+	return Change{Upstream: *entry, Kind: kind}, kind != ""
 }
 
 // noteListed takes from an entry whether the engine is cold, and whether it is back after its entry had lapsed. The caller holds the
@@ -131,7 +131,7 @@
 }
 
 // changeOf names what an entry changes, compared with the state before; "" for what needs no note.
-func changeOf(old *State, entry Upstream) ChangeKind {
+func changeOf(old *State, entry *Upstream) ChangeKind {
 	switch {
 	case old == nil:
 		return Joined
--- a/pkg/fleet/listing.go
+++ b/pkg/fleet/listing.go
@@ -1,26 +1,29 @@
 package fleet
 
+import "slices"
+
 // listing are the entries of the latest list, with what decides whether one counts: at one address, and under one name, the later of two
 // processes is the one that lives. It answers for single entries, so that a change of the list costs what changed.
 type listing struct {
-	entries map[string]Upstream
-	// atAddress and named are the ids of the entries with an address, and under a name.
-	atAddress map[string][]string
-	named     map[string][]string
+	entries map[string]*Upstream
+	// atAddress has the entries by address, and named how many there are under a name.
+	atAddress addressIndex
+	named     map[string]int
+	names     names
 }
 
 func newListing() listing {
-	return listing{entries: map[string]Upstream{}, atAddress: map[string][]string{}, named: map[string][]string{}}
+	return listing{entries: map[string]*Upstream{}, atAddress: newAddressIndex(), named: map[string]int{}, names: names{}}
 }
 
 // put takes a new or changed entry, and returns the ids whose entries may count now or not any more.
 func (l *listing) put(entry Upstream) (touched []string) {
 	touched = l.remove(entry.ID)
-	l.entries[entry.ID] = entry
-	l.atAddress[entry.Address] = append(l.atAddress[entry.Address], entry.ID)
-	name := NameOf(entry.ID)
-	l.named[name] = append(l.named[name], entry.ID)
-	return append(touched, l.atAddress[entry.Address]...)
+	kept := l.names.share(&entry)
+	l.entries[kept.ID] = kept
+	l.named[NameOf(kept.ID)]++
+	l.atAddress.add(kept)
+	return l.atAddress.appendIDs(touched, kept.Address)
 }
 
 // remove drops an entry, and returns the ids whose entries may count now, its own among them.
@@ -29,38 +32,25 @@
 	if !listed {
 		return []string{id}
 	}
-	touched = append(touched, l.atAddress[entry.Address]...)
+	touched = l.atAddress.appendIDs(nil, entry.Address)
 	delete(l.entries, id)
-	dropFrom(l.atAddress, entry.Address, id)
-	dropFrom(l.named, NameOf(id), id)
-	return touched
-}
-
-func dropFrom(index map[string][]string, key, id string) {
-	var kept []string
-	for _, other := range index[key] {
-		if other != id {
-			kept = append(kept, other)
-		}
-	}
-	if len(kept) == 0 {
-		delete(index, key)
-		return
+	l.atAddress.remove(entry)
+	name := NameOf(id)
+	if l.named[name]--; l.named[name] == 0 {
+		delete(l.named, name)
 	}
-	index[key] = kept
+	return touched
 }
 
 // live returns the entry of an id if it counts: no later process is listed at its address. That one is gone, though its entry stays until the
 // platform misses its heartbeats.
-func (l *listing) live(id string) (entry Upstream, ok bool) {
+func (l *listing) live(id string) (entry *Upstream, ok bool) {
 	entry, ok = l.entries[id]
 	if !ok || entry.Address == "" {
 		return entry, ok
 	}
-	for _, other := range l.atAddress[entry.Address] {
-		if later := l.entries[other]; later.replaces(&entry) {
-			return Upstream{}, false
-		}
+	if l.atAddress.any(entry.Address, func(other *Upstream) bool { return other.replaces(entry) }) {
+		return nil, false
 	}
 	return entry, true
 }
@@ -68,5 +58,55 @@
 // hasSuccessor reports whether an upstream without an entry that counts is not coming back: another is listed at its address, or a life
 // under its name.
 func (l *listing) hasSuccessor(upstream *Upstream) bool {
-	return len(l.atAddress[upstream.Address]) > 0 || len(l.named[NameOf(upstream.ID)]) > 0
+	return l.atAddress.first[upstream.Address] != nil || l.named[NameOf(upstream.ID)] > 0
+}
+
+// addressIndex has the entries at each address. Nearly all have one: the second at the same address, and later ones, are kept apart.
+type addressIndex struct {
+	first map[string]*Upstream
+	more  map[string][]*Upstream
+}
+
+func newAddressIndex() addressIndex {
+	return addressIndex{first: map[string]*Upstream{}, more: map[string][]*Upstream{}}
+}
+
+func (x *addressIndex) add(entry *Upstream) {
+	if x.first[entry.Address] == nil {
+		x.first[entry.Address] = entry
+		return
+	}
+	x.more[entry.Address] = append(x.more[entry.Address], entry)
+}
+
+func (x *addressIndex) remove(entry *Upstream) {
+	address := entry.Address
+	others := slices.DeleteFunc(x.more[address], func(other *Upstream) bool { return other == entry })
+	if x.first[address] == entry {
+		delete(x.first, address)
+		if len(others) > 0 {
+			x.first[address], others = others[0], others[1:]
+		}
+	}
+	x.more[address] = others
+	if len(others) == 0 {
+		delete(x.more, address)
+	}
+}
+
+// any reports whether f holds for an entry at an address.
+func (x *addressIndex) any(address string, f func(*Upstream) bool) bool {
+	first := x.first[address]
+	return first != nil && (f(first) || slices.ContainsFunc(x.more[address], f))
+}
+
+// appendIDs appends the ids of the entries at an address to a list.
+func (x *addressIndex) appendIDs(list []string, address string) []string {
+	if first := x.first[address]; first != nil {
+		list = append(list, first.ID)
+	}
+	for _, entry := range x.more[address] {
+		list = append(list, entry.ID)
+	}
+	return list
 }
--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -99,7 +99,7 @@
 // Begin returns an upstream to send to, once, or ErrLeaving, ErrEvacuated or ErrResting. It is asked right before each sending, whatever was known
 // when the upstream was chosen: what is sent then arrives within the 0.4 s that a connection takes at most, and so within the half second
 // that the platform allows after an answer that asks for rest. The caller must call End.
-func (d *Directory) Begin(upstream Upstream) (*Endpoint, error) {
+func (d *Directory) Begin(upstream *Upstream) (*Endpoint, error) {
 	d.mu.RLock()
 	known, isKnown := d.told[upstream.ID]
 	evacuated := d.evacuated[upstream.Hall]
@@ -110,7 +110,7 @@
 	if evacuated {
 		return nil, ErrEvacuated
 	}
-	endpoint := &Endpoint{Upstream: upstream, directory: d}
+	endpoint := &Endpoint{Upstream: *upstream, directory: d}
 	if isKnown {
 		var ok bool
 		if endpoint.after, ok = d.beginAfterRest(upstream.ID); !ok {
@@ -176,7 +176,7 @@
 	d.told[id] = known
 	if state := d.states[id]; state != nil && !known.leavingAt.IsZero() && !state.Leaving {
 		left := *state
-		left.Leaving = true
+		left.leave()
 		d.states[id] = &left
 		d.reindex(id)
 	}
--- a/pkg/residency/ensure.go
+++ b/pkg/residency/ensure.go
@@ -93,7 +93,7 @@
 	}
 	span := described.LoadTime
 	for _, state := range c.Directory.OfService(service) {
-		if copied, ok := copyTime(described, &state.Upstream); ok && state.TakesWork() {
+		if copied, ok := copyTime(described, state.Upstream); ok && state.TakesWork() {
 			span = min(span, copied)
 		}
 	}
--- a/pkg/residency/orderround.go
+++ b/pkg/residency/orderround.go
@@ -212,7 +212,7 @@
 	return nil
 }
 
-func (e *engine) askReport(ctx context.Context, of fleet.Upstream) (Report, error) {
+func (e *engine) askReport(ctx context.Context, of *fleet.Upstream) (Report, error) {
 	callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	from, err := e.controller.Directory.Begin(of)
--- a/pkg/residency/prefetch_test.go
+++ b/pkg/residency/prefetch_test.go
@@ -125,7 +125,7 @@
 			t.revision++
 			var list []fleet.Upstream
 			for _, state := range t.directory.OfService("s") {
-				upstream := state.Upstream
+				upstream := *state.Upstream
 				upstream.Leaving, upstream.Revision = upstream.ID == "e0", t.revision
 				list = append(list, upstream)
 			}
