--- a/internal/storeview/storeview_test.go
+++ b/internal/storeview/storeview_test.go
@@ -115,6 +115,29 @@
 		}
 	})
 
+	It("names no more than 50 upstreams a second that join, and counts the others", func() {
+		spectest.Bubble(func() {
+			f := newFixture(kv.NewMemory().Store())
+			records := map[string]string{}
+			revision := int64(1)
+			for round := range 40 { // 20 a change, 80 a second.
+				for n := range 20 {
+					key := fmt.Sprint("e", round, "-", n)
+					records["servers/"+key] = key
+				}
+				revision++
+				f.take(stateOf(revision, records))
+				time.Sleep(250 * time.Millisecond)
+			}
+			named, counted := f.logged.FilterMessage("upstream joined").Len(), int64(0)
+			for _, line := range f.logged.FilterMessage("upstreams changed, too many to name").All() {
+				counted += line.ContextMap()["count"].(int64)
+			}
+			Expect(named).To(BeNumerically("<=", 10*50))
+			Expect(named + int(counted)).To(Equal(800))
+		})
+	})
+
 	It("logs an entry that names no upstream once for each reason, and uses the upstream again once it is named", func() {
 		f := newFixture(kv.NewMemory().Store())
 		f.config.Metrics = metrics.NewSet()
--- a/internal/storeview/upstreams.go
+++ b/internal/storeview/upstreams.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -58,25 +60,46 @@
 // It is safe for concurrent use.
 func (v *View) NoteChanges(changes []fleet.Change) {
 	revision := v.config.Directory.Revision()
-	counts := map[fleet.ChangeKind]int{}
+	unnamed := map[fleet.ChangeKind]int{}
 	for _, change := range changes {
-		counts[change.Kind]++
 		if change.Kind == fleet.Removed {
 			v.config.Forget(change.Upstream.ID)
 		}
-		if counts[change.Kind] <= maxChangeLines {
+		if v.changeLines.take(change.Kind, time.Now()) {
 			v.logChange(change, revision)
+		} else {
+			unnamed[change.Kind]++
 		}
 	}
-	for kind, count := range counts {
-		if count > maxChangeLines {
-			v.config.Log.Info("upstreams changed at once", zap.String("kind", string(kind)), zap.Int("count", count), zap.Int64("revision", revision))
-		}
+	for kind, count := range unnamed {
+		v.config.Log.Info("upstreams changed, too many to name", zap.String("kind", string(kind)), zap.Int("count", count), zap.Int64("revision", revision))
 	}
 }
 
-// maxChangeLines is how many lines of a kind one change of the list has; a start lists all upstreams of the fleet at once.
-const maxChangeLines = 50
+const (
+	// maxChangeLines is how many changes of a kind are named in changeLinesTime. A fleet whose upstreams join over some seconds would
+	// otherwise have each box write a line for each of them.
+	maxChangeLines  = 50
+	changeLinesTime = time.Second
+)
+
+// lineBudget bounds the lines for changes of each kind. It is safe for concurrent use.
+type lineBudget struct {
+	mu    sync.Mutex
+	began time.Time
+	taken map[fleet.ChangeKind]int
+}
+
+// take reports whether there may be another line for a change of a kind.
+func (b *lineBudget) take(kind fleet.ChangeKind, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now.Sub(b.began) >= changeLinesTime {
+		b.began, b.taken = now, map[fleet.ChangeKind]int{}
+	}
+	b.taken[kind]++
+	return b.taken[kind] <= maxChangeLines
+}
 
 func (v *View) logChange(change fleet.Change, revision int64) {
 	v.config.Log.Info("upstream "+string(change.Kind),
--- a/internal/storeview/view.go
+++ b/internal/storeview/view.go
@@ -47,6 +47,8 @@
 	spread time.Duration
 	// awaitsUntil is until when this box awaits a first copy of a large store from others.
 	awaitsUntil time.Time
+	// changeLines bounds the log of what changes in the list of upstreams.
+	changeLines lineBudget
 	// evacuatedHalls counts them, for a metric.
 	evacuatedHalls atomic.Int64
 
