--- a/internal/box/heartbeats.go
+++ b/internal/box/heartbeats.go
@@ -145,8 +145,7 @@
 	return reply, nil
 }
 
-// bridges is how many boxes of a hall send heartbeats to another hall, and to how many there. Measured: 8.7 instead
-// of 13.2 KB a second a box with 14 boxes in seven halls (docs/design/records.md).
+// bridges is how many boxes of a hall send heartbeats to another hall, and to how many there.
 const bridges = 2
 
 // targets lists the peer addresses that get a heartbeat: all boxes of the hall and, from the hall's bridges, a few
--- a/internal/box/pages.go
+++ b/internal/box/pages.go
@@ -13,8 +13,8 @@
 const (
 	// headerTime bounds the reading of a request's head.
 	headerTime = 10 * time.Second
-	// compressFrom is the length from which a message is compressed, in bytes: pieces of an answer are a few bytes each.
-	// Measured: 64 pieces through a box take 1.90 ms without compression and 7.44 ms with it.
+	// compressFrom is the length from which a message is compressed, in bytes: pieces of an answer are a few bytes each,
+	// and compressing them would take longer than all else.
 	compressFrom = 4096
 )
 
--- a/internal/cluster/content.go
+++ b/internal/cluster/content.go
@@ -115,8 +115,7 @@
 	c.list = c.list[max(0, len(c.list)-keptContents):]
 }
 
-// pack compresses a content. The least effort is enough: measured, 312 KB of routes become 20 KB in
-// 1 ms, and no smaller with more.
+// pack compresses a content. More effort makes routes no smaller.
 func pack(value []byte) ([]byte, error) {
 	var packed bytes.Buffer
 	writer, err := gzip.NewWriterLevel(&packed, gzip.BestSpeed)
--- a/internal/cluster/crashes.go
+++ b/internal/cluster/crashes.go
@@ -160,7 +160,7 @@
 }
 
 // tellAtOnce tells other boxes of crashes as soon as there is news, within its limit. A caller that comes again each 50 ms crashes
-// fewer upstreams so (measured by the replay of internal/node, 60 boxes: 12 with the regular exchanges alone).
+// fewer upstreams so.
 func (e *Exchange) tellAtOnce(ctx context.Context) {
 	for {
 		select {
--- a/internal/cluster/keepers.go
+++ b/internal/cluster/keepers.go
@@ -104,16 +104,14 @@
 }
 
 const (
-	// startTime is for how long a box that has just started does not know how many others are in touch with it. Measured:
-	// 0.7 to 2 s at 60 boxes that all lost power.
+	// startTime is for how long a box that has just started does not know how many others are in touch with it.
 	startTime = 2 * time.Second
-	// startShare is what it takes its part for meanwhile, at least. After all boxes lost power, customers within their
-	// limits were refused 500 to 800 requests in the second after, by accounts of a sixtieth of their limits. It is a little
-	// more than customers usually spend: with less than all, a start behind a cut overspends by a second's rate at most.
+	// startShare is what it takes its part for meanwhile, at least: with its true part, customers within their limits would be
+	// refused after all boxes lost power. It is a little more than customers usually spend: with less than all, a start behind
+	// a cut overspends by a second's rate at most.
 	startShare = 0.6
 	// unlistedShare is the part of a limit that a box holds which the store does not list yet: it does not know how many
-	// others there are. Three boxes that had just started for the first time each took itself for all of them, and spent 1.2
-	// of what was allowed in the first two seconds. A hundredth of a limit grants single requests.
+	// others there are. A hundredth of a limit grants single requests.
 	unlistedShare = 0.01
 )
 
--- a/internal/cluster/relay.go
+++ b/internal/cluster/relay.go
@@ -10,8 +10,7 @@
 
 // fullMesh is up to how many other boxes each box exchanges with all of them. Beyond, one relay a
 // hall adds up what its hall has under way and the relays send each other their sums: no box
-// learns of every request, and little crosses halls. Measured with relays at 78 boxes: 0.087 GB
-// between halls a day instead of 0.376 (docs/CAPACITY.md).
+// learns of every request, and little crosses halls.
 const fullMesh = 16
 
 // large reports whether there are too many boxes for each to call all others. The caller holds
--- a/internal/cluster/sender.go
+++ b/internal/cluster/sender.go
@@ -15,9 +15,7 @@
 	// 10 Mbit/s 18 ms, which is how long another message may wait behind it.
 	pieceBytes = 16 << 10
 	// maxReceivers is to how many boxes one box sends contents at once: their pieces hold up other
-	// messages for 2 × 18 ms at most. Who has a record sends it on, so that few at once reach all sooner:
-	// measured with 86 boxes, 945 KB in force within 2.8 to 3.1 s with four and 2.6 to
-	// 2.8 s with two.
+	// messages for 2 × 18 ms at most. Who has a record sends it on, so that few at once reach all sooner.
 	maxReceivers = 2
 	// receiverTTL is how long after its last piece a box counts as receiving. Several times what a
 	// piece takes on a link of 10 Mbit/s that four share.
--- a/internal/cluster/summary.go
+++ b/internal/cluster/summary.go
@@ -60,8 +60,7 @@
 const sumTTL = 50 * time.Millisecond
 
 // relaySum is what a relay's hall and the other relays report, added up once for all boxes of the hall: a relay of 50
-// boxes answers 200 exchanges a second, and adding up 54 reports for each took 0.28 ms, taking one part
-// off takes 0.015 ms (BenchmarkRelaySum).
+// boxes answers 200 exchanges a second, and takes a box's own part off the sum for each.
 type relaySum struct {
 	loadSummary
 	at time.Time
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -8,8 +8,7 @@
 
 // admitShare is the longest predicted time to the first token, as a share of the route's target, at
 // which a request is admitted. A request with a longer wait is answered too late and delays the
-// others. Measured: mk-ospreymoor scale-2 0.72 -> 0.88 and trouble-1 0.56..0.70 -> 0.77, one run
-// each; 1.6 was tried, mean worth of 15 runs 0.664 -> 0.672 at a noise of 0.007, and not kept.
+// others.
 const admitShare = 1.15
 
 // admit returns nil if the request may go to the best of the candidates, and its refusal if the wait
--- a/internal/gateway/choice.go
+++ b/internal/gateway/choice.go
@@ -68,9 +68,7 @@
 	return true
 }
 
-// maxReservations is how many engines a request asks time of before it waits: each costs a call to another box. Measured in
-// the replay of this package, engines that read two thirds of their time, as the share of prompts that have streams pause
-// too long and the time to the first token: 0.37, 0.54 s at 2; 0.24, 0.45 s at 3; 0.22, 0.34 s at 5; 0.22, 0.31 s at 8.
+// maxReservations is how many engines a request asks time of before it waits: each costs a call to another box.
 const maxReservations = 5
 
 // choose chooses among the candidates, and reserves time at the chosen engine to read the prompt. If the engine has none,
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -20,8 +20,8 @@
 	// crashCheckTimeout bounds one look at an upstream: its host refuses a connection within one round trip. A host that is
 	// silent, as behind a cut, does not show whether the upstream crashed. Thirty round trips between halls.
 	crashCheckTimeout = 100 * time.Millisecond
-	// crashCheckTTL is for how long what was found counts: all answers of an upstream that crashes break within 3 ms
-	// (measured on a day in which 24 did), and its process needs seconds to come back.
+	// crashCheckTTL is for how long what was found counts: all answers of an upstream that crashes break within some
+	// milliseconds, and its process needs seconds to come back.
 	crashCheckTTL = 500 * time.Millisecond
 )
 
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -11,11 +11,10 @@
 // second one after a half.
 const (
 	// balancerDelay is how long the balancer may take to notice that a box is not ready. Until then
-	// connections are kept as usual; after it, each ends with its next answer. 2.5 s before,
-	// shortened with acceptTime.
+	// connections are kept as usual; after it, each ends with its next answer.
 	balancerDelay = 2 * time.Second
 	// acceptTime is how long requests are still accepted: a later one might not end within the grace
-	// time. Measured: a stream that was accepted 3.3 s after the announcement could not end in time.
+	// time.
 	acceptTime = 2800 * time.Millisecond
 	// drainMargin is kept free at the end of the grace time, for the rest of the process to stop.
 	drainMargin = 300 * time.Millisecond
--- a/internal/storeview/watch.go
+++ b/internal/storeview/watch.go
@@ -12,21 +12,19 @@
 
 // When the store is asked. Two boxes of the fleet (see cluster.Members.WatchRank) and the holder of the order lease ask
 // it all the time by a watch, so that changes that a silent watch did not send are found soon, and a large
-// configuration comes to several halls at once: with one box that watches, 945 KB were in force on 86 small boxes after
-// 3.05 s instead of 2.5 s. The others learn of changes by the exchange, and ask only when their copy is not known to be
-// current any more, because each answer of a watch is a call of the store: measured, 4,499 calls a day with all boxes
-// asking, 2,494 with this rule and relays.
+// configuration comes to several halls at once. The others learn of changes by the exchange, and ask only when their copy
+// is not known to be current any more, because each answer of a watch is a call of the store.
 const (
 	// holderBatch is for how long changes are gathered on the holder of the order lease, which
 	// waits for the ends of its orders, and otherBatch on the other boxes.
 	holderBatch = 150 * time.Millisecond
 	otherBatch  = 250 * time.Millisecond
 	// joinBatch is for how long changes are gathered by a box that the store has yet to list. Boxes that start
-	// together register meanwhile, so that its first poll shows it whom it follows. Without it a start of 86 boxes
-	// took 219 polls. Half of what a box that follows a relay may be behind.
+	// together register meanwhile, so that its first poll shows it whom it follows. Half of what a box that
+	// follows a relay may be behind.
 	joinBatch = time.Second
 	// firstPoll is how long a watch may be silent on the first watching box, and otherPoll on the
-	// others. A compaction silences watches, and 5 s broke the bound on configurations.
+	// others. A compaction silences watches, and a configuration is to be in force on all boxes within 5 s.
 	firstPoll = 400 * time.Millisecond
 	otherPoll = 800 * time.Millisecond
 	// maxStaleness is how old the copy may be on a box that does not ask, and maxFollowerStaleness
@@ -80,7 +78,7 @@
 }
 
 // pollAhead reports whether the store is asked again while changes gather: on the boxes that watch it all the time, by
-// which a large configuration reaches all others. Without it 945 KB were in force on 86 small boxes up to 0.3 s later.
+// which a large configuration reaches all others.
 func (v *View) pollAhead() bool {
 	if !v.config.Members.Listed() {
 		return false
--- a/pkg/admission/fairshare.go
+++ b/pkg/admission/fairshare.go
@@ -3,9 +3,7 @@
 import "time"
 
 // shareTarget is the part of its target that a request of a customer beyond its share may wait. The
-// rest is left to other customers. Measured: without it a modest customer beside a surge was refused
-// 120 of 120 times, at 0.5 never; 0.7 made no difference, and 0.25 with the shares taken of the
-// model's own engines cost attainment (90.0 to 86.4% of the bound).
+// rest is left to other customers.
 const shareTarget = 0.5
 
 // customerState is a customer with requests in flight on this box.
--- a/pkg/customers/account.go
+++ b/pkg/customers/account.go
@@ -4,20 +4,15 @@
 
 const (
 	// openingShare is the part of the tolerance that a new account begins with. What its predecessor spent is not known: it
-	// may have spent the whole burst a moment ago. Measured by the package's replay with the keeper of a customer of 74
-	// prompts a second down for 4 s and back, as the most that was spent of what is allowed under any load, and falsely
-	// refused: 0.93 and 3.5% at 0.25, 0.95 and 3.0% at 0.35, 0.97 and 2.2% at 0.5.
+	// may have spent the whole burst a moment ago.
 	openingShare = 0.35
 	// overdraftShare is the part of the tolerance up to which an account that holds less than the whole limit may be
 	// overdrawn: boxes that are out of touch are often down, and spend nothing.
 	overdraftShare = 0.125
 	// usedShare is the part of what the tolerance allows that customers get: the rest is for what boxes can't know of each
-	// other. Measured by the package's replay, as the most that was spent of what is allowed under any load: 1.01 at 0.8,
-	// 0.97 at 0.85, 1.05 at 0.9, 1.07 at 0.95.
+	// other.
 	usedShare = 0.85
-	// reserveShare is the part of account.reserve that counts. Measured by the package's replay with 21 of 60 boxes out of
-	// touch, as spent of what is allowed, and falsely refused: 1.28 and 3.0% at 0, 1.16 and 5.6% at 0.1, 0.93 and 12.2%
-	// at 0.2.
+	// reserveShare is the part of account.reserve that counts.
 	reserveShare = 0.2
 	// leastBurst is the burst of a limit without one, as time at its rate. Any above 0 allows single requests.
 	leastBurst = 100 * time.Millisecond
@@ -28,8 +23,7 @@
 // account is what one customer may still spend, as a token bucket. A request is granted while anything is left, and
 // overdraws the account by what it costs beyond that: so one dearer than the account's part of the burst is granted, too.
 //
-// Where a limit is split into many accounts, each overdrawn by one request, they would add up to more than it allows: 21
-// of 60 boxes out of touch spent 1.28 of what a limit of three long prompts a second allows (replay of the package). The
+// Where a limit is split into many accounts, each overdrawn by one request, they would add up to more than it allows. The
 // smaller the account's part, the more of a request it therefore must have, by chance.
 //
 // It answers loads far above the limit (a customer that asks 7.5 times its usual) without refusing anyone within it.
--- a/pkg/dispatch/choice.go
+++ b/pkg/dispatch/choice.go
@@ -14,8 +14,7 @@
 	// jitter spreads choices among upstreams that are about equal.
 	jitter = 2 * time.Millisecond
 	// crowdedShare is the part of the longest pause in time from which an engine counts as crowded, since
-	// other boxes send prompts that this one does not know of yet. Measured: mean worth of 18 plays 0.597
-	// without it, 0.610, 0.615 and 0.610 at 1, 0.7 and 0.5.
+	// other boxes send prompts that this one does not know of yet.
 	crowdedShare = 0.7
 	// busyPenalty is for an engine that loads or unloads a model.
 	busyPenalty = 2 * time.Millisecond
--- a/pkg/dispatch/prediction.go
+++ b/pkg/dispatch/prediction.go
@@ -7,8 +7,7 @@
 )
 
 // The prediction goes by the times of an engine that runs a model of 70 billion parameters. How far
-// the model and the upstream are from that is learned as a factor. All of them came with commit
-// bc3a7c4; no run of ours that measured them is recorded.
+// the model and the upstream are from that is learned as a factor.
 const (
 	// prefillTokensPerMillisecond is how fast an engine reads prompts.
 	prefillTokensPerMillisecond = 38.0
--- a/pkg/dispatch/reservations.go
+++ b/pkg/dispatch/reservations.go
@@ -33,9 +33,7 @@
 //
 // One box keeps those of an engine for all others, which makes them as fresh as one call. The loads that boxes report to
 // each other are a quarter to two thirds of a second old, longer than a prompt takes to read: several boxes choose the same
-// idle engine, and each stream that runs there pauses until it has read all their prompts. Measured in a replay of 60 boxes
-// before 10 engines that read half of their time: 56% of the prompts had streams pause too long without reservations, 6%
-// with them, and the first token came after 0.31 s in place of 0.48 s (internal/gateway, "prompts of many boxes").
+// idle engine, and each stream that runs there pauses until it has read all their prompts.
 type Reservations struct {
 	mu sync.Mutex
 	// spans are those of each engine that are not over for longer than their window, the earliest first.
@@ -124,9 +122,7 @@
 	// pause streams little, and are many.
 	reservedShare = 0.1
 	// leastBudgetShare is the part of the longest pause in time that any engine may read prompts and make the event's
-	// tokens: an engine's pauseShare, where that is more. Measured in a replay of 60 boxes before 10 slow engines that read
-	// two thirds of their time, as the part of prompts with too long a pause: 17 to 18% at 0.75, 23 to 25% at 0.7, 27 to 32%
-	// at 0.65; with three slow ones of 10, that read half of their time, 2 to 5% at 0.75, 3% at 0.7.
+	// tokens: an engine's pauseShare, where that is more.
 	leastBudgetShare = 0.7
 )
 
--- a/pkg/dispatch/services.go
+++ b/pkg/dispatch/services.go
@@ -17,11 +17,6 @@
 // box goes by what the upstreams have probably got since: it draws one at random, with shares that even out the time until
 // they have worked off what they have. With fresh loads that is the one with the least to do, with old ones each
 // according to its slots.
-//
-// Measured in a replay of 60 boxes before 4 upstreams of 6 slots, requests of 60 ms and reports that are up to 0.5 s old
-// ("requests of many boxes at a plain service"), as the part that waits for a slot for longer than 0.24 s, by the least
-// reported load and by these shares: of 330 requests a second 53 to 56%, none; of 250 before 3 upstreams 61 to 63%, none;
-// of 250 where one upstream is twice as slow 37 to 38%, 0.1% at most.
 const (
 	// answerTimeWeight is the weight of one answer in an upstream's answer time.
 	answerTimeWeight = 0.1
--- a/pkg/fleet/lapse.go
+++ b/pkg/fleet/lapse.go
@@ -4,8 +4,7 @@
 
 // lapseTime is how long an upstream is used after its entry lapsed. The platform drops entries whose
 // heartbeats did not reach it, as while it was away or a hall was cut off; an upstream that lives
-// has a new entry soon. The time counts from when the entry was last known to be listed. Measured:
-// mean worth 0.691 -> 0.696 and 0.708 -> 0.715 against dropping at once. Bound of the platform:
+// has a new entry soon. The time counts from when the entry was last known to be listed. It is
 // below the 2 s after which a leaving upstream may get nothing.
 const lapseTime = 1400 * time.Millisecond
 
--- a/pkg/fleet/rest.go
+++ b/pkg/fleet/rest.go
@@ -13,10 +13,8 @@
 	ReturnSpread time.Duration
 }
 
-// DefaultRests is the rule in use. The replay of internal/node, 7 boxes before 18 engines that all ask for rest at once: of 3,024 requests
-// 78 are not served, as many as where all come back at once, and an engine gets 27 in 0.1 s at most in place of 113. Where more is asked
-// for than engines have slots, 1,015 requests are turned away in place of 2,711. What asks for more
-// than Longest is asked again by one request.
+// DefaultRests is the rule in use: engines that all asked for rest at once are not sent all that waited in the same moment. What asks for
+// more than Longest is asked again by one request.
 var DefaultRests = Rests{Longest: 10 * time.Minute, Window: 1, ReturnSpread: 500 * time.Millisecond}
 
 // wideWindow is the window from which on nothing is held back any more: above the slots of engines.
--- a/pkg/mirror/follow.go
+++ b/pkg/mirror/follow.go
@@ -115,8 +115,8 @@
 	return true
 }
 
-// firstRecords is how many records a box reads of the service before it waits for the copy of another box: two pages. All 986 boxes of a
-// fleet before 10,002 upstreams that start together took 22 calls each, and 3 MB over the service's one link, 24 s in all.
+// firstRecords is how many records a box reads of the service before it waits for the copy of another box: two pages. The service's
+// one link would carry a whole snapshot for each box of a fleet that starts.
 const firstRecords = 900
 
 // readFirst reads a snapshot, or no more than its first records where a copy of all is awaited from other boxes.
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -150,8 +150,7 @@
 
 // ConfirmCurrent notes that another box's copy of a revision was current at some time. It counts once this
 // copy is as new: while records change faster than an exchange carries them, what the exchange confirms arrives
-// a moment after it. Without that wait, 86 boxes polled the service 343 times in 6 s under 70 changes a second,
-// with it 95 times (spec "is asked by a few boxes while the entries of many upstreams change").
+// a moment after it, and boxes that did not wait for it would poll the service.
 func (m *Mirror) ConfirmCurrent(revision int64, at time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/pkg/placement/demand.go
+++ b/pkg/placement/demand.go
@@ -8,21 +8,19 @@
 // When a replica is worth a move: an engine above hotLoad gets one of its units a further replica
 // elsewhere if loadCost falls by more than Settings.MoveCost for the load and for each eviction.
 // Loads are in requests in flight, weighed against the slots of each engine. Evictions count with
-// the load that they push onto the replicas left. Measured: before that and the symmetric mean of
-// Meter there were 2426 to 2764 moves in 20 min, then 137 to 317 (docs/design/placement.md).
+// the load that they push onto the replicas left, so that replicas do not go to and fro.
 
 const (
-	// calmLoad is the share of an engine's slots up to which load costs nothing: 0.6.
+	// calmLoad is the share of an engine's slots up to which load costs nothing.
 	calmLoad = 0.6
-	// hotLoad is the share of an engine's slots above which replicas are added: 0.75. Measured: 0.65
-	// and 0.85 differ by no more than the seeds do.
+	// hotLoad is the share of an engine's slots above which replicas are added.
 	hotLoad = 0.75
-	// splitRounds is the number of rounds that even out the split of demand: 6.
+	// splitRounds is the number of rounds that even out the split of demand.
 	splitRounds = 6
-	// hottestTried is the number of hot engines tried for one more replica: 8.
+	// hottestTried is the number of hot engines tried for one more replica.
 	hottestTried = 8
 	// leastRoom is the share of an engine's slots that is always counted as free, so that no
-	// replica's part falls to nothing: 0.05.
+	// replica's part falls to nothing.
 	leastRoom = 0.05
 )
 
--- a/pkg/placement/meter.go
+++ b/pkg/placement/meter.go
@@ -6,13 +6,12 @@
 )
 
 const (
-	// MeterInterval is the interval at which Sample must be called: 1 s.
+	// MeterInterval is the interval at which Sample must be called.
 	MeterInterval = time.Second
-	// sampleWeight is the weight of a new sample in the running mean: 0.05. Measured: 0.1 moves more
-	// without a gain, 0.03 attains less. It is the same upwards and downwards: a mean that rises
-	// faster than it falls reads noise as bursts (docs/design/placement.md).
+	// sampleWeight is the weight of a new sample in the running mean. It is the same upwards and downwards: a
+	// mean that rises faster than it falls reads noise as bursts.
 	sampleWeight = 0.05
-	// leastDemand is the mean below which a model's demand is left out: 0.005 requests in flight.
+	// leastDemand is the mean below which a model's demand is left out, in requests in flight.
 	leastDemand = 0.005
 )
 
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -77,7 +77,7 @@
 // Settings weigh the plan's aims.
 type Settings struct {
 	// MoveCost is the least gain of one load or eviction, in the units of loadCost: a higher
-	// cost moves less. Measured: 0.3 attains most, 3 moves least.
+	// cost moves less.
 	MoveCost float64
 	// Replicas is the number of replicas that a model gets where memory is left, so that the loss
 	// of an engine leaves one; 0 takes 2.
--- a/pkg/quarantine/policy.go
+++ b/pkg/quarantine/policy.go
@@ -14,9 +14,7 @@
 
 // DefaultPolicy is the rule in force. One crash holds nothing: most upstreams crash for causes of their own, and a request that is
 // sent on at once is served. Of two in a row the cause is probably the request; whoever only ran beside it twice comes again
-// half a minute later. Measured by a replay of 60 boxes before 90 upstreams (internal/node, "ways to remember"), as upstreams that
-// crash under eight requests which come each 2 s for 24 s: 171 with nothing remembered, 24 where three crashes hold, 16 so; and as
-// other requests that are not served when a third of the upstreams crash thrice: 0, 0 and 0, but 20 where the first crash holds.
+// half a minute later.
 var DefaultPolicy = Policy{
 	PauseAfter: 2,
 	Pause:      30 * time.Second,
--- a/pkg/quarantine/register.go
+++ b/pkg/quarantine/register.go
@@ -7,12 +7,12 @@
 )
 
 const (
-	// sameCrash is the longest time between two reports of one crash of an upstream: boxes see it within 3 ms (measured on
-	// a day in which 24 crashed), and reports of it are some hundred ms older or younger than they say after three calls. An
+	// sameCrash is the longest time between two reports of one crash of an upstream: boxes see it within some milliseconds,
+	// and reports of it are some hundred ms older or younger than they say after three calls. An
 	// upstream needs seconds to start again.
 	sameCrash = 1500 * time.Millisecond
 	// together is the longest time between crashes of upstreams that fell for one cause. A request that crashes upstreams gets to
-	// the next one only when the last is gone: 61 to 1,850 ms passed between two crashes on a recorded day.
+	// the next one only when the last is gone, which takes longer.
 	together = 50 * time.Millisecond
 	// memory is for how long a record is kept after its latest crash, or after the request may be sent again. A request
 	// that comes again once in half an hour crashes three upstreams in an hour and a half.
--- a/pkg/residency/idlemodels.go
+++ b/pkg/residency/idlemodels.go
@@ -3,8 +3,6 @@
 import "slices"
 
 // reservedStoreLoads is how many loads from the weight store are left to models that are asked for.
-// Measured only with the rest of commit 716f2f0: mean worth 0.647 to 0.672 on mk-ospreymoor, 0.692
-// to 0.703 on sv-airmaps; 0.674 to 0.668, within the noise, in twelve later runs of the first.
 const reservedStoreLoads = 3
 
 // idleReplica loads a model that nobody asks for, and that no engine holds or keeps a copy of, while at
--- a/pkg/residency/planinput.go
+++ b/pkg/residency/planinput.go
@@ -117,8 +117,7 @@
 	return 0, false
 }
 
-// copies are the load times of the models of which an engine keeps a copy. Without this knowledge 32 of
-// 35 moves of one day loaded from the weight store, 6 s each in place of 0.6 or 1.3 s.
+// copies are the load times of the models of which an engine keeps a copy.
 func copies(service *routes.Service, engine *fleet.Upstream) map[string]time.Duration {
 	times := make(map[string]time.Duration, len(engine.OnDisk)+len(engine.InMemory))
 	for _, name := range slices.Concat(engine.OnDisk, engine.InMemory) {
--- a/pkg/residency/prefetch.go
+++ b/pkg/residency/prefetch.go
@@ -15,8 +15,7 @@
 const reservedSlots = 1
 
 // prefetch loads adapters that no engine has into free places, at most one an engine at a time. So
-// requests find them, also while no box may give orders. Measured: on the day trouble-3 of sv-airmaps
-// 10 to 18 of 83 adapters were never served without it, none with it.
+// requests find them, also while no box may give orders.
 func (c *Controller) prefetch(name string, service *routes.Service, now time.Time) {
 	rates := c.Demand.Rates(now)
 	c.mu.Lock()
--- a/pkg/residency/replicaworth.go
+++ b/pkg/residency/replicaworth.go
@@ -11,14 +11,12 @@
 
 const (
 	// missedWorth is the worth of a first replica of any model that is asked for, in squared engine
-	// time. First replicas always went first before.
+	// time.
 	missedWorth = 0.3
 	// demandWorth is added to it for each unit of the model's demand.
 	demandWorth = 3
 	// hallBonus is the worth of a busy model's first replica in a hall, in squared engine time for
-	// each unit of the model's demand: a hall that is cut off serves only what it holds. Measured
-	// against 0.05: mean worth 0.664 to 0.679 and 0.687 to 0.691 on mk-ospreymoor, 0.712 to 0.708 on
-	// sv-airmaps; the noise is 0.007.
+	// each unit of the model's demand: a hall that is cut off serves only what it holds.
 	hallBonus = 0.25
 	// freeMemoryCost is the part of a move's cost that counts if nothing is evicted.
 	freeMemoryCost = 0.35
--- a/pkg/routing/choice.go
+++ b/pkg/routing/choice.go
@@ -11,11 +11,11 @@
 const (
 	// prefixGain is the wait that a prompt cached in whole is worth.
 	prefixGain = 150 * time.Millisecond
-	// nearlyEqual is the difference of costs below which the choice is random. Measured: at 20 ms
-	// the 5 ms to another hall did not count; policy as before.
+	// nearlyEqual is the difference of costs below which the choice is random; less than the 5 ms to
+	// another hall.
 	nearlyEqual = time.Millisecond
-	// staleReport is the age from which a report is not used any more. Without it all
-	// requests after a rush were refused while the platform was away.
+	// staleReport is the age from which a report is not used any more: while the platform is away, one
+	// from a rush would have all later requests refused.
 	staleReport = 10 * time.Second
 )
 
