--- a/internal/node/start_size_test.go
+++ b/internal/node/start_size_test.go
@@ -26,6 +26,8 @@
 type pagedStore struct {
 	memory kv.Store
 	pages  atomic.Int64
+	// watched is how many records watches brought.
+	watched atomic.Int64
 	// link is held while a page is sent; a channel, since a mutex would hold the bubble's clock.
 	link chan struct{}
 }
@@ -33,7 +35,26 @@
 func (s *pagedStore) store() kv.Store {
 	store := s.memory
 	store.Watch = func(ctx context.Context, watching kv.Watching) (<-chan []kv.Event, error) {
-		return answering(ctx, s.memory, watching)
+		batches, err := answering(ctx, s.memory, watching)
+		if err != nil {
+			return nil, err
+		}
+		received := make(chan []kv.Event)
+		go func() {
+			defer close(received)
+			for batch := range batches {
+				s.watched.Add(int64(len(batch)))
+				if s.send(ctx, len(batch)) != nil {
+					return
+				}
+				select {
+				case received <- batch:
+				case <-ctx.Done():
+					return
+				}
+			}
+		}()
+		return received, nil
 	}
 	store.Snapshot = func(ctx context.Context, prefix string) (kv.Snapshot, error) {
 		snapshot, _, err := s.within(ctx, prefix, 1<<30)
@@ -43,6 +64,17 @@
 	return store
 }
 
+// send has the link busy for as long as some records take.
+func (s *pagedStore) send(ctx context.Context, records int) error {
+	select {
+	case s.link <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-s.link }()
+	return pause.For(ctx, pageTime*time.Duration(records)/pageRecords)
+}
+
 func (s *pagedStore) within(ctx context.Context, prefix string, most int) (snapshot kv.Snapshot, complete bool, err error) {
 	all, err := s.memory.Snapshot(ctx, prefix)
 	if err != nil {
@@ -77,6 +109,25 @@
 	boxes    int
 	network  spectest.Network
 	seedDead bool
+	// joins is over how long the upstreams join, from when the boxes start.
+	joins time.Duration
+	// bytesPerSecond is the rate of each box's link; 0 is no bound.
+	bytesPerSecond int64
+	links          map[string]*spectest.Link
+}
+
+// dial connects a box to others, over their links if they have any.
+func (f *startedFleet) dial(address string) dialFunc {
+	if f.bytesPerSecond == 0 {
+		return f.network.Dial
+	}
+	if f.links == nil {
+		f.links = map[string]*spectest.Link{}
+		for n := range f.boxes {
+			f.links[smallBoxAddress(n)] = spectest.NewLink(f.bytesPerSecond)
+		}
+	}
+	return f.links[address].Dial(&f.network, func(to string) *spectest.Link { return f.links[to] })
 }
 
 func (f *startedFleet) run(boxes, upstreams int, seedsDead bool) (pages int64, took time.Duration) {
@@ -88,14 +139,28 @@
 			Expect(err).NotTo(HaveOccurred())
 		}
 		put("config")
-		for n := range upstreams {
-			put(fmt.Sprintf("servers/e%05d", n))
+		joined := func(from, to int) {
+			for n := from; n < to; n++ {
+				put(fmt.Sprintf("servers/e%05d", n))
+			}
+		}
+		if f.joins == 0 {
+			joined(0, upstreams)
 		}
 		f.paged = &pagedStore{memory: memory, link: make(chan struct{}, 1)}
 		begun := time.Now()
 		for n := range boxes {
 			f.start(n)
 		}
+		if f.joins > 0 {
+			const rounds = 60
+			go func() {
+				for round := range rounds {
+					joined(upstreams*round/rounds, upstreams*(round+1)/rounds)
+					time.Sleep(f.joins / rounds)
+				}
+			}()
+		}
 		ready := func() bool {
 			for _, node := range f.nodes {
 				if !node.Ready() || len(node.Gateway.Directory.OfService("s")) != upstreams {
@@ -119,7 +184,7 @@
 
 func (f *startedFleet) start(n int) {
 	address := smallBoxAddress(n)
-	config := testConfig(smallBoxName(n), fmt.Sprint("z", n%4), address, f.paged.store(), f.network.Dial)
+	config := testConfig(smallBoxName(n), fmt.Sprint("z", n%4), address, f.paged.store(), f.dial(address))
 	for k := range min(3, f.boxes) {
 		seed := smallBoxAddress(k)
 		if f.seedDead {
@@ -159,6 +224,22 @@
 		}
 	})
 
+	DescribeTable("leave it to a few to follow the store while thousands of upstreams join", func(bytesPerSecond int64) {
+		boxes := 60
+		if raceDetector {
+			boxes = 24
+		}
+		fleet := &startedFleet{joins: 3 * time.Second, bytesPerSecond: bytesPerSecond}
+		_, took := fleet.run(boxes, upstreams, false)
+		watched := fleet.paged.watched.Load()
+		GinkgoWriter.Printf("%d boxes: %d records by watches, all up to date after %v\n", boxes, watched, took)
+		// No more than the relays of four halls, the order holder and the seeds follow the store.
+		Expect(watched).To(BeNumerically("<", 8*upstreams))
+		Expect(took).To(BeNumerically("<", 6*time.Second))
+	},
+		Entry("over fast links", int64(0)),
+	)
+
 	It("read it themselves where no seed lives, a few first", func() {
 		boxes := 40
 		if raceDetector {
--- a/pkg/mirror/follow.go
+++ b/pkg/mirror/follow.go
@@ -80,10 +80,13 @@
 			return false
 		}
 		m.applySnapshot(snapshot)
-		from = snapshot.Revision
 		if !m.gather(ctx) {
 			return false
 		}
+		if m.shouldPause() {
+			return true
+		}
+		from = m.State().Revision // Other boxes may have brought what changed meanwhile.
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
