A follower of a relay doesn't ask the store while newer state arrives from other boxes

What was seen: as before this, boxes of the fleet asked the store each 1.3 to 1.9 s while upstreams joined, though their relay answered.

Cause: a copy counts as current once it has reached a revision that another box confirmed. While entries change faster than copies travel, it never does, and each box asks the store; its link then carries each change to all of them, and the copies of other boxes wait behind that.

Change: a box that follows a relay asks the store only when nothing of what it lacks has arrived for as long, or nobody confirmed a newer copy for as long. Small fleets and boxes without a relay do as before.

--- a/internal/cluster/transfer.go
+++ b/internal/cluster/transfer.go
@@ -82,6 +82,7 @@
 	}
 	t.failures = 0
 	t.received = append(t.received, answer.Data...)
+	t.exchange.Mirror.NoteArrival()
 	if _, _, ok := t.content.record(); ok {
 		t.exchange.Mirror.NoteProgress()
 	}
--- a/internal/node/start_size_test.go
+++ b/internal/node/start_size_test.go
@@ -238,6 +238,7 @@
 		Expect(took).To(BeNumerically("<", 6*time.Second))
 	},
 		Entry("over fast links", int64(0)),
+		Entry("over links that exchanges nearly fill", int64(500_000)),
 	)
 
 	It("read it themselves where no seed lives, a few first", func() {
--- a/internal/storeview/watch.go
+++ b/internal/storeview/watch.go
@@ -95,10 +95,14 @@
 	if v.config.OrderLease.Held() {
 		return false
 	}
-	limit := maxStaleness
+	limit, age := maxStaleness, v.mirror.Staleness()
 	if v.config.Members.FollowsRelay() {
 		limit = maxFollowerStaleness
+		// While entries change faster than copies travel, hardly any copy is ever current. If all boxes of a large fleet asked the store
+		// then, its link would carry every change to each of them, and they would be further behind.
+		if arriving := v.mirror.Arriving(); arriving >= 0 {
+			age = arriving
+		}
 	}
-	staleness := v.mirror.Staleness()
-	return staleness >= 0 && staleness < limit+v.spread
+	return age >= 0 && age < limit+v.spread
 }
--- a/pkg/mirror/delta.go
+++ b/pkg/mirror/delta.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"ospreymoor.example/ospreymoor/pkg/kv"
 )
@@ -99,6 +100,7 @@
 	if !ok {
 		return false
 	}
+	m.freshness.brought = time.Now()
 	m.copied = m.copied || m.state.Revision == 0
 	m.missing.apply(delta, m.state.Records)
 	m.removals.addDelta(delta, m.state.Records.Len())
--- a/pkg/mirror/large.go
+++ b/pkg/mirror/large.go
@@ -104,6 +104,13 @@
 	m.missing.since = time.Now()
 }
 
+// NoteArrival notes that a part of what this copy lacks arrived.
+func (m *Mirror) NoteArrival() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.freshness.brought = time.Now()
+}
+
 // ApplyLarge takes in a record that a delta named, and reports whether it did. It refuses one whose key
 // is not missing, or that is not newer than what this copy has of it. An older record than the one that
 // is missing is taken in too: it is newer than nothing, and the later one may change again meanwhile.
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -91,6 +91,8 @@
 	byStore time.Time
 	// byAny is when the service or another box last confirmed it.
 	byAny time.Time
+	// brought is when other boxes last brought a part of what it lacks.
+	brought time.Time
 }
 
 // confirmation is that another box's copy of a revision was current at some time.
@@ -162,6 +164,18 @@
 	m.confirmReached()
 }
 
+// Arriving returns how long ago other boxes last brought a part of what this copy lacks, or confirmed a copy that is newer than this one,
+// whichever is longer ago; negative if no newer copy is known.
+func (m *Mirror) Arriving() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.awaited) == 0 || m.freshness.brought.IsZero() {
+		return never
+	}
+	confirmed := m.awaited[len(m.awaited)-1].at
+	return max(time.Since(m.freshness.brought), time.Since(confirmed))
+}
+
 // confirmReached takes in the confirmations of revisions that this copy has reached. The caller holds the lock.
 func (m *Mirror) confirmReached() {
 	m.awaited = slices.DeleteFunc(m.awaited, func(c confirmation) bool {
@@ -177,7 +191,7 @@
 // the lock.
 func (m *Mirror) confirmByStore() {
 	now := time.Now()
-	m.freshness = freshness{byStore: now, byAny: now}
+	m.freshness.byStore, m.freshness.byAny = now, now
 }
 
 // Lost reports whether the service could not be reached at the latest call.
