A box sends contents to as many others at once as its link bears

What was seen: at the fleet's start transfers ran out of their four seconds on boxes of a hall of 174 whose relay has a link of 200 Mbit/s.

Cause: every box sent to two others at once, which was measured at 10 Mbit/s. A relay with a link ten times as fast as those of its hall used a fifth of it.

Change: the number goes by how long the pieces hold up other messages on the box's own link (9 ms), and is two at least. Boxes at 10 to 20 Mbit/s do as before.

--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -62,7 +62,7 @@
 // NewExchange returns an exchange; Run starts it.
 func NewExchange(config Config) *Exchange {
 	return &Exchange{
-		Config: config, sender: newSender(), pace: pace{bytesPerSecond: config.LinkBytesPerSecond}, crashes: newCrashNews(config.Quarantine),
+		Config: config, sender: newSender(config.LinkBytesPerSecond), pace: pace{bytesPerSecond: config.LinkBytesPerSecond}, crashes: newCrashNews(config.Quarantine),
 	}
 }
 
--- /dev/null
+++ b/internal/cluster/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package cluster
+
+func init() { raceDetector = true }
--- a/internal/cluster/sender.go
+++ b/internal/cluster/sender.go
@@ -14,9 +14,13 @@
 	// pieceBytes is the longest part of a content in one answer, in bytes. With base64 it takes a link of
 	// 10 Mbit/s 18 ms, which is how long another message may wait behind it.
 	pieceBytes = 16 << 10
-	// maxReceivers is to how many boxes one box sends contents at once: their pieces hold up other
-	// messages for 2 × 18 ms at most. Who has a record sends it on, so that few at once reach all sooner.
-	maxReceivers = 2
+	// pieceWireBytes is what a piece takes of a link.
+	pieceWireBytes = pieceBytes * 4 / 3
+	// longestHoldUp is for how long the pieces that a box sends to several others at once may hold up other messages. Who has a content sends
+	// it on, so that few at once reach all sooner than many do.
+	longestHoldUp = 9 * time.Millisecond
+	// leastReceivers is to how many boxes one sends contents at once on a slow link.
+	leastReceivers = 2
 	// receiverTTL is how long after its last piece a box counts as receiving. Several times what a
 	// piece takes on a link of 10 Mbit/s that four share.
 	receiverTTL = 300 * time.Millisecond
@@ -28,6 +32,8 @@
 // It is safe for concurrent use.
 type sender struct {
 	contents contents
+	// maxReceivers is to how many boxes it sends contents at once.
+	maxReceivers int
 
 	mu sync.Mutex
 	// receivers are the boxes that receive contents, and when each was last sent a piece, by address.
@@ -36,8 +42,10 @@
 	holders map[contentID]map[string]bool
 }
 
-func newSender() *sender {
-	return &sender{receivers: map[string]time.Time{}, holders: map[contentID]map[string]bool{}}
+// newSender returns a sender for a link of a rate; 0 if the rate is not known.
+func newSender(bytesPerSecond float64) *sender {
+	most := int(bytesPerSecond * longestHoldUp.Seconds() / pieceWireBytes)
+	return &sender{maxReceivers: max(leastReceivers, most), receivers: map[string]time.Time{}, holders: map[contentID]map[string]bool{}}
 }
 
 // answer answers a request for a piece. records are those of this box's copy of the store.
@@ -62,7 +70,7 @@
 	defer s.mu.Unlock()
 	maps.DeleteFunc(s.receivers, func(_ string, last time.Time) bool { return now.Sub(last) > receiverTTL })
 	_, receiving := s.receivers[request.From]
-	if receiving || len(s.receivers) < maxReceivers {
+	if receiving || len(s.receivers) < s.maxReceivers {
 		s.receivers[request.From] = now
 		return false, nil
 	}
--- a/internal/cluster/transfer_test.go
+++ b/internal/cluster/transfer_test.go
@@ -112,8 +112,8 @@
 
 	It("sends pieces to a few boxes at once, and names those that have the record to the others", func() {
 		spectest.Bubble(func() {
-			s := newSender()
-			for n := range maxReceivers {
+			s := newSender(0)
+			for n := range leastReceivers {
 				Expect(ask(s, fmt.Sprint("r", n), 0).Data).To(HaveLen(pieceBytes))
 			}
 			Expect(ask(s, "late", 0)).To(Equal(pieceAnswer{Size: ask(s, "r0", 0).Size, Busy: true}))
@@ -128,7 +128,7 @@
 	})
 
 	It("has no pieces of what it does not have, nor beyond the end", func() {
-		s := newSender()
+		s := newSender(0)
 		Expect(ask(s, "r", 1<<20)).To(Equal(pieceAnswer{}))
 		Expect(ask(s, "r", -1)).To(Equal(pieceAnswer{}))
 		Expect(s.answer(pieceRequest{Content: recordContent("k", 6)}, records)).To(Equal(pieceAnswer{}))
@@ -136,7 +136,7 @@
 	})
 
 	It("keeps the holders of the latest records only", func() {
-		s := newSender()
+		s := newSender(0)
 		for revision := range int64(keptContents + 5) {
 			s.completed(pieceRequest{From: "r", Content: recordContent("k", revision)})
 			s.completed(pieceRequest{From: "r", Content: "copy/1"})
@@ -153,7 +153,7 @@
 
 	It("goes on after failed calls where it was", func() {
 		withReceiver(func(e *Exchange, p *pieceServers) {
-			s := newSender()
+			s := newSender(0)
 			calls, bytes := 0, 0
 			p.serve("a:1", func(request pieceRequest) (pieceAnswer, error) {
 				calls++
@@ -178,7 +178,7 @@
 				}
 				return pieceAnswer{Size: 1, Busy: true, Holders: []string{"b:1"}}, nil
 			})
-			s := newSender()
+			s := newSender(0)
 			p.serve("b:1", func(request pieceRequest) (pieceAnswer, error) { return s.answer(request, records) })
 			Expect(e.fetchContent(context.Background(), "a:1", id)).To(Equal(value))
 			Expect(time.Since(begun)).To(BeNumerically("~", time.Second, 200*time.Millisecond))
