A spec of a frozen controller compares generations at the same time

It read the generation in force at the other box once, before it waited for the box that had been frozen to be there. Generations only rise: at 30 that box had caught up, and both had gone on since. The check was wrong for a plan that changes meanwhile. It now asks that both are at the same generation at the same time, which a box that lags never is.

--- a/internal/endtoend/faults_test.go
+++ b/internal/endtoend/faults_test.go
@@ -25,8 +25,11 @@
 			time.Sleep(2 * time.Second)
 			frozen.signal(syscall.SIGCONT)
 			roll(other, bundleText(3, "w3", "12GiB", "m1", "m2"))
-			Eventually(func() float64 { return frozen.metric("ospreymoor_in_force_generation") }, 10*time.Second).
-				Should(Equal(other.metric("ospreymoor_in_force_generation")))
+			// The generation goes on meanwhile: both are to be at the same one at the same time.
+			behind := func() float64 {
+				return other.metric("ospreymoor_in_force_generation") - frozen.metric("ospreymoor_in_force_generation")
+			}
+			Eventually(behind, 10*time.Second).Should(BeZero())
 			for _, b := range f.boxes {
 				awaitModels(b, "m1", "m2")
 			}
