--- a/pkg/mirror/delta.go
+++ b/pkg/mirror/delta.go
@@ -47,7 +47,7 @@
 func (m *Mirror) ChangesSince(revision int64) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(m.changelog.entries) - m.changelog.after(revision)
+	return len(m.changelog.entries) - m.changelog.entries.after(revision)
 }
 
 // addChanged adds the records that changed since a delta begins. The caller holds the lock.
--- a/pkg/mirror/removals.go
+++ b/pkg/mirror/removals.go
@@ -1,9 +1,6 @@
 package mirror
 
-import (
-	"cmp"
-	"slices"
-)
+import "slices"
 
 // leastRemovals is how many removals are remembered at least. A larger copy remembers as many as it has records, so that a hall whose
 // entries lapse at once leaves deltas that name them and not all keys.
@@ -14,19 +11,13 @@
 	// floor is the revision after which all removals are remembered.
 	floor int64
 	// log has the removals in the order of their revisions.
-	log []removal
-}
-
-// removal is that a key was removed at a revision.
-type removal struct {
-	revision int64
-	key      string
+	log revisionLog
 }
 
 // add remembers a removal. If there are too many, it forgets the earlier half.
 func (r *removals) add(key string, revision int64, records int) {
-	at := r.after(revision)
-	r.log = slices.Insert(r.log, at, removal{revision, key})
+	at := r.log.after(revision)
+	r.log = slices.Insert(r.log, at, keyChange{revision, key})
 	if most := max(leastRemovals, records); len(r.log) > most {
 		forgotten := len(r.log) - most/2
 		r.floor = max(r.floor, r.log[forgotten-1].revision)
@@ -53,12 +44,6 @@
 	r.log = nil
 }
 
-// after is the index of the first removal after a revision.
-func (r *removals) after(revision int64) int {
-	n, _ := slices.BinarySearchFunc(r.log, revision+1, func(entry removal, at int64) int { return cmp.Compare(entry.revision, at) })
-	return n
-}
-
 // since returns the keys that were removed after a revision, also those created again later; false
 // if not all are remembered.
 func (r *removals) since(revision int64) (keys []string, known bool) {
@@ -66,7 +51,7 @@
 		return nil, false
 	}
 	seen := map[string]bool{}
-	for _, entry := range r.log[r.after(revision):] {
+	for _, entry := range r.log[r.log.after(revision):] {
 		if !seen[entry.key] {
 			seen[entry.key] = true
 			keys = append(keys, entry.key)
