A follower whose copy is confirmed doesn't ask the store for one that has yet to arrive

Found by reading: where a later revision was known, a follower went by how long ago anything had arrived, even if its own copy had been confirmed a moment ago. After a quiet time each change of the store would have had followers ask it.

Change: it goes by the more recent of the two.

Measured: spec "asks the store once nothing arrives of what it lacks, and not while its copy is confirmed" fails before.

--- a/internal/storeview/storeview_test.go
+++ b/internal/storeview/storeview_test.go
@@ -267,3 +267,31 @@
 		})
 	})
 })
+
+var _ = Describe("a follower of a relay", func() {
+	It("asks the store once nothing arrives of what it lacks, and not while its copy is confirmed", func() {
+		spectest.Bubble(func() {
+			f := newFixture(kv.NewMemory().Store())
+			boxes := []cluster.Box{{Name: "b", Address: "b:1"}}
+			for n := range 20 {
+				name := fmt.Sprint("a", n)
+				boxes = append(boxes, cluster.Box{Name: name, Address: name + ":1"})
+			}
+			f.members.SetRegistered(boxes)
+			Expect(f.members.FollowsRelay()).To(BeTrue())
+			m := f.View.Mirror()
+			Expect(f.paused()).To(BeFalse(), "it has no copy")
+			Expect(m.ApplyDelta(mirror.Delta{Revision: 5})).To(BeTrue())
+			m.ConfirmCurrent(9, time.Now())
+			Expect(f.paused()).To(BeTrue(), "a newer copy is arriving")
+			time.Sleep(maxFollowerStaleness + stalenessSpread)
+			Expect(f.paused()).To(BeFalse(), "nothing arrived since")
+			By("being confirmed, while a later copy is known that has yet to arrive")
+			Expect(m.ApplyDelta(mirror.Delta{From: 5, Revision: 9})).To(BeTrue())
+			time.Sleep(10 * time.Second)
+			m.ConfirmCurrent(9, time.Now())
+			m.ConfirmCurrent(10, time.Now())
+			Expect(f.paused()).To(BeTrue())
+		})
+	})
+})
--- a/internal/storeview/watch.go
+++ b/internal/storeview/watch.go
@@ -100,7 +100,7 @@
 		limit = maxFollowerStaleness
 		// While entries change faster than copies travel, hardly any copy is ever current. If all boxes of a large fleet asked the store
 		// then, its link would carry every change to each of them, and they would be further behind.
-		if arriving := v.mirror.Arriving(); arriving >= 0 {
+		if arriving := v.mirror.Arriving(); arriving >= 0 && (age < 0 || arriving < age) {
 			age = arriving
 		}
 	}
