--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -3,7 +3,7 @@
 // It joins three sources: the list that the platform's store holds (SetList), the residency updates
 // that the order holder publishes of the engines it changes (Publish, Apply), and what upstreams
 // answered to requests (MarkMissing, MarkUnreachable). It owns the joined view, and relies on its
-// callers to bring the lists (pkg/mirror) and to carry updates between boxes (internal/gateway).
+// callers to bring the lists (pkg/mirror) and to carry updates between boxes (internal/cluster).
 //
 // `ospreymoor node` uses it. `ospreymoor serve` has internal/box/fleet.go instead: a snapshot of the
 // plan, the box list and the halls' holdings, which are records with generations, not updates.
--- a/pkg/mirror/follow.go
+++ b/pkg/mirror/follow.go
@@ -65,14 +65,10 @@
 func (m *Mirror) follow(ctx context.Context, complete bool) bool {
 	m.mu.Lock()
 	m.connection.triedAt = time.Now()
-	from := m.state.Revision
 	// A first copy of another box is complete: to read the service whole after it would cost each box that starts a snapshot.
 	complete = complete || m.copied
 	m.copied = false
 	m.mu.Unlock()
-	if complete && !m.readMissing(ctx) {
-		return false
-	}
 	if !complete {
 		snapshot, whole, err := m.readFirst(ctx)
 		m.noteConnectivity(err)
@@ -86,7 +82,11 @@
 		if m.shouldPause() {
 			return true
 		}
-		from = m.State().Revision // Other boxes may have brought what changed meanwhile.
+	}
+	// Other boxes may have brought what changed meanwhile, or named records that the watch does not bring from here on.
+	from := m.State().Revision
+	if !m.readMissing(ctx) {
+		return false
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/pkg/mirror/large_test.go
+++ b/pkg/mirror/large_test.go
@@ -151,6 +151,26 @@
 		})
 	})
 
+	It("is read of the store where another box named it before the store was followed, and does not bring it", func() {
+		spectest.Bubble(func() {
+			store := kv.NewMemory().Store()
+			put(store, "e1", "serves")
+			m := &mirror.Mirror{Store: store, BatchDelay: func() time.Duration { return 300 * time.Millisecond }}
+			defer start(m)()
+			synctest.Wait()
+			put(store, "config", longValue)
+			peer := &mirror.Mirror{Store: store}
+			stop := start(peer)
+			synctest.Wait()
+			stop()
+			exchange(m, peer)
+			Expect(m.Missing()).To(HaveLen(1))
+			time.Sleep(2 * time.Second)
+			Expect(m.Missing()).To(BeEmpty())
+			Expect(values(m.State())).To(Equal(map[string]string{"e1": "serves", "config": longValue}))
+		})
+	})
+
 	It("ends at the store's state on all boxes, however deltas, records and the store's answers interleave", func() {
 		for seed := range uint64(30) {
 			spectest.Bubble(func() {
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -5,7 +5,7 @@
 // are enough for all. The package owns the copy and its age; it relies on pkg/kv for the service and
 // on its callers to carry deltas between boxes.
 //
-// `ospreymoor node` uses it (internal/gateway: storeview.go, exchange.go). `ospreymoor serve` has
+// `ospreymoor node` uses it (internal/storeview, internal/cluster). `ospreymoor serve` has
 // pkg/records instead: named records with generations of their own, not one copy at a revision.
 package mirror
 
