--- a/internal/cluster/sharedcopy.go
+++ b/internal/cluster/sharedcopy.go
@@ -7,9 +7,9 @@
 	"ospreymoor.example/ospreymoor/pkg/fleet"
 )
 
-// This file has newer state packed once for many boxes. Those that follow one relay ask it for about the same at about the same time: of 164
-// boxes each was packed a copy of its own, four times a second, and a copy was dropped for later ones before it had been fetched. Where
-// they are far behind, a copy takes seconds to reach all of them, and is kept until then.
+// This file has newer state packed once for many boxes. Those that follow one relay ask it for about the same at about the same time, and one
+// copy for each of them would take the relay's processor time. Where they are far behind, a copy takes seconds to reach all of them, and is
+// kept until then.
 
 const (
 	// maxSharedBytes bounds the shared copies that a box keeps, as packed.
--- a/internal/storeview/registration.go
+++ b/internal/storeview/registration.go
@@ -84,7 +84,7 @@
 }
 
 // register writes the box's record under a new lease, also over that of an earlier process, which is read only
-// where there is one: of 295 boxes that start at once, each saves a call.
+// where there is one, which saves each box that starts a call.
 func (r *Registration) register(ctx context.Context) error {
 	value, err := json.Marshal(r.box)
 	if err != nil {
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -89,7 +89,7 @@
 }
 
 // Holders returns the engines of a service that may be sent requests for a model, in the order of their ids; the caller must not change
-// it. Among 9,756 engines that hold 3 of 399 models each, a request looks at 73 and not at all.
+// it.
 func (d *Directory) Holders(service, model string) []*State {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
--- a/pkg/fleet/updates.go
+++ b/pkg/fleet/updates.go
@@ -21,8 +21,8 @@
 }
 
 // Tells reports whether a residency would tell boxes more of an engine than its entry in the list does, or corrects what one published
-// before told. A new order holder asks all engines what they hold, and most answer what the list has: told of all the same, each of 986
-// boxes would be sent 9,756 residencies, 2 MB, at each change of the holder.
+// before told. A new order holder asks all engines what they hold, and most answer what the list has: told of all the same, each
+// box of a large fleet would be sent as many residencies as there are engines at each change of the holder.
 func (d *Directory) Tells(engine string, next Residency) bool {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
