--- a/internal/node/cold_test.go
+++ b/internal/node/cold_test.go
@@ -36,7 +36,7 @@
 	life, end := context.WithCancel(context.Background())
 	n.noticeMu.Lock()
 	defer n.noticeMu.Unlock()
-	n.engines[id] = &noticeEngine{life: life, end: end, asked: map[int]time.Time{}, told: map[int]time.Time{}}
+	n.engines[id] = &noticeEngine{life: life, end: end, asked: map[int]time.Time{}, told: map[int]time.Time{}, limitTold: map[int]time.Time{}}
 }
 
 // worstSecond returns the most requests that an engine got in any second until a time, and how many it got in all.
--- a/internal/node/new.go
+++ b/internal/node/new.go
@@ -98,6 +98,7 @@
 			zap.String("backend", noted.Upstream),
 			zap.Strings("kinds", noted.Kinds()),
 			zap.Duration("rest", noted.Rest),
+			zap.Float64p("limit", noted.Limit),
 			zap.String("unreadable", noted.Unreadable),
 			zap.String("source", string(noted.Source)),
 			zap.Int("status", noted.Status),
--- a/internal/node/notice_fleet_test.go
+++ b/internal/node/notice_fleet_test.go
@@ -72,8 +72,12 @@
 	asked, told map[int]time.Time
 	// arrivals are the latest ones.
 	arrivals []time.Time
-	// all are all arrivals.
-	all []time.Time
+	// all are all arrivals, and sentBy has the box of each.
+	all    []time.Time
+	sentBy []int
+	// limits are those that its answers named one after the other, and limitTold is when each box was first told of one.
+	limits    []namedLimit
+	limitTold map[int]time.Time
 }
 
 const (
@@ -97,7 +101,7 @@
 		n.crashFleet = c
 		for k := range size.upstreams {
 			life, end := context.WithCancel(context.Background())
-			n.engines[upstreamName(k)] = &noticeEngine{life: life, end: end, asked: map[int]time.Time{}, told: map[int]time.Time{}}
+			n.engines[upstreamName(k)] = &noticeEngine{life: life, end: end, asked: map[int]time.Time{}, told: map[int]time.Time{}, limitTold: map[int]time.Time{}}
 		}
 		c.tune, c.tuneNode = n.tuneConfig, n.tuneBox
 	}
@@ -233,6 +237,8 @@
 		n.afterLeaving++
 	}
 	engine.countHerd(now, &n.longest)
+	engine.sentBy = append(engine.sentBy, box)
+	engine.tellLimit(box, now, &notice)
 	if engine.leaving {
 		notice.Leaving = true
 		if _, ok := engine.told[box]; !ok {
--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -13,6 +13,7 @@
 //	told     begins                        binds                    ends
 //	leaving  with the answer that told it  every box that knows it  with that life; no list takes it back
 //	rest     with the answer that asked    this box                 after the time it asked for; see rest
+//	limit    with the answer that named it nothing yet              with an answer that names none; see Limit
 
 // Notice is what the head of one answer tells of the upstream's process, beside the answer itself.
 type Notice struct {
@@ -22,12 +23,18 @@
 	Rest time.Duration
 	// Cold is for how long it is cold; 0 if it did not say so.
 	Cold time.Duration
+	// Limit is how many requests a second it takes from all boxes together; nil if the answer names no limit.
+	Limit *float64
+	// Unlimited means that the answer, which is that to the request that was sent, names no limit.
+	Unlimited bool
 	// Unreadable is a value that tells nothing, which Note shortens; empty if all could be read.
 	Unreadable string
 	// Source is what was answered, or another box that was told.
 	Source Source
 	// Status of the answer.
 	Status int
+	// begun is when the sending began that was answered.
+	begun time.Time
 }
 
 // Source is where a notice comes from, for logs and metrics.
@@ -66,6 +73,12 @@
 	if n.Cold > 0 {
 		kinds = append(kinds, "cold")
 	}
+	if n.Limit != nil {
+		kinds = append(kinds, "limit")
+	}
+	if n.Unlimited {
+		kinds = append(kinds, "limit ended")
+	}
 	if n.Unreadable != "" {
 		kinds = append(kinds, "unreadable")
 	}
@@ -73,7 +86,7 @@
 }
 
 func (n Notice) empty() bool {
-	return !n.Leaving && n.Rest <= 0 && n.Cold <= 0 && n.Unreadable == ""
+	return !n.Leaving && n.Rest <= 0 && n.Cold <= 0 && n.Limit == nil && !n.Unlimited && n.Unreadable == ""
 }
 
 // told is what the answers of one life of an upstream told.
@@ -81,6 +94,7 @@
 	// leavingAt is when this box came to know that it leaves; zero if it does not know of it.
 	leavingAt time.Time
 	rest      rest
+	limit     Limit
 	// lastKnown is when the directory last had the upstream.
 	lastKnown time.Time
 }
@@ -90,6 +104,7 @@
 	Upstream
 
 	directory *Directory
+	begun     time.Time
 	// after is the end of the rest after which the sending is one of the first; zero if it is not.
 	after time.Time
 	// answered is set once the head of the answer is there, and rested if that asked for rest.
@@ -110,7 +125,7 @@
 	if evacuated {
 		return nil, ErrEvacuated
 	}
-	endpoint := &Endpoint{Upstream: *upstream, directory: d}
+	endpoint := &Endpoint{Upstream: *upstream, directory: d, begun: time.Now()}
 	if isKnown {
 		var ok bool
 		if endpoint.after, ok = d.beginAfterRest(upstream.ID); !ok {
@@ -123,6 +138,8 @@
 // Told takes what an answer tells, as soon as its head is there, whatever becomes of the rest of it.
 func (e *Endpoint) Told(n Notice) {
 	e.answered, e.rested = true, n.Rest > 0
+	n.begun = e.begun
+	n.Unlimited = n.Unlimited && e.directory.Limit(e.ID).Named()
 	if !n.empty() {
 		e.directory.Note(e.ID, n)
 	}
@@ -170,7 +187,8 @@
 	if n.Rest > 0 {
 		known.rest = d.Rests.begin(now, n.Rest)
 	}
-	if !news.Leaving && n.Rest <= 0 {
+	news.Limit, news.Unlimited = known.takeLimit(now, n)
+	if !news.Leaving && n.Rest <= 0 && n.Limit == nil && !news.Unlimited {
 		return news
 	}
 	d.told[id] = known
@@ -214,6 +232,8 @@
 	LeavingFor time.Duration
 	// RestLeft is how much of the rest is left that it asked for; 0 if it asked for none or that is over.
 	RestLeft time.Duration
+	// Limit is the limit that it names.
+	Limit Limit
 }
 
 // Against returns what a sending to an upstream goes against.
@@ -225,14 +245,14 @@
 		return Against{}
 	}
 	now := time.Now()
-	against := Against{RestLeft: max(0, known.rest.until.Sub(now))}
+	against := Against{RestLeft: max(0, known.rest.until.Sub(now)), Limit: known.limit}
 	if !known.leavingAt.IsZero() {
 		against.LeavingFor = max(1, now.Sub(known.leavingAt))
 	}
 	return against
 }
 
-// Any reports whether it goes against anything.
+// Any reports whether it goes against anything. A limit allows some sendings.
 func (a Against) Any() bool { return a.LeavingFor > 0 || a.RestLeft > 0 }
 
 // toldMemory is for how long what an upstream told is kept while no list has it. A list of a store that was away may have lost entries
@@ -246,7 +266,7 @@
 			known.lastKnown = now
 			d.told[id] = known
 		}
-		if now.Sub(known.lastKnown) > toldMemory || known.leavingAt.IsZero() && known.rest.over(now) {
+		if now.Sub(known.lastKnown) > toldMemory || known.leavingAt.IsZero() && known.rest.over(now) && !known.limit.Named() {
 			delete(d.told, id)
 		}
 	}
