--- a/internal/node/limit_fleet_test.go
+++ b/internal/node/limit_fleet_test.go
@@ -63,7 +63,9 @@
 	// most beyond it in one.
 	over  int
 	worst float64
-	// got is what all of them got while they named a limit, of boxes told or not, and untold of boxes that no answer had told.
+	// overOfAll counts the windows that had more requests of all boxes than that.
+	overOfAll int
+	// got is what all of them got while they named a limit, and untold the part of it that came from boxes that no answer had told.
 	got, untold int
 	// allowed is what the limits alone, without overage and slack, allow over that time.
 	allowed float64
@@ -82,27 +84,48 @@
 	return count
 }
 
+// within drops the times that are out of the window that ends at a time.
+func within(times []time.Time, end time.Time) []time.Time {
+	for len(times) > 0 && end.Sub(times[0]) > limitWindow {
+		times = times[1:]
+	}
+	return times
+}
+
+// beyond is by how much the requests of one window are more than allowed; 0 or less where they are not.
+func (e *noticeEngine) beyond(window []time.Time) float64 {
+	end := window[len(window)-1]
+	highest, always := e.highestLimit(end.Add(-limitWindow-limitGrace), end)
+	if !always {
+		return 0
+	}
+	return float64(len(window)) - limitOverage*highest*limitWindow.Seconds() - limitSlack
+}
+
 func (e *noticeEngine) countLimit(count *limitCount, now time.Time, excused func(box int) bool) {
 	settled := e.limits[0].from.Add(limitSettled)
-	var counted []time.Time
+	var ofTold, ofAll []time.Time
 	for k, at := range e.all {
 		if limit, named := e.highestLimit(at, at); !named || limit < 0 {
 			continue
 		}
 		count.got++
 		told, isTold := e.limitTold[e.sentBy[k]]
-		if !isTold || at.Sub(told) < 0 {
+		if !isTold || !at.After(told) {
 			count.untold++
 		}
-		if !isTold || at.Sub(told) < limitGrace || at.Before(settled) || excused(e.sentBy[k]) {
+		if at.Before(settled) || excused(e.sentBy[k]) {
 			continue
 		}
-		counted = append(counted, at)
-		for at.Sub(counted[0]) > limitWindow {
-			counted = counted[1:]
+		ofAll = append(within(ofAll, at), at)
+		if e.beyond(ofAll) > 0 {
+			count.overOfAll++
+		}
+		if !isTold || at.Sub(told) < limitGrace {
+			continue
 		}
-		highest, always := e.highestLimit(at.Add(-limitWindow-limitGrace), at)
-		if beyond := float64(len(counted)) - limitOverage*highest*limitWindow.Seconds() - limitSlack; always && beyond > 0 {
+		ofTold = append(within(ofTold, at), at)
+		if beyond := e.beyond(ofTold); beyond > 0 {
 			count.over++
 			count.worst = max(count.worst, beyond)
 		}
--- a/internal/node/limit_test.go
+++ b/internal/node/limit_test.go
@@ -13,6 +13,30 @@
 )
 
 var _ = Describe("engines that name a limit", func() {
+	DescribeTable("get no more than it over all boxes, and not much less, and others serve", func(size smallFleetSize) {
+		if size.boxes > *crashBoxes {
+			Skip("more boxes than -crash-boxes")
+		}
+		if raceDetector && size.boxes > raceSize.boxes {
+			size = raceSize
+		}
+		withNoticeFleet(size, noticeWay{rests: fleet.DefaultRests}, func(n *noticeFleet) {
+			n.nameLimit(6, 1)
+			n.askForModel(6*float64(size.upstreams), 12*time.Second)
+			n.callers.Wait()
+			count := n.countLimited(func(int) bool { return false })
+			GinkgoWriter.Printf("%+v, requests ended: %v\n", count, n.outcomes)
+			Expect(count.over).To(BeZero(), "windows with more requests than allowed, by up to %v", count.worst)
+			Expect(count.overOfAll).To(BeZero(), "the same, of boxes told or not")
+			Expect(float64(count.got)).To(BeNumerically(">=", 0.7*count.allowed), "engines left idle")
+			Expect(n.outcomes[refused+" at its return"]+n.outcomes[broken]).To(BeNumerically("<=", n.outcomes[served]/200), "not served")
+		})
+	},
+		Entry("at 7 boxes", smallFleetSize{boxes: 7, halls: 4, upstreams: 18}),
+		Entry("at 39 boxes", smallFleetSize{boxes: 39, halls: 3, upstreams: 60}),
+		Entry("at 515 boxes", smallFleetSize{boxes: 515, halls: 7, upstreams: 600}),
+	)
+
 	It("show in lines alone what each named, to which box, by which answer, what was sent under it and when it ended", func() {
 		core, lines := observer.New(zap.InfoLevel)
 		withLoggedNoticeFleet(smallFleetSize{boxes: 7, halls: 4, upstreams: 18}, noticeWay{rests: fleet.DefaultRests}, core, func(n *noticeFleet) {
