Keep to limits that upstreams name, over all boxes

What callers saw: an engine in need that named 1 request a second got 13 and 12 in 4 s of boxes that it had told; allowed 11.

Cause: what an answer tells had no reader, and a rate over boxes that share nothing had no account. Reading it at each box alone does not keep it: each box keeping the whole limit gives the engine as many times of it as there are boxes.

Change: the directory owns the limit under the upstream's life; the latest answer at any box goes first, and an answer to a request sent after it that names none ends it. Boxes tell each other what changes. Each request to such an upstream needs a grant of the one box that keeps its account, as for cold engines, whose accounts now serve both; where the keeper does not answer, the hall's relay grants by the hall's part.

--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -57,12 +57,14 @@
 	crashes                 *crashNews
 	// leaving takes turns among the upstreams that boxes are told of as leaving.
 	leaving leavingTurns
+	limits  *limitNews
 }
 
 // NewExchange returns an exchange; Run starts it.
 func NewExchange(config Config) *Exchange {
 	return &Exchange{
 		Config: config, sender: newSender(config.LinkBytesPerSecond), pace: pace{bytesPerSecond: config.LinkBytesPerSecond}, crashes: newCrashNews(config.Quarantine),
+		limits: newLimitNews(config.Directory),
 	}
 }
 
@@ -91,6 +93,7 @@
 	targets, calls := e.Members.nextCalls(now)
 	e.Demand.Note(e.Pending.collect(e.Loads, targets), now)
 	e.crashes.collect(targets)
+	e.limits.collect(targets)
 	e.applyLoads(now)
 	e.Directory.ExpireMarks()
 	e.Dropped(e.Directory.DropLapsed())
@@ -107,6 +110,7 @@
 	answer, err := peer.Call[message](callCtx, e.Client, c.address, methodExchange, sent)
 	if err != nil {
 		e.crashes.putBack(c.name, sent.Crashes)
+		e.limits.putBack(c.name, sent.Limits)
 		if e.Members.failed(c) && ctx.Err() == nil {
 			e.Log.Info("peer lost", zap.String("peer", c.name), logfield.Error(err))
 		}
@@ -133,6 +137,7 @@
 		Crashes:     e.crashes.take(to),
 
 		LeavingUpstreams: e.leaving.next(to, e.Directory.LeavingByAnswer()),
+		Limits:           e.limits.take(to),
 
 		Pieces:      true,
 		ReadsBinary: true,
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -18,7 +18,7 @@
 	methodPiece    = "piece"
 	methodSpend    = "spend"
 	methodReserve  = "reserve"
-	methodCold     = "cold"
+	methodRate     = "cold" // The name that boxes of the version before know.
 )
 
 // Box is what a box registers about itself in the store, and sends with each exchange.
@@ -96,6 +96,8 @@
 	// LeavingUpstreams leave by what answers told some box, and the sender's list does not say so yet. A box of the version before does not
 	// read it.
 	LeavingUpstreams []string `json:"leavingUpstreams,omitempty"`
+	// Limits is what the sender knows newly of limits that upstreams name, and of their ends.
+	Limits []fleet.LimitReport `json:"limits,omitempty"`
 	// Pieces means that the sender fetches large records and packed copies in pieces. A box of a version
 	// that does not is sent them whole.
 	Pieces bool `json:"pieces,omitempty"`
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -23,7 +23,7 @@
 	// unreachable upstreams have all that is needed, but took no connection or turned such a
 	// request down a moment ago.
 	unreachable
-	// resting upstreams have all that is needed, and asked this box for rest, or are cold and may get no more now.
+	// resting upstreams have all that is needed, and asked this box for rest, or are cold or limited and may get no more now.
 	resting
 	suitable
 )
@@ -77,8 +77,8 @@
 // rests are the upstreams that have all that a request needs and asked this box for rest.
 type rests struct {
 	upstreams []string
-	// cold counts those of them that are cold, and get no more for a moment.
-	cold int
+	// cold and limited count those of them that get no more for a moment, as they are cold or name a limit.
+	cold, limited int
 	// soonest is when the first of them may be sent requests again; it may have passed where one takes few at a time.
 	soonest time.Time
 }
@@ -90,6 +90,15 @@
 	l.upstreams = append(l.upstreams, upstream)
 }
 
+// countBound counts an upstream that gets no more for a moment.
+func (l *rests) countBound(bound fleet.RateBound) {
+	if bound.Cold {
+		l.cold++
+		return
+	}
+	l.limited++
+}
+
 // better is how suitable the best upstream is, with those that rest. One that lacks an adapter alone goes before them: its load takes some
 // 10 ms, a rest seconds. Five of 18 engines that rested left 8 requests in 6 s without an adapter that others could have loaded.
 func (l *rests) better(best suitability) suitability {
@@ -119,9 +128,9 @@
 		r.rests.add(state.ID, until)
 		return resting
 	}
-	if cold, until := r.isCold(state.ID, now); cold && !until.IsZero() {
+	if bound, until := r.rateBound(state.ID, now); !until.IsZero() {
 		r.rests.add(state.ID, until)
-		r.rests.cold++
+		r.rests.countBound(bound)
 		return resting
 	}
 	return suitable
@@ -134,6 +143,8 @@
 		return ""
 	case best == resting && r.rests.cold == len(r.rests.upstreams):
 		return reasonCold
+	case best == resting && r.rests.limited == len(r.rests.upstreams):
+		return reasonLimited
 	case best == resting:
 		return reasonResting
 	case best == elsewhere:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,8 +35,8 @@
 	NoteDemand func(work map[residency.WorkKey]float64)
 	// Reserve asks for an engine's time to read a prompt; nil, or an error, and requests go by the reported loads alone.
 	Reserve func(ctx context.Context, asked dispatch.Reservation) (dispatch.ReservationAnswer, error)
-	// AskCold asks for one request to a cold engine.
-	AskCold func(ctx context.Context, ask dispatch.ColdAsk) (dispatch.ColdGrant, error)
+	// AskRate asks for one request to an upstream that is cold or names a limit.
+	AskRate func(ctx context.Context, ask dispatch.RateAsk) (dispatch.RateGrant, error)
 	// Quotas take the costs of requests off their customers' quotas.
 	Quotas Quotas
 	// Quarantine is what is known of requests under which upstreams crashed.
@@ -73,8 +73,8 @@
 	Note func(work map[residency.WorkKey]float64)
 	// Reserve asks for an engine's time to read a prompt; nil, or an error, and requests go by the reported loads alone.
 	Reserve func(ctx context.Context, asked dispatch.Reservation) (dispatch.ReservationAnswer, error)
-	// AskCold asks for one request to a cold engine; it is to be set where services have cold engines.
-	AskCold func(ctx context.Context, ask dispatch.ColdAsk) (dispatch.ColdGrant, error)
+	// AskRate asks for one request to an upstream that is cold or names a limit.
+	AskRate func(ctx context.Context, ask dispatch.RateAsk) (dispatch.RateGrant, error)
 	// Quotas take the costs of requests off their customers' quotas.
 	Quotas Quotas
 	// Quarantine is what is known of requests under which upstreams crashed; nil is a register of this box alone.
@@ -103,7 +103,7 @@
 		Ensure:     config.Ensure,
 		NoteDemand: config.Note,
 		Reserve:    config.Reserve,
-		AskCold:    config.AskCold,
+		AskRate:    config.AskRate,
 		Quotas:     config.Quotas,
 		Quarantine: config.Quarantine,
 		Holdings:   NewHoldings(config.MemoryBytes),
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -39,8 +39,8 @@
 	endpoint *fleet.Endpoint
 	// known is what this box knows of upstreams that crashed under the request.
 	known knownCrashes
-	// cold is what holds of upstreams that are cold, and what was asked of their keepers.
-	cold coldAsks
+	// rate is what bounds the requests to upstreams, and what was asked of their keepers.
+	rate rateAsks
 	// holds is how many bytes of answers it holds of the box's memory for callers.
 	holds int64
 	// bound means that only upstreams in some regions may serve the request.
@@ -65,7 +65,7 @@
 		deadlines: newDeadlines(route, request),
 	}
 	if described := table.Services[service]; described != nil {
-		r.cold.start, r.cold.perSecond = described.ColdStart, described.ColdPerSecond
+		r.rate.coldStart, r.rate.coldPerSecond = described.ColdStart, described.ColdPerSecond
 	}
 	return r
 }
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -30,7 +30,7 @@
 	if lacking == reasonEvacuated || lacking == reasonRegion {
 		return 0, r.unserved(lacking, 0)
 	}
-	if lacking == reasonResting || lacking == reasonCold {
+	if lacking == reasonResting || lacking == reasonCold || lacking == reasonLimited {
 		return r.awaitRest(lacking, left)
 	}
 	if lacking == reasonNoModel {
@@ -45,7 +45,7 @@
 // awaitRest returns how long to wait until an upstream that asked for rest may be sent the request. If that is longer than left, the
 // request is refused at once, and may come again then; its work counts as demand, so that another engine gets the model if the rest lasts.
 func (r *inflight) awaitRest(lacking reason, left time.Duration) (time.Duration, *refusal) {
-	r.cold.asked = 0 // There is no warm one to go to instead.
+	r.rate.asked = 0 // There is no other one to go to instead.
 	wait := max(directoryPoll, time.Until(r.rests.soonest))
 	if wait <= left {
 		return wait, nil
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -29,6 +29,8 @@
 	reasonResting reason = "back ends want rest"
 	// reasonCold: the engines that have all that is needed are cold, and get as much as they bear.
 	reasonCold reason = "back ends are cold"
+	// reasonLimited: the upstreams that have all that is needed name limits, and get as much as they take.
+	reasonLimited reason = "back ends limit requests"
 	// reasonRegion: no upstream of the service is in a region where the request may be served.
 	reasonRegion reason = "no back end in an allowed region"
 	// reasonEvacuated: all upstreams of the service that are left are in evacuated halls.
--- a/internal/node/new.go
+++ b/internal/node/new.go
@@ -64,8 +64,10 @@
 	quotas := &cluster.Quotas{Members: s.members, Client: n.client, Keeper: customers.NewKeeper(config.Quotas), Log: config.Log}
 	n.spender = customers.NewSpender(quotas.Ask)
 	reservations := &cluster.Reservations{Members: s.members, Client: n.client, Kept: dispatch.NewReservations(), Log: config.Log}
-	coldStarts := &cluster.ColdStarts{Members: s.members, Client: n.client, Kept: dispatch.NewColdStarts(config.ColdStarts), Log: config.Log}
-	n.Gateway = newGateway(config, s, ensurer, n.spender, reservations, coldStarts)
+	rates := &cluster.Rates{
+		Members: s.members, Client: n.client, Directory: s.directory, Kept: dispatch.NewRateAccounts(config.ColdStarts), Log: config.Log,
+	}
+	n.Gateway = newGateway(config, s, ensurer, n.spender, reservations, rates)
 	n.view = n.newView(config, s)
 	n.exchange = n.newExchange(config, s)
 	config.Set.NewGauge("ospreymoor_held_bytes", func() float64 { return float64(n.Gateway.Holdings.Held()) })
@@ -82,7 +84,7 @@
 	ensurer.Handle(n.server)
 	quotas.Handle(n.server)
 	reservations.Handle(n.server)
-	coldStarts.Handle(n.server)
+	rates.Handle(n.server)
 	n.orderLease.Handle(n.server, n.controller.LastOrders)
 	return n
 }
@@ -165,7 +167,7 @@
 }
 
 func newGateway(config Config, s shared, ensurer *cluster.Ensurer, spender *customers.Spender, reservations *cluster.Reservations,
-	coldStarts *cluster.ColdStarts) *gateway.Gateway {
+	rates *cluster.Rates) *gateway.Gateway {
 	return gateway.New(gateway.Config{
 		Directory: s.directory,
 		Loads:     s.loads,
@@ -175,7 +177,7 @@
 		Ensure:    ensurer.Ensure,
 		Note:      s.pending.NoteWork,
 		Reserve:   reservations.Reserve,
-		AskCold:   coldStarts.Ask,
+		AskRate:   rates.Ask,
 		Quotas:    gateway.Quotas{Take: spender.Take, Return: spender.Return},
 
 		Quarantine: s.quarantine,
--- a/internal/node/notice_fleet_test.go
+++ b/internal/node/notice_fleet_test.go
@@ -32,6 +32,8 @@
 	restsForAll bool
 	// coldPerSecond is how many requests a second cold engines bear; 0 sets no bound.
 	coldPerSecond float64
+	// tune changes a box before it runs; nil changes nothing.
+	tune func(n *noticeFleet, box *Node)
 }
 
 // noticeFleet is boxes before engines that tell in their answers that they leave, or want rest.
@@ -155,6 +157,9 @@
 func (n *noticeFleet) tuneBox(box *Node) {
 	directory := box.Gateway.Directory
 	directory.Rests = n.way.rests
+	if n.way.tune != nil {
+		n.way.tune(n, box)
+	}
 	logged := directory.OnNotice
 	directory.OnNotice = func(noted fleet.Noted) {
 		logged(noted)
--- a/pkg/dispatch/coldstart_test.go
+++ b/pkg/dispatch/rates_test.go
@@ -9,9 +9,9 @@
 )
 
 // coldWay decides whether one of many boxes may send a request to a cold engine, and when to ask again.
-type coldWay func(box int, now time.Time) ColdGrant
+type coldWay func(box int, now time.Time) RateGrant
 
-// replayCold has boxes ask to send to one cold engine for as long as it is cold, each request on its way for up to coldTravel, and returns
+// replayCold has boxes ask to send to one cold engine for as long as it is cold, each request on its way for up to requestTravel, and returns
 // the most that arrive in any second and all that arrive.
 func replayCold(boxes int, perSecond float64, span time.Duration, way coldWay) (worst, all int) {
 	random := rand.New(rand.NewPCG(1, uint64(boxes)))
@@ -31,7 +31,7 @@
 				next[box] = now.Add(grant.Wait)
 				continue
 			}
-			arrivals = append(arrivals, at+time.Duration(random.Float64()*float64(ColdGrantLife+coldTravel)))
+			arrivals = append(arrivals, at+time.Duration(random.Float64()*float64(RateGrantLife+requestTravel)))
 		}
 	}
 	for _, from := range arrivals {
@@ -54,28 +54,30 @@
 
 	// fixedParts gives each box its part of what all may send.
 	fixedParts := func(boxes int) coldWay {
-		accounts := make([]*ColdStarts, boxes)
+		accounts := make([]*RateAccounts, boxes)
 		for box := range accounts {
-			accounts[box] = NewColdStarts(tolerance)
+			accounts[box] = NewRateAccounts(tolerance)
 		}
-		return func(box int, now time.Time) ColdGrant {
-			return accounts[box].Ask(ColdAsk{Engine: "e", PerSecond: rate}, 1/float64(boxes), now)
+		return func(box int, now time.Time) RateGrant {
+			return accounts[box].Ask(RateAsk{Engine: "e", ColdPerSecond: rate}, 1/float64(boxes), now)
 		}
 	}
 	// oneKeeper is the way in use: one box grants for all.
 	oneKeeper := func(int) coldWay {
-		keeper := NewColdStarts(tolerance)
-		return func(_ int, now time.Time) ColdGrant { return keeper.Ask(ColdAsk{Engine: "e", PerSecond: rate}, 1, now) }
+		keeper := NewRateAccounts(tolerance)
+		return func(_ int, now time.Time) RateGrant {
+			return keeper.Ask(RateAsk{Engine: "e", ColdPerSecond: rate}, 1, now)
+		}
 	}
 	// bothSides is one keeper on each side of a cut, a third of the boxes on one.
 	bothSides := func(boxes int) coldWay {
-		sides := []*ColdStarts{NewColdStarts(tolerance), NewColdStarts(tolerance)}
-		return func(box int, now time.Time) ColdGrant {
+		sides := []*RateAccounts{NewRateAccounts(tolerance), NewRateAccounts(tolerance)}
+		return func(box int, now time.Time) RateGrant {
 			side, share := 0, 2.0/3
 			if box < boxes/3 {
 				side, share = 1, 1.0/3
 			}
-			return sides[side].Ask(ColdAsk{Engine: "e", PerSecond: rate}, share, now)
+			return sides[side].Ask(RateAsk{Engine: "e", ColdPerSecond: rate}, share, now)
 		}
 	}
 
@@ -94,23 +96,23 @@
 	})
 
 	It("are not granted by a keeper that has just taken over, or for an engine that bears none", func() {
-		keeper := NewColdStarts(tolerance)
+		keeper := NewRateAccounts(tolerance)
 		now := time.Unix(1000, 0)
-		Expect(keeper.Ask(ColdAsk{Engine: "e", PerSecond: rate}, 1, now).Granted).To(BeFalse())
+		Expect(keeper.Ask(RateAsk{Engine: "e", ColdPerSecond: rate}, 1, now).Granted).To(BeFalse())
 		for range 100 {
 			now = now.Add(time.Second)
-			grant := keeper.Ask(ColdAsk{Engine: "f"}, 1, now)
+			grant := keeper.Ask(RateAsk{Engine: "f"}, 1, now)
 			Expect(grant.Granted).To(BeFalse())
 			Expect(grant.Wait).To(BeNumerically(">", 0))
 		}
 	})
 
 	It("leave no account behind", func() {
-		keeper := NewColdStarts(tolerance)
+		keeper := NewRateAccounts(tolerance)
 		now := time.Unix(1000, 0)
 		for n := range 1000 {
 			now = now.Add(time.Second)
-			keeper.Ask(ColdAsk{Engine: string(rune('a' + n%20)), PerSecond: rate}, 1, now)
+			keeper.Ask(RateAsk{Engine: string(rune('a' + n%20)), ColdPerSecond: rate}, 1, now)
 		}
 		Expect(len(keeper.accounts)).To(BeNumerically("<=", 20))
 	})
--- a/pkg/fleet/cold.go
+++ b/pkg/fleet/cold.go
@@ -18,38 +18,20 @@
 type coldRecord struct {
 	// coldUntil is by what the engine says; backAt is since when it is back.
 	coldUntil, backAt time.Time
-	// heldUntil is until when this box sends it nothing, as its keeper told.
-	heldUntil time.Time
 }
 
-// Coldness is whether an engine is cold, as far as this box knows.
-type Coldness struct {
-	Cold bool
-	// HeldUntil is until when this box must not ask to send there; zero, or past, and it may.
-	HeldUntil time.Time
-}
-
-// Coldness returns whether an engine is cold, or may be, where the engines of its service are cold for a time after a start.
-func (d *Directory) Coldness(id string, start time.Duration) Coldness {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
+// isCold reports whether an engine is cold, or may be, where the engines of its service are cold for a time after a start. The caller holds
+// the lock.
+func (d *Directory) isCold(id string, start time.Duration) bool {
+	if d.refusals[id] > 0 {
+		return true
+	}
 	known, ok := d.cold[id]
-	unreachable := d.refusals[id] > 0
-	if !ok && !unreachable {
-		return Coldness{}
+	if !ok {
+		return false
 	}
 	now := time.Now()
-	cold := unreachable || now.Before(known.coldUntil) || !known.backAt.IsZero() && now.Before(known.backAt.Add(start))
-	return Coldness{Cold: cold, HeldUntil: known.heldUntil}
-}
-
-// HoldCold has this box send a cold engine nothing until a time.
-func (d *Directory) HoldCold(id string, until time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	known := d.cold[id]
-	known.heldUntil = until
-	d.cold[id] = known
+	return now.Before(known.coldUntil) || !known.backAt.IsZero() && now.Before(known.backAt.Add(start))
 }
 
 // noteCold takes for how long an engine says that it is cold; 0 ends that. The caller holds the lock.
@@ -75,7 +57,7 @@
 // expireCold forgets what is over. The caller holds the lock.
 func (d *Directory) expireCold(now time.Time) {
 	for id, known := range d.cold {
-		if now.After(known.coldUntil) && now.After(known.heldUntil) && now.Sub(known.backAt) > maxCold {
+		if now.After(known.coldUntil) && now.Sub(known.backAt) > maxCold {
 			delete(d.cold, id)
 		}
 	}
--- a/pkg/fleet/cold_test.go
+++ b/pkg/fleet/cold_test.go
@@ -14,7 +14,7 @@
 	entry := func(revision int64, cold time.Duration) []Upstream {
 		return []Upstream{{ID: "a", Service: "s", Hall: "h", Address: "a:80", Revision: revision, Cold: cold}}
 	}
-	cold := func(d *Directory) bool { return d.Coldness("a", start).Cold }
+	cold := func(d *Directory) bool { return d.RateBound("a", start).Cold }
 	listed := func(span time.Duration) *Directory {
 		d := New()
 		d.SetList(1, entry(1, span), time.Now())
@@ -80,8 +80,8 @@
 		spectest.Bubble(func() {
 			d := listed(time.Minute)
 			until := time.Now().Add(time.Second)
-			d.HoldCold("a", until)
-			Expect(d.Coldness("a", start).HeldUntil).To(Equal(until))
+			d.HoldBack("a", until)
+			Expect(d.RateBound("a", start).HeldUntil).To(Equal(until))
 			d.SetList(2, nil, time.Now())
 			time.Sleep(lapseTime + time.Second)
 			d.DropLapsed()
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -46,6 +46,10 @@
 	evacuatedAt int64
 	// cold is what is known of engines that are cold or may be, by id.
 	cold map[string]coldRecord
+	// heldBack is until when this box sends nothing to an upstream that few requests may go to.
+	heldBack map[string]time.Time
+	// changedLimits are the upstreams whose limits other boxes are to be told of.
+	changedLimits map[string]bool
 
 	// Rests is how the rests are kept that upstreams ask for. It is to be set before the first answer.
 	Rests Rests
@@ -67,7 +71,11 @@
 		refusals:    map[string]int{},
 		told:        map[string]told{},
 		cold:        map[string]coldRecord{},
-		Rests:       DefaultRests,
+		heldBack:    map[string]time.Time{},
+
+		changedLimits: map[string]bool{},
+
+		Rests: DefaultRests,
 	}
 }
 
--- a/pkg/fleet/lapse.go
+++ b/pkg/fleet/lapse.go
@@ -64,5 +64,6 @@
 	delete(d.residencies, state.ID)
 	delete(d.refusals, state.ID)
 	delete(d.cold, state.ID)
+	delete(d.heldBack, state.ID)
 	return Change{Upstream: *state.Upstream, Kind: Removed}
 }
--- a/pkg/fleet/marks.go
+++ b/pkg/fleet/marks.go
@@ -79,4 +79,5 @@
 	}
 	d.expireTold(now)
 	d.expireCold(now)
+	d.expireHeldBack(now)
 }
--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -13,7 +13,7 @@
 //	told     begins                        binds                    ends
 //	leaving  with the answer that told it  every box that knows it  with that life; no list takes it back
 //	rest     with the answer that asked    this box                 after the time it asked for; see rest
-//	limit    with the answer that named it nothing yet              with an answer that names none; see Limit
+//	limit    with the answer that named it every box that knows it  with an answer that names none; see Limit
 
 // Notice is what the head of one answer tells of the upstream's process, beside the answer itself.
 type Notice struct {
@@ -188,6 +188,9 @@
 		known.rest = d.Rests.begin(now, n.Rest)
 	}
 	news.Limit, news.Unlimited = known.takeLimit(now, n)
+	if news.Limit != nil || news.Unlimited {
+		d.noteLimitChanged(id)
+	}
 	if !news.Leaving && n.Rest <= 0 && n.Limit == nil && !news.Unlimited {
 		return news
 	}
@@ -266,7 +269,7 @@
 			known.lastKnown = now
 			d.told[id] = known
 		}
-		if now.Sub(known.lastKnown) > toldMemory || known.leavingAt.IsZero() && known.rest.over(now) && !known.limit.Named() {
+		if now.Sub(known.lastKnown) > toldMemory || known.leavingAt.IsZero() && known.rest.over(now) && !known.limit.Named() && now.Sub(known.limit.At) > limitMemory {
 			delete(d.told, id)
 		}
 	}
