Limits: what boxes that were denied come late for is granted, up to half a second of it

Boxes that were denied come back later than requests may be granted, so that an upstream at its limit was left idle for a third of it while callers were refused.

--- a/pkg/dispatch/rates.go
+++ b/pkg/dispatch/rates.go
@@ -43,9 +43,10 @@
 	requestTravel = 400 * time.Millisecond
 	// coldBurst is how many requests to a cold engine may be granted at once.
 	coldBurst = 1
-	// limitBurst is how long an upstream with a limit may have got nothing so that what it did not get is granted at once; one request at
-	// least.
-	limitBurst = 250 * time.Millisecond
+	// limitBurst is how long an upstream with a limit may have got nothing so that what it did not get is granted at once, leastLimitBurst
+	// requests at least: boxes that were denied come back later than requests may be granted.
+	limitBurst      = 500 * time.Millisecond
+	leastLimitBurst = 2
 	// slowestLimit is the least rate that is granted, in requests a second: only an answer tells that a limit has ended.
 	slowestLimit = 0.1
 	// maxRateWait bounds the pause between two asks of one box.
@@ -95,7 +96,7 @@
 	perSecond, burst = math.Inf(1), math.Inf(1)
 	if limit := ask.Limit; limit != nil && limit.PerSecond != nil {
 		perSecond = max(slowestLimit, *limit.PerSecond)
-		burst = max(1, perSecond*limitBurst.Seconds())
+		burst = max(leastLimitBurst, perSecond*limitBurst.Seconds())
 	}
 	if ask.ColdPerSecond > 0 || ask.Limit == nil {
 		perSecond, burst = min(perSecond, t.rate(ask.ColdPerSecond)), coldBurst
--- a/pkg/dispatch/rates_test.go
+++ b/pkg/dispatch/rates_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"ospreymoor.example/ospreymoor/pkg/fleet"
 )
 
 // coldWay decides whether one of many boxes may send a request to a cold engine, and when to ask again.
@@ -117,3 +120,116 @@
 		Expect(len(keeper.accounts)).To(BeNumerically("<=", 20))
 	})
 })
+
+var _ = Describe("requests of many boxes to an upstream that names a limit", func() {
+	const window, overage, slack = 4 * time.Second, 1.5, 5
+	ask := func(perSecond float64) RateAsk {
+		return RateAsk{Engine: "e", Limit: &fleet.LimitReport{Upstream: "e", PerSecond: &perSecond}}
+	}
+	// worstIn is the most of some requests within a window.
+	worstIn := func(sent []time.Duration) (worst int) {
+		first := 0
+		for last, at := range sent {
+			for at-sent[first] > window {
+				first++
+			}
+			worst = max(worst, last-first+1)
+		}
+		return worst
+	}
+	// replay has requests ask for a time at an account, all boxes together as often as given, and returns when they arrive, each some time after
+	// its grant.
+	replay := func(account *RateAccounts, share float64, boxes int, limit func(at time.Duration) float64, perSecond float64, span time.Duration) []time.Duration {
+		random := rand.New(rand.NewPCG(1, uint64(boxes)))
+		begun := time.Unix(1000, 0)
+		next := make([]time.Time, boxes)
+		var arrivals []time.Duration
+		const step = time.Millisecond
+		for at := time.Duration(0); at < span; at += step {
+			if random.Float64() > perSecond*step.Seconds() {
+				continue
+			}
+			box, now := random.IntN(boxes), begun.Add(at)
+			if now.Before(next[box]) {
+				continue
+			}
+			grant := account.Ask(ask(limit(at)), share, now)
+			if !grant.Granted {
+				next[box] = now.Add(grant.Wait)
+				continue
+			}
+			arrivals = append(arrivals, at+time.Duration(random.Float64()*float64(RateGrantLife+requestTravel)))
+		}
+		slices.Sort(arrivals)
+		return arrivals
+	}
+	always := func(perSecond float64) func(time.Duration) float64 {
+		return func(time.Duration) float64 { return perSecond }
+	}
+
+	It("stay within the bound on any window, and leave little of it idle, by one keeper, at limits of any size", func() {
+		const span = 60 * time.Second
+		for _, boxes := range []int{7, 39, 515} {
+			for _, limit := range []float64{0.3, 1, 1.8, 8, 60} {
+				sent := replay(NewRateAccounts(ColdTolerance{}), 1, boxes, always(limit), 10*limit, span)
+				GinkgoWriter.Printf("%d boxes, limit %v: %d in a window, %d in all\n", boxes, limit, worstIn(sent), len(sent))
+				Expect(float64(worstIn(sent))).To(BeNumerically("<=", overage*limit*window.Seconds()+slack))
+				Expect(float64(len(sent))).To(BeNumerically(">=", 0.8*limit*span.Seconds()))
+				Expect(float64(len(sent))).To(BeNumerically("<=", limit*span.Seconds()+max(leastLimitBurst, limit)))
+			}
+		}
+	})
+
+	It("stay within it over both sides of a cut, and within each hall's part", func() {
+		const limit, span = 8.0, 30 * time.Second
+		var sent []time.Duration
+		for _, share := range []float64{1.0 / 7, 2.0 / 7, 4.0 / 7} {
+			sent = append(sent, replay(NewRateAccounts(ColdTolerance{}), share, 20, always(limit), 80, span)...)
+		}
+		slices.Sort(sent)
+		Expect(float64(worstIn(sent))).To(BeNumerically("<=", overage*limit*window.Seconds()+slack))
+	})
+
+	It("follow a limit that falls and rises at once, and one of nothing at all slowly, so that its end is noticed", func() {
+		sent := replay(NewRateAccounts(ColdTolerance{}), 1, 7, func(at time.Duration) float64 {
+			switch {
+			case at < 20*time.Second:
+				return 40
+			case at < 40*time.Second:
+				return 1
+			}
+			return 40
+		}, 100, 60*time.Second)
+		count := func(from, until time.Duration) (in float64) {
+			for _, at := range sent {
+				if at >= from && at < until {
+					in++
+				}
+			}
+			return in
+		}
+		Expect(count(21*time.Second, 25*time.Second)).To(BeNumerically("<=", 11))
+		Expect(count(41*time.Second, 45*time.Second)).To(BeNumerically(">", 120))
+		none := replay(NewRateAccounts(ColdTolerance{}), 1, 7, always(0), 100, 60*time.Second)
+		Expect(worstIn(none)).To(BeNumerically("<=", slack))
+		Expect(none).NotTo(BeEmpty())
+	})
+
+	It("go to a cold one at the lower of both rates, and freely once the limit has ended", func() {
+		accounts := NewRateAccounts(ColdTolerance{Overage: 1.5, Slack: 5})
+		cold := ask(100)
+		cold.ColdPerSecond = 2
+		now := time.Unix(1000, 0)
+		granted := 0
+		for range 1000 {
+			now = now.Add(10 * time.Millisecond)
+			if accounts.Ask(cold, 1, now).Granted {
+				granted++
+			}
+		}
+		Expect(granted).To(BeNumerically("<=", 31))
+		for range 100 {
+			Expect(accounts.Ask(RateAsk{Engine: "e", Limit: &fleet.LimitReport{Upstream: "e"}}, 0.01, now).Granted).To(BeTrue())
+		}
+	})
+})
