Start of many boxes, sight: why a box asks the store itself, and when it leaves that to others

No line said which box followed the store, what it lacked and which relay it followed. 'store followed' has the reason, the relay, the watch rank, how old its copy is and since when nothing newer arrived; 'store left to other boxes' the end. The spec of a start prints them, and how many records the watches of each box brought.

--- a/internal/cluster/relay.go
+++ b/internal/cluster/relay.go
@@ -94,6 +94,22 @@
 	return m.large() && !m.relaying(time.Now())
 }
 
+// Relay returns the name of the box that this one follows in a large fleet; empty if it follows none.
+func (m *Members) Relay() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	if !m.large() || m.relaying(now) {
+		return ""
+	}
+	for _, other := range m.ranked(m.self.Hall, now) {
+		if !other.call.lost() {
+			return other.Name
+		}
+	}
+	return ""
+}
+
 // halls lists all halls that boxes are known in. The caller holds the lock.
 func (m *Members) halls() []string {
 	m.byRank(m.self.Hall)
--- a/internal/node/start_size_test.go
+++ b/internal/node/start_size_test.go
@@ -7,6 +7,10 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -32,7 +36,8 @@
 	link chan struct{}
 }
 
-func (s *pagedStore) store() kv.Store {
+// store is the store as one box has it, which counts in watched what its watches bring.
+func (s *pagedStore) store(watched *atomic.Int64) kv.Store {
 	store := s.memory
 	store.Watch = func(ctx context.Context, watching kv.Watching) (<-chan []kv.Event, error) {
 		batches, err := answering(ctx, s.memory, watching)
@@ -44,6 +49,7 @@
 			defer close(received)
 			for batch := range batches {
 				s.watched.Add(int64(len(batch)))
+				watched.Add(int64(len(batch)))
 				if s.send(ctx, len(batch)) != nil {
 					return
 				}
@@ -107,6 +113,7 @@
 	stops    []context.CancelFunc
 	stopped  sync.WaitGroup
 	boxes    int
+	begun    time.Time
 	network  spectest.Network
 	seedDead bool
 	// joins is over how long the upstreams join, from when the boxes start.
@@ -114,6 +121,10 @@
 	// bytesPerSecond is the rate of each box's link; 0 is no bound.
 	bytesPerSecond int64
 	links          map[string]*spectest.Link
+	// lines are those of all boxes, each with its name, and watchedBy how many records the watches of each brought.
+	lines     *observer.ObservedLogs
+	logTo     zapcore.Core
+	watchedBy []atomic.Int64
 }
 
 // dial connects a box to others, over their links if they have any.
@@ -133,6 +144,8 @@
 func (f *startedFleet) run(boxes, upstreams int, seedsDead bool) (pages int64, took time.Duration) {
 	spectest.Bubble(func() {
 		f.boxes, f.seedDead = boxes, seedsDead
+		f.watchedBy = make([]atomic.Int64, boxes)
+		f.logTo, f.lines = observer.New(zap.InfoLevel)
 		memory := kv.NewMemory().Store()
 		put := func(key string) {
 			_, err := memory.Swap(context.Background(), kv.Swap{Key: key, Value: []byte(key)})
@@ -149,6 +162,7 @@
 		}
 		f.paged = &pagedStore{memory: memory, link: make(chan struct{}, 1)}
 		begun := time.Now()
+		f.begun = begun
 		for n := range boxes {
 			f.start(n)
 		}
@@ -184,7 +198,8 @@
 
 func (f *startedFleet) start(n int) {
 	address := smallBoxAddress(n)
-	config := testConfig(smallBoxName(n), fmt.Sprint("z", n%4), address, f.paged.store(), f.dial(address))
+	config := testConfig(smallBoxName(n), fmt.Sprint("z", n%4), address, f.paged.store(&f.watchedBy[n]), f.dial(address))
+	config.Log = zap.New(f.logTo).With(zap.String("box", smallBoxName(n)))
 	for k := range min(3, f.boxes) {
 		seed := smallBoxAddress(k)
 		if f.seedDead {
@@ -206,6 +221,18 @@
 	})
 }
 
+// writeFollowers writes to the spec's output why boxes followed the store themselves.
+func (f *startedFleet) writeFollowers() {
+	for n := range f.watchedBy {
+		GinkgoWriter.Printf("%s: %d records by watches\n", smallBoxName(n), f.watchedBy[n].Load())
+	}
+	for _, message := range []string{"store followed", "store left to other boxes"} {
+		for _, line := range f.lines.FilterMessage(message).All() {
+			GinkgoWriter.Printf("%v %s %v\n", line.Time.Sub(f.begun), message, line.ContextMap())
+		}
+	}
+}
+
 // While each box that started read the whole store, 986 boxes before 10,002 upstreams took 21,700 calls, and 3 GB over the store's link.
 var _ = Describe("boxes that start together", func() {
 	const upstreams = 4000 // Nine pages.
@@ -232,6 +259,7 @@
 		fleet := &startedFleet{joins: 3 * time.Second, bytesPerSecond: bytesPerSecond}
 		_, took := fleet.run(boxes, upstreams, false)
 		watched := fleet.paged.watched.Load()
+		fleet.writeFollowers()
 		GinkgoWriter.Printf("%d boxes: %d records by watches, all up to date after %v\n", boxes, watched, took)
 		// No more than the relays of four halls, the order holder and the seeds follow the store.
 		Expect(watched).To(BeNumerically("<", 8*upstreams))
--- a/internal/storeview/watch.go
+++ b/internal/storeview/watch.go
@@ -86,14 +86,35 @@
 	return v.config.OrderLease.Held() || v.config.Members.WatchRank() < cluster.Watchers
 }
 
+// followReason is why a box asks the store itself; empty if others keep its copy up to date.
+type followReason string
+
+// The reasons.
+const (
+	// followsForAll: it is one of those that watch the store for all.
+	followsForAll followReason = "watches for all boxes"
+	// followsAsHolder: it holds the order lease.
+	followsAsHolder followReason = "holds the order lease"
+	// followsUnconfirmed: no copy that it has reached was ever known to be current.
+	followsUnconfirmed followReason = "copy never confirmed"
+	// followsStale: its copy was not known to be current for too long.
+	followsStale followReason = "copy not confirmed in time"
+)
+
 // paused reports whether the store need not be asked, because other boxes confirm the copy in good
 // time. A copy that was never current is always asked for.
 func (v *View) paused() bool {
+	reason := v.followReason()
+	v.noteFollowing(reason)
+	return reason == ""
+}
+
+func (v *View) followReason() followReason {
 	if v.config.Members.WatchRank() < cluster.Watchers {
-		return false
+		return followsForAll
 	}
 	if v.config.OrderLease.Held() {
-		return false
+		return followsAsHolder
 	}
 	limit, age := maxStaleness, v.mirror.Staleness()
 	if v.config.Members.FollowsRelay() {
@@ -104,5 +125,31 @@
 			age = arriving
 		}
 	}
-	return age >= 0 && age < limit+v.spread
+	switch {
+	case age < 0:
+		return followsUnconfirmed
+	case age >= limit+v.spread:
+		return followsStale
+	}
+	return ""
+}
+
+// noteFollowing logs when this box begins to ask the store itself, for another reason, or leaves it to other boxes.
+func (v *View) noteFollowing(reason followReason) {
+	if v.following.Swap(string(reason)) == any(string(reason)) {
+		return
+	}
+	if reason == "" {
+		v.config.Log.Info("store left to other boxes", zap.Int64("revision", v.mirror.State().Revision))
+		return
+	}
+	v.config.Log.Info("store followed",
+		zap.String("reason", string(reason)),
+		zap.String("relay", v.config.Members.Relay()),
+		zap.Int("watchRank", v.config.Members.WatchRank()),
+		zap.Bool("listed", v.config.Members.Listed()),
+		zap.Int("boxes", v.config.Members.Boxes()),
+		zap.Duration("staleness", v.mirror.Staleness()),
+		zap.Duration("arriving", v.mirror.Arriving()),
+		zap.Int64("revision", v.mirror.State().Revision))
 }
