Boxes that read the store whole at a start go on asking it before they are listed

Cause, by the new lines: each box that the store has yet to list gathers changes for a second before it polls again, so that it leaves the store to others; the seeds did so too, and where no box had been listed when they read it, none of the fleet asked the store between 0.25 and 1.05 s. That second counted against the 1.3 to 1.9 s after which a follower asks the store itself; with links that are nearly full the rest was too short.

Change: seeds gather as others do that watch the store.

--- a/internal/node/start_size_test.go
+++ b/internal/node/start_size_test.go
@@ -32,6 +32,8 @@
 	pages  atomic.Int64
 	// watched is how many records watches brought.
 	watched atomic.Int64
+	// writeTime is how long a write of a box takes.
+	writeTime time.Duration
 	// link is held while a page is sent; a channel, since a mutex would hold the bubble's clock.
 	link chan struct{}
 }
@@ -62,6 +64,12 @@
 		}()
 		return received, nil
 	}
+	store.Swap = func(ctx context.Context, swap kv.Swap) (kv.Record, error) {
+		if err := pause.For(ctx, s.writeTime); err != nil {
+			return kv.Record{}, err
+		}
+		return s.memory.Swap(ctx, swap)
+	}
 	store.Snapshot = func(ctx context.Context, prefix string) (kv.Snapshot, error) {
 		snapshot, _, err := s.within(ctx, prefix, 1<<30)
 		return snapshot, err
@@ -120,11 +128,15 @@
 	joins time.Duration
 	// bytesPerSecond is the rate of each box's link; 0 is no bound.
 	bytesPerSecond int64
-	links          map[string]*spectest.Link
+	// writeTime is how long a write of a box takes.
+	writeTime time.Duration
+	links     map[string]*spectest.Link
 	// lines are those of all boxes, each with its name, and watchedBy how many records the watches of each brought.
 	lines     *observer.ObservedLogs
 	logTo     zapcore.Core
 	watchedBy []atomic.Int64
+	// unasked is the longest time, since a box first had a copy, for which the store had answered none of them.
+	unasked time.Duration
 }
 
 // dial connects a box to others, over their links if they have any.
@@ -160,7 +172,7 @@
 		if f.joins == 0 {
 			joined(0, upstreams)
 		}
-		f.paged = &pagedStore{memory: memory, link: make(chan struct{}, 1)}
+		f.paged = &pagedStore{memory: memory, writeTime: f.writeTime, link: make(chan struct{}, 1)}
 		begun := time.Now()
 		f.begun = begun
 		for n := range boxes {
@@ -185,6 +197,7 @@
 		}
 		for !ready() && time.Since(begun) < time.Minute {
 			time.Sleep(50 * time.Millisecond)
+			f.unasked = max(f.unasked, f.sinceAsked())
 		}
 		pages, took = f.paged.pages.Load(), time.Since(begun)
 		for _, stop := range f.stops {
@@ -196,6 +209,17 @@
 	return pages, took
 }
 
+// sinceAsked is how long ago the store last answered any box.
+func (f *startedFleet) sinceAsked() (least time.Duration) {
+	least = -1
+	for _, node := range f.nodes {
+		if age := node.view.Mirror().StoreAge(); age >= 0 && (least < 0 || age < least) {
+			least = age
+		}
+	}
+	return least
+}
+
 func (f *startedFleet) start(n int) {
 	address := smallBoxAddress(n)
 	config := testConfig(smallBoxName(n), fmt.Sprint("z", n%4), address, f.paged.store(&f.watchedBy[n]), f.dial(address))
@@ -269,6 +293,15 @@
 		Entry("over links that exchanges nearly fill", int64(500_000)),
 	)
 
+	It("have the store asked by some of them all the time", func() {
+		// No box is listed when the first ones read the store.
+		fleet := &startedFleet{joins: 3 * time.Second, bytesPerSecond: 500_000, writeTime: 300 * time.Millisecond}
+		fleet.run(24, upstreams, false)
+		GinkgoWriter.Printf("asked nothing for %v\n", fleet.unasked)
+		// Twice for as long as a box that watches the store for all gathers changes.
+		Expect(fleet.unasked).To(BeNumerically("<", 500*time.Millisecond))
+	})
+
 	It("read it themselves where no seed lives, a few first", func() {
 		boxes := 40
 		if raceDetector {
--- a/internal/storeview/watch.go
+++ b/internal/storeview/watch.go
@@ -21,7 +21,7 @@
 	otherBatch  = 250 * time.Millisecond
 	// joinBatch is for how long changes are gathered by a box that the store has yet to list. Boxes that start
 	// together register meanwhile, so that its first poll shows it whom it follows. Half of what a box that
-	// follows a relay may be behind.
+	// follows a relay may be behind. Those that read the store whole go on asking: else nobody would.
 	joinBatch = time.Second
 	// firstPoll is how long a watch may be silent on the first watching box, and otherPoll on the
 	// others. A compaction silences watches, and a configuration is to be in force on all boxes within 5 s.
@@ -63,7 +63,7 @@
 	switch {
 	case v.config.OrderLease.Held():
 		return holderBatch
-	case !v.config.Members.Listed():
+	case !v.config.Members.Listed() && !v.config.ReadsWhole:
 		return joinBatch
 	}
 	return otherBatch
