--- a/internal/node/start_size_test.go
+++ b/internal/node/start_size_test.go
@@ -27,8 +27,10 @@
 	pageTime    = 3 * time.Millisecond
 )
 
-// startBoxes is how many boxes start together in the spec of their watches; CI has 60.
-var startBoxes = flag.Int("start-boxes", 60, "how many boxes start together while thousands of upstreams join")
+const ciStartBoxes = 60
+
+// startBoxes is how many boxes start together in the spec of their watches; CI has ciStartBoxes.
+var startBoxes = flag.Int("start-boxes", ciStartBoxes, "how many boxes start together while thousands of upstreams join")
 
 // pagedStore is a store that answers in pages, over one link that all boxes share.
 type pagedStore struct {
@@ -284,7 +286,9 @@
 		if raceDetector {
 			boxes = 24
 		}
-		fleet := &startedFleet{joins: 3 * time.Second, bytesPerSecond: bytesPerSecond}
+		// What a relay sends grows with its hall.
+		rate := bytesPerSecond * int64(max(boxes, ciStartBoxes)) / ciStartBoxes
+		fleet := &startedFleet{joins: 3 * time.Second, bytesPerSecond: rate}
 		_, took := fleet.run(boxes, upstreams, false)
 		watched := fleet.paged.watched.Load()
 		fleet.writeFollowers()
