--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,7 +35,7 @@
 	NoteDemand func(work map[residency.WorkKey]float64)
 	// Reserve asks for an engine's time to read a prompt; nil, or an error, and requests go by the reported loads alone.
 	Reserve func(ctx context.Context, asked dispatch.Reservation) (dispatch.ReservationAnswer, error)
-	// AskRate asks for one request to an upstream that is cold or names a limit.
+	// AskRate asks for one request to an upstream that is cold or names a limit; it must be set.
 	AskRate func(ctx context.Context, ask dispatch.RateAsk) (dispatch.RateGrant, error)
 	// Quotas take the costs of requests off their customers' quotas.
 	Quotas Quotas
@@ -73,7 +73,7 @@
 	Note func(work map[residency.WorkKey]float64)
 	// Reserve asks for an engine's time to read a prompt; nil, or an error, and requests go by the reported loads alone.
 	Reserve func(ctx context.Context, asked dispatch.Reservation) (dispatch.ReservationAnswer, error)
-	// AskRate asks for one request to an upstream that is cold or names a limit.
+	// AskRate asks for one request to an upstream that is cold or names a limit; it must be set.
 	AskRate func(ctx context.Context, ask dispatch.RateAsk) (dispatch.RateGrant, error)
 	// Quotas take the costs of requests off their customers' quotas.
 	Quotas Quotas
--- a/internal/storeview/view.go
+++ b/internal/storeview/view.go
@@ -45,8 +45,9 @@
 	mirror *mirror.Mirror
 	// spread is this box's part of stalenessSpread.
 	spread time.Duration
-	// following is the reason for which this box asked the store last, a string; empty while others keep its copy up to date.
-	following atomic.Value
+	// following is the reason for which this box asked the store last; empty while others keep its copy up to date. The mirror's own
+	// goroutine alone uses it.
+	following followReason
 	// awaitsUntil is until when this box awaits a first copy of a large store from others.
 	awaitsUntil time.Time
 	// changeLines bounds the log of what changes in the list of upstreams.
--- a/internal/storeview/watch.go
+++ b/internal/storeview/watch.go
@@ -136,9 +136,10 @@
 
 // noteFollowing logs when this box begins to ask the store itself, for another reason, or leaves it to other boxes.
 func (v *View) noteFollowing(reason followReason) {
-	if v.following.Swap(string(reason)) == any(string(reason)) {
+	if reason == v.following {
 		return
 	}
+	v.following = reason
 	if reason == "" {
 		v.config.Log.Info("store left to other boxes", zap.Int64("revision", v.mirror.State().Revision))
 		return
