A request read from a connection that is closed as idle is not passed on

Cause, by reading: the server tells that a connection is active only after it has read a request's head; until then this box closes it as idle, and the handler passed the request on all the same.

Change: the front remembers the idle connections that it closed, under the same lock by which it learns that one is active, and drops what is read from them: nothing was passed on, so that the caller may send it again.

--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -22,8 +23,9 @@
 	refusing atomic.Bool
 
 	mu sync.Mutex
-	// idle holds since when a connection has been idle.
-	idle map[net.Conn]time.Time
+	// idle holds since when a connection has been idle, and closed the idle ones that this box closed, until the server has noticed.
+	idle   map[net.Conn]time.Time
+	closed map[net.Conn]bool
 }
 
 const (
@@ -38,12 +40,13 @@
 
 // NewFront returns a server that hands requests to handler.
 func NewFront(handler http.Handler, gateway *Gateway) *Front {
-	f := &Front{gateway: gateway, idle: map[net.Conn]time.Time{}}
+	f := &Front{gateway: gateway, idle: map[net.Conn]time.Time{}, closed: map[net.Conn]bool{}}
 	f.Server = &http.Server{
-		Handler:           f.drainable(handler),
+		Handler:           f.unlessClosed(f.drainable(handler)),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         f.trackIdle,
+		ConnContext:       withConn,
 	}
 	return f
 }
@@ -67,6 +70,31 @@
 		return
 	}
 	delete(f.idle, conn)
+	if state == http.StateClosed {
+		delete(f.closed, conn)
+	}
+}
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// unlessClosed drops requests that were read from a connection just before it was closed as idle: their callers get no answer, and must be
+// able to send them again.
+func (f *Front) unlessClosed(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, _ := r.Context().Value(connKey{}).(net.Conn)
+		f.mu.Lock()
+		closed := f.closed[conn]
+		f.mu.Unlock()
+		if closed {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // closeIdle closes connections that have been idle for longer than the configuration allows. The
@@ -95,6 +123,7 @@
 		if now.Sub(since) > table.Limits.IdleTimeout {
 			_ = conn.Close()
 			delete(f.idle, conn)
+			f.closed[conn] = true
 		}
 	}
 }
