--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -104,6 +104,29 @@
 	return answers, nil
 }
 
+// delivering is answering over a link: each batch arrives once take has returned, and the watch ends if that fails.
+func delivering(ctx context.Context, store kv.Store, watching kv.Watching, take func([]kv.Event) error) (<-chan []kv.Event, error) {
+	batches, err := answering(ctx, store, watching)
+	if err != nil {
+		return nil, err
+	}
+	received := make(chan []kv.Event)
+	go func() {
+		defer close(received)
+		for batch := range batches {
+			if take(batch) != nil {
+				return
+			}
+			select {
+			case received <- batch:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return received, nil
+}
+
 // relays names the boxes that act as relays.
 func (f *largeFleet) relays() []string {
 	var names []string
--- a/internal/node/small_boxes_test.go
+++ b/internal/node/small_boxes_test.go
@@ -213,29 +213,13 @@
 		return snapshot, receive(ctx, bytes)
 	}
 	store.Watch = func(ctx context.Context, watching kv.Watching) (<-chan []kv.Event, error) {
-		batches, err := answering(ctx, s.memory, watching)
-		if err != nil {
-			return nil, err
-		}
-		received := make(chan []kv.Event)
-		go func() {
-			defer close(received)
-			for batch := range batches {
-				bytes := 0
-				for _, event := range batch {
-					bytes += len(event.Record.Value)
-				}
-				if receive(ctx, bytes) != nil {
-					return
-				}
-				select {
-				case received <- batch:
-				case <-ctx.Done():
-					return
-				}
+		return delivering(ctx, s.memory, watching, func(batch []kv.Event) error {
+			bytes := 0
+			for _, event := range batch {
+				bytes += len(event.Record.Value)
 			}
-		}()
-		return received, nil
+			return receive(ctx, bytes)
+		})
 	}
 	return store
 }
--- a/internal/node/start_size_test.go
+++ b/internal/node/start_size_test.go
@@ -48,27 +48,11 @@
 func (s *pagedStore) store(watched *atomic.Int64) kv.Store {
 	store := s.memory
 	store.Watch = func(ctx context.Context, watching kv.Watching) (<-chan []kv.Event, error) {
-		batches, err := answering(ctx, s.memory, watching)
-		if err != nil {
-			return nil, err
-		}
-		received := make(chan []kv.Event)
-		go func() {
-			defer close(received)
-			for batch := range batches {
-				s.watched.Add(int64(len(batch)))
-				watched.Add(int64(len(batch)))
-				if s.send(ctx, len(batch)) != nil {
-					return
-				}
-				select {
-				case received <- batch:
-				case <-ctx.Done():
-					return
-				}
-			}
-		}()
-		return received, nil
+		return delivering(ctx, s.memory, watching, func(batch []kv.Event) error {
+			s.watched.Add(int64(len(batch)))
+			watched.Add(int64(len(batch)))
+			return s.send(ctx, len(batch))
+		})
 	}
 	store.Swap = func(ctx context.Context, swap kv.Swap) (kv.Record, error) {
 		if err := pause.For(ctx, s.writeTime); err != nil {
