--- a/internal/storeview/view.go
+++ b/internal/storeview/view.go
@@ -49,6 +49,8 @@
 	// lastFollowReason is the reason why this box follows the store itself; empty while other boxes keep its copy up to
 	// date. Only the mirror's goroutine uses it.
 	lastFollowReason followReason
+	// loggedOlderThan is the copy's revision at the latest logged snapshot that was older than it.
+	loggedOlderThan int64
 	// copyWaitDeadline is when this box stops waiting for a first copy of a large store from other boxes.
 	copyWaitDeadline time.Time
 	// changeLogLimit limits the log lines about changes in the list of upstreams.
@@ -86,8 +88,11 @@
 		MayAwaitCopy:      v.mayAwaitCopy,
 		OnPartialSnapshot: v.applyPartialSnapshot,
 		OnConnectivity:    v.logConnectivity,
+		OnOlderSnapshot:   v.logOlderSnapshot,
+		OnWatchEnd:        v.countWatchEnd,
 	}
 	if config.Metrics != nil {
+		config.Metrics.NewGauge("ospreymoor_store_epoch", func() float64 { return float64(v.storeEpoch()) })
 		config.Metrics.NewGauge("ospreymoor_evacuated_halls", func() float64 { return float64(v.evacuatedHalls.Load()) })
 	}
 	return v
@@ -99,14 +104,6 @@
 // Mirror returns this box's copy of the store.
 func (v *View) Mirror() *mirror.Mirror { return v.mirror }
 
-func (v *View) logConnectivity(err error) {
-	if err != nil {
-		v.config.Log.Warn("store lost", logfield.Error(err))
-	} else {
-		v.config.Log.Info("store regained")
-	}
-}
-
 // applyState applies a new state of the copy. The mirror makes one call at a time. The cost grows with the number of
 // changed records, not with the size of the store.
 func (v *View) applyState(state mirror.State) {
--- a/pkg/kv/kv.go
+++ b/pkg/kv/kv.go
@@ -109,6 +109,9 @@
 // errors of the kinds above. Read calls (Get, List, Snapshot, Watch) fail with ErrUnavailable. Changes
 // also fail with ErrUnknown if they may have been sent.
 type Store struct {
+	// Epoch returns the highest epoch of the service that an answer named; 0 if none did. The epoch rises by one each
+	// time the service comes back from a copy of its state. nil is a service that names no epoch.
+	Epoch func() int64
 	// Get reads one key, or returns ErrNotFound.
 	Get func(ctx context.Context, key string) (Record, error)
 	// List reads all keys that begin with prefix, in key order.
--- a/pkg/mirror/follow.go
+++ b/pkg/mirror/follow.go
@@ -196,6 +196,9 @@
 			requestNextPoll(nextPoll)
 		}
 	}
+	if m.OnWatchEnd != nil && ctx.Err() == nil {
+		m.OnWatchEnd()
+	}
 	return false
 }
 
@@ -226,6 +229,9 @@
 	previousCurrentAt := m.freshness.confirmed
 	m.confirmByStore()
 	if snapshot.Revision < m.state.Revision {
+		if m.OnOlderSnapshot != nil {
+			m.OnOlderSnapshot(snapshot.Revision, m.state.Revision)
+		}
 		m.fillMissing(records)
 		return
 	}
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -70,6 +70,11 @@
 	// OnConnectivity is called with an error when the store becomes unreachable, and with nil when it is reachable
 	// again. nil is not called.
 	OnConnectivity func(error)
+	// OnOlderSnapshot is called with the revision of a snapshot that is older than the copy, and that of the copy. nil
+	// is not called.
+	OnOlderSnapshot func(snapshot, copied int64)
+	// OnWatchEnd is called when a watch of the store ends by itself. nil is not called.
+	OnWatchEnd func()
 
 	mu        sync.Mutex
 	state     State
