--- a/pkg/kv/memory.go
+++ b/pkg/kv/memory.go
@@ -14,6 +14,8 @@
 // Memory implements the key-value service in memory, for tests and stand-ins.
 type Memory struct {
 	mu sync.Mutex
+	// epoch rises by one with each Restore.
+	epoch int64
 	// revision is the revision of the last change.
 	revision int64
 	keys     map[string]memoryKey
@@ -179,17 +181,22 @@
 	if watching.From > 0 {
 		next = sort.Search(len(m.history), func(i int) bool { return m.history[i].Record.Revision >= watching.From })
 	}
+	epoch := m.epoch
 	m.mu.Unlock()
-	go m.follow(ctx, watching.Prefix, next, events)
+	go m.follow(ctx, watching.Prefix, epoch, next, events)
 	return events, nil
 }
 
 // follow sends the events below prefix from history index next on, and then those that are added, until
-// ctx ends.
-func (m *Memory) follow(ctx context.Context, prefix string, next int, events chan<- []Event) {
+// ctx or the epoch ends.
+func (m *Memory) follow(ctx context.Context, prefix string, epoch int64, next int, events chan<- []Event) {
 	defer close(events)
 	for {
 		m.mu.Lock()
+		if m.epoch != epoch {
+			m.mu.Unlock()
+			return
+		}
 		m.expire()
 		batch, changed := m.history[next:], m.changed
 		m.mu.Unlock()
@@ -252,6 +259,11 @@
 // publish adds a change to the history and notifies the watches. The caller holds the lock.
 func (m *Memory) publish(event Event) {
 	m.history = append(m.history, event)
+	m.notifyWatches()
+}
+
+// notifyWatches makes all watches look for changes. The caller holds the lock.
+func (m *Memory) notifyWatches() {
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
--- /dev/null
+++ b/pkg/kv/memory_restore.go
@@ -0,0 +1,52 @@
+package kv
+
+import (
+	"maps"
+	"time"
+)
+
+// Checkpoint is a copy of the state of a Memory.
+type Checkpoint struct {
+	takenAt  time.Time
+	revision int64
+	keys     map[string]memoryKey
+	leases   map[LeaseID]memoryLease
+	lastID   LeaseID
+	changes  int
+}
+
+// Checkpoint returns a copy of the present state.
+func (m *Memory) Checkpoint() Checkpoint {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	leases := make(map[LeaseID]memoryLease, len(m.leases))
+	for id, lease := range m.leases {
+		leases[id] = *lease
+	}
+	return Checkpoint{
+		takenAt: time.Now(), revision: m.revision, keys: maps.Clone(m.keys), leases: leases, lastID: m.lastID, changes: len(m.history),
+	}
+}
+
+// Restore goes back to an earlier state and raises the epoch: what was written since is lost, and revisions and lease
+// ids are given out again. Leases have the time left that they had in the copy. All watches end.
+func (m *Memory) Restore(c Checkpoint) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.epoch++
+	m.revision, m.keys, m.lastID = c.revision, maps.Clone(c.keys), c.lastID
+	m.leases = make(map[LeaseID]*memoryLease, len(c.leases))
+	for id, lease := range c.leases {
+		lease.expires = lease.expires.Add(time.Since(c.takenAt))
+		m.leases[id] = &lease
+	}
+	m.history = m.history[:c.changes:c.changes]
+	m.notifyWatches()
+}
+
+// Epoch returns the number of times that the state was restored, plus the epoch at the start.
+func (m *Memory) Epoch() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.epoch
+}
