--- a/internal/cluster/blob.go
+++ b/internal/cluster/blob.go
@@ -12,6 +12,7 @@
 
 	"github.com/juju/errors"
 
+	"ospreymoor.example/ospreymoor/pkg/kv"
 	"ospreymoor.example/ospreymoor/pkg/mirror"
 )
 
@@ -99,7 +100,9 @@
 	}
 	key, revision, ok := id.record()
 	record, _ := records.Get(key)
-	if !ok || record.Revision != revision {
+	// A box of the previous version names a sequence number without an epoch.
+	inPresentEpoch := kv.EpochOf(revision) == 0 && kv.SequenceOf(record.Revision) == revision
+	if !ok || record.Revision != revision && !inPresentEpoch {
 		return nil, nil
 	}
 	packed, err := pack(record.Value)
--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -10,6 +10,7 @@
 	"ospreymoor.example/ospreymoor/internal/peer"
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
 	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/kv"
 	"ospreymoor.example/ospreymoor/pkg/logfield"
 	"ospreymoor.example/ospreymoor/pkg/mirror"
 	"ospreymoor.example/ospreymoor/pkg/pause"
@@ -124,6 +125,7 @@
 
 // messageTo builds the message for one box under a scope.
 func (e *Exchange) messageTo(to string, sent scope) message {
+	revision := e.Mirror.State().Revision
 	m := message{
 		From:        e.Members.self,
 		Scope:       sent,
@@ -131,7 +133,9 @@
 		StoreLost:   e.Mirror.Lost(),
 		StoreAge:    e.Mirror.StoreAge(),
 		Staleness:   e.Mirror.Staleness(),
-		Revision:    e.Mirror.State().Revision,
+		Revision:    kv.SequenceOf(revision),
+		StoreEpoch:  kv.EpochOf(revision),
+		NamesEpoch:  true,
 		OrderHolder: e.orderHolder(),
 		Version:     e.Directory.Version(),
 		Crashes:     e.crashes.take(to),
--- a/internal/cluster/fetch.go
+++ b/internal/cluster/fetch.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -46,20 +45,6 @@
 	}
 }
 
-// newerThan returns what this box has newer than a revision of the store and a version of the directory. Large
-// values are left out if the other box fetches them in pieces. Otherwise there is no delta while this box itself
-// lacks some of them.
-func (e *Exchange) newerThan(request syncRequest) syncAnswer {
-	newer := syncAnswer{Update: e.Directory.UpdateSince(request.Version)}
-	switch {
-	case request.Pieces:
-		newer.Delta = e.Mirror.DeltaSince(request.Revision, largeValueBytes)
-	case len(e.Mirror.Missing()) == 0:
-		newer.Delta = e.Mirror.DeltaSince(request.Revision, math.MaxInt)
-	}
-	return newer
-}
-
 // fetch fetches newer state from a box if newer is set, and the large records that this box lacks. One fetch of each
 // kind runs at a time.
 func (e *Exchange) fetch(ctx context.Context, address string, newer bool) {
@@ -79,7 +64,7 @@
 	}
 	defer underway.Store(false)
 	if err := fetch(ctx, address); err != nil && ctx.Err() == nil {
-		e.Log.Info("newer state not fetched", zap.String("address", address), zap.Int64("revision", e.Mirror.State().Revision), logfield.Error(err))
+		e.Log.Info("newer state not fetched", zap.String("address", address), zap.Int64("revision", kv.SequenceOf(e.Mirror.State().Revision)), logfield.Error(err))
 	}
 }
 
@@ -87,7 +72,11 @@
 func (e *Exchange) fetchNewer(ctx context.Context, address string) error {
 	callCtx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
-	request := syncRequest{Revision: e.Mirror.State().Revision, Version: e.Directory.Version(), Pieces: true, Binary: true}
+	revision := e.Mirror.State().Revision
+	request := syncRequest{
+		Revision: kv.SequenceOf(revision), StoreEpoch: kv.EpochOf(revision), NamesEpoch: true,
+		Version: e.Directory.Version(), Pieces: true, Binary: true,
+	}
 	answer, err := peer.Call[syncAnswer](callCtx, e.Client, address, methodSync, request)
 	if err != nil {
 		return err
@@ -141,26 +130,27 @@
 	if !request.Binary {
 		return e.answerSyncAsJSON(request)
 	}
-	now := time.Now()
-	if id := e.sender.blobs.findShared(request, now); id != "" {
+	now, own := time.Now(), e.Mirror.State().Revision
+	since := request.since(own)
+	if id := e.sender.blobs.findShared(since, request.Version, now); id != "" {
 		return syncAnswer{Packed: id}, nil
 	}
-	from := request
-	if request.Revision > 0 {
-		from = widen(request, e.Mirror.State().Revision, e.Directory.Version())
+	from := syncFrom{revision: since, version: request.Version}
+	if since > 0 {
+		from = from.widened(own, e.Directory.Version())
 	}
-	answer := e.newerThan(from)
+	answer := e.newerThanFrom(from, true)
 	if answer.estimatedBytes() <= maxExchangedBytes || answer.Delta == nil {
 		return answer, nil
 	}
-	answer.Since = from.Version
+	answer.Since = from.version
 	packed, err := packSyncAnswer(answer)
 	if err != nil {
 		return syncAnswer{}, err
 	}
-	id := sharedDeltaBlob(from.Revision, answer.Delta.Revision)
+	id := sharedDeltaBlob(from.revision, answer.Delta.Revision)
 	e.sender.blobs.addShared(sharedDelta{
-		blob: blob{id: id, packed: packed}, from: from.Revision, to: answer.Delta.Revision, version: from.Version, packedAt: now,
+		blob: blob{id: id, packed: packed}, from: from.revision, to: answer.Delta.Revision, version: from.version, packedAt: now,
 	})
 	return syncAnswer{Packed: id}, nil
 }
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -72,8 +72,11 @@
 	// copy of the store was current by any source. Both are negative if that never happened.
 	StoreAge  time.Duration `json:"storeAge"`
 	Staleness time.Duration `json:"staleness"`
-	// Revision of the sender's copy of the store.
-	Revision int64 `json:"revision"`
+	// Revision is the sequence number of the revision of the sender's copy of the store, under StoreEpoch. NamesEpoch
+	// means that the sender knows of epochs; a box of the previous version does not.
+	Revision   int64 `json:"revision"`
+	StoreEpoch int64 `json:"storeEpoch,omitempty"`
+	NamesEpoch bool  `json:"namesEpoch,omitempty"`
 	// Delta holds the changes that the sender's copy of the store has and the receiver's lacks.
 	Delta *mirror.Delta `json:"delta,omitempty"`
 	// OrderHolder is the box that holds the order lease according to the sender; nil if none is known.
@@ -129,8 +132,11 @@
 
 // syncRequest requests what is newer than a revision of the store and a version of the directory.
 type syncRequest struct {
-	Revision int64         `json:"revision"`
-	Version  fleet.Version `json:"stamp"`
+	// Revision, StoreEpoch and NamesEpoch are those of message.
+	Revision   int64         `json:"revision"`
+	StoreEpoch int64         `json:"storeEpoch,omitempty"`
+	NamesEpoch bool          `json:"namesEpoch,omitempty"`
+	Version    fleet.Version `json:"stamp"`
 	// Pieces is that of message.
 	Pieces bool `json:"pieces,omitempty"`
 	// Binary means that the caller reads packed answers in binary format.
--- a/internal/cluster/receive.go
+++ b/internal/cluster/receive.go
@@ -15,10 +15,11 @@
 func (e *Exchange) answer(ctx context.Context, received message) (message, error) {
 	e.receive(context.WithoutCancel(ctx), received)
 	answer := e.messageTo(received.From.Name, answerScope(received.Scope))
-	if received.Pieces && e.Mirror.ChangesSince(received.Revision) > maxExchangedChanges {
+	request := syncRequestOf(received)
+	if received.Pieces && e.Mirror.ChangesSince(request.since(e.Mirror.State().Revision)) > maxExchangedChanges {
 		return answer, nil // The box fetches the changes.
 	}
-	newer := e.newerThan(syncRequest{Revision: received.Revision, Version: received.Version, Pieces: received.Pieces})
+	newer := e.newerThan(request)
 	if !received.Pieces || newer.estimatedBytes() <= maxExchangedBytes {
 		answer.Delta, answer.Update = newer.Delta, newer.Update
 	}
@@ -79,11 +80,11 @@
 func (e *Exchange) applyState(received message, now time.Time) {
 	e.apply(syncAnswer{Delta: received.Delta, Update: received.Update})
 	if received.Staleness >= 0 {
-		e.Mirror.ConfirmCurrent(received.Revision, now.Add(-received.Staleness))
+		e.Mirror.ConfirmCurrent(received.storeRevision(), now.Add(-received.Staleness))
 	}
 }
 
 // behind reports whether the sender's copy of the store or directory is newer than this box's.
 func (e *Exchange) behind(received message) bool {
-	return received.Revision > e.Mirror.State().Revision || e.Directory.Version().Before(received.Version)
+	return received.storeRevision() > e.Mirror.State().Revision || e.Directory.Version().Before(received.Version)
 }
--- a/internal/cluster/shareddelta.go
+++ b/internal/cluster/shareddelta.go
@@ -36,10 +36,11 @@
 	lastOffered time.Time
 }
 
-// satisfies reports whether the delta brings the requesting box up to date now.
-func (s *sharedDelta) satisfies(request syncRequest, now time.Time) bool {
-	lacking := s.to - request.Revision
-	covers := s.from <= request.Revision && !request.Version.Before(s.version)
+// satisfies reports whether the delta now brings a box up to date whose copy of the store is at a revision, and whose
+// directory is at a version.
+func (s *sharedDelta) satisfies(revision int64, version fleet.Version, now time.Time) bool {
+	lacking := s.to - revision
+	covers := s.from <= revision && !version.Before(s.version)
 	return covers && lacking > 0 && maxDeltaExcess*lacking >= s.to-s.from && now.Sub(s.packedAt) <= s.maxAge()
 }
 
@@ -65,12 +66,12 @@
 	}
 }
 
-// findShared returns the id of a delta that satisfies a request; empty if there is none.
-func (c *blobCache) findShared(request syncRequest, now time.Time) blobID {
+// findShared returns the id of a delta that satisfies a box at a revision and a version; empty if there is none.
+func (c *blobCache) findShared(revision int64, version fleet.Version, now time.Time) blobID {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i := len(c.shared) - 1; i >= 0; i-- {
-		if c.shared[i].satisfies(request, now) {
+		if c.shared[i].satisfies(revision, version, now) {
 			c.shared[i].lastOffered = now
 			return c.shared[i].id
 		}
@@ -78,12 +79,12 @@
 	return ""
 }
 
-// widen returns a request from twice as far back, so that its delta also satisfies boxes that are somewhat further
-// behind.
-func widen(request syncRequest, revision int64, version fleet.Version) syncRequest {
-	wide := syncRequest{Revision: max(1, 2*request.Revision-revision), Pieces: true}
-	if request.Version.Term == version.Term {
-		wide.Version = fleet.Version{Term: version.Term, Sequence: max(0, 2*request.Version.Sequence-version.Sequence)}
+// widened returns a state from twice as far back, so that its delta also satisfies boxes that are somewhat further
+// behind. revision and version are those of this box.
+func (f syncFrom) widened(revision int64, version fleet.Version) syncFrom {
+	wide := syncFrom{revision: max(1, 2*f.revision-revision)}
+	if f.version.Term == version.Term {
+		wide.version = fleet.Version{Term: version.Term, Sequence: max(0, 2*f.version.Sequence-version.Sequence)}
 	}
 	return wide
 }
--- a/internal/cluster/sync_codec.go
+++ b/internal/cluster/sync_codec.go
@@ -17,8 +17,8 @@
 // The binary format of a packed sync answer. As JSON, the state of 10,000 upstreams would take a box with a fifth of
 // a core one second to decode, and its values in base64 twice their memory.
 //
-// The format is gzip of syncFormat, the answer as JSON without its changed records, and these records. Numbers are
-// varints. Byte strings follow their length.
+// The format is gzip of syncFormat, the answer as JSON without its changed records, and these records, whose revisions
+// are sequence numbers under the delta's epoch. Numbers are varints. Byte strings follow their length.
 
 // syncFormat is the first byte. A later format has another value and is rejected.
 const syncFormat = 1
@@ -44,7 +44,7 @@
 	for _, record := range changed {
 		w.bytes([]byte(record.Key))
 		w.bytes(record.Value)
-		w.varint(record.Revision)
+		w.varint(kv.SequenceOf(record.Revision))
 		w.varint(record.Version)
 	}
 	// The writer keeps its first error, and Flush returns it.
@@ -89,6 +89,7 @@
 	}
 	for count := r.varint(); r.err == nil && count > 0; count-- {
 		record := kv.Record{Key: string(r.bytes()), Value: r.bytes(), Revision: r.varint(), Version: r.varint()}
+		record.Revision = kv.RevisionAt(kv.EpochOf(answer.Delta.Revision), record.Revision)
 		answer.Delta.Changed = append(answer.Delta.Changed, record)
 	}
 	if r.err != nil {
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
+	"ospreymoor.example/ospreymoor/pkg/kv"
 	"ospreymoor.example/ospreymoor/pkg/logfield"
 )
 
@@ -55,7 +56,7 @@
 		zap.Int("uncached", choice.Uncached),
 		zap.Int("running", load.Running),
 		zap.Ints("prefill", load.Prefill[:]),
-		zap.Int64("listRevision", choice.Upstream.Revision),
+		zap.Int64("listRevision", kv.SequenceOf(choice.Upstream.Revision)),
 		zap.Duration("listAge", time.Since(choice.Upstream.ListedAt)),
 		logfield.Error(err))...)
 }
@@ -96,7 +97,7 @@
 		zap.Int("memory", r.lastChoice.Load.Tokens),
 		zap.Duration("took", took),
 		zap.Int64("configVersion", g.tableVersion()),
-		zap.Int64("listRevision", g.Directory.Revision()),
+		zap.Int64("listRevision", kv.SequenceOf(g.Directory.Revision())),
 		logfield.Error(err))
 }
 
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -7,6 +7,7 @@
 
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
 	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/kv"
 )
 
 // logSentAgainstNotice counts and logs a request that is sent although answers of its upstream gave notice that it
@@ -26,7 +27,7 @@
 		zap.Int("sending", r.attempts.sent),
 		zap.Duration("leavingFor", restrictions.LeavingFor),
 		zap.Duration("restLeft", restrictions.BackoffLeft),
-		zap.Int64("listRevision", choice.Upstream.Revision))
+		zap.Int64("listRevision", kv.SequenceOf(choice.Upstream.Revision)))
 }
 
 // logSentToLimited counts and logs a request that is sent to an upstream that names a rate limit. The lines of
--- a/internal/node/crash_cuts_test.go
+++ b/internal/node/crash_cuts_test.go
@@ -85,7 +85,7 @@
 	}
 	store.Grant = func(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
 		if err := storeError(); err != nil {
-			return 0, err
+			return kv.LeaseID{}, err
 		}
 		return c.store.Grant(ctx, ttl)
 	}
--- a/internal/node/new.go
+++ b/internal/node/new.go
@@ -16,6 +16,7 @@
 	"ospreymoor.example/ospreymoor/pkg/customers"
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
 	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/kv"
 	"ospreymoor.example/ospreymoor/pkg/logfield"
 	"ospreymoor.example/ospreymoor/pkg/mirror"
 	"ospreymoor.example/ospreymoor/pkg/quarantine"
@@ -76,6 +77,7 @@
 		Platform: config.Platform, Quarantine: s.quarantine, Records: n.state, IsResponsible: s.members.IsKeeperOf, Log: config.Log,
 	}
 	n.registration = storeview.NewRegistration(config.Platform, self, config.Log)
+	n.registration.Boxes = s.members.Boxes
 	n.server = peer.NewServer(config.PeerSecret, config.Metrics)
 	n.server.OnAcceptError = func(err error) {
 		config.Log.Warn("connection of another box not accepted", logfield.Error(err))
@@ -104,7 +106,7 @@
 			zap.String("unreadable", event.Unreadable),
 			zap.String("source", string(event.Source)),
 			zap.Int("status", event.Status),
-			zap.Int64("listRevision", directory.Revision()))
+			zap.Int64("listRevision", kv.SequenceOf(directory.Revision())))
 	}
 	return directory
 }
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -89,7 +89,10 @@
 			}
 			var batch []kv.Event
 			select {
-			case batch = <-changes:
+			case batch, ok = <-changes:
+				if !ok {
+					return
+				}
 			case <-time.After(wait):
 			case <-ctx.Done():
 				return
--- a/internal/node/small_boxes_test.go
+++ b/internal/node/small_boxes_test.go
@@ -48,8 +48,11 @@
 // smallBoxes is a fleet whose boxes all have a slow link. It records when each box learns of a change.
 type smallBoxes struct {
 	size    smallFleetSize
+	service *kv.Memory
 	memory  kv.Store
 	nodes   []*Node
+	// prepare, if not nil, changes each box before it runs.
+	prepare func(*Node)
 	running sync.WaitGroup
 	network spectest.Network
 	// links holds the boxes' links by address.
@@ -57,6 +60,8 @@
 	// storeDown means that the store answers no box.
 	storeDown atomic.Bool
 	calls     storeCalls
+	// storeBytes is what the store's answers took on the boxes' links.
+	storeBytes atomic.Int64
 
 	mu sync.Mutex
 	// written is when the store took a change, by the change's name. known is when a box learned of it, by the
@@ -71,11 +76,17 @@
 
 // withSmallBoxes runs f in a bubble, on a fleet of small boxes that report a running request for each upstream.
 func withSmallBoxes(size smallFleetSize, f func(*smallBoxes)) {
+	withPreparedBoxes(size, nil, f)
+}
+
+// withPreparedBoxes is withSmallBoxes with a change of each box before it runs.
+func withPreparedBoxes(size smallFleetSize, prepare func(*Node), f func(*smallBoxes)) {
 	if raceDetector && size.boxes > raceSize.boxes {
 		size = raceSize
 	}
 	spectest.Bubble(func() {
 		s := newSmallBoxes(size)
+		s.prepare = prepare
 		ctx, stop := context.WithCancel(context.Background())
 		for n := range size.boxes {
 			s.start(ctx, n)
@@ -93,8 +104,9 @@
 
 // newSmallBoxes returns a fleet without boxes yet, whose store has a configuration and all upstreams.
 func newSmallBoxes(size smallFleetSize) *smallBoxes {
+	service := kv.NewMemory()
 	s := &smallBoxes{
-		size: size, memory: kv.NewMemory().Store(), links: map[string]*spectest.Link{},
+		size: size, service: service, memory: service.Store(), links: map[string]*spectest.Link{},
 		written: map[string]time.Time{}, known: map[string]map[string]time.Time{},
 	}
 	for n := range size.boxes {
@@ -128,6 +140,9 @@
 		return fleet.Upstream{ID: id, Service: "s", Leaving: state != "", Revision: record.Revision}, nil
 	}
 	node := New(config)
+	if s.prepare != nil {
+		s.prepare(node)
+	}
 	s.nodes = append(s.nodes, node)
 	listener := s.network.Listen(address)
 	s.running.Go(func() {
@@ -198,6 +213,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, storeTransferTimeout)
 		defer cancel()
 		const base64Factor = 4.0 / 3
+		s.storeBytes.Add(int64(float64(bytes) * base64Factor))
 		if link.Receive(callCtx, int(float64(bytes)*base64Factor)) != nil {
 			return kv.ErrUnavailable
 		}
--- a/internal/orderlease/holder_record.go
+++ b/internal/orderlease/holder_record.go
@@ -66,7 +66,7 @@
 	h.mu.Unlock()
 	if first {
 		h.log.Warn("record of the last order holder unreadable: waiting as for a box that can't be asked",
-			zap.String("key", record.Key), zap.Int64("revision", record.Revision), logfield.Error(err))
+			zap.String("key", record.Key), zap.Int64("revision", kv.SequenceOf(record.Revision)), logfield.Error(err))
 	}
 	return last
 }
--- a/internal/orderlease/lease.go
+++ b/internal/orderlease/lease.go
@@ -109,6 +109,7 @@
 		Reclaim:   true,
 		MayBeFree: func() bool { return l.mayBeFree() && l.mayContend() },
 		Wake:      l.wake,
+		Term:      kv.SequenceOf,
 		Changed:   l.handover.leaseChanged,
 	})
 	return l
--- a/internal/orderlease/lease_test.go
+++ b/internal/orderlease/lease_test.go
@@ -166,7 +166,7 @@
 		_, err = store.Swap(context.Background(), kv.Swap{Key: leaseKey, Value: []byte("b"), Lease: id})
 		Expect(err).NotTo(HaveOccurred())
 		l := New(Config{Name: "c", Store: store, TTL: 3 * time.Second, Log: zap.NewNop()})
-		_, err = l.handleRevoke(context.Background(), revokeRequest{Lease: id})
+		_, err = l.handleRevoke(context.Background(), revokeRequest{Lease: id.Number, Epoch: id.Epoch})
 		Expect(err).NotTo(HaveOccurred())
 		_, err = store.Get(context.Background(), leaseKey)
 		Expect(err).To(MatchError(kv.ErrNotFound))
--- a/internal/orderlease/messages.go
+++ b/internal/orderlease/messages.go
@@ -1,10 +1,6 @@
 package orderlease
 
-import (
-	"time"
-
-	"ospreymoor.example/ospreymoor/pkg/kv"
-)
+import "time"
 
 // Methods that boxes call on each other.
 const (
@@ -29,7 +25,9 @@
 
 // revokeRequest asks a box to revoke a lease in the store.
 type revokeRequest struct {
-	Lease kv.LeaseID `json:"lease"`
+	Lease int64 `json:"lease"`
+	// Epoch is the store's epoch in which the lease was granted.
+	Epoch int64 `json:"epoch,omitempty"`
 }
 
 // holderRecord is the record in the store of the box that last gave orders.
--- a/internal/orderlease/resign.go
+++ b/internal/orderlease/resign.go
@@ -43,7 +43,7 @@
 func (l *Lease) revokeThrough(ctx context.Context, address string, id kv.LeaseID) {
 	callCtx, cancel := context.WithTimeout(ctx, cluster.CallTimeout)
 	defer cancel()
-	_, err := peer.Call[peer.Empty](callCtx, l.Client, address, methodRevoke, revokeRequest{Lease: id})
+	_, err := peer.Call[peer.Empty](callCtx, l.Client, address, methodRevoke, revokeRequest{Lease: id.Number, Epoch: id.Epoch})
 	if err != nil {
 		l.Log.Info("order lease not revoked: it expires by itself", logfield.Error(err))
 	}
@@ -51,5 +51,5 @@
 
 // handleRevoke revokes a lease in the store for a box that does not reach the store.
 func (l *Lease) handleRevoke(ctx context.Context, request revokeRequest) (peer.Empty, error) {
-	return peer.Empty{}, l.Store.Revoke(ctx, request.Lease)
+	return peer.Empty{}, l.Store.Revoke(ctx, kv.LeaseID{Number: request.Lease, Epoch: request.Epoch})
 }
--- a/internal/standin/etcd.go
+++ b/internal/standin/etcd.go
@@ -49,7 +49,7 @@
 		Key:      string(op.Put.Key),
 		Revision: from,
 		Value:    op.Put.Value,
-		Lease:    kv.LeaseID(op.Put.Lease),
+		Lease:    kv.LeaseID{Number: op.Put.Lease},
 	})
 	return record.Revision, err
 }
@@ -60,7 +60,7 @@
 }
 
 func renew(ctx context.Context, store kv.Store, request kv.LeaseRequest) (renewResult, error) {
-	err := store.Renew(ctx, kv.LeaseID(request.ID))
+	err := store.Renew(ctx, kv.LeaseID{Number: request.ID})
 	if errors.Is(err, kv.ErrLeaseLost) {
 		return renewResult{Result: kv.LeaseResponse{ID: request.ID}}, nil
 	}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -99,13 +99,13 @@
 	})))
 	mux.HandleFunc("POST "+kv.PathGrant, p.faulty(handleJSON(func(r *http.Request, q kv.LeaseRequest) (any, error) {
 		id, err := store.Grant(r.Context(), time.Duration(q.TTL)*time.Second)
-		return kv.LeaseResponse{ID: int64(id), TTL: q.TTL}, err
+		return kv.LeaseResponse{ID: id.Number, TTL: q.TTL}, err
 	})))
 	mux.HandleFunc("POST "+kv.PathRenew, p.faulty(handleJSON(func(r *http.Request, q kv.LeaseRequest) (any, error) {
 		return renew(r.Context(), store, q)
 	})))
 	mux.HandleFunc("POST "+kv.PathRevoke, p.faulty(handleJSON(func(r *http.Request, q kv.LeaseRequest) (any, error) {
-		return kv.LeaseResponse{}, store.Revoke(r.Context(), kv.LeaseID(q.ID))
+		return kv.LeaseResponse{}, store.Revoke(r.Context(), kv.LeaseID{Number: q.ID})
 	})))
 	mux.HandleFunc("POST "+kv.PathWatch, p.faulty(p.watch))
 	mux.HandleFunc("GET /boxes", p.faulty(p.boxes))
--- a/internal/storeview/evacuation.go
+++ b/internal/storeview/evacuation.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/kv"
 	"ospreymoor.example/ospreymoor/pkg/mirror"
 )
 
@@ -44,7 +45,7 @@
 	log := v.config.Log.With(
 		zap.Int("upstreamsInEvacuatedHalls", evacuated),
 		zap.Int("upstreamsLeft", left),
-		zap.Int64("revision", state.Revision),
+		zap.Int64("revision", kv.SequenceOf(state.Revision)),
 		zap.String("origin", string(state.Origin)))
 	if len(change.Begun) > 0 {
 		log.Info("halls evacuated: their upstreams get nothing new", zap.Strings("halls", change.Begun))
--- a/internal/storeview/quarantine_test.go
+++ b/internal/storeview/quarantine_test.go
@@ -101,7 +101,7 @@
 				if back.Load() {
 					return store.Grant(ctx, ttl)
 				}
-				return 0, kv.ErrUnavailable
+				return kv.LeaseID{}, kv.ErrUnavailable
 			}
 			running(h, func() {
 				crash(h.Quarantine, "e1", "e2")
--- a/internal/storeview/registration.go
+++ b/internal/storeview/registration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/juju/errors"
@@ -22,6 +23,9 @@
 	renewalInterval = 10 * time.Second
 	// registrationRetryDelay is the pause after a failed attempt.
 	registrationRetryDelay = time.Second
+	// registrationPace is the mean time between the registrations of two boxes after the store came back from a copy: all
+	// boxes that started together renew together, and the store refuses writes beyond its rate. Each takes two.
+	registrationPace = 20 * time.Millisecond
 	// deregisterTimeout bounds the call that revokes the registration when the box stops.
 	deregisterTimeout = time.Second
 )
@@ -32,11 +36,15 @@
 	key   string
 	box   cluster.Box
 	log   *zap.Logger
+	// Boxes returns the number of boxes; nil counts this one alone. Set it before Run.
+	Boxes func() int
 
-	// lease is the lease of the latest registration; 0 before the first one. listed means that the lease is not known to
+	// lease is the lease of the latest registration; the zero value before the first one. listed means that the lease is not known to
 	// be lost.
 	lease  kv.LeaseID
 	listed bool
+	// restored means that the store came back from a copy after the registration, which it may still have.
+	restored bool
 	// failing means that the latest attempt failed.
 	failing bool
 }
@@ -51,7 +59,7 @@
 	for ctx.Err() == nil {
 		_ = pause.For(ctx, r.attempt(ctx)) // The loop ends with ctx.
 	}
-	if r.lease != 0 {
+	if r.lease != (kv.LeaseID{}) {
 		revokeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), deregisterTimeout)
 		defer cancel()
 		_ = r.store.Revoke(revokeCtx, r.lease) // If this fails, the registration expires with its lease.
@@ -62,6 +70,10 @@
 // failure in a row is logged.
 func (r *Registration) attempt(ctx context.Context) time.Duration {
 	err := r.renewOrRegister(ctx)
+	if errors.Is(err, kv.ErrRestored) {
+		r.listed, r.restored = false, true
+		return r.spread()
+	}
 	if err != nil && !r.failing && ctx.Err() == nil {
 		r.log.Info("box not registered: retrying", logfield.Error(err))
 	}
@@ -72,6 +84,16 @@
 	return renewalInterval
 }
 
+// spread returns a random time after which this box registers again, so that all boxes together keep to
+// registrationPace.
+func (r *Registration) spread() time.Duration {
+	boxes := 1
+	if r.Boxes != nil {
+		boxes = max(1, r.Boxes())
+	}
+	return rand.N(time.Duration(boxes) * registrationPace)
+}
+
 // renewOrRegister renews the registration, or registers the box if it has none.
 func (r *Registration) renewOrRegister(ctx context.Context) error {
 	if r.listed {
@@ -97,21 +119,22 @@
 		return err
 	}
 	swap := kv.Swap{Key: r.key, Value: value, Lease: lease}
-	_, err = r.store.Swap(ctx, swap)
-	if errors.Is(err, kv.ErrConflict) {
+	if r.restored {
+		err = r.replace(ctx, swap)
+	} else if _, err = r.store.Swap(ctx, swap); errors.Is(err, kv.ErrConflict) {
 		err = r.replace(ctx, swap)
 	}
 	if err != nil {
 		return err
 	}
-	r.lease, r.listed = lease, true
+	r.lease, r.listed, r.restored = lease, true, false
 	return nil
 }
 
-// replace overwrites the record of an earlier process.
+// replace overwrites the record of an earlier process, or of this one, if there is one.
 func (r *Registration) replace(ctx context.Context, swap kv.Swap) error {
 	earlier, err := r.store.Get(ctx, r.key)
-	if err != nil {
+	if err != nil && !errors.Is(err, kv.ErrNotFound) {
 		return err
 	}
 	swap.Revision = earlier.Revision
--- a/internal/storeview/store_log.go
+++ b/internal/storeview/store_log.go
@@ -1,9 +1,13 @@
 package storeview
 
 import (
+	"bytes"
+
 	"go.uber.org/zap"
 
+	"ospreymoor.example/ospreymoor/pkg/kv"
 	"ospreymoor.example/ospreymoor/pkg/logfield"
+	"ospreymoor.example/ospreymoor/pkg/mirror"
 )
 
 func (v *View) logConnectivity(err error) {
@@ -31,7 +35,35 @@
 	}
 	v.loggedOlderThan = copied
 	v.config.Log.Info("snapshot of the store is older than this box's copy",
-		zap.Int64("snapshot", snapshot), zap.Int64("revision", copied), zap.Int64("epoch", v.storeEpoch()))
+		zap.Int64("snapshot", kv.SequenceOf(snapshot)), zap.Int64("revision", kv.SequenceOf(copied)), zap.Int64("epoch", v.storeEpoch()))
+}
+
+// logRestored logs and counts that the store came back from a copy, with what the copy of this box had and the store's
+// has not: records that are lost, records with another value, and records that had gone.
+func (v *View) logRestored(state mirror.State) {
+	v.countStoreEvent("ospreymoor_store_restores_total")
+	var lost, reverted, returned int
+	for key, record := range v.lastRecords.All() {
+		now, found := state.Records.Get(key)
+		switch {
+		case !found:
+			lost++
+		case !bytes.Equal(now.Value, record.Value):
+			reverted++
+		}
+	}
+	for key := range state.Records.All() {
+		if _, found := v.lastRecords.Get(key); !found {
+			returned++
+		}
+	}
+	v.config.Log.Warn("store came back from a copy",
+		zap.Int64("epoch", kv.EpochOf(state.Revision)),
+		zap.Int64("fromEpoch", kv.EpochOf(v.lastRevision)),
+		zap.Int64("revision", kv.SequenceOf(state.Revision)),
+		zap.Int64("fromRevision", kv.SequenceOf(v.lastRevision)),
+		zap.Int("lost", lost), zap.Int("changed", reverted), zap.Int("returned", returned),
+		zap.String("origin", string(state.Origin)))
 }
 
 // countWatchEnd counts a watch that the store ended, as it does when it has no history since the copy's revision.
--- a/internal/storeview/storeview_test.go
+++ b/internal/storeview/storeview_test.go
@@ -251,7 +251,7 @@
 			failing := true
 			store.Grant = func(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
 				if failing {
-					return 0, kv.ErrUnavailable
+					return kv.LeaseID{}, kv.ErrUnavailable
 				}
 				return memory.Grant(ctx, ttl)
 			}
--- a/internal/storeview/upstreams.go
+++ b/internal/storeview/upstreams.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/kv"
 	"ospreymoor.example/ospreymoor/pkg/logfield"
 	"ospreymoor.example/ospreymoor/pkg/mirror"
 )
@@ -51,7 +52,7 @@
 	}
 	if reason != previousReason {
 		v.config.Log.Warn("upstream entry unreadable",
-			zap.String("key", record.Key), zap.String("reason", reason), zap.Int64("revision", record.Revision), logfield.Error(err))
+			zap.String("key", record.Key), zap.String("reason", reason), zap.Int64("revision", kv.SequenceOf(record.Revision)), logfield.Error(err))
 	}
 	return fleet.Upstream{}, false
 }
@@ -72,7 +73,7 @@
 		}
 	}
 	for kind, count := range omitted {
-		v.config.Log.Info("upstreams changed, too many to name", zap.String("kind", string(kind)), zap.Int("count", count), zap.Int64("revision", revision))
+		v.config.Log.Info("upstreams changed, too many to name", zap.String("kind", string(kind)), zap.Int("count", count), zap.Int64("revision", kv.SequenceOf(revision)))
 	}
 }
 
@@ -107,5 +108,5 @@
 		zap.String("service", change.Upstream.Service),
 		zap.String("address", change.Upstream.Address),
 		zap.Duration("notice", change.Upstream.EndsAfter),
-		zap.Int64("revision", revision))
+		zap.Int64("revision", kv.SequenceOf(revision)))
 }
--- a/internal/storeview/view.go
+++ b/internal/storeview/view.go
@@ -60,8 +60,9 @@
 
 	// The fields below are changed only by applyState, which never runs concurrently with itself.
 
-	// lastRecords are the records of the copy that was applied last.
-	lastRecords mirror.Records
+	// lastRecords and lastRevision are those of the copy that was applied last.
+	lastRecords  mirror.Records
+	lastRevision int64
 	// upstreamIDs has the upstream's id by the key of its entry. unusableReasons has, by key, why an entry names no
 	// usable upstream.
 	upstreamIDs     map[string]string
@@ -85,6 +86,7 @@
 		PollTimeout:       v.pollTimeout,
 		PollAhead:         v.pollAhead,
 		Paused:            v.mayPause,
+		MayAwaitRestored:  config.Members.FollowsRelay,
 		MayAwaitCopy:      v.mayAwaitCopy,
 		OnPartialSnapshot: v.applyPartialSnapshot,
 		OnConnectivity:    v.logConnectivity,
@@ -108,7 +110,10 @@
 // changed records, not with the size of the store.
 func (v *View) applyState(state mirror.State) {
 	changes := v.groupChangedKeys(state)
-	v.lastRecords = state.Records
+	if v.lastRevision != 0 && kv.Precedes(v.lastRevision, kv.EpochOf(state.Revision)) {
+		v.logRestored(state)
+	}
+	v.lastRecords, v.lastRevision = state.Records, state.Revision
 	v.applyTable(state, changes.config)
 	evacuations := v.applyEvacuations(state, changes.evacuations)
 	v.applyUpstreams(state, changes.upstreams)
@@ -160,13 +165,13 @@
 	}
 	table, err := v.config.Platform.DecodeTable(records)
 	if err != nil {
-		v.config.Log.Error("configuration unreadable: the former one stays in force", zap.Int64("revision", newest), logfield.Error(err))
+		v.config.Log.Error("configuration unreadable: the former one stays in force", zap.Int64("revision", kv.SequenceOf(newest)), logfield.Error(err))
 		return
 	}
 	if table != nil && v.config.SetTable(table) {
 		v.config.Log.Info("configuration in force",
 			zap.Int64("version", table.Version),
-			zap.Int64("revision", newest),
+			zap.Int64("revision", kv.SequenceOf(newest)),
 			zap.Int("routes", len(table.Routes)),
 			zap.Int("bytes", bytes),
 			zap.String("origin", string(state.Origin)),
--- a/internal/storeview/watch.go
+++ b/internal/storeview/watch.go
@@ -148,7 +148,7 @@
 	}
 	v.lastFollowReason = reason
 	if reason == "" {
-		v.config.Log.Info("store left to other boxes", zap.Int64("revision", v.mirror.State().Revision))
+		v.config.Log.Info("store left to other boxes", zap.Int64("revision", kv.SequenceOf(v.mirror.State().Revision)))
 		return
 	}
 	v.config.Log.Info("store followed",
@@ -159,5 +159,5 @@
 		zap.Int("boxes", v.config.Members.Boxes()),
 		zap.Duration("staleness", v.mirror.Staleness()),
 		zap.Duration("arriving", v.mirror.ArrivalAge()),
-		zap.Int64("revision", v.mirror.State().Revision))
+		zap.Int64("revision", kv.SequenceOf(v.mirror.State().Revision)))
 }
--- a/pkg/kv/budget.go
+++ b/pkg/kv/budget.go
@@ -110,7 +110,7 @@
 
 func (b *budgeted) grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
 	if err := b.take(ctx, b.writes, "grant"); err != nil {
-		return 0, err
+		return LeaseID{}, err
 	}
 	return b.store.Grant(ctx, ttl)
 }
--- a/pkg/kv/etcd.go
+++ b/pkg/kv/etcd.go
@@ -88,7 +88,7 @@
 	if len(swap.Value) > MaxValueBytes {
 		return Record{}, errors.Annotatef(ErrTooLarge, "swap %s: %d bytes", swap.Key, len(swap.Value))
 	}
-	put := Op{Put: &PutRequest{Key: []byte(swap.Key), Value: swap.Value, Lease: int64(swap.Lease)}}
+	put := Op{Put: &PutRequest{Key: []byte(swap.Key), Value: swap.Value, Lease: swap.Lease.Number}}
 	answer, err := e.txn(ctx, swap.Key, swap.Revision, put)
 	if err != nil {
 		return Record{}, err
@@ -122,25 +122,25 @@
 	var answer LeaseResponse
 	seconds := int64((ttl + time.Second - 1) / time.Second)
 	err := e.change(ctx, PathGrant, LeaseRequest{TTL: seconds}, &answer)
-	return LeaseID(answer.ID), err
+	return LeaseID{Number: answer.ID}, err
 }
 
 func (e *etcd) renew(ctx context.Context, id LeaseID) error {
 	var answer struct {
 		Result LeaseResponse `json:"result"`
 	}
-	if err := e.change(ctx, PathRenew, LeaseRequest{ID: int64(id)}, &answer); err != nil {
+	if err := e.change(ctx, PathRenew, LeaseRequest{ID: id.Number}, &answer); err != nil {
 		return err
 	}
 	if answer.Result.TTL <= 0 {
-		return errors.Annotatef(ErrLeaseLost, "renew lease %d", id)
+		return errors.Annotatef(ErrLeaseLost, "renew lease %d", id.Number)
 	}
 	return nil
 }
 
 func (e *etcd) revoke(ctx context.Context, id LeaseID) error {
 	var answer LeaseResponse
-	return e.change(ctx, PathRevoke, LeaseRequest{ID: int64(id)}, &answer)
+	return e.change(ctx, PathRevoke, LeaseRequest{ID: id.Number}, &answer)
 }
 
 // prefixEnd returns the first key after all keys that begin with prefix.
--- a/pkg/kv/kv.go
+++ b/pkg/kv/kv.go
@@ -38,18 +38,24 @@
 	ErrTooLarge = errors.ConstError("value over a megabyte: split it over several keys")
 	// ErrLeaseLost: the service has ended the lease.
 	ErrLeaseLost = errors.ConstError("lease ended: grant a new one")
+	// ErrRestored: the service came back from a copy of its state after the lease was granted.
+	ErrRestored = errors.ConstError("service came back from a copy: write again what depends on the lease")
 	// ErrBudget: this process has used up its call budget.
 	ErrBudget = errors.ConstError("call budget used up: try again later")
 )
 
-// LeaseID identifies a lease of the service; 0 means no lease.
-type LeaseID int64
+// LeaseID identifies a lease of the service; the zero value means no lease.
+type LeaseID struct {
+	Number int64
+	// Epoch is the service's epoch in which the lease was granted. In a later one the number may be another lease's.
+	Epoch int64
+}
 
 // Record is the state of one key at one revision.
 type Record struct {
 	Key   string
 	Value []byte
-	// Revision is the service-wide revision of the key's last change; 0 means that the key is absent.
+	// Revision is the service-wide revision of the key's last change; 0 means that the key is absent. See RevisionAt.
 	Revision int64
 	// Version counts the key's changes since its creation.
 	Version int64
@@ -61,7 +67,7 @@
 	// Revision is the one that the key must have; 0 means that the key must be absent.
 	Revision int64
 	Value    []byte
-	// Lease is the lease whose end deletes the key; 0 for none.
+	// Lease is the lease whose end deletes the key; the zero value for none.
 	Lease LeaseID
 }
 
@@ -106,7 +112,8 @@
 }
 
 // Store gives access to the key-value service. All functions are safe for concurrent use and return
-// errors of the kinds above. Read calls (Get, List, Snapshot, Watch) fail with ErrUnavailable. Changes
+// errors of the kinds above. A condition on a revision of an earlier epoch does not hold, and a change whose
+// answer is of another epoch than its condition or lease fails with ErrUnknown. Read calls (Get, List, Snapshot, Watch) fail with ErrUnavailable. Changes
 // also fail with ErrUnknown if they may have been sent.
 type Store struct {
 	// Epoch returns the highest epoch of the service that an answer named; 0 if none did. The epoch rises by one each
@@ -129,9 +136,11 @@
 	Delete func(ctx context.Context, key string, revision int64) error
 	// Grant creates a lease that expires ttl after its last renewal.
 	Grant func(ctx context.Context, ttl time.Duration) (LeaseID, error)
-	// Renew extends a lease, or returns ErrLeaseLost.
+	// Renew extends a lease. It returns ErrLeaseLost if the lease ended, and ErrRestored if it is not known whether the
+	// service still has it.
 	Renew func(ctx context.Context, id LeaseID) error
-	// Revoke ends a lease and deletes the keys that are attached to it.
+	// Revoke ends a lease and deletes the keys that are attached to it. It does nothing to a lease of an earlier epoch,
+	// which expires by itself if the service still has it.
 	Revoke func(ctx context.Context, id LeaseID) error
 	// Watch sends every change of a prefix from a revision on, in batches as the service answers. It
 	// closes the channel when ctx ends or the service ends the watch; the caller then reads a snapshot
--- a/pkg/kv/memory.go
+++ b/pkg/kv/memory.go
@@ -16,11 +16,13 @@
 	mu sync.Mutex
 	// epoch rises by one with each Restore.
 	epoch int64
-	// revision is the revision of the last change.
-	revision int64
+	// sequence is the sequence number of the last change. Records and events hold theirs as their revision; what leaves
+	// this type has revisions of the present epoch.
+	sequence int64
 	keys     map[string]memoryKey
-	leases   map[LeaseID]*memoryLease
-	lastID   LeaseID
+	// leases are by their number, of which lastLease is the latest.
+	leases    map[int64]*memoryLease
+	lastLease int64
 	// history holds all changes, oldest first; it is never compacted.
 	history []Event
 	// changed is closed and replaced at each change.
@@ -29,7 +31,8 @@
 
 type memoryKey struct {
 	record Record
-	lease  LeaseID
+	// lease is the number of the key's lease; 0 if it has none.
+	lease int64
 }
 
 type memoryLease struct {
@@ -40,9 +43,9 @@
 // NewMemory returns an empty service at revision 1.
 func NewMemory() *Memory {
 	return &Memory{
-		revision: 1,
+		sequence: 1,
 		keys:     map[string]memoryKey{},
-		leases:   map[LeaseID]*memoryLease{},
+		leases:   map[int64]*memoryLease{},
 		changed:  make(chan struct{}),
 	}
 }
@@ -50,6 +53,7 @@
 // Store returns a Store that accesses m.
 func (m *Memory) Store() Store {
 	return Store{
+		Epoch:    m.Epoch,
 		Get:      m.get,
 		List:     m.list,
 		Snapshot: m.snapshot,
@@ -75,7 +79,18 @@
 func (m *Memory) Revision() int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.revision
+	return RevisionAt(m.epoch, m.sequence)
+}
+
+// present returns a record with its revision of the present epoch. The caller holds the lock.
+func (m *Memory) present(record Record) Record {
+	record.Revision = RevisionAt(m.epoch, record.Revision)
+	return record
+}
+
+// holds reports whether a key has a revision; 0 if it must not exist. The caller holds the lock.
+func (m *Memory) holds(key string, revision int64) bool {
+	return m.present(m.keys[key].record).Revision == revision
 }
 
 func (m *Memory) get(_ context.Context, key string) (Record, error) {
@@ -86,7 +101,7 @@
 	if !ok {
 		return Record{}, errors.Annotatef(ErrNotFound, "get %s", key)
 	}
-	return k.record, nil
+	return m.present(k.record), nil
 }
 
 func (m *Memory) list(_ context.Context, prefix string) ([]Record, error) {
@@ -96,7 +111,7 @@
 	var records []Record
 	for key, k := range m.keys {
 		if strings.HasPrefix(key, prefix) {
-			records = append(records, k.record)
+			records = append(records, m.present(k.record))
 		}
 	}
 	sort.Slice(records, func(i, j int) bool { return records[i].Key < records[j].Key })
@@ -117,30 +132,29 @@
 	if len(swap.Value) > MaxValueBytes {
 		return Record{}, errors.Annotatef(ErrTooLarge, "swap %s: %d bytes", swap.Key, len(swap.Value))
 	}
-	old := m.keys[swap.Key].record
-	if old.Revision != swap.Revision {
+	if !m.holds(swap.Key, swap.Revision) {
 		return Record{}, errors.Annotatef(ErrConflict, "swap %s from revision %d", swap.Key, swap.Revision)
 	}
-	if _, ok := m.leases[swap.Lease]; swap.Lease != 0 && !ok {
+	if swap.Lease != (LeaseID{}) && !m.hasLease(swap.Lease) {
 		return Record{}, errors.Annotatef(ErrLeaseLost, "swap %s", swap.Key)
 	}
-	m.revision++
+	m.sequence++
 	record := Record{
 		Key:      swap.Key,
 		Value:    append([]byte(nil), swap.Value...),
-		Revision: m.revision,
-		Version:  old.Version + 1,
+		Revision: m.sequence,
+		Version:  m.keys[swap.Key].record.Version + 1,
 	}
-	m.keys[swap.Key] = memoryKey{record: record, lease: swap.Lease}
+	m.keys[swap.Key] = memoryKey{record: record, lease: swap.Lease.Number}
 	m.publish(Event{Record: record})
-	return record, nil
+	return m.present(record), nil
 }
 
 func (m *Memory) remove(_ context.Context, key string, revision int64) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expire()
-	if m.keys[key].record.Revision != revision {
+	if !m.holds(key, revision) {
 		return errors.Annotatef(ErrConflict, "delete %s from revision %d", key, revision)
 	}
 	m.drop(key)
@@ -150,19 +164,28 @@
 func (m *Memory) grant(_ context.Context, ttl time.Duration) (LeaseID, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.lastID++
-	m.leases[m.lastID] = &memoryLease{ttl: ttl, expires: time.Now().Add(ttl)}
-	return m.lastID, nil
+	m.lastLease++
+	m.leases[m.lastLease] = &memoryLease{ttl: ttl, expires: time.Now().Add(ttl)}
+	return LeaseID{Number: m.lastLease, Epoch: m.epoch}, nil
+}
+
+// hasLease reports whether a lease of the present epoch has not ended. The caller holds the lock.
+func (m *Memory) hasLease(id LeaseID) bool {
+	_, ok := m.leases[id.Number]
+	return ok && id.Epoch == m.epoch
 }
 
 func (m *Memory) renew(_ context.Context, id LeaseID) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expire()
-	lease, ok := m.leases[id]
-	if !ok {
-		return errors.Annotatef(ErrLeaseLost, "renew lease %d", id)
+	if id.Epoch != m.epoch {
+		return errors.Annotatef(ErrRestored, "renew lease %d", id.Number)
+	}
+	if !m.hasLease(id) {
+		return errors.Annotatef(ErrLeaseLost, "renew lease %d", id.Number)
 	}
+	lease := m.leases[id.Number]
 	lease.expires = time.Now().Add(lease.ttl)
 	return nil
 }
@@ -170,18 +193,21 @@
 func (m *Memory) revoke(_ context.Context, id LeaseID) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.endLease(id)
+	if id.Epoch == m.epoch {
+		m.endLease(id.Number)
+	}
 	return nil
 }
 
 func (m *Memory) watch(ctx context.Context, watching WatchOptions) (<-chan []Event, error) {
 	events := make(chan []Event)
 	m.mu.Lock()
-	next := len(m.history)
+	next, epoch := len(m.history), m.epoch
 	if watching.From > 0 {
-		next = sort.Search(len(m.history), func(i int) bool { return m.history[i].Record.Revision >= watching.From })
+		epoch = EpochOf(watching.From)
+		from := SequenceOf(watching.From)
+		next = sort.Search(len(m.history), func(i int) bool { return m.history[i].Record.Revision >= from })
 	}
-	epoch := m.epoch
 	m.mu.Unlock()
 	go m.follow(ctx, watching.Prefix, epoch, next, events)
 	return events, nil
@@ -204,6 +230,9 @@
 		batch = slices.DeleteFunc(slices.Clone(batch), func(event Event) bool {
 			return !strings.HasPrefix(event.Record.Key, prefix)
 		})
+		for i := range batch {
+			batch[i].Record.Revision = RevisionAt(epoch, batch[i].Record.Revision)
+		}
 		if len(batch) > 0 {
 			select {
 			case events <- batch:
@@ -233,8 +262,8 @@
 	}
 }
 
-// endLease ends a lease and deletes the keys that are attached to it. The caller holds the lock.
-func (m *Memory) endLease(id LeaseID) {
+// endLease ends a lease by its number and deletes the keys that are attached to it. The caller holds the lock.
+func (m *Memory) endLease(id int64) {
 	delete(m.leases, id)
 	if id == 0 {
 		return
@@ -252,8 +281,8 @@
 		return
 	}
 	delete(m.keys, key)
-	m.revision++
-	m.publish(Event{Record: Record{Key: key, Revision: m.revision}, Deleted: true})
+	m.sequence++
+	m.publish(Event{Record: Record{Key: key, Revision: m.sequence}, Deleted: true})
 }
 
 // publish adds a change to the history and notifies the watches. The caller holds the lock.
--- a/pkg/kv/memory_restore.go
+++ b/pkg/kv/memory_restore.go
@@ -7,24 +7,24 @@
 
 // Checkpoint is a copy of the state of a Memory.
 type Checkpoint struct {
-	takenAt  time.Time
-	revision int64
-	keys     map[string]memoryKey
-	leases   map[LeaseID]memoryLease
-	lastID   LeaseID
-	changes  int
+	takenAt   time.Time
+	sequence  int64
+	keys      map[string]memoryKey
+	leases    map[int64]memoryLease
+	lastLease int64
+	changes   int
 }
 
 // Checkpoint returns a copy of the present state.
 func (m *Memory) Checkpoint() Checkpoint {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	leases := make(map[LeaseID]memoryLease, len(m.leases))
+	leases := make(map[int64]memoryLease, len(m.leases))
 	for id, lease := range m.leases {
 		leases[id] = *lease
 	}
 	return Checkpoint{
-		takenAt: time.Now(), revision: m.revision, keys: maps.Clone(m.keys), leases: leases, lastID: m.lastID, changes: len(m.history),
+		takenAt: time.Now(), sequence: m.sequence, keys: maps.Clone(m.keys), leases: leases, lastLease: m.lastLease, changes: len(m.history),
 	}
 }
 
@@ -34,8 +34,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.epoch++
-	m.revision, m.keys, m.lastID = c.revision, maps.Clone(c.keys), c.lastID
-	m.leases = make(map[LeaseID]*memoryLease, len(c.leases))
+	m.sequence, m.keys, m.lastLease = c.sequence, maps.Clone(c.keys), c.lastLease
+	m.leases = make(map[int64]*memoryLease, len(c.leases))
 	for id, lease := range c.leases {
 		lease.expires = lease.expires.Add(time.Since(c.takenAt))
 		m.leases[id] = &lease
--- a/pkg/lease/contest.go
+++ b/pkg/lease/contest.go
@@ -32,10 +32,15 @@
 
 // step renews the lease if it is held, and tries to acquire it otherwise.
 func (l *Lease) step(ctx context.Context) {
-	if id := l.heldID(); id != 0 {
+	if id := l.heldID(); id != (kv.LeaseID{}) {
 		l.renew(ctx, id)
 		return
 	}
+	l.contend(ctx)
+}
+
+// contend tries to acquire the lease if this process should hold it and it may be free.
+func (l *Lease) contend(ctx context.Context) {
 	if l.config.Candidate() && l.config.MayBeFree() {
 		l.acquire(ctx)
 	}
@@ -48,13 +53,17 @@
 }
 
 // renew renews the lease. It releases the lease if the store reports its loss, if this process is no candidate any
-// more, or if renewals have failed for too long.
+// more, or if renewals have failed for too long. If the store came back from a copy, the lease may be lost or its id
+// another one's, so that it is released and contended for at once.
 func (l *Lease) renew(ctx context.Context, id kv.LeaseID) {
 	before := time.Now()
 	err := l.config.Store.Renew(ctx, id)
 	switch {
 	case err == nil && l.config.Candidate():
 		l.extend(id, before)
+	case errors.Is(err, kv.ErrRestored):
+		l.release()
+		l.contend(ctx)
 	case err == nil, errors.Is(err, kv.ErrLeaseLost), l.renewalOverdue():
 		l.release()
 	}
@@ -78,7 +87,7 @@
 }
 
 // acquire creates the lease's key if no process holds it. With Config.Reclaim it also replaces a key that still has
-// this process's name. The revision of the write is the term.
+// this process's name.
 func (l *Lease) acquire(ctx context.Context) {
 	store := l.config.Store
 	current, err := store.Get(ctx, l.config.Key)
@@ -103,18 +112,19 @@
 		_ = store.Revoke(ctx, id)
 		return
 	}
+	term := l.config.Term(record.Revision)
 	l.mu.Lock()
-	l.id, l.term, l.highestTerm = id, record.Revision, record.Revision
+	l.id, l.term, l.highestTerm = id, term, max(l.highestTerm, term)
 	l.actUntil = before.Add(l.config.TTL - l.config.Margin)
 	l.mu.Unlock()
-	l.config.Changed(record.Revision)
+	l.config.Changed(term)
 }
 
 // release revokes the lease, so that another process can gain it at once. If the store is unreachable, the lease
 // expires with its TTL.
 func (l *Lease) release() {
 	id, wasHeld := l.clearHeld()
-	if id == 0 {
+	if id == (kv.LeaseID{}) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), l.config.TTL/renewalsPerTTL)
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -62,6 +62,9 @@
 	// Wake makes Run renew or contend at once, for example when the holder's key has been deleted. With nil, Run
 	// does so only at its regular interval.
 	Wake <-chan struct{}
+	// Term returns the term of a lease that was gained at a revision of the store; it must be above all earlier ones. nil
+	// uses the revision.
+	Term func(revision int64) int64
 	// Changed is called with the term (above 0) when the lease is gained, and with 0 when it is lost or given up. It
 	// is not called when the time to act runs out before the lease is given up. It must not block.
 	Changed func(term int64)
@@ -95,6 +98,9 @@
 	if config.MayBeFree == nil {
 		config.MayBeFree = func() bool { return true }
 	}
+	if config.Term == nil {
+		config.Term = func(revision int64) int64 { return revision }
+	}
 	if config.Changed == nil {
 		config.Changed = func(int64) {}
 	}
@@ -123,8 +129,10 @@
 type Status struct {
 	// Term is the lease's term; 0 if the lease is not held.
 	Term int64
-	// LastRenewal is when the last successful renewal was sent. It has no meaning if Term is 0.
+	// LastRenewal is when the last successful renewal was sent, and Epoch the store's epoch in which the lease was granted.
+	// They have no meaning if Term is 0.
 	LastRenewal time.Time
+	Epoch       int64
 }
 
 // Status returns the lease that is held, even if the time to act is over but the store has not confirmed the loss. A
@@ -133,7 +141,7 @@
 func (l *Lease) Status() Status {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Status{Term: l.term, LastRenewal: l.actUntil.Add(l.config.Margin - l.config.TTL)}
+	return Status{Term: l.term, LastRenewal: l.lastRenewal(), Epoch: l.id.Epoch}
 }
 
 // Abandon gives up the lease if it is held under a term below the given one. A holder calls it when another process
@@ -142,7 +150,7 @@
 	l.mu.Lock()
 	outdated := l.term != 0 && l.term < term
 	if outdated {
-		l.id, l.term = 0, 0
+		l.id, l.term = kv.LeaseID{}, 0
 	}
 	l.mu.Unlock()
 	if outdated {
@@ -150,7 +158,34 @@
 	}
 }
 
-// Resign gives up the lease at once and returns its ID in the store, or 0 if nothing was held. A holder that can't
+// RaiseTerm raises the term of the lease that is held above another one, and returns it; 0 if the lease is not held
+// under the given term any more. A holder calls it when it learns of a term that is not below its own.
+func (l *Lease) RaiseTerm(term, above int64) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if term == 0 || l.term != term {
+		return 0
+	}
+	l.term = max(l.term, above+1)
+	l.highestTerm = max(l.highestTerm, l.term)
+	return l.term
+}
+
+// LastRenewal returns when the last successful renewal was sent, also if the lease was lost since; the zero time if this
+// process never held it.
+func (l *Lease) LastRenewal() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.highestTerm == 0 {
+		return time.Time{}
+	}
+	return l.lastRenewal()
+}
+
+// lastRenewal returns when the last successful renewal was sent. The caller holds the lock.
+func (l *Lease) lastRenewal() time.Time { return l.actUntil.Add(l.config.Margin - l.config.TTL) }
+
+// Resign gives up the lease at once and returns its ID in the store, or the zero value if nothing was held. A holder that can't
 // reach the store calls it, and asks a process that does reach it to revoke the lease. Another process can then gain
 // the lease before its TTL ends.
 func (l *Lease) Resign() kv.LeaseID {
@@ -166,6 +201,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	id, wasHeld = l.id, l.term != 0
-	l.id, l.term = 0, 0
+	l.id, l.term = kv.LeaseID{}, 0
 	return id, wasHeld
 }
--- a/pkg/mirror/delta.go
+++ b/pkg/mirror/delta.go
@@ -7,20 +7,20 @@
 	"ospreymoor.example/ospreymoor/pkg/kv"
 )
 
-// Delta has the changes that bring a copy of an older revision up to date.
+// Delta has the changes that bring a copy of an older revision up to date. Its form in JSON is deltaMessage.
 type Delta struct {
 	// From is the revision of the older copy, and Revision that of the newer one.
-	From     int64 `json:"from"`
-	Revision int64 `json:"revision"`
+	From     int64
+	Revision int64
 	// Changed are the added or changed records, except those in Large.
-	Changed []kv.Record `json:"changed,omitempty"`
+	Changed []kv.Record
 	// Large names the changed records whose values the delta does not carry; see ApplyLarge.
-	Large []LargeRecord `json:"large,omitempty"`
+	Large []LargeRecord
 	// Removed are the keys that were removed, if these are known. If not, HasAllKeys is set, and Keys are all keys
 	// that exist.
-	Removed    []string `json:"removed,omitempty"`
-	HasAllKeys bool     `json:"whole,omitempty"`
-	Keys       []string `json:"keys,omitempty"`
+	Removed    []string
+	HasAllKeys bool
+	Keys       []string
 }
 
 // DeltaSince returns the changes since a revision; nil if this copy is not newer. It only names the records whose
--- a/pkg/mirror/follow.go
+++ b/pkg/mirror/follow.go
@@ -50,14 +50,20 @@
 }
 
 // shouldPause reports whether the store need not be polled now: this mirror has a copy, other boxes keep it up to
-// date, and if the store is lost, it was tried recently.
+// date, it is of the store's present epoch, and if the store is lost, it was tried recently.
 func (m *Mirror) shouldPause() bool {
+	mayAwait := m.MayAwaitRestored != nil && m.MayAwaitRestored()
 	m.mu.Lock()
-	due := m.state.Revision == 0 || (m.connection.lost && time.Since(m.connection.lastAttempt) > lostRetryInterval)
+	due := m.state.Revision == 0 || (m.outlived() && !mayAwait) || (m.connection.lost && time.Since(m.connection.lastAttempt) > lostRetryInterval)
 	m.mu.Unlock()
 	return !due && m.Paused != nil && m.Paused()
 }
 
+// outlived reports whether the store came back from a copy since the state was current. The caller holds the lock.
+func (m *Mirror) outlived() bool {
+	return m.Store.Epoch != nil && kv.Precedes(m.state.Revision, m.Store.Epoch())
+}
+
 // follow applies changes until a call fails, the watch ends or the mirror should pause. If the state is complete, no
 // change before its revision was missed: follow reads the records that the copy lacks and watches the store from the
 // revision on. If not, it reads a snapshot first. It reports whether the state is complete at the end.
@@ -66,7 +72,7 @@
 	m.connection.lastAttempt = time.Now()
 	// A first copy from another box is complete: reading the whole store after it would cost each starting box a
 	// snapshot.
-	complete = complete || m.copiedFromPeers
+	complete = (complete || m.copiedFromPeers) && !m.outlived()
 	m.copiedFromPeers = false
 	m.mu.Unlock()
 	if !complete {
@@ -97,7 +103,7 @@
 		m.noteConnectivity(err)
 		return false
 	}
-	return m.applyBatches(ctx, batches, nextPoll)
+	return m.applyBatches(ctx, batches, from, nextPoll)
 }
 
 // readMissing reads each record that this copy lacks by its key, and reports whether the store answered. A record
@@ -119,41 +125,6 @@
 	return true
 }
 
-// partialSnapshotLimit is how many records a box reads from the store before it waits for another box's copy: two
-// pages. Without it, the store's single link would carry a whole snapshot for each box of a fleet that starts.
-const partialSnapshotLimit = 900
-
-// readSnapshot reads a snapshot. If this mirror has no copy and may wait for one from other boxes, it stops after
-// partialSnapshotLimit records, and whole is false if there are more.
-func (m *Mirror) readSnapshot(ctx context.Context) (snapshot kv.Snapshot, whole bool, err error) {
-	m.mu.Lock()
-	first := m.state.Revision == 0
-	m.mu.Unlock()
-	if !first || m.Store.SnapshotWithin == nil || m.MayAwaitCopy == nil || !m.MayAwaitCopy() {
-		snapshot, err = m.Store.Snapshot(ctx, "")
-		return snapshot, true, err
-	}
-	snapshot, whole, err = m.Store.SnapshotWithin(ctx, "", partialSnapshotLimit)
-	if err == nil && !whole {
-		m.mu.Lock()
-		m.partialRead = true
-		m.mu.Unlock()
-		if m.OnPartialSnapshot != nil {
-			m.OnPartialSnapshot(snapshot.Records)
-		}
-	}
-	return snapshot, whole, err
-}
-
-// awaitingCopy reports whether this mirror has read only the first records of a large store and still waits for a
-// copy from other boxes.
-func (m *Mirror) awaitingCopy() bool {
-	m.mu.Lock()
-	awaiting := m.partialRead && m.state.Revision == 0
-	m.mu.Unlock()
-	return awaiting && m.MayAwaitCopy != nil && m.MayAwaitCopy()
-}
-
 // pollAfter returns a kv.WatchOptions.Next that lets the watch poll again only after a value arrives on nextPoll. A
 // poll that is under way while changes are gathered is answered with the first change alone, and is wasted if the
 // mirror pauses.
@@ -175,13 +146,15 @@
 	}
 }
 
-// applyBatches applies the batches of a watch until the watch ends (false) or the mirror should pause (true). A watch
-// that ends returns no error: the next snapshot shows whether the store is lost. applyBatches sends a value on
-// nextPoll when the next batch is wanted.
-func (m *Mirror) applyBatches(ctx context.Context, batches <-chan []kv.Event, nextPoll chan<- struct{}) bool {
+// applyBatches applies the batches of a watch from a revision on, until the watch ends (false) or the mirror should
+// pause (true). A watch that ends returns no error: the next snapshot shows whether the store is lost. applyBatches
+// sends a value on nextPoll when the next batch is wanted.
+func (m *Mirror) applyBatches(ctx context.Context, batches <-chan []kv.Event, from int64, nextPoll chan<- struct{}) bool {
 	for batch := range batches {
 		m.noteConnectivity(nil)
-		m.applyEvents(batch)
+		if !m.applyEvents(batch, kv.EpochOf(from)) {
+			return false
+		}
 		ahead := m.PollAhead != nil && m.PollAhead()
 		if ahead {
 			requestNextPoll(nextPoll)
@@ -217,54 +190,17 @@
 	return m.BatchDelay == nil || pause.For(ctx, m.BatchDelay()) == nil
 }
 
-// applySnapshot replaces the state by a snapshot. If a newer delta was applied meanwhile, it only takes the records
-// that the copy lacks.
-func (m *Mirror) applySnapshot(snapshot kv.Snapshot) {
-	records := make(map[string]kv.Record, len(snapshot.Records))
-	for _, record := range snapshot.Records {
-		records[record.Key] = record
-	}
+// applyEvents applies a batch of a watch under an epoch, which may be empty. It skips events that the state already
+// reflects. It returns false, and changes nothing, if the state is of another epoch.
+func (m *Mirror) applyEvents(events []kv.Event, epoch int64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	previousCurrentAt := m.freshness.confirmed
-	m.confirmByStore()
-	if snapshot.Revision < m.state.Revision {
-		if m.OnOlderSnapshot != nil {
-			m.OnOlderSnapshot(snapshot.Revision, m.state.Revision)
-		}
-		m.fillMissing(records)
-		return
-	}
-	m.missing = missingRecords{}
-	if snapshot.Revision > m.state.Revision {
-		m.removals.reset(snapshot.Revision)
-	}
-	m.replaceAll(snapshot.Revision, FromSnapshot, records, previousCurrentAt)
-}
-
-// fillMissing takes records that this copy lacks from a snapshot that is older than the copy. It takes those that the
-// snapshot has at the missing revision or a later one. The caller holds the lock.
-func (m *Mirror) fillMissing(records map[string]kv.Record) {
-	if len(m.missing.revisions) == 0 {
-		return
-	}
-	var put []kv.Record
-	for key, revision := range m.missing.revisions {
-		if record, found := records[key]; found && record.Revision >= revision {
-			put = append(put, record)
-			delete(m.missing.revisions, key)
-		}
+	if kv.EpochOf(m.state.Revision) != epoch {
+		return false
 	}
-	m.applyChange(m.state.Revision, FromSnapshot, put, nil, m.freshness.confirmed)
-}
-
-// applyEvents applies a batch of a watch, which may be empty. It skips events that the state already reflects.
-func (m *Mirror) applyEvents(events []kv.Event) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	if !slices.ContainsFunc(events, func(event kv.Event) bool { return m.needs(event.Record) }) {
 		m.confirmByStore()
-		return
+		return true
 	}
 	previousCurrentAt := m.freshness.confirmed
 	m.confirmByStore()
@@ -292,6 +228,7 @@
 		}
 	}
 	m.applyChange(revision, FromWatch, put, drop, previousCurrentAt)
+	return true
 }
 
 // needs reports whether a record is newer than this copy, or is one that the copy lacks. The caller holds the lock.
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -61,6 +61,9 @@
 	// Paused reports whether the store need not be polled now, because other boxes bring the copy up to date; nil means
 	// that it is always polled.
 	Paused func() bool
+	// MayAwaitRestored reports whether this box may wait for other boxes to bring what the store has after it came back
+	// from a copy, as long as Paused allows it; nil means never.
+	MayAwaitRestored func() bool
 	// MayAwaitCopy reports whether this box may wait for a first copy from other boxes instead of reading a large store
 	// whole; nil means never.
 	MayAwaitCopy func() bool
@@ -183,12 +186,12 @@
 	return max(time.Since(m.freshness.received), time.Since(confirmed))
 }
 
-// applyPendingConfirmations applies and drops the confirmations of revisions that this copy has reached. The caller
-// holds the lock.
+// applyPendingConfirmations applies and drops the confirmations of revisions that this copy has reached. One of an
+// earlier epoch says nothing of this copy. The caller holds the lock.
 func (m *Mirror) applyPendingConfirmations() {
 	m.pendingConfirmations = slices.DeleteFunc(m.pendingConfirmations, func(c confirmation) bool {
 		reached := c.revision <= m.state.Revision
-		if reached && c.at.After(m.freshness.confirmed) {
+		if reached && kv.EpochOf(c.revision) == kv.EpochOf(m.state.Revision) && c.at.After(m.freshness.confirmed) {
 			m.freshness.confirmed = c.at
 		}
 		return reached
