One box at a time gives orders, under rising terms, across a store that comes back from a copy

What engines could see: orders of two boxes by turns, and terms that fall. Where the store lost the order lease, another box gains it at once while the holder of before still acts; the record of who gave orders last may name a box from before; and a term was the revision of the lease's key, which falls.

A box stops as soon as any of its calls shows a new epoch, and contends again at once. The record of the last holder has the epoch in which it was written; until one is written in the new epoch, a new holder waits for as long as a holder of the epoch before could act and its orders arrive, counted from when it learned of the epoch. Terms are above the highest that the box, its peers, the record or the former holder's answer know of; without a return they are the revision's number, as boxes of the build before have them, whose messages and records are read as before.

--- a/internal/cluster/holder.go
+++ b/internal/cluster/holder.go
@@ -27,6 +27,13 @@
 	return m.holder.Address, true
 }
 
+// HighestTerm returns the highest term of the order lease that another box ever reported.
+func (m *Members) HighestTerm() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.highestTerm
+}
+
 // reportedHolder returns the order holder to report to other boxes; nil if none is known.
 func (m *Members) reportedHolder() *orderHolder {
 	m.mu.Lock()
@@ -49,6 +56,7 @@
 	if reported == nil || reported.Name == m.self.Name {
 		return
 	}
+	m.highestTerm = max(m.highestTerm, reported.Term)
 	sent := now.Add(-reported.Age)
 	stale := now.Sub(m.holder.sent) > holderTTL
 	if stale || reported.Term > m.holder.Term || (reported.Term == m.holder.Term && sent.After(m.holder.sent)) {
--- a/internal/cluster/members.go
+++ b/internal/cluster/members.go
@@ -26,8 +26,9 @@
 	cachedSum *relaySum
 	// listed means that the store has listed this box since it started.
 	listed bool
-	// holder is the latest report of the order holder.
-	holder holderReport
+	// holder is the latest report of the order holder, and highestTerm the highest term that was ever reported.
+	holder      holderReport
+	highestTerm int64
 	// maxBoxes is the largest number of boxes known at once, this one included.
 	maxBoxes int
 	// lastRandomCall is when this box last called a random other box.
--- a/internal/node/new.go
+++ b/internal/node/new.go
@@ -144,6 +144,7 @@
 			ReachesStore:   s.members.ReachesStore,
 			StoreLostByAll: s.members.StoreLostByAll,
 			Listed:         s.members.Listed,
+			HighestTerm:    func() int64 { return max(s.members.HighestTerm(), s.directory.Version().Term) },
 			FollowsRelay:   s.members.FollowsRelay,
 		},
 		Client:  n.client,
--- a/internal/orderlease/handover.go
+++ b/internal/orderlease/handover.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
-	"ospreymoor.example/ospreymoor/internal/cluster"
 	"ospreymoor.example/ospreymoor/internal/peer"
 	"ospreymoor.example/ospreymoor/pkg/kv"
 )
@@ -29,6 +27,12 @@
 //     must pass, both counted from when the new holder gained the lease. Meanwhile the yield call is retried, because
 //     a box that was frozen or cut off may come back.
 //
+// After the store came back from a copy, its record may name a box that was not the last that gave orders, and the lease
+// may be gained while the holder of the epoch before still acts. Until a holder has written its name in the new epoch,
+// it therefore waits for as long as a holder of the epoch before could act and its orders arrive, counted from when this
+// box learned of the new epoch. If this box itself gave the last orders, it need not wait for itself; see
+// gaveLastOrders.
+//
 // Only when the waits are known does the new holder write its name into the store and allow orders. A box that is
 // killed before that leaves the former holder's name for the next holder.
 type handover struct {
@@ -43,8 +47,10 @@
 	addressOf func(name string) (address string, ok bool)
 	client    *peer.Client
 	log       *zap.Logger
+	lease     heldLease
 
-	mu sync.Mutex
+	mu    sync.Mutex
+	epoch epochState
 	// term is the term that this box holds, 0 if none. ordersAllowed reports whether orders may be given under it,
 	// after waitEnds.
 	term          int64
@@ -56,11 +62,16 @@
 	unreadableRevision int64
 }
 
-// waitEnds holds the times from which engines may be given orders.
-type waitEnds struct {
-	byEngine map[string]time.Time
-	// others applies to all engines that are not in byEngine.
-	others time.Time
+// heldLease is what a handover uses of the lease that it is for.
+type heldLease struct {
+	// raiseTerm raises the term above another one, lastRenewal returns when the lease was last renewed, and outlived
+	// reports whether the store came back from a copy since it was granted.
+	raiseTerm   func(term, above int64) int64
+	lastRenewal func() time.Time
+	outlived    func() bool
+	// highestTerm returns the highest term that other boxes reported.
+	highestTerm func() int64
+	ttl         time.Duration
 }
 
 // newHandover returns a handover without a term; maxActing is the longest time that a holder acts after a renewal.
@@ -76,6 +87,14 @@
 		client:    config.Client,
 		log:       config.Log,
 		waitEnds:  waitEnds{byEngine: map[string]time.Time{}},
+
+		lease: heldLease{
+			raiseTerm:   func(term, above int64) int64 { return max(term, above+1) },
+			lastRenewal: func() time.Time { return time.Time{} },
+			outlived:    func() bool { return false },
+			highestTerm: config.Peers.HighestTerm,
+			ttl:         config.TTL,
+		},
 	}
 }
 
@@ -103,7 +122,7 @@
 func (h *handover) run(term int64, gained time.Time) {
 	for h.holds(term) {
 		ctx, cancel := context.WithTimeout(context.Background(), tryTimeout)
-		done := h.tryTakeover(ctx, term, gained)
+		done := h.tryTakeover(ctx, &term, gained)
 		cancel()
 		if done {
 			return
@@ -112,9 +131,27 @@
 	}
 }
 
+// raise raises the term above another one, if this box still holds it.
+func (h *handover) raise(term *int64, above int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.term != *term || above < *term {
+		return
+	}
+	if raised := h.lease.raiseTerm(*term, above); raised != 0 {
+		h.log.Info("term raised", zap.Int64("term", raised), zap.Int64("from", *term))
+		h.term, *term = raised, raised
+	}
+}
+
 // tryTakeover takes over if it is known from when each engine may be given orders, and reports whether it did. It
 // returns false after an error of the store, and run calls it again. pkg/mirror logs that the store is unreachable.
-func (h *handover) tryTakeover(ctx context.Context, term int64, gained time.Time) bool {
+// It raises the term above those of former holders.
+func (h *handover) tryTakeover(ctx context.Context, term *int64, gained time.Time) bool {
+	h.noteEpoch()
+	if h.lease.outlived() {
+		return false // The lease is contended for again.
+	}
 	record, err := h.store.Get(ctx, h.key)
 	if err != nil && !errors.Is(err, kv.ErrNotFound) {
 		return false
@@ -124,59 +161,34 @@
 		former = h.decodeHolder(record)
 	}
 	if former.Name == h.name {
-		h.resume(term, former.Settled)
+		former.Term-- // This box may give orders under the term that it recorded itself.
+	}
+	h.raise(term, former.Term)
+	epoch := h.currentEpoch()
+	outdated := former.Epoch != epoch
+	if former.Name == h.name && epoch == 0 {
+		h.resume(*term, former.Settled)
 		return true
 	}
-	after, ok := h.waitEndsAfter(ctx, term, former.Name, gained)
-	if !ok {
+	after, ok := h.waitEndsAfter(ctx, term, former, gained)
+	if outdated {
+		after, ok = h.waitForEpochBefore(after, ok)
+		h.raise(term, h.lease.highestTerm())
+	}
+	if !ok || h.lease.outlived() {
 		return false
 	}
 	// The wait ends are stored before the swap: if it takes effect but its answer is lost, the next try finds this
 	// box's own name and needs them.
 	h.setWaitEnds(after)
-	if h.writeHolder(ctx, record.Revision, holderRecord{Name: h.name}) != nil {
+	settled := former.Name == h.name && former.Settled && !outdated
+	if h.writeHolder(ctx, record.Revision, holderRecord{Name: h.name, Settled: settled, Term: *term, Epoch: epoch}) != nil {
 		return false
 	}
-	h.allowOrders(term)
+	h.allowOrders(*term)
 	return true
 }
 
-// waitEndsAfter returns from when each engine may be given orders after those of the former holder. ok is false as
-// long as that is not known.
-func (h *handover) waitEndsAfter(ctx context.Context, term int64, former string, gained time.Time) (after waitEnds, ok bool) {
-	if address, known := h.addressOf(former); known {
-		answer, err := h.askYield(ctx, address, term)
-		now := time.Now()
-		switch {
-		case err == nil:
-			return h.waitEndsAfterYield(answer, now), true
-		case errors.Is(err, syscall.ECONNREFUSED):
-			return waitEnds{others: now.Add(h.orderGap)}, true
-		}
-		// Any other error leads to a retry: the box may be frozen or cut off.
-	}
-	if end := gained.Add(h.maxActing + h.orderGap); time.Now().After(end) {
-		return waitEnds{others: end}, true
-	}
-	return waitEnds{}, false
-}
-
-// askYield asks the former holder to stop giving orders and to report its last ones.
-func (h *handover) askYield(ctx context.Context, address string, term int64) (yieldAnswer, error) {
-	callCtx, cancel := context.WithTimeout(ctx, cluster.CallTimeout)
-	defer cancel()
-	return peer.Call[yieldAnswer](callCtx, h.client, address, methodYield, yieldRequest{Term: term, To: h.name})
-}
-
-// waitEndsAfterYield returns the wait ends after a former holder that has stopped at time now.
-func (h *handover) waitEndsAfterYield(answer yieldAnswer, now time.Time) waitEnds {
-	after := waitEnds{byEngine: make(map[string]time.Time, len(answer.Ages)), others: now.Add(h.orderGap - answer.Others)}
-	for engine, age := range answer.Ages {
-		after.byEngine[engine] = now.Add(h.orderGap - age)
-	}
-	return after
-}
-
 // holds reports whether this box still holds the lease under a term.
 func (h *handover) holds(term int64) bool {
 	h.mu.Lock()
@@ -184,24 +196,10 @@
 	return h.term == term
 }
 
-// setWaitEnds sets the wait ends after a former holder. They apply until those after another one replace them.
-func (h *handover) setWaitEnds(after waitEnds) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.waitEnds, h.waitEndsKnown = after, true
-}
-
-// resume allows orders when the store has this box as the last that gave orders. settled reports that the waits after
-// the holder before it are over. If they are not over and this process does not know them, it assumes the longest
-// that an earlier process of this box can have had to wait. Otherwise a holder that is killed soon after its takeover
-// and restarts would give orders to engines while orders of the holder before it may still arrive.
+// resume allows orders when a store without epochs has this box as the last that gave orders. settled reports that the
+// waits after the holder before it are over.
 func (h *handover) resume(term int64, settled bool) {
-	h.mu.Lock()
-	known := h.waitEndsKnown || settled
-	h.mu.Unlock()
-	if !known {
-		h.setWaitEnds(waitEnds{others: h.started.Add(h.orderGap)})
-	}
+	h.setWaitEnds(h.waitEndsAfterSelf(settled))
 	h.allowOrders(term)
 }
 
@@ -212,7 +210,7 @@
 	if h.term != term {
 		return
 	}
-	h.ordersAllowed = true
+	h.ordersAllowed, h.epoch.gaveOrders, h.epoch.ordersIn = true, true, h.epoch.number
 	go h.recordSettled(term)
 	h.log.Info("orders may begin",
 		zap.Int64("term", term),
@@ -236,22 +234,3 @@
 	}
 	return h.waitEnds.others
 }
-
-// lastOrders returns how long ago engines were given their last orders, by this box (ages) or by earlier holders. It
-// updates ages.
-func (h *handover) lastOrders(ages map[string]time.Duration) yieldAnswer {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := time.Now()
-	answer := yieldAnswer{Ages: ages, Others: now.Sub(h.started)}
-	if !h.waitEnds.others.IsZero() {
-		answer.Others = min(answer.Others, h.orderGap-h.waitEnds.others.Sub(now))
-	}
-	for engine, at := range h.waitEnds.byEngine {
-		age := h.orderGap - at.Sub(now)
-		if known, ok := ages[engine]; !ok || age < known {
-			ages[engine] = min(age, now.Sub(h.started))
-		}
-	}
-	return answer
-}
--- a/internal/orderlease/handover_test.go
+++ b/internal/orderlease/handover_test.go
@@ -141,7 +141,8 @@
 		Eventually(func() bool {
 			before = time.Now()
 			known := false
-			found, known = next.waitEndsAfter(context.Background(), 7, "old", before)
+			term := int64(7)
+			found, known = next.waitEndsAfter(context.Background(), &term, holderRecord{Name: "old"}, before)
 			after = time.Now()
 			return known
 		}).WithTimeout(time.Minute).Should(BeTrue())
@@ -287,6 +288,9 @@
 		Expect(asJSON(revokeRequest{Lease: 3})).To(Equal(`{"lease":3}`))
 		Expect(asJSON(holderRecord{Name: "x"})).To(Equal(`{"name":"x"}`))
 		Expect(asJSON(holderRecord{Name: "x", Settled: true})).To(Equal(`{"name":"x","settled":true}`))
+		Expect(asJSON(holderRecord{Name: "x", Term: 7, Epoch: 2})).To(Equal(`{"name":"x","term":7,"epoch":2}`))
+		Expect(asJSON(yieldAnswer{Term: 7})).To(Equal(`{"ages":null,"others":0,"term":7}`))
+		Expect(asJSON(revokeRequest{Lease: 3, Epoch: 2})).To(Equal(`{"lease":3,"epoch":2}`))
 		Expect([]string{methodYield, methodRevoke, leaseKey, lastHolderKey}).
 			To(Equal([]string{"yield", "revoke", "leases/orders", "leases/last-order-holder"}))
 	})
--- a/internal/orderlease/holder_record.go
+++ b/internal/orderlease/holder_record.go
@@ -32,8 +32,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), tryTimeout)
 	defer cancel()
 	record, err := h.store.Get(ctx, h.key)
-	if err == nil && h.decodeHolder(record) == (holderRecord{Name: h.name}) {
-		err = h.writeHolder(ctx, record.Revision, holderRecord{Name: h.name, Settled: true})
+	if last := h.decodeHolder(record); err == nil && last.Name == h.name && !last.Settled {
+		last.Settled = true
+		err = h.writeHolder(ctx, record.Revision, last)
 	}
 	if err != nil {
 		h.log.Info("end of the waits not recorded: another process of this box waits again", zap.Int64("term", term), logfield.Error(err))
--- a/internal/orderlease/lease.go
+++ b/internal/orderlease/lease.go
@@ -70,6 +70,8 @@
 	StoreLostByAll func() bool
 	// Listed reports whether the store is known to have listed this box since it started.
 	Listed func() bool
+	// HighestTerm returns the highest term of the order lease that this box knows of; nil if it knows of none.
+	HighestTerm func() int64
 	// FollowsRelay reports whether this box gets the updates of a large fleet from a relay.
 	FollowsRelay func() bool
 }
@@ -94,6 +96,9 @@
 func New(config Config) *Lease {
 	margin := config.TTL / marginDivisor
 	config.OrderGap += orderGapMargin
+	if config.Peers.HighestTerm == nil {
+		config.Peers.HighestTerm = func() int64 { return 0 }
+	}
 	l := &Lease{
 		Config:   config,
 		key:      config.OwnPrefix + leaseKey,
@@ -109,12 +114,20 @@
 		Reclaim:   true,
 		MayBeFree: func() bool { return l.mayBeFree() && l.mayContend() },
 		Wake:      l.wake,
-		Term:      kv.SequenceOf,
+		Term:      l.termAt,
 		Changed:   l.handover.leaseChanged,
 	})
+	held := &l.handover.lease
+	held.raiseTerm, held.lastRenewal, held.outlived = l.lease.RaiseTerm, l.lease.LastRenewal, l.outlived
 	return l
 }
 
+// termAt returns the term of a lease that was gained at a revision of the store: the sequence number, unless the store
+// came back from a copy and gave out lower ones than before. Engines refuse orders of a lower term.
+func (l *Lease) termAt(revision int64) int64 {
+	return max(kv.SequenceOf(revision), l.Peers.HighestTerm()+1, l.lease.LatestTerm()+1)
+}
+
 // Run contends for the lease and renews it until ctx ends. Then it releases the lease.
 func (l *Lease) Run(ctx context.Context) { l.lease.Run(ctx) }
 
@@ -135,12 +148,21 @@
 			return 0, errors.WithType(err, residency.ErrNotHolder)
 		}
 	}
+	if l.outlived() {
+		return 0, errors.Annotate(residency.ErrNotHolder, "the store came back from a copy")
+	}
 	if !l.handover.mayOrder(term) {
 		return 0, residency.ErrWaiting
 	}
 	return term, nil
 }
 
+// outlived reports whether the store came back from a copy since the lease was granted. Another box may have gained it.
+func (l *Lease) outlived() bool {
+	status := l.lease.Status()
+	return status.Term != 0 && l.Store.Epoch != nil && l.Store.Epoch() != status.Epoch
+}
+
 // NotBefore returns from when an engine may be given orders after those of the former holder.
 func (l *Lease) NotBefore(engine string) time.Time { return l.handover.notBefore(engine) }
 
@@ -183,6 +205,9 @@
 // Observe processes a new copy of the store. If the lease is free, or held by an earlier process of this box, this
 // box contends for it after a random time.
 func (l *Lease) Observe(state mirror.State) {
+	if l.outlived() {
+		l.wakeUp()
+	}
 	record, held := state.Records.Get(l.key)
 	ofEarlierProcess := held && string(record.Value) == l.Name && l.lease.Status().Term == 0
 	l.mu.Lock()
--- a/internal/orderlease/messages.go
+++ b/internal/orderlease/messages.go
@@ -21,6 +21,9 @@
 	Ages map[string]time.Duration `json:"ages"`
 	// Others is the least age that the last order to any other engine can have.
 	Others time.Duration `json:"others"`
+	// Term is the highest term that the answering box ever held; 0 if it does not report it. The new holder needs a
+	// higher one.
+	Term int64 `json:"term,omitempty"`
 }
 
 // revokeRequest asks a box to revoke a lease in the store.
@@ -35,4 +38,8 @@
 	Name string `json:"name"`
 	// Settled reports that orders of the holders before it can no longer arrive.
 	Settled bool `json:"settled,omitempty"`
+	// Term is the highest term under which the box gave orders, and Epoch the store's epoch in which it wrote this. A
+	// record of an earlier epoch may name a box that was not the last: the store lost what was written later.
+	Term  int64 `json:"term,omitempty"`
+	Epoch int64 `json:"epoch,omitempty"`
 }
--- a/internal/orderlease/resign.go
+++ b/internal/orderlease/resign.go
@@ -25,6 +25,10 @@
 // until ctx ends.
 func (l *Lease) ResignWhenCutOff(ctx context.Context) {
 	for pause.For(ctx, resignCheckInterval) == nil {
+		l.handover.noteEpoch()
+		if l.outlived() {
+			l.wakeUp()
+		}
 		status := l.lease.Status()
 		if status.Term == 0 || time.Since(status.LastRenewal) < resignAfter {
 			continue
@@ -34,6 +38,7 @@
 			continue
 		}
 		id := l.lease.Resign()
+		l.handover.forgetOrders()
 		l.Log.Warn("order lease resigned", zap.Int64("term", status.Term), zap.Duration("unrenewed", time.Since(status.LastRenewal)), zap.String("peer", address))
 		l.revokeThrough(ctx, address, id)
 	}
--- a/internal/orderlease/yield.go
+++ b/internal/orderlease/yield.go
@@ -21,6 +21,9 @@
 // yield stops this box's orders under terms below the request's, and returns how long ago the last were given.
 func (l *Lease) yield(request yieldRequest, lastOrders func() map[string]time.Duration) yieldAnswer {
 	l.lease.Abandon(request.Term)
+	l.handover.forgetOrders()
 	l.Log.Info("orders yielded", zap.Int64("term", request.Term), zap.String("to", request.To))
-	return l.handover.lastOrders(lastOrders())
+	answer := l.handover.lastOrders(lastOrders())
+	answer.Term = l.lease.LatestTerm()
+	return answer
 }
