The list of a store that came back from a copy undoes nothing that was known of upstreams

What callers could see: upstreams refused or unused because their entries were lost with the copy, and requests to upstreams that had left or had said that they leave, since the copy lists them as ready again.

Cause: an entry that is missing was taken for an upstream that goes, by the time at which the list was last current, which a store that was away had let pass; and what the latest list states replaced what the one before had stated.

A list that comes with a new epoch is applied as such: an upstream whose entry was lost is used for 2.5 s, until its new entry comes; one that was listed as leaving, or had left after it, stays leaving under its life, at all boxes; one whose entry had gone gets nothing until the entry changes, or stays for longer than one without heartbeats does (5 s); a copied entry does not begin a cold time again.

--- a/internal/storeview/upstreams.go
+++ b/internal/storeview/upstreams.go
@@ -14,9 +14,9 @@
 )
 
 // applyUpstreams applies changes of the list of upstreams. An upstream whose entry no longer names a usable upstream
-// is dropped from the list.
-func (v *View) applyUpstreams(state mirror.State, changed []string) {
-	change := fleet.ListChange{PreviousCurrentAt: state.PreviousCurrentAt}
+// is dropped from the list. restored means that the store came back from a copy since the previous state.
+func (v *View) applyUpstreams(state mirror.State, changed []string, restored bool) {
+	change := fleet.ListChange{PreviousCurrentAt: state.PreviousCurrentAt, Restored: restored}
 	for _, key := range changed {
 		oldID, wasUsable := v.upstreamIDs[key]
 		upstream, usable := v.decodeEntry(key, state)
--- a/internal/storeview/view.go
+++ b/internal/storeview/view.go
@@ -110,13 +110,14 @@
 // changed records, not with the size of the store.
 func (v *View) applyState(state mirror.State) {
 	changes := v.groupChangedKeys(state)
-	if v.lastRevision != 0 && kv.Precedes(v.lastRevision, kv.EpochOf(state.Revision)) {
+	restored := v.lastRevision != 0 && kv.Precedes(v.lastRevision, kv.EpochOf(state.Revision))
+	if restored {
 		v.logRestored(state)
 	}
 	v.lastRecords, v.lastRevision = state.Records, state.Revision
 	v.applyTable(state, changes.config)
 	evacuations := v.applyEvacuations(state, changes.evacuations)
-	v.applyUpstreams(state, changes.upstreams)
+	v.applyUpstreams(state, changes.upstreams, restored)
 	v.logEvacuations(&evacuations, state)
 	v.applyOwnRecords(state, changes.own)
 }
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -28,6 +28,10 @@
 	// entry in it.
 	listing listing
 	lapsed  map[string]bool
+	// removals holds the upstreams removed of late, and returned the entries that came back with a copy of the store
+	// although they had gone, by id. See prepareRestored.
+	removals map[string]removal
+	returned map[string]returnedEntry
 	// revision is the store revision of the latest list.
 	revision int64
 	// residencies holds the latest residency of each engine, by its id.
@@ -71,6 +75,8 @@
 		indexed:         map[string]*State{},
 		listing:         newListing(),
 		lapsed:          map[string]bool{},
+		removals:        map[string]removal{},
+		returned:        map[string]returnedEntry{},
 		residencies:     map[string]termResidency{},
 		marks:           map[mark]time.Time{},
 		connectFailures: map[string]int{},
--- a/pkg/fleet/lapse.go
+++ b/pkg/fleet/lapse.go
@@ -10,14 +10,14 @@
 
 // lapseOrDrop marks an upstream without a current entry as lapsed, or removes it. It returns false if
 // nothing changed. The caller holds the lock.
-func (d *Directory) lapseOrDrop(state *State, previousCurrentAt time.Time) (Change, bool) {
-	dropAt := d.dropAt(state, previousCurrentAt)
+func (d *Directory) lapseOrDrop(state *State, change ListChange) (Change, bool) {
+	dropAt := d.dropAt(state, change)
 	switch {
 	case !time.Now().Before(dropAt):
 		return d.drop(state), true
 	case state.DropAt.IsZero():
 		lapsed := *state
-		lapsed.DropAt = dropAt
+		lapsed.DropAt, lapsed.lost = dropAt, change.Restored
 		d.states[state.ID] = &lapsed
 		d.lapsed[state.ID] = true
 		return Change{Upstream: *state.Upstream, Kind: Lapsed}, true
@@ -29,19 +29,23 @@
 // one replaces, is not coming back and is removed at once (the zero time). One that lapsed with an
 // earlier list keeps its time. One that lapses with this list gets lapseGrace from previousCurrentAt,
 // when the entry was last known to be listed; that is over already if this box's list was out of date
-// for longer.
-func (d *Directory) dropAt(state *State, previousCurrentAt time.Time) time.Time {
+// for longer. One that the store lost gets restoredGrace, whatever else the copy lists at its address.
+func (d *Directory) dropAt(state *State, change ListChange) time.Time {
 	switch {
+	case change.Restored && !state.Leaving && state.DropAt.IsZero():
+		return time.Now().Add(restoredGrace)
+	case state.lost:
+		return state.DropAt
 	case state.Leaving || d.listing.hasSuccessor(state.Upstream):
 		return time.Time{}
 	case !state.DropAt.IsZero():
 		return state.DropAt
 	}
-	return previousCurrentAt.Add(lapseGrace)
+	return change.PreviousCurrentAt.Add(lapseGrace)
 }
 
-// DropLapsed removes the upstreams whose entries lapsed for longer than lapseGrace, and returns them.
-// The caller must call it regularly, since a list may not come in time.
+// DropLapsed removes the upstreams whose entries lapsed for longer than lapseGrace, uses those whose
+// returned entries were held back for long enough, and returns both. The caller must call it regularly, since a list may not come in time.
 func (d *Directory) DropLapsed() []Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -55,12 +59,14 @@
 		}
 	}
 	d.reindex(dropped...)
-	return changes
+	d.expireRemovals(now)
+	return append(changes, d.useReturned(now)...)
 }
 
 // drop removes an upstream and what is stored under its id, except marks and notices, which expire by
 // themselves. The caller holds the lock.
 func (d *Directory) drop(state *State) Change {
+	d.removals[state.ID] = removal{at: time.Now(), leaving: state.Leaving}
 	delete(d.states, state.ID)
 	delete(d.lapsed, state.ID)
 	delete(d.residencies, state.ID)
--- a/pkg/fleet/list.go
+++ b/pkg/fleet/list.go
@@ -34,6 +34,8 @@
 	Dropped []string
 	// PreviousCurrentAt is the time at which the previous list was last known to be current.
 	PreviousCurrentAt time.Time
+	// Restored means that the store came back from a copy since the previous list.
+	Restored bool
 }
 
 // SetList replaces the list of all upstreams, unless the new one is older than the latest, and returns
@@ -71,6 +73,9 @@
 // changeList is ChangeList for a caller that holds the lock.
 func (d *Directory) changeList(revision int64, change ListChange) []Change {
 	d.revision = revision
+	if change.Restored {
+		d.prepareRestored(change, time.Now())
+	}
 	affected := map[string]bool{}
 	for _, id := range change.Dropped {
 		addIDs(affected, d.listing.remove(id))
@@ -88,7 +93,7 @@
 	slices.Sort(ids)
 	var changes []Change
 	for _, id := range ids {
-		if reported, ok := d.updateState(id, change.PreviousCurrentAt); ok {
+		if reported, ok := d.updateState(id, change); ok {
 			changes = append(changes, reported)
 		}
 	}
@@ -104,18 +109,21 @@
 
 // updateState brings the state of one upstream in line with the list. It returns the change to report,
 // or false if there is none. The caller holds the lock.
-func (d *Directory) updateState(id string, previousCurrentAt time.Time) (Change, bool) {
+func (d *Directory) updateState(id string, change ListChange) (Change, bool) {
 	old := d.states[id]
 	entry, current := d.listing.currentEntry(id)
+	current = current && !d.heldBack(entry, time.Now())
 	switch {
 	case !current && old == nil:
 		return Change{}, false
 	case !current:
-		return d.lapseOrDrop(old, previousCurrentAt)
+		return d.lapseOrDrop(old, change)
 	case old != nil && old.Revision == entry.Revision && old.DropAt.IsZero():
 		return Change{}, false
 	}
-	d.recordListed(old, entry)
+	if !change.Restored || old == nil {
+		d.recordListed(old, entry) // A copy of an entry would count from now what it counted from its writing.
+	}
 	delete(d.lapsed, id)
 	d.states[id] = d.newState(entry)
 	kind := changeOf(old, entry)
@@ -126,7 +134,7 @@
 // entry had lapsed. The caller holds the lock.
 func (d *Directory) recordListed(old *State, entry *Upstream) {
 	d.setCold(entry.ID, entry.Cold)
-	if old != nil && !old.DropAt.IsZero() {
+	if old != nil && !old.DropAt.IsZero() && !old.lost {
 		d.recordReturn(entry.ID)
 	}
 }
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -23,6 +23,8 @@
 	residency *Residency
 	// listedLeaving is Leaving as the entry states it, regardless of what answers stated.
 	listedLeaving bool
+	// lost means that the store lost the entry when it came back from a copy; DropAt is set then.
+	lost bool
 }
 
 // Busy reports whether the engine is loading or unloading a model. It takes no other order meanwhile.
--- a/pkg/fleet/updates.go
+++ b/pkg/fleet/updates.go
@@ -156,7 +156,7 @@
 	d.indexPublished(engine, next.Sequence)
 	if state := d.states[engine]; state != nil {
 		updated := d.newState(state.Upstream)
-		updated.ListedAt, updated.DropAt, updated.listedLeaving = state.ListedAt, state.DropAt, state.listedLeaving
+		updated.ListedAt, updated.DropAt, updated.listedLeaving, updated.lost = state.ListedAt, state.DropAt, state.listedLeaving, state.lost
 		d.states[engine] = updated
 	}
 }
