A hall stays evacuated while the operator has yet to write its lost record again

What callers could see: requests sent into a hall that the operator had emptied, from when the store came back from a copy without the record until it was written again.

Cause: a key that is missing was taken for an evacuation that ended.

Where a state of a new epoch lacks the key, the hall stays evacuated until the key is written again, or for 5 s. An evacuation that ends in the same epoch ends at once, as before.

--- a/internal/node/new.go
+++ b/internal/node/new.go
@@ -246,8 +246,11 @@
 		Quarantine: s.quarantine,
 		ModelUses:  n.Gateway.ModelUses,
 		Leaving:    n.leaving.Load,
-		OnLapsed:   n.view.NoteChanges,
-		Log:        config.Log,
+		OnLapsed: func(changes []fleet.Change) {
+			n.view.NoteChanges(changes)
+			n.view.EndLostEvacuations()
+		},
+		Log: config.Log,
 
 		LinkBytesPerSecond: config.LinkBytesPerSecond,
 	})
--- a/internal/storeview/evacuation.go
+++ b/internal/storeview/evacuation.go
@@ -1,7 +1,10 @@
 package storeview
 
 import (
+	"maps"
 	"strings"
+	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -14,30 +17,79 @@
 // another program must have written it.
 const maxHallName = 100
 
+// lostEvacuationGrace is how long a hall stays evacuated whose key the store lost when it came back from a copy. The
+// operator writes the key again.
+const lostEvacuationGrace = 5 * time.Second
+
+// evacuationSet holds the evacuated halls. It is safe for concurrent use.
+type evacuationSet struct {
+	mu    sync.Mutex
+	halls map[string]bool
+	// lost holds until when halls stay evacuated whose keys the store lost.
+	lost map[string]time.Time
+}
+
 // applyEvacuations updates the set of evacuated halls and returns what changed. Only the key of a record counts, not
-// its value, so that an unreadable record still evacuates the hall as its writer asked.
-func (v *View) applyEvacuations(state mirror.State, changed []string) fleet.Evacuations {
+// its value, so that an unreadable record still evacuates the hall as its writer asked. restored means that the store
+// came back from a copy since the previous state.
+func (v *View) applyEvacuations(state mirror.State, changed []string, restored bool) fleet.Evacuations {
 	if len(changed) == 0 {
 		return fleet.Evacuations{}
 	}
+	set := &v.evacuations
+	set.mu.Lock()
+	defer set.mu.Unlock()
 	for _, key := range changed {
 		hall := strings.TrimPrefix(key, v.config.Platform.EvacuationPrefix)
 		if hall == "" || len(hall) > maxHallName {
 			continue
 		}
-		if _, found := state.Records.Get(key); found {
-			v.evacuated[hall] = true
-		} else {
-			delete(v.evacuated, hall)
+		_, found := state.Records.Get(key)
+		switch {
+		case found:
+			set.halls[hall] = true
+			delete(set.lost, hall)
+		case restored && set.halls[hall]:
+			set.lost[hall] = time.Now().Add(lostEvacuationGrace)
+		default:
+			delete(set.halls, hall)
+			delete(set.lost, hall)
+		}
+	}
+	return v.setEvacuated(state.Revision)
+}
+
+// EndLostEvacuations ends the evacuations whose keys the store lost and nobody wrote again. The caller must call it
+// regularly.
+func (v *View) EndLostEvacuations() {
+	set := &v.evacuations
+	set.mu.Lock()
+	ended := false
+	for hall, until := range set.lost {
+		if !time.Now().Before(until) {
+			delete(set.lost, hall)
+			delete(set.halls, hall)
+			ended = true
 		}
 	}
-	v.evacuatedHalls.Store(int64(len(v.evacuated)))
-	return v.config.Directory.SetEvacuated(state.Revision, v.evacuated)
+	var change fleet.Evacuations
+	revision := v.config.Directory.Revision()
+	if ended {
+		change = v.setEvacuated(revision)
+	}
+	set.mu.Unlock()
+	v.logEvacuations(&change, revision, "lost by the store")
+}
+
+// setEvacuated passes the set on as of a revision of the store. The caller holds the set's lock.
+func (v *View) setEvacuated(revision int64) fleet.Evacuations {
+	v.evacuatedHalls.Store(int64(len(v.evacuations.halls)))
+	return v.config.Directory.SetEvacuated(revision, maps.Clone(v.evacuations.halls))
 }
 
 // logEvacuations logs evacuations that began or ended, with the number of upstreams left, so that an operator sees
 // why requests are refused.
-func (v *View) logEvacuations(change *fleet.Evacuations, state mirror.State) {
+func (v *View) logEvacuations(change *fleet.Evacuations, revision int64, origin string) {
 	if !change.Any() {
 		return
 	}
@@ -45,8 +97,8 @@
 	log := v.config.Log.With(
 		zap.Int("upstreamsInEvacuatedHalls", evacuated),
 		zap.Int("upstreamsLeft", left),
-		zap.Int64("revision", kv.SequenceOf(state.Revision)),
-		zap.String("origin", string(state.Origin)))
+		zap.Int64("revision", kv.SequenceOf(revision)),
+		zap.String("origin", origin))
 	if len(change.Begun) > 0 {
 		log.Info("halls evacuated: their upstreams get nothing new", zap.Strings("halls", change.Begun))
 	}
--- a/internal/storeview/view.go
+++ b/internal/storeview/view.go
@@ -68,16 +68,16 @@
 	upstreamIDs     map[string]string
 	unusableReasons map[string]string
 	// boxByKey has the latest registration of each key.
-	boxByKey map[string]registeredBox
-	// evacuated is the set of evacuated halls.
-	evacuated map[string]bool
+	boxByKey    map[string]registeredBox
+	evacuations evacuationSet
 }
 
 // New returns a view without a copy of the store. Run fetches and updates the copy.
 func New(config Config) *View {
 	v := &View{
 		config: config, jitter: rand.N(maxStalenessJitter), copyWaitDeadline: time.Now().Add(minCopyWait + rand.N(maxCopyWaitJitter)),
-		upstreamIDs: map[string]string{}, unusableReasons: map[string]string{}, boxByKey: map[string]registeredBox{}, evacuated: map[string]bool{},
+		upstreamIDs: map[string]string{}, unusableReasons: map[string]string{}, boxByKey: map[string]registeredBox{},
+		evacuations: evacuationSet{halls: map[string]bool{}, lost: map[string]time.Time{}},
 	}
 	v.mirror = &mirror.Mirror{
 		Store:             config.Platform.Store,
@@ -116,9 +116,9 @@
 	}
 	v.lastRecords, v.lastRevision = state.Records, state.Revision
 	v.applyTable(state, changes.config)
-	evacuations := v.applyEvacuations(state, changes.evacuations)
+	evacuations := v.applyEvacuations(state, changes.evacuations, restored)
 	v.applyUpstreams(state, changes.upstreams, restored)
-	v.logEvacuations(&evacuations, state)
+	v.logEvacuations(&evacuations, state.Revision, string(state.Origin))
 	v.applyOwnRecords(state, changes.own)
 }
 
