A version of the configuration that was given out again replaces the former text

What callers could see: an acknowledged configuration that is never in force, where the operator, after the store lost a version, gives the same number out with another text.

Cause: of two configurations the one with the higher version went, and equal versions counted as the same text.

Evidence: the new spec fails without the change (version 26 with another text in a later epoch is not put in force).

A table knows the epoch and a digest of its text. An equal version replaces it only if it is of a later epoch and another text; a lower one never does, so that nothing goes back while the store holds an older version.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,12 +121,12 @@
 	}
 }
 
-// SetTable puts a route table in force and reports whether it did. A table that is not newer than the current one
-// is ignored.
+// SetTable puts a route table in force and reports whether it did. A table that does not replace the current one is
+// ignored.
 func (g *Gateway) SetTable(table *routes.Table) bool {
 	for {
 		old := g.table.Load()
-		if old != nil && old.Version >= table.Version {
+		if old != nil && !table.Replaces(old) {
 			return false
 		}
 		if g.table.CompareAndSwap(old, table) {
--- a/internal/storeview/restored_test.go
+++ b/internal/storeview/restored_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 	"ospreymoor.example/ospreymoor/pkg/mirror"
 	"ospreymoor.example/ospreymoor/pkg/mirror/mirrortest"
 	"ospreymoor.example/ospreymoor/pkg/quarantine"
+	"ospreymoor.example/ospreymoor/pkg/routes"
 	"ospreymoor.example/ospreymoor/pkg/spectest"
 )
 
@@ -76,6 +78,37 @@
 			})
 		}
 	})
+
+	It("puts no older configuration in force, and one whose version was given out again with another text", func() {
+		f := newFixture(kv.NewMemory().Store())
+		var inForce *routes.Table
+		f.config.SetTable = func(table *routes.Table) bool {
+			if inForce != nil && !table.Replaces(inForce) {
+				return false
+			}
+			inForce = table
+			return true
+		}
+		f.config.Platform.DecodeTable = func(records map[string]kv.Record) (*routes.Table, error) {
+			var message struct{ Version int64 }
+			err := json.Unmarshal(records["config"].Value, &message)
+			return routes.New(message.Version, nil, nil, routes.Limits{}), err
+		}
+		apply := func(epoch, sequence int64, config string) int64 {
+			before := inForce
+			f.applyState(stateAt(epoch, sequence, map[string]string{"config": config}))
+			if inForce == before {
+				return 0
+			}
+			return inForce.Version
+		}
+		Expect(apply(1, 80, `{"version":26}`)).To(Equal(int64(26)))
+		Expect(apply(2, 60, `{"version":22}`)).To(BeZero(), "older than what is in force")
+		Expect(apply(2, 61, `{"version":26}`)).To(BeZero(), "the same text")
+		Expect(apply(2, 62, `{"version":26, "other": 1}`)).To(Equal(int64(26)))
+		Expect(apply(2, 63, `{"version":26, "other": 2}`)).To(BeZero(), "without a return in between")
+		Expect(apply(2, 64, `{"version":28}`)).To(Equal(int64(28)))
+	})
 })
 
 var _ = Describe("what boxes wrote themselves, when the store came back from a copy", func() {
--- a/internal/storeview/view.go
+++ b/internal/storeview/view.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"ospreymoor.example/ospreymoor/internal/cluster"
@@ -169,7 +172,11 @@
 		v.config.Log.Error("configuration unreadable: the former one stays in force", zap.Int64("revision", kv.SequenceOf(newest)), logfield.Error(err))
 		return
 	}
-	if table != nil && v.config.SetTable(table) {
+	if table == nil {
+		return
+	}
+	table.Origin = originOf(records)
+	if v.config.SetTable(table) {
 		v.config.Log.Info("configuration in force",
 			zap.Int64("version", table.Version),
 			zap.Int64("revision", kv.SequenceOf(newest)),
@@ -183,3 +190,14 @@
 		}
 	}
 }
+
+// originOf returns the origin of the configuration that is decoded from records.
+func originOf(records map[string]kv.Record) routes.Origin {
+	var origin routes.Origin
+	for _, key := range slices.Sorted(maps.Keys(records)) {
+		record := records[key]
+		origin.Epoch = max(origin.Epoch, kv.EpochOf(record.Revision))
+		origin.Digest = origin.Digest*31 + xxhash.Sum64(record.Value)
+	}
+	return origin
+}
--- a/pkg/routes/routes.go
+++ b/pkg/routes/routes.go
@@ -97,6 +97,14 @@
 	IdleTimeout time.Duration
 }
 
+// Origin identifies the text of a version of the configuration.
+type Origin struct {
+	// Epoch is that of the store that has the version.
+	Epoch int64
+	// Digest is a hash of the text.
+	Digest uint64
+}
+
 // Table is one version of the configuration. It does not change once made.
 type Table struct {
 	// Version grows with each change of the configuration.
@@ -104,6 +112,8 @@
 	Routes   []Route
 	Services map[string]*Service
 	Limits   Limits
+	// Origin is where the version comes from.
+	Origin Origin
 	// Customers holds the customers of this version; nil if it has none, and then requests need no key.
 	Customers *customers.Directory
 
@@ -138,6 +148,15 @@
 	return t
 }
 
+// Replaces reports whether this configuration replaces another one: it has a higher version, or the store came back from
+// a copy and the operator gave the version out again with another text.
+func (t *Table) Replaces(other *Table) bool {
+	if t.Version != other.Version {
+		return t.Version > other.Version
+	}
+	return t.Origin.Epoch > other.Origin.Epoch && t.Origin.Digest != other.Origin.Digest
+}
+
 // Match returns the route of a host with the longest prefix that path begins with; nil if there is
 // none. The host may have a port, and letters of any case. Of two routes with the same prefix, the
 // first in the configuration matches.
