Replays of a fleet whose store comes back from a copy, by who reads it again

Three ways at 7 and 39 small boxes on the paused clock (300 by hand), with the store away for 0 or 1.5 s before; each box knows what was written right after the return within the 2 s that the platform allows.

--- /dev/null
+++ b/internal/node/restored_test.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"flag"
+	"fmt"
+	"regexp"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ospreymoor.example/ospreymoor/pkg/kv"
+)
+
+// The sizes by hand: go test -v ./internal/node -timeout 0 -args -ginkgo.v -ginkgo.focus='came back from a copy' -restored-boxes='^300'
+var restoredBoxes = flag.String("restored-boxes", "^(7|39)$", "a regular expression of the numbers of boxes with which a restored store is played")
+
+// restoredBound is the least bound of the platform's deployments for a change to be in force on all boxes.
+const restoredBound = 2 * time.Second
+
+// restoredFleet is what a fleet did after the store came back from a copy.
+type restoredFleet struct {
+	// lastBox is the time until the last box had a copy of the new epoch, and changed until it knew what was written right
+	// after the return.
+	lastBox, changed time.Duration
+	// snapshots, calls and bytes are the store's in the first two seconds.
+	snapshots, calls, bytes int64
+}
+
+// playRestoredStore makes the store of a fleet lose some seconds of changes, be away for a while, and change right after
+// it came back.
+func playRestoredStore(size smallFleetSize, away time.Duration, prepare func(*Node)) restoredFleet {
+	var played restoredFleet
+	withPreparedBoxes(size, prepare, func(s *smallBoxes) {
+		checkpoint := s.service.Checkpoint()
+		for n := range 40 {
+			s.put("servers/"+upstreamName(n%s.size.upstreams), upstreamName(n%s.size.upstreams))
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		s.storeDown.Store(away > 0)
+		time.Sleep(away)
+		s.service.Restore(checkpoint)
+		snapshots, calls, bytes := s.calls.snapshots.Load(), s.calls.total(), s.storeBytes.Load()
+		s.storeDown.Store(false)
+		returned := time.Now()
+		s.change("version 7", "config", configText(7, 50))
+		s.change(upstreamName(1)+" leaves", "servers/"+upstreamName(1), upstreamName(1)+" leaves")
+		for time.Since(returned) < 8*time.Second {
+			time.Sleep(20 * time.Millisecond)
+			behind := false
+			for _, node := range s.nodes {
+				behind = behind || kv.EpochOf(node.state().Revision) == 0
+			}
+			if behind {
+				played.lastBox = time.Since(returned)
+			}
+			if played.calls == 0 && time.Since(returned) >= 2*time.Second {
+				played.snapshots, played.calls, played.bytes = s.calls.snapshots.Load()-snapshots, s.calls.total()-calls, s.storeBytes.Load()-bytes
+			}
+		}
+		played.changed = s.longestDelay("")
+	})
+	return played
+}
+
+var _ = Describe("a fleet whose store came back from a copy", func() {
+	for _, size := range []smallFleetSize{{7, 4, 18}, {39, 3, 64}, {300, 7, 240}} {
+		It(fmt.Sprint("knows what is written right after it, at ", size.boxes, " boxes, whoever reads the store"), func() {
+			if !regexp.MustCompile(*restoredBoxes).MatchString(fmt.Sprint(size.boxes)) {
+				Skip("not in -restored-boxes")
+			}
+			ways := map[string]func(*Node){
+				"followers of a relay wait for it": nil,
+				"each box reads the store":         func(n *Node) { n.view.Mirror().MayAwaitRestored = nil },
+				"no box is told by its own calls": func(n *Node) {
+					n.view.Mirror().MayAwaitRestored = func() bool { return true }
+				},
+			}
+			for way, prepare := range ways {
+				for _, away := range []time.Duration{0, 1500 * time.Millisecond} {
+					played := playRestoredStore(size, away, prepare)
+					GinkgoWriter.Printf("%d boxes, away for %v, %s: last box %v, changes known %v; in 2 s %d snapshots, %d calls, %d KB\n",
+						size.boxes, away, way, played.lastBox, played.changed, played.snapshots, played.calls, played.bytes>>10)
+					Expect(played.changed).To(BeNumerically("<", restoredBound), way)
+				}
+			}
+		})
+	}
+})
