A box that was cut off does not take itself for the last that gave orders

What engines could see: orders of two boxes within the platform's gap after the store came back from a copy, where the former holder had been cut off from the store and from its successor for long.

Cause: whether another box can have given orders since was asked of the lease that had just been gained, whose latest renewal is its grant; so the bound on the time without a renewal never bound. Found by reading the diff.

--- a/internal/orderlease/handover.go
+++ b/internal/orderlease/handover.go
@@ -107,8 +107,12 @@
 
 // leaseChanged is called when the lease is gained (term above 0) or lost.
 func (h *handover) leaseChanged(term int64) {
+	lastRenewal := h.lease.lastRenewal()
 	h.mu.Lock()
 	h.term, h.ordersAllowed = term, false
+	if term == 0 {
+		h.epoch.lastRenewal = lastRenewal
+	}
 	h.mu.Unlock()
 	if term == 0 {
 		h.log.Info("order lease lost", zap.Int64("term", term))
--- a/internal/orderlease/restored.go
+++ b/internal/orderlease/restored.go
@@ -16,6 +16,8 @@
 	// gaveOrders means that this box was allowed orders in the epoch ordersIn, and has neither yielded nor resigned since.
 	gaveOrders bool
 	ordersIn   int64
+	// lastRenewal is when the lease that this box lost last was last renewed.
+	lastRenewal time.Time
 	// loggedWait is the epoch for which a wait was logged.
 	loggedWait int64
 }
@@ -51,10 +53,9 @@
 // if it gave the last orders. If not, ok is false until no order of a holder of the epoch before can arrive any more.
 // after and known are what waitEndsAfter returned.
 func (h *handover) waitForEpochBefore(after waitEnds, known bool) (ends waitEnds, ok bool) {
-	lastRenewal := h.lease.lastRenewal()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.gaveLastOrders(lastRenewal) {
+	if h.gaveLastOrders() {
 		return h.waitEnds, true
 	}
 	left := time.Until(h.epoch.since.Add(h.maxActing + h.orderGap))
@@ -69,6 +70,7 @@
 // lease once this one had not renewed it for its TTL. Since this box was not asked to yield, that box could have given
 // orders only after it waited for as long as this one could act and its orders arrive. If the epoch ended before, it
 // gave none. The caller holds the lock.
-func (h *handover) gaveLastOrders(lastRenewal time.Time) bool {
-	return h.epoch.gaveOrders && h.epoch.ordersIn == h.epoch.number-1 && h.epoch.since.Sub(lastRenewal) <= h.lease.ttl+h.orderGap
+func (h *handover) gaveLastOrders() bool {
+	e := &h.epoch
+	return e.gaveOrders && e.ordersIn == e.number-1 && e.since.Sub(e.lastRenewal) <= h.lease.ttl+h.orderGap
 }
--- a/internal/orderlease/restored_test.go
+++ b/internal/orderlease/restored_test.go
@@ -305,6 +305,31 @@
 		Expect(holders).To(BeNumerically(">", 0))
 	})
 
+	It("is not taken for one without orders since by a box that was cut off for longer than another one needs to take over", func() {
+		spectest.Bubble(func() {
+			f := &orderFleet{memory: kv.NewMemory()}
+			former, holder := &orderBox{fleet: f, name: "a"}, &orderBox{fleet: f, name: "b"}
+			former.start()
+			time.Sleep(10 * time.Second)
+			former.storeCut.Store(true)
+			holder.peersCut.Store(true) // It can't ask the former holder to yield.
+			time.Sleep(6 * time.Second) // Until its lease is over.
+			checkpoint := f.memory.Checkpoint()
+			holder.start()
+			time.Sleep(15 * time.Second)
+			Expect(f.orders[len(f.orders)-1].box).To(Equal("b"))
+			holder.storeCut.Store(true)
+			f.memory.Restore(checkpoint)
+			former.storeCut.Store(false)
+			time.Sleep(15 * time.Second)
+			Expect(f.violations()).To(BeEmpty())
+			Expect(f.orders[len(f.orders)-1].box).To(Equal("a"))
+			former.stop()
+			holder.stop()
+			time.Sleep(20 * time.Second)
+		})
+	})
+
 	It("stays with its holder without a pause in the orders", func() {
 		spectest.Bubble(func() {
 			f := &orderFleet{memory: kv.NewMemory()}
