Each box reads a small store again that came back from a copy, told by others too

Cause: boxes that follow a relay waited for its copy. A delta into a new epoch has all records, and a relay sends it to few boxes at a time; most gave up waiting and read the store after all (268 of 300 in the first 2 s).

The replay now lets a box know the epoch by its own answers only.

--- a/internal/cluster/receive.go
+++ b/internal/cluster/receive.go
@@ -84,7 +84,8 @@
 	}
 }
 
-// behind reports whether the sender's copy of the store or directory is newer than this box's.
+// behind reports whether the sender's copy of the store or directory is newer than this box's, and to be fetched.
 func (e *Exchange) behind(received message) bool {
-	return received.storeRevision() > e.Mirror.State().Revision || e.Directory.Version().Before(received.Version)
+	newer := received.storeRevision() > e.Mirror.State().Revision && !e.Mirror.ReadsRestored()
+	return newer || e.Directory.Version().Before(received.Version)
 }
--- a/internal/node/small_boxes_test.go
+++ b/internal/node/small_boxes_test.go
@@ -205,6 +205,7 @@
 // storeOverLink returns the store for a box: answers arrive over the box's link, and calls fail while the store is
 // down.
 func (s *smallBoxes) storeOverLink(link *spectest.Link) kv.Store {
+	var known atomic.Int64 // The epoch that the store's answers to the box named.
 	receive := func(ctx context.Context, bytes int) error {
 		if s.storeDown.Load() {
 			_ = pause.For(ctx, storeTimeout) // The call fails either way.
@@ -214,12 +215,14 @@
 		defer cancel()
 		const base64Factor = 4.0 / 3
 		s.storeBytes.Add(int64(float64(bytes) * base64Factor))
+		known.Store(s.service.Epoch())
 		if link.Receive(callCtx, int(float64(bytes)*base64Factor)) != nil {
 			return kv.ErrUnavailable
 		}
 		return nil
 	}
 	store := s.memory
+	store.Epoch = known.Load
 	store.Snapshot = func(ctx context.Context, prefix string) (kv.Snapshot, error) {
 		snapshot, err := s.memory.Snapshot(ctx, prefix)
 		if err != nil {
--- a/internal/storeview/evacuation.go
+++ b/internal/storeview/evacuation.go
@@ -27,6 +27,8 @@
 	halls map[string]bool
 	// lost holds until when halls stay evacuated whose keys the store lost.
 	lost map[string]time.Time
+	// revision is that of the state that was applied last.
+	revision int64
 }
 
 // applyEvacuations updates the set of evacuated halls and returns what changed. Only the key of a record counts, not
@@ -56,7 +58,8 @@
 			delete(set.lost, hall)
 		}
 	}
-	return v.setEvacuated(state.Revision)
+	set.revision = state.Revision
+	return v.setEvacuated()
 }
 
 // EndLostEvacuations ends the evacuations whose keys the store lost and nobody wrote again. The caller must call it
@@ -73,18 +76,19 @@
 		}
 	}
 	var change fleet.Evacuations
-	revision := v.config.Directory.Revision()
 	if ended {
-		change = v.setEvacuated(revision)
+		change = v.setEvacuated()
 	}
+	revision := set.revision
 	set.mu.Unlock()
 	v.logEvacuations(&change, revision, "lost by the store")
 }
 
-// setEvacuated passes the set on as of a revision of the store. The caller holds the set's lock.
-func (v *View) setEvacuated(revision int64) fleet.Evacuations {
-	v.evacuatedHalls.Store(int64(len(v.evacuations.halls)))
-	return v.config.Directory.SetEvacuated(revision, maps.Clone(v.evacuations.halls))
+// setEvacuated passes the set on. The caller holds the set's lock.
+func (v *View) setEvacuated() fleet.Evacuations {
+	set := &v.evacuations
+	v.evacuatedHalls.Store(int64(len(set.halls)))
+	return v.config.Directory.SetEvacuated(set.revision, maps.Clone(set.halls))
 }
 
 // logEvacuations logs evacuations that began or ended, with the number of upstreams left, so that an operator sees
--- a/internal/storeview/view.go
+++ b/internal/storeview/view.go
@@ -58,6 +58,8 @@
 	copyWaitDeadline time.Time
 	// changeLogLimit limits the log lines about changes in the list of upstreams.
 	changeLogLimit logLimit
+	// recordCount is the number of records of the copy.
+	recordCount atomic.Int64
 	// evacuatedHalls is the number of evacuated halls, for a metric.
 	evacuatedHalls atomic.Int64
 
@@ -89,7 +91,7 @@
 		PollTimeout:       v.pollTimeout,
 		PollAhead:         v.pollAhead,
 		Paused:            v.mayPause,
-		MayAwaitRestored:  config.Members.FollowsRelay,
+		MayAwaitRestored:  v.mayAwaitRestored,
 		MayAwaitCopy:      v.mayAwaitCopy,
 		OnPartialSnapshot: v.applyPartialSnapshot,
 		OnConnectivity:    v.logConnectivity,
@@ -118,6 +120,7 @@
 		v.logRestored(state)
 	}
 	v.lastRecords, v.lastRevision = state.Records, state.Revision
+	v.recordCount.Store(int64(state.Records.Len()))
 	v.applyTable(state, changes.config)
 	evacuations := v.applyEvacuations(state, changes.evacuations, restored)
 	v.applyUpstreams(state, changes.upstreams, restored)
--- a/internal/storeview/watch.go
+++ b/internal/storeview/watch.go
@@ -45,6 +45,16 @@
 	return !v.config.ReadsFullStore && time.Now().Before(v.copyWaitDeadline)
 }
 
+// maxReadByAll is the largest store, in records, that each box reads again when it came back from a copy: two pages. The
+// store's link would carry a larger one for each box of the fleet.
+const maxReadByAll = 900
+
+// mayAwaitRestored reports whether this box may wait for its relay to bring what the store has after it came back from
+// a copy.
+func (v *View) mayAwaitRestored() bool {
+	return v.config.Members.FollowsRelay() && v.recordCount.Load() > maxReadByAll
+}
+
 // applyPartialSnapshot registers the boxes that are among the first records of a large store, so that they can be
 // asked for the rest.
 func (v *View) applyPartialSnapshot(records []kv.Record) {
--- a/pkg/mirror/follow.go
+++ b/pkg/mirror/follow.go
@@ -52,18 +52,31 @@
 // shouldPause reports whether the store need not be polled now: this mirror has a copy, other boxes keep it up to
 // date, it is of the store's present epoch, and if the store is lost, it was tried recently.
 func (m *Mirror) shouldPause() bool {
-	mayAwait := m.MayAwaitRestored != nil && m.MayAwaitRestored()
+	mayAwait := m.mayAwaitRestored()
 	m.mu.Lock()
 	due := m.state.Revision == 0 || (m.outlived() && !mayAwait) || (m.connection.lost && time.Since(m.connection.lastAttempt) > lostRetryInterval)
 	m.mu.Unlock()
 	return !due && m.Paused != nil && m.Paused()
 }
 
-// outlived reports whether the store came back from a copy since the state was current. The caller holds the lock.
+// outlived reports whether the store came back from a copy since the state was current, by an answer to any call of this
+// box or by another box's copy. The caller holds the lock.
 func (m *Mirror) outlived() bool {
-	return m.Store.Epoch != nil && kv.Precedes(m.state.Revision, m.Store.Epoch())
+	answered := m.Store.Epoch != nil && kv.Precedes(m.state.Revision, m.Store.Epoch())
+	return answered || kv.Precedes(m.state.Revision, kv.EpochOf(m.reported))
 }
 
+// ReadsRestored reports whether this box is about to read a store again that came back from a copy, so that other boxes
+// need not send it what the store has.
+func (m *Mirror) ReadsRestored() bool {
+	mayAwait := m.mayAwaitRestored()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.Revision != 0 && m.outlived() && !mayAwait && !m.connection.lost
+}
+
+func (m *Mirror) mayAwaitRestored() bool { return m.MayAwaitRestored != nil && m.MayAwaitRestored() }
+
 // follow applies changes until a call fails, the watch ends or the mirror should pause. If the state is complete, no
 // change before its revision was missed: follow reads the records that the copy lacks and watches the store from the
 // revision on. If not, it reads a snapshot first. It reports whether the state is complete at the end.
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -62,7 +62,7 @@
 	// that it is always polled.
 	Paused func() bool
 	// MayAwaitRestored reports whether this box may wait for other boxes to bring what the store has after it came back
-	// from a copy, as long as Paused allows it; nil means never.
+	// from a copy, as long as Paused allows it; nil means never. It is called without the mirror locked.
 	MayAwaitRestored func() bool
 	// MayAwaitCopy reports whether this box may wait for a first copy from other boxes instead of reading a large store
 	// whole; nil means never.
@@ -87,6 +87,8 @@
 	freshness freshness
 	// pendingConfirmations are confirmations of revisions that this copy has not reached yet, in the order of arrival.
 	pendingConfirmations []confirmation
+	// reported is the highest revision of a copy that another box reported.
+	reported int64
 	// partialRead means that only the first records of a large store were read, because a copy may be awaited.
 	partialRead bool
 	// copiedFromPeers means that the whole state so far came from other boxes. The next call of follow clears it.
@@ -165,6 +167,7 @@
 func (m *Mirror) ConfirmCurrent(revision int64, at time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.reported = max(m.reported, revision)
 	if len(m.pendingConfirmations) == maxPendingConfirmations {
 		// Drop the latest one: the earlier ones are of revisions that are reached sooner.
 		m.pendingConfirmations = m.pendingConfirmations[:maxPendingConfirmations-1]
