A box that lost the order lease does not raise its term above its successor's

What engines could see: a legitimate holder that stops for a moment, where a box that was frozen or slow in its takeover asks it to yield under a term raised above its own.

Cause: since terms can be raised, a record or an answer with a term that is not below the own one led to a higher one always. Within one epoch of the store such a term is a later holder's, not an earlier one's.

A takeover ends where the record was written after the lease was gained, and an answer raises the term only until a holder has written its name in the present epoch. The takeover is split, and the view logs a return also where the store named no epoch before.

--- a/internal/orderlease/handover.go
+++ b/internal/orderlease/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -69,6 +70,8 @@
 	raiseTerm   func(term, above int64) int64
 	lastRenewal func() time.Time
 	outlived    func() bool
+	// gainedAt returns the store's revision at which the lease was gained.
+	gainedAt func() int64
 	// highestTerm returns the highest term that other boxes reported.
 	highestTerm func() int64
 	ttl         time.Duration
@@ -92,6 +95,7 @@
 			raiseTerm:   func(term, above int64) int64 { return max(term, above+1) },
 			lastRenewal: func() time.Time { return time.Time{} },
 			outlived:    func() bool { return false },
+			gainedAt:    func() int64 { return math.MaxInt64 },
 			highestTerm: config.Peers.HighestTerm,
 			ttl:         config.TTL,
 		},
@@ -164,28 +168,22 @@
 	if err == nil {
 		former = h.decodeHolder(record)
 	}
-	if former.Name == h.name {
-		former.Term-- // This box may give orders under the term that it recorded itself.
+	if former.Name != h.name && record.Revision > h.lease.gainedAt() {
+		return false // A later holder wrote it. The next renewal shows that this box lost the lease.
 	}
-	h.raise(term, former.Term)
 	epoch := h.currentEpoch()
-	outdated := former.Epoch != epoch
 	if former.Name == h.name && epoch == 0 {
 		h.resume(*term, former.Settled)
 		return true
 	}
-	after, ok := h.waitEndsAfter(ctx, term, former, gained)
-	if outdated {
-		after, ok = h.waitForEpochBefore(after, ok)
-		h.raise(term, h.lease.highestTerm())
-	}
+	after, ok := h.waitEndsIn(ctx, epoch, term, former, gained)
 	if !ok || h.lease.outlived() {
 		return false
 	}
 	// The wait ends are stored before the swap: if it takes effect but its answer is lost, the next try finds this
 	// box's own name and needs them.
 	h.setWaitEnds(after)
-	settled := former.Name == h.name && former.Settled && !outdated
+	settled := former.Settled && former.Name == h.name && former.Epoch == epoch
 	if h.writeHolder(ctx, record.Revision, holderRecord{Name: h.name, Settled: settled, Term: *term, Epoch: epoch}) != nil {
 		return false
 	}
@@ -193,6 +191,23 @@
 	return true
 }
 
+// waitEndsIn returns from when each engine may be given orders in an epoch of the store, and raises the term above those
+// of former holders. ok is false as long as that is not known.
+func (h *handover) waitEndsIn(ctx context.Context, epoch int64, term *int64, former holderRecord, gained time.Time) (after waitEnds, ok bool) {
+	above := former.Term
+	if former.Name == h.name {
+		above-- // This box may give orders under the term that it recorded itself.
+	}
+	h.raise(term, above)
+	outdated := former.Epoch != epoch
+	after, ok = h.waitEndsAfter(ctx, term, former, outdated, gained)
+	if outdated {
+		after, ok = h.waitForEpochBefore(after, ok)
+		h.raise(term, h.lease.highestTerm())
+	}
+	return after, ok
+}
+
 // holds reports whether this box still holds the lease under a term.
 func (h *handover) holds(term int64) bool {
 	h.mu.Lock()
--- a/internal/orderlease/handover_test.go
+++ b/internal/orderlease/handover_test.go
@@ -142,7 +142,7 @@
 			before = time.Now()
 			known := false
 			term := int64(7)
-			found, known = next.waitEndsAfter(context.Background(), &term, holderRecord{Name: "old"}, before)
+			found, known = next.waitEndsAfter(context.Background(), &term, holderRecord{Name: "old"}, false, before)
 			after = time.Now()
 			return known
 		}).WithTimeout(time.Minute).Should(BeTrue())
@@ -198,6 +198,15 @@
 		})
 	})
 
+	It("does not take over from a holder that wrote its name after this box gained the lease", func() {
+		inTakeover(nil, func(next *takeover) {
+			next.lease.gainedAt = func() int64 { return 1 }
+			next.leaseChanged(7)
+			time.Sleep(time.Second)
+			Expect(next.mayOrderNow()).To(BeFalse())
+		})
+	})
+
 	It("includes the waits that still apply to itself in its answer to a yield call", func() {
 		spectest.Bubble(func() {
 			next := newHandover(Config{Name: "new", OrderGap: testOrderGap, Log: zap.NewNop()}, 300*time.Millisecond)
--- a/internal/orderlease/lease.go
+++ b/internal/orderlease/lease.go
@@ -119,6 +119,7 @@
 	})
 	held := &l.handover.lease
 	held.raiseTerm, held.lastRenewal, held.outlived = l.lease.RaiseTerm, l.lease.LastRenewal, l.outlived
+	held.gainedAt = func() int64 { return l.lease.Status().Revision }
 	return l
 }
 
--- a/internal/orderlease/wait_ends.go
+++ b/internal/orderlease/wait_ends.go
@@ -19,8 +19,8 @@
 }
 
 // waitEndsAfter returns from when each engine may be given orders after those of the former holder. ok is false as
-// long as that is not known.
-func (h *handover) waitEndsAfter(ctx context.Context, term *int64, former holderRecord, gained time.Time) (after waitEnds, ok bool) {
+// long as that is not known. outdated means that no holder has written its name in the store's present epoch yet.
+func (h *handover) waitEndsAfter(ctx context.Context, term *int64, former holderRecord, outdated bool, gained time.Time) (after waitEnds, ok bool) {
 	if former.Name == h.name {
 		return h.waitEndsAfterSelf(former.Settled), true
 	}
@@ -29,7 +29,11 @@
 		now := time.Now()
 		switch {
 		case err == nil && answer.Term >= *term:
-			h.raise(term, answer.Term) // It may act on, because it was asked under a term that is not above its own.
+			// It did not stop, because it was asked under a term that is not above its own. Within one epoch it is the later
+			// holder then.
+			if outdated {
+				h.raise(term, answer.Term)
+			}
 			return waitEnds{}, false
 		case err == nil:
 			return h.waitEndsAfterYield(answer, now), true
--- a/internal/storeview/store_log.go
+++ b/internal/storeview/store_log.go
@@ -41,7 +41,7 @@
 // logRestored logs and counts that the store came back from a copy, with what the copy of this box had and the store's
 // has not: records that are lost, records with another value, and records that had gone.
 func (v *View) logRestored(state mirror.State) {
-	if kv.EpochOf(v.lastRevision) == 0 {
+	if kv.EpochOf(v.lastRevision) == 0 && v.lastOrigin == mirror.FromPeer {
 		return // The copy so far came from a box of the previous version, which names no epoch.
 	}
 	v.countStoreEvent("ospreymoor_store_restores_total")
--- a/internal/storeview/view.go
+++ b/internal/storeview/view.go
@@ -65,9 +65,10 @@
 
 	// The fields below are changed only by applyState, which never runs concurrently with itself.
 
-	// lastRecords and lastRevision are those of the copy that was applied last.
+	// lastRecords, lastRevision and lastOrigin are those of the copy that was applied last.
 	lastRecords  mirror.Records
 	lastRevision int64
+	lastOrigin   mirror.Origin
 	// upstreamIDs has the upstream's id by the key of its entry. unusableReasons has, by key, why an entry names no
 	// usable upstream.
 	upstreamIDs     map[string]string
@@ -119,7 +120,7 @@
 	if restored {
 		v.logRestored(state)
 	}
-	v.lastRecords, v.lastRevision = state.Records, state.Revision
+	v.lastRecords, v.lastRevision, v.lastOrigin = state.Records, state.Revision, state.Origin
 	v.recordCount.Store(int64(state.Records.Len()))
 	v.applyTable(state, changes.config)
 	evacuations := v.applyEvacuations(state, changes.evacuations, restored)
--- a/pkg/lease/contest.go
+++ b/pkg/lease/contest.go
@@ -114,7 +114,7 @@
 	}
 	term := l.config.Term(record.Revision)
 	l.mu.Lock()
-	l.id, l.term, l.highestTerm = id, term, max(l.highestTerm, term)
+	l.id, l.term, l.highestTerm, l.revision = id, term, max(l.highestTerm, term), record.Revision
 	l.actUntil = before.Add(l.config.TTL - l.config.Margin)
 	l.mu.Unlock()
 	l.config.Changed(term)
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -78,6 +78,8 @@
 	// term and id are those of the lease since it was gained; 0 once it is lost or given up.
 	term int64
 	id   kv.LeaseID
+	// revision is that of the write by which the lease was gained.
+	revision int64
 	// actUntil is when this process must stop acting.
 	actUntil time.Time
 	// highestTerm is the highest term that this process ever held.
@@ -133,6 +135,8 @@
 	// They have no meaning if Term is 0.
 	LastRenewal time.Time
 	Epoch       int64
+	// Revision is that of the write by which the lease was gained.
+	Revision int64
 }
 
 // Status returns the lease that is held, even if the time to act is over but the store has not confirmed the loss. A
@@ -141,7 +145,7 @@
 func (l *Lease) Status() Status {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Status{Term: l.term, LastRenewal: l.lastRenewal(), Epoch: l.id.Epoch}
+	return Status{Term: l.term, LastRenewal: l.lastRenewal(), Epoch: l.id.Epoch, Revision: l.revision}
 }
 
 // Abandon gives up the lease if it is held under a term below the given one. A holder calls it when another process
