--- a/internal/storeview/registration.go
+++ b/internal/storeview/registration.go
@@ -39,8 +39,8 @@
 	// Boxes returns the number of boxes; nil counts this one alone. Set it before Run.
 	Boxes func() int
 
-	// lease is the lease of the latest registration; the zero value before the first one. listed means that the lease is not known to
-	// be lost.
+	// lease is the lease of the latest registration; the zero value before the first one. listed means that the lease is
+	// not known to be lost.
 	lease  kv.LeaseID
 	listed bool
 	// restored means that the store came back from a copy after the registration, which it may still have.
--- a/pkg/fleet/lapse.go
+++ b/pkg/fleet/lapse.go
@@ -45,7 +45,8 @@
 }
 
 // DropLapsed removes the upstreams whose entries lapsed for longer than lapseGrace, uses those whose
-// returned entries were held back for long enough, and returns both. The caller must call it regularly, since a list may not come in time.
+// returned entries were held back for long enough, and returns both. The caller must call it regularly,
+// since a list may not come in time.
 func (d *Directory) DropLapsed() []Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/pkg/kv/kv.go
+++ b/pkg/kv/kv.go
@@ -112,9 +112,9 @@
 }
 
 // Store gives access to the key-value service. All functions are safe for concurrent use and return
-// errors of the kinds above. A condition on a revision of an earlier epoch does not hold, and a change whose
-// answer is of another epoch than its condition or lease fails with ErrUnknown. Read calls (Get, List, Snapshot, Watch) fail with ErrUnavailable. Changes
-// also fail with ErrUnknown if they may have been sent.
+// errors of the kinds above. Read calls (Get, List, Snapshot, Watch) fail with ErrUnavailable. Changes
+// also fail with ErrUnknown if they may have been sent, or if their answer is of another epoch than their
+// condition or lease. A condition on a revision of an earlier epoch does not hold.
 type Store struct {
 	// Epoch returns the highest epoch of the service that an answer named; 0 if none did. The epoch rises by one each
 	// time the service comes back from a copy of its state. nil is a service that names no epoch.
