A native box that starts while the platform is down is checked before its peer can be reached

Traced: nothing orders that check before the box's own goroutines, which need no time of the bubble's clock to get the bundles from their peer; on a busy machine they were faster. The product was right.

The check is replaced by a stricter one: the peer cannot be reached for two seconds, in which the box must not be ready; then, as before, it must be and serve within ten.

--- a/internal/box/bundles_in_force_test.go
+++ b/internal/box/bundles_in_force_test.go
@@ -148,8 +148,13 @@
 			t.platform.SetMode(standin.FaultDown)
 			t.kill("h1-b1")
 			spec.config = func(c *Config) { c.Peers.Known = []string{peer} }
+			host := fmt.Sprint("h1-b1.", t.starts+1)
+			t.net.setPartition(true, []string{host}, []string{hostOf(peer)})
 			fresh := t.startBox(spec, "h1", "h1-b1")
+			Expect(fresh.host).To(Equal(host))
+			time.Sleep(2 * time.Second)
 			Expect(fresh.Ready()).To(BeFalse())
+			t.net.setPartition(false, []string{host}, []string{hostOf(peer)})
 			t.until(10*time.Second, func() error {
 				if !fresh.Ready() {
 					return errors.New("not ready")
