--- a/internal/node/restored_test.go
+++ b/internal/node/restored_test.go
@@ -78,6 +78,9 @@
 			if !regexp.MustCompile(*restoredBoxes).MatchString(fmt.Sprint(size.boxes)) {
 				Skip("not in -restored-boxes")
 			}
+			if raceDetector && size.boxes > raceSize.boxes {
+				Skip("its full size is played without the race detector")
+			}
 			ways := map[string]func(*Node){"each box reads a store of this size": nil}
 			if *restoredWays {
 				ways["all but the watchers wait"] = func(n *Node) { n.view.Mirror().MayAwaitRestored = func() bool { return true } }
