Engines that were used first do not look faster than equal ones

What callers would see: requests of one box go to the engine that it used first and wait there, while equal engines are idle.

Cause: since a model's pace is learned from long prompts alone, predictions that are too long for short prompts were corrected by each engine's factor only, so that an engine without answers stayed at 1 while the used one fell.

Change: a common pace of all engines, the low quarter of the latest first tokens against their predictions, corrects all predicted waits alike.

--- a/pkg/dispatch/prediction.go
+++ b/pkg/dispatch/prediction.go
@@ -87,8 +87,8 @@
 //
 //	ahead / prefill speed + (uncached prompt / prefill speed + running * delay) * model pace + step
 //
-// The result is multiplied by the upstream's factor. The wait for a slot and the penalties for full memory
-// and for another hall are added. The caller holds the tracker's lock.
+// The result is multiplied by the upstream's factor and the common pace. The wait for a slot and the
+// penalties for full memory and for another hall are added. The caller holds the tracker's lock.
 func (c *Chooser) predict(need Requirements, upstream *fleet.State, record *upstreamRecord) Choice {
 	load := c.Loads.total(upstream.ID, record)
 	record.cacheCapacity = prefixCacheCapacity(need.CacheTokens)
@@ -99,7 +99,7 @@
 	factor := choice.factor * choice.pace
 	choice.prefillTime = scale(prefillTime(choice.Uncached), factor)
 	choice.eventTime = scale(eventTime(need, load), factor)
-	choice.engineWait = scale(c.Loads.engineWait(need, load, choice.Uncached), record.factor)
+	choice.engineWait = scale(c.Loads.engineWait(need, load, choice.Uncached), c.Loads.upstreamFactor(record))
 	choice.Wait = choice.engineWait + slotWait(load, upstream.Slots, record.runTime)
 	if memoryFull(need, load) {
 		choice.Wait += fullPenalty
--- a/pkg/dispatch/prediction_test.go
+++ b/pkg/dispatch/prediction_test.go
@@ -111,4 +111,25 @@
 			Expect(many.Crowded(request)).To(BeFalse())
 		})
 	})
+
+	// The load: short prompts, one after the other, that all engines answer in half the predicted time.
+	It("send requests to all of several equal engines, although those that were used first answer sooner than predicted", func() {
+		spectest.Bubble(func() {
+			tracker := dispatch.NewLoadTracker()
+			chooser := &dispatch.Chooser{Loads: tracker, Hall: "z"}
+			request := dispatch.Requirements{Model: "m", PromptTokens: 628, CacheTokens: 1_000_000}
+			sent := map[string]int{}
+			for range 200 {
+				choice, _ := chooser.Choose(request, engines(4))
+				ticket := tracker.Begin(choice, request)
+				sent[choice.Upstream.ID]++
+				time.Sleep(11 * time.Millisecond)
+				ticket.Started()
+				ticket.End()
+			}
+			for _, engine := range engines(4) {
+				Expect(sent[engine.ID]).To(BeNumerically(">=", 20), "%s of %v", engine.ID, sent)
+			}
+		})
+	})
 })
--- a/pkg/dispatch/ticket.go
+++ b/pkg/dispatch/ticket.go
@@ -62,7 +62,7 @@
 		return
 	}
 	firstToken := t.startedAt.Sub(t.sentAt)
-	record.updateFactor(t.predicted, firstToken)
+	t.tracker.updateFactors(record, t.predicted, firstToken)
 	t.tracker.learnPace(t.model, t.prefill, firstToken)
 }
 
--- a/pkg/dispatch/tracker.go
+++ b/pkg/dispatch/tracker.go
@@ -13,6 +13,8 @@
 	remote map[string]Load
 	// remoteAt is the time that remote refers to.
 	remoteAt time.Time
+	// commonPace corrects the predicted waits at all upstreams.
+	commonPace pace
 	// paces are how long prompts take to prefill, by model.
 	paces map[string]*pace
 	// overhead is the shortest time that a first token took beside prefill; 0 if no short prompt was observed.
@@ -31,7 +33,7 @@
 	ejection   outlierEjection
 	pauseShare pauseShare
 	streak     failureStreak
-	// factor corrects the predicted wait at this upstream.
+	// factor corrects the predicted wait at this upstream, beside the common pace.
 	factor float64
 	// runTime is the moving average of the time from first token to end of response; 0 if no request ended.
 	runTime time.Duration
