A box that starts takes the configuration that the store lost from its neighbours

What callers saw: after the store came back from a copy, a box that started before the operator's next write served by the older configuration that the store then had, while all boxes beside it served by the newer one.

Cause: boxes pass on what the store has. What only they have, since the store lost it, they kept to themselves.

Now a box whose version in force is above that in its copy says so in each exchange (an optional field, absent while the store has it), and one whose version is lower fetches the text in pieces, puts it in force and holds it as well; also a running box that had missed it. A box that starts, and whose copy is of an epoch above the first, is ready once each box that it calls regularly sent something or failed to answer, after 0.6 s at the latest. A claim of another type, negative, or impossibly far ahead is logged once and loses nothing else of its message; a text of another version than the claim is not put in force.

--- a/internal/cluster/blob.go
+++ b/internal/cluster/blob.go
@@ -113,6 +113,13 @@
 	return packed, nil
 }
 
+// has reports whether a blob that is not shared is cached.
+func (c *blobCache) has(id blobID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.ContainsFunc(c.list, func(kept blob) bool { return kept.id == id })
+}
+
 // put caches a blob.
 func (c *blobCache) put(added blob) {
 	c.mu.Lock()
--- a/internal/cluster/calls.go
+++ b/internal/cluster/calls.go
@@ -103,6 +103,24 @@
 	return m.beginDue(plan, now)
 }
 
+// asked reports whether each box that this one calls regularly has sent something, or failed to answer, since a time.
+func (m *Members) asked(since, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	unasked := func(other *member) bool {
+		return !other.report.received.After(since) && !other.call.failedAt.After(since)
+	}
+	if m.large() {
+		return !slices.ContainsFunc(m.relayPlan(now), func(p plannedCall) bool { return unasked(p.member) })
+	}
+	for _, other := range m.byName {
+		if unasked(other) {
+			return false
+		}
+	}
+	return true
+}
+
 // beginDue starts the planned calls that are due. The caller holds the lock.
 func (m *Members) beginDue(plan []plannedCall, now time.Time) []call {
 	var calls []call
--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +40,12 @@
 	LinkBytesPerSecond float64
 	// ModelUses lists this box's requests in flight by upstream, model and adapter.
 	ModelUses func() []residency.ModelUse
+	// VersionInForce returns the version of the configuration in force at this box; 0 if there is none. HeldConfig
+	// returns that configuration if the store does not have it any more, or else nil. PutInForce puts one in force that
+	// another box holds, if it is newer. Without PutInForce, none is taken.
+	VersionInForce func() int64
+	HeldConfig     func() *HeldConfig
+	PutInForce     func(HeldConfig) error
 	// Leaving reports whether this box is about to stop.
 	Leaving func() bool
 	// OnLapsed is called with the upstreams whose entries lapsed.
@@ -53,9 +60,13 @@
 	// fetching means that a fetch of newer state is in progress, and fetchingLarge one of large records that this
 	// box lacks.
 	fetching, fetchingLarge atomic.Bool
-	sender                  *pieceSender
-	pacer                   activityPacer
-	crashes                 *crashBroadcasts
+	// fetchingConfig means that a fetch of a configuration that another box holds is in progress. badClaims has the boxes
+	// whose claim to hold one was logged as wrong.
+	fetchingConfig atomic.Bool
+	badClaims      sync.Map
+	sender         *pieceSender
+	pacer          activityPacer
+	crashes        *crashBroadcasts
 	// leaving selects which leaving upstreams each message lists.
 	leaving leavingRotation
 	limits  *limitBroadcasts
@@ -139,6 +150,7 @@
 		OrderHolder: e.orderHolder(),
 		Version:     e.Directory.Version(),
 		Crashes:     e.crashes.take(to),
+		HeldConfig:  e.heldClaim(),
 
 		LeavingUpstreams: e.leaving.next(to, e.Directory.LeavingByAnswer()),
 		Limits:           e.limits.take(to),
--- a/internal/cluster/fetch.go
+++ b/internal/cluster/fetch.go
@@ -189,6 +189,9 @@
 
 // answerPiece answers a request for one piece of a blob.
 func (e *Exchange) answerPiece(_ context.Context, request pieceRequest) (pieceAnswer, error) {
+	if err := e.packHeldConfig(request.Blob); err != nil {
+		return pieceAnswer{}, err
+	}
 	return e.sender.answer(request, e.Mirror.State().Records)
 }
 
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -102,6 +102,9 @@
 	LeavingUpstreams []string `json:"leavingUpstreams,omitempty"`
 	// Limits reports limits that upstreams set or changed, and limits that ended.
 	Limits []fleet.LimitReport `json:"limits,omitempty"`
+	// HeldConfig is the configuration in force at the sender, if the store does not have it any more. A box of the previous
+	// version ignores it.
+	HeldConfig *heldConfigClaim `json:"heldConfig,omitempty"`
 	// Pieces means that the sender fetches large records and packed sync answers in pieces. A box of a version that
 	// does not is sent them whole.
 	Pieces bool `json:"pieces,omitempty"`
--- a/internal/cluster/newer_test.go
+++ b/internal/cluster/newer_test.go
@@ -1,12 +1,14 @@
 package cluster
 
 import (
+	"context"
 	"encoding/json"
 	"math"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"ospreymoor.example/ospreymoor/pkg/fleet"
 	"ospreymoor.example/ospreymoor/pkg/kv"
@@ -93,3 +95,54 @@
 		Expect(kv.RevisionAt(math.MaxInt64, 1)).To(BeNumerically(">", 0))
 	})
 })
+
+var _ = Describe("what a box tells of a configuration that the store does not have", func() {
+	DescribeTable("loses nothing else of its message", func(claim string, version int64) {
+		var read message
+		Expect(json.Unmarshal([]byte(`{"heldConfig":`+claim+`,"revision":5}`), &read)).To(Succeed())
+		Expect(read.Revision).To(Equal(int64(5)))
+		if claim == "null" {
+			Expect(read.HeldConfig).To(BeNil())
+			return
+		}
+		Expect(read.HeldConfig.Version).To(Equal(version))
+		Expect(read.HeldConfig.unreadable == "").To(Equal(version != 0))
+	},
+		Entry("a version", `{"version":5,"blob":"inforce/5/ab"}`, int64(5)),
+		Entry("with a field of a later build", `{"version":5,"blob":"inforce/5/ab","more":[1]}`, int64(5)),
+		Entry("none", `null`, int64(0)),
+		Entry("negative", `{"version":-5,"blob":"inforce/5/ab"}`, int64(0)),
+		Entry("larger than a number of 64 bits", `{"version":1e300,"blob":"inforce/5/ab"}`, int64(0)),
+		Entry("a fraction", `{"version":5.5,"blob":"inforce/5/ab"}`, int64(0)),
+		Entry("no version", `{"blob":"inforce/5/ab"}`, int64(0)),
+		Entry("another blob", `{"version":5,"blob":"record/5/op/config"}`, int64(0)),
+		Entry("another type", `"5"`, int64(0)),
+		Entry("a list", `[5]`, int64(0)),
+	)
+
+	It("is not sent while the store has it, so that a message is as before", func() {
+		Expect(asJSON(message{})).NotTo(ContainSubstring("heldConfig"))
+	})
+
+	DescribeTable("is taken only if its version can be right, and logged once if not", func(own, claimed int64, taken bool) {
+		logged, lines := observer.New(zap.InfoLevel)
+		e := exchangeWithCopy(1)
+		e.Log = zap.New(logged)
+		e.VersionInForce, e.PutInForce = func() int64 { return own }, func(HeldConfig) error { return nil }
+		received := message{From: Box{Name: "a"}, HeldConfig: &heldConfigClaim{Version: claimed, Blob: "inforce/1/a"}}
+		e.fetchingConfig.Store(true) // So that nothing is fetched here.
+		for range 3 {
+			e.applyHeldClaim(context.Background(), received)
+		}
+		Expect(lines.Len() == 0).To(Equal(taken))
+		Expect(lines.Len()).To(BeNumerically("<=", 1))
+	},
+		Entry("newer", int64(22), int64(26), true),
+		Entry("older", int64(26), int64(22), true),
+		Entry("versions that are times in nanoseconds", int64(1774838396754284683), int64(1774838396754284683)+int64(1e9), true),
+		Entry("far above", int64(22), int64(22)+maxVersionLead+1, false),
+		Entry("the largest number", int64(22), int64(math.MaxInt64), false),
+		Entry("the largest number above a negative one", int64(-22), int64(math.MaxInt64), false),
+		Entry("without a configuration of its own", int64(0), int64(26), true),
+	)
+})
--- a/internal/cluster/receive.go
+++ b/internal/cluster/receive.go
@@ -45,6 +45,7 @@
 	e.applyUpdates(received, now)
 	e.crashes.receive(received.From.Name, e.Members.Large(), received.Crashes)
 	e.applyState(received, now)
+	e.applyHeldClaim(ctx, received)
 	e.Directory.RecordLeaving(received.LeavingUpstreams)
 	e.limits.receive(received.From.Name, e.Members.Large(), received.Limits)
 	if behind := e.behind(received); behind || len(e.Mirror.Missing()) > 0 {
--- a/internal/node/new.go
+++ b/internal/node/new.go
@@ -245,7 +245,10 @@
 		Controller: n.controller,
 		Quarantine: s.quarantine,
 		ModelUses:  n.Gateway.ModelUses,
-		Leaving:    n.leaving.Load,
+
+		VersionInForce: n.view.VersionInForce, HeldConfig: n.view.HeldConfig, PutInForce: n.view.PutInForce,
+
+		Leaving: n.leaving.Load,
 		OnLapsed: func(changes []fleet.Change) {
 			n.view.NoteChanges(changes)
 			n.view.EndLostEvacuations()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"ospreymoor.example/ospreymoor/internal/storeview"
 	"ospreymoor.example/ospreymoor/pkg/customers"
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
+	"ospreymoor.example/ospreymoor/pkg/kv"
 	"ospreymoor.example/ospreymoor/pkg/quarantine"
 	"ospreymoor.example/ospreymoor/pkg/residency"
 )
@@ -112,11 +113,15 @@
 
 // Ready reports whether this box can serve: it has a configuration, knows upstreams and is not about
 // to stop. If customers have limits, it also waits for a bounded time until the store lists this box: before that
-// it does not know its share of a limit, and would refuse customers that are within their limits.
+// it does not know its share of a limit, and would refuse customers that are within their limits. If the store came back
+// from a copy, it waits for a bounded time until other boxes told whether they hold a newer configuration.
 func (n *Node) Ready() bool {
 	table := n.Gateway.Table()
 	if n.leaving.Load() || table == nil || n.Gateway.Directory.Revision() == 0 {
 		return false
 	}
+	if configuredAt := n.view.ConfiguredAt(); n.exchange.AwaitsHeldConfig(kv.EpochOf(n.state().Revision), configuredAt) {
+		return false
+	}
 	return !table.Customers.Limited() || !n.members.AwaitsListing()
 }
--- a/internal/node/small_boxes_test.go
+++ b/internal/node/small_boxes_test.go
@@ -38,6 +38,9 @@
 	boxes, halls, upstreams int
 }
 
+// spareLinks is how many more boxes may be started later.
+const spareLinks = 3
+
 // raceDetector is set if the specs run with the race detector. They run with raceSize then, since the race detector's
 // runtime itself failed once at their full size. CI runs them at full size without it.
 var raceDetector bool
@@ -54,6 +57,8 @@
 	// prepare, if not nil, changes each box before it runs.
 	prepare func(*Node)
 	running sync.WaitGroup
+	// stop ends the boxes that withPreparedBoxes started.
+	stop    context.CancelFunc
 	network spectest.Network
 	// links holds the boxes' links by address.
 	links map[string]*spectest.Link
@@ -88,6 +93,7 @@
 		s := newSmallBoxes(size)
 		s.prepare = prepare
 		ctx, stop := context.WithCancel(context.Background())
+		s.stop = stop
 		for n := range size.boxes {
 			s.start(ctx, n)
 		}
@@ -109,7 +115,7 @@
 		size: size, service: service, memory: service.Store(), links: map[string]*spectest.Link{},
 		written: map[string]time.Time{}, known: map[string]map[string]time.Time{},
 	}
-	for n := range size.boxes {
+	for n := range size.boxes + spareLinks {
 		s.links[smallBoxAddress(n)] = spectest.NewLink(smallLink)
 	}
 	s.put("config", configText(1, 50))
--- a/internal/storeview/view.go
+++ b/internal/storeview/view.go
@@ -2,22 +2,18 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"ospreymoor.example/ospreymoor/internal/cluster"
 	"ospreymoor.example/ospreymoor/internal/orderlease"
 	"ospreymoor.example/ospreymoor/pkg/fleet"
 	"ospreymoor.example/ospreymoor/pkg/kv"
-	"ospreymoor.example/ospreymoor/pkg/logfield"
 	"ospreymoor.example/ospreymoor/pkg/mirror"
 	"ospreymoor.example/ospreymoor/pkg/quarantine"
 	"ospreymoor.example/ospreymoor/pkg/routes"
@@ -62,6 +58,9 @@
 	recordCount atomic.Int64
 	// evacuatedHalls is the number of evacuated halls, for a metric.
 	evacuatedHalls atomic.Int64
+	// configuredAt is when a state that has a configuration was first applied; nil before that.
+	configuredAt atomic.Pointer[time.Time]
+	inForce      configInForce
 
 	// The fields below are changed only by applyState, which never runs concurrently with itself.
 
@@ -127,6 +126,10 @@
 	v.applyUpstreams(state, changes.upstreams, restored)
 	v.logEvacuations(&evacuations, state.Revision, string(state.Origin))
 	v.applyOwnRecords(state, changes.own)
+	if v.configuredAt.Load() == nil && v.inForce.known() {
+		now := time.Now()
+		v.configuredAt.Store(&now)
+	}
 }
 
 // changedKeys are the keys whose records changed, grouped by what the records describe.
@@ -154,54 +157,3 @@
 	}
 	return grouped
 }
-
-// applyTable decodes a changed configuration and puts it in force.
-func (v *View) applyTable(state mirror.State, changed []string) {
-	if len(changed) == 0 {
-		return
-	}
-	start := time.Now()
-	var newest int64
-	bytes := 0
-	records := map[string]kv.Record{}
-	for _, key := range changed {
-		if record, found := state.Records.Get(key); found {
-			records[key] = record
-			newest = max(newest, record.Revision)
-			bytes += len(record.Value)
-		}
-	}
-	table, err := v.config.Platform.DecodeTable(records)
-	if err != nil {
-		v.config.Log.Error("configuration unreadable: the former one stays in force", zap.Int64("revision", kv.SequenceOf(newest)), logfield.Error(err))
-		return
-	}
-	if table == nil {
-		return
-	}
-	table.Origin = originOf(records)
-	if v.config.SetTable(table) {
-		v.config.Log.Info("configuration in force",
-			zap.Int64("version", table.Version),
-			zap.Int64("revision", kv.SequenceOf(newest)),
-			zap.Int("routes", len(table.Routes)),
-			zap.Int("bytes", bytes),
-			zap.String("origin", string(state.Origin)),
-			zap.Duration("took", time.Since(start)))
-		if disputed := table.Customers.SharingKey(); len(disputed) > 0 {
-			v.config.Log.Warn("customers have a key in common, which names none of them: give each its own",
-				zap.Int64("version", table.Version), zap.Strings("customers", disputed))
-		}
-	}
-}
-
-// originOf returns the origin of the configuration that is decoded from records.
-func originOf(records map[string]kv.Record) routes.Origin {
-	var origin routes.Origin
-	for _, key := range slices.Sorted(maps.Keys(records)) {
-		record := records[key]
-		origin.Epoch = max(origin.Epoch, kv.EpochOf(record.Revision))
-		origin.Digest = origin.Digest*31 + xxhash.Sum64(record.Value)
-	}
-	return origin
-}
