A customer at its limit spends its quota by urgency and service

Cause: an account granted any request while anything was left, and a box's remembered refusal bound all requests of the customer.

Now a SpendRequest tells the class (service, urgency of the route) of each cost. The keeper estimates what each class asks for and, while that exceeds the rate, sets a level for each class above which it is granted: services get equal parts, what one leaves goes to the others, and within a service the most urgent come first. A box remembers a refusal for the same service and no more urgent requests only, and reports what it refused unasked. In a flood that lasts, a class is told to come back later the more of it is refused: those that come back no longer take the room of new ones. What was spent on other accounts while a keeper was lost no longer keeps the classes ahead from being granted. Without classes (a box or a keeper of the build before), all is as it was.

--- a/internal/cluster/quotas.go
+++ b/internal/cluster/quotas.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,6 +17,9 @@
 	Client  *peer.Client
 	Keeper  *customers.Keeper
 	Log     *zap.Logger
+
+	// reportInvalid logs the first list of classes that can't be used.
+	reportInvalid sync.Once
 }
 
 // Handle registers the method by which other boxes spend from the accounts that this box keeps.
@@ -46,6 +50,11 @@
 // answer spends from an account that this box keeps.
 func (q *Quotas) answer(_ context.Context, request customers.SpendRequest) (customers.Grant, error) {
 	now := time.Now()
+	if !request.Classes.Valid(len(request.Costs)) {
+		q.reportInvalid.Do(func() {
+			q.Log.Warn("classes of a quota unusable", zap.String("customer", request.Customer), zap.Int("costs", len(request.Costs)))
+		})
+	}
 	return q.Keeper.Spend(request, q.share(request.Scope, now), now), nil
 }
 
--- a/internal/gateway/customer.go
+++ b/internal/gateway/customer.go
@@ -11,9 +11,9 @@
 
 // Quotas is the interface to the quotas of customers over all boxes. The zero value sets no limits.
 type Quotas struct {
-	// Take charges a request's cost to its customer's quota, as of a version of the configuration. It answers
-	// within some tenths of a second at worst.
-	Take func(customer *customers.Customer, version int64, cost float64) customers.Verdict
+	// Take charges a request's cost, in its class, to its customer's quota, as of a version of the configuration. It
+	// answers within some tenths of a second at worst.
+	Take func(customer *customers.Customer, version int64, class customers.Class, cost float64) customers.Verdict
 	// Return refunds the cost of a request that did not run and never will.
 	Return func(customer *customers.Customer, version int64, cost float64)
 }
@@ -42,14 +42,22 @@
 	if r.customer == nil || !r.customer.Limit.Limited() || r.gateway.Quotas.Take == nil {
 		return nil
 	}
-	r.quota = r.gateway.Quotas.Take(r.customer, version, r.cost())
+	class := r.quotaClass()
+	r.quota = r.gateway.Quotas.Take(r.customer, version, class, r.cost())
 	r.gateway.countCustomer(r.customer.Name, r.quota.Granted)
+	r.gateway.countClass(class, r.quota.Granted)
 	if r.quota.Granted {
 		return nil
 	}
 	return overQuota(r.quota)
 }
 
+// quotaClass returns the class by which the customer's quota is spent. Its urgency is the route's: that of the
+// customer ranks it among other customers, and is the same for all its requests.
+func (r *inflight) quotaClass() customers.Class {
+	return customers.Class{Service: r.service, Urgency: max(0, r.route.Urgency)}
+}
+
 // cost returns the request's cost, in the unit of its customer's limit.
 func (r *inflight) cost() float64 {
 	return r.customer.Limit.Cost(r.request.PromptTokens, r.request.AnswerTokens)
@@ -82,8 +90,18 @@
 	g.Metrics.GetOrCreateCounter(fmt.Sprintf("ospreymoor_quota_requests_total{customer=%q,granted=\"%t\"}", name, granted)).Inc()
 }
 
-// quotaField is the log field of a quota verdict: which account decided, its level and share, and how old that
-// knowledge is.
+// maxUrgencyLabel is the urgency from which on requests are counted together in the metric by class. Configurations
+// use a handful of urgencies.
+const maxUrgencyLabel = 10
+
+// countClass counts a request of a customer that has a limit by its class. Services come from the configuration alone.
+func (g *Gateway) countClass(class customers.Class, granted bool) {
+	g.Metrics.GetOrCreateCounter(fmt.Sprintf("ospreymoor_quota_class_requests_total{service=%q,urgency=\"%d\",granted=\"%t\"}",
+		class.Service, min(class.Urgency, maxUrgencyLabel), granted)).Inc()
+}
+
+// quotaField is the log field of a quota verdict: which account decided, its level, the threshold of the request's
+// class, the account's share, and how old that knowledge is.
 type quotaField customers.Verdict
 
 // MarshalLogObject writes nothing for a request without a limit.
@@ -93,6 +111,7 @@
 	}
 	encoder.AddString("scope", string(f.Scope))
 	encoder.AddFloat64("level", f.Level)
+	encoder.AddFloat64("threshold", f.Threshold)
 	encoder.AddFloat64("share", f.Share)
 	encoder.AddDuration("age", f.Age)
 	return nil
--- a/internal/gateway/customer_test.go
+++ b/internal/gateway/customer_test.go
@@ -120,7 +120,7 @@
 	withQuotas := func(choose func(string, int) behavior, verdict customers.Verdict) (*fixture, *quotas) {
 		f, q := customersFixture(choose), &quotas{}
 		f.Quotas = Quotas{
-			Take: func(customer *customers.Customer, _ int64, cost float64) customers.Verdict {
+			Take: func(customer *customers.Customer, _ int64, _ customers.Class, cost float64) customers.Verdict {
 				Expect(customer.Name).To(Equal("acme"))
 				q.taken = append(q.taken, cost)
 				return verdict
@@ -146,6 +146,23 @@
 		Expect(q.returned).To(BeEmpty())
 	})
 
+	It("is charged in the class of its service and its route's urgency, also for a customer with an urgency of its own", func() {
+		f, _ := withQuotas(func(string, int) behavior { return succeeds }, granted)
+		core, lines := observer.New(zapcore.DebugLevel)
+		f.Log = zap.New(core)
+		var classes []customers.Class
+		f.Quotas.Take = func(_ *customers.Customer, _ int64, class customers.Class, _ float64) customers.Verdict {
+			classes = append(classes, class)
+			return customers.Verdict{Granted: true, Scope: customers.FleetScope, Level: 9, Threshold: 4}
+		}
+		f.askWith(context.Background(), "r1", "/stream/x", "m", "Bearer k1")
+		f.askWith(context.Background(), "r2", "/safe/x", "", "Bearer k1")
+		Expect(classes).To(Equal([]customers.Class{{Service: "engines", Urgency: 2}, {Service: "plain", Urgency: 2}}))
+		Expect(lines.All()[0].ContextMap()["quota"]).To(And(HaveKeyWithValue("level", 9.0), HaveKeyWithValue("threshold", 4.0)))
+		count := fmt.Sprintf("ospreymoor_quota_class_requests_total{service=%q,urgency=\"2\",granted=\"true\"}", "engines")
+		Expect(f.Metrics.GetOrCreateCounter(count).Get()).To(BeEquivalentTo(1))
+	})
+
 	It("over the quota is refused at once, with a Retry-After", func() {
 		refused := customers.Verdict{RetryAfter: 1500 * time.Millisecond, Scope: customers.FleetScope}
 		f, _ := withQuotas(func(string, int) behavior { return succeeds }, refused)
--- a/pkg/customers/account.go
+++ b/pkg/customers/account.go
@@ -1,6 +1,10 @@
 package customers
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
 	// initialShare is the fraction of the tolerance that a new account starts with. What its predecessor granted
@@ -14,15 +18,18 @@
 	usableShare = 0.85
 	// reserveShare is the fraction of account.reserve that is required.
 	reserveShare = 0.2
+	// debtShare is the fraction of the rate by which the debt ends, so that classes ahead that ask for more find no
+	// room in it.
+	debtShare = 0.5
 	// minBurst is the burst of a limit without one, as time at its rate. Any value above 0 allows single requests.
 	minBurst = 100 * time.Millisecond
 	// minRate, in units per second, keeps the wait at an account without a rate finite.
 	minRate = 0.001
 )
 
-// account is a token bucket that holds what one customer may still spend. A request is granted while anything is
-// left. If it costs more, it overdraws the account: so a request that costs more than the account's part of the
-// burst is granted, too.
+// account is a token bucket that holds what one customer may still spend. A request is granted while more is left
+// than the threshold of its class, which is 0 while the customer's demand is within the limit. If it costs more, it
+// overdraws the account: so a request that costs more than the account's part of the burst is granted, too.
 //
 // Where a limit is split into many accounts, each could be overdrawn by one request, and together they would
 // exceed the limit. So the smaller an account's part is, the larger is the fraction of a request's cost that it
@@ -36,8 +43,11 @@
 	// level is the balance in units, as of at.
 	level float64
 	at    time.Time
-	// awaitingRetry is the cost of the refused requests whose retry time is not reached yet.
-	awaitingRetry float64
+	// debt is the part of an overdraft that comes from what was spent on other accounts. It does not keep classes that
+	// are ahead from being granted.
+	debt float64
+	// demands holds what the customer asks for lately, by class.
+	demands demands
 	// reserve is the fraction of the next request's cost that a small account must hold, 0 to 1.
 	reserve float64
 }
@@ -76,43 +86,106 @@
 func (a *account) refill(share float64, tolerance Tolerance, now time.Time) {
 	added := a.rate(share, tolerance) * max(0, now.Sub(a.at).Seconds())
 	a.level = min(a.burst(share), a.level+added)
-	a.awaitingRetry = max(0, a.awaitingRetry-added)
+	a.debt = max(0, a.debt-debtShare*added)
+	if a.level >= 0 {
+		a.debt = 0
+	}
+	a.demands.decay(now, a.rate(share, tolerance))
 	a.at = now
 }
 
 // settle subtracts what was spent elsewhere, or adds what is returned if spent is negative, up to the burst.
 func (a *account) settle(spent, share float64) {
 	a.level = min(a.burst(share), a.level-spent)
+	a.debt += max(0, min(spent, -a.level))
 }
 
-// take subtracts each cost for which enough is left, counting the overdraft. It returns the waits of all costs.
-func (a *account) take(costs []float64, overdraft, share float64, k *Keeper) []time.Duration {
-	waits := make([]time.Duration, len(costs))
-	for i, cost := range costs {
-		needed := reserveShare*a.reserve*cost*(1-share) - overdraft
+// take subtracts each cost for which enough is left, counting the overdraft: first the costs of the classes with the
+// lowest thresholds. It returns the waits of all costs.
+func (a *account) take(ask SpendRequest, classes []*demand, overdraft, share float64, k *Keeper) []time.Duration {
+	waits := make([]time.Duration, len(ask.Costs))
+	rate := a.rate(share, k.Tolerance)
+	for _, i := range inOrder(classes) {
+		cost, c := max(0, ask.Costs[i]), classes[i]
+		needed := max(c.threshold, reserveShare*a.reserve*cost*(1-share)) - overdraft
 		switch {
 		case a.exceedsLimit(cost, k.Tolerance):
 			waits[i] = Never
-		case a.level > needed:
+		case a.available(c) > needed:
 			a.level -= cost
 			a.reserve = k.Random()
 		default:
-			waits[i] = a.wait(needed, a.rate(share, k.Tolerance))
-			a.awaitingRetry += cost
+			waits[i] = a.wait(c, needed, rate)
+			c.awaitingRetry = min(c.awaitingRetry+cost, rate*maxWait.Seconds())
 		}
 	}
 	return waits
 }
 
+// available returns what requests of a class may be granted from.
+func (a *account) available(c *demand) float64 {
+	if c.covered {
+		return a.level + a.debt
+	}
+	return a.level
+}
+
+// noteDemand adds the costs of a SpendRequest to the demand of their classes, orders these and returns the demand of
+// each cost's class. Costs that the limit never grants don't count.
+func (a *account) noteDemand(ask SpendRequest, share float64, tolerance Tolerance) []*demand {
+	classes := make([]*demand, len(ask.Costs))
+	for i, cost := range ask.Costs {
+		classes[i] = a.demands.of(ask.Classes.class(i))
+		if !a.exceedsLimit(cost, tolerance) {
+			classes[i].add(max(0, cost))
+		}
+	}
+	rate := a.rate(share, tolerance)
+	if ask.Classes != nil {
+		for i, units := range ask.Classes.Unasked {
+			a.demands.of(ask.Classes.Classes[i]).units += max(0, min(units, rate*demandTime.Seconds()))
+		}
+	}
+	a.demands.order(rate, a.burst(share))
+	return classes
+}
+
+// inOrder returns the indexes of costs by the thresholds of their classes.
+func inOrder(classes []*demand) []int {
+	order := make([]int, len(classes))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(i, j int) int { return cmp.Compare(classes[i].threshold, classes[j].threshold) })
+	return order
+}
+
+// thresholds returns the thresholds of the classes of a list.
+func (a *account) thresholds(list *ClassList) []float64 {
+	if list == nil {
+		return nil
+	}
+	thresholds := make([]float64, len(list.Classes))
+	for i, class := range list.Classes {
+		thresholds[i] = a.demands.of(class).threshold
+	}
+	return thresholds
+}
+
 // exceedsLimit reports whether a request is too expensive for the limit, however long it waits.
 func (a *account) exceedsLimit(cost float64, tolerance Tolerance) bool {
 	return cost > a.limit.PerSecond*tolerance.Window.Seconds()+a.burst(1)+tolerance.units(a.limit)
 }
 
-// wait returns the time until the account holds what is needed, after all refused requests that retry before this
-// one. With the same retry time for all, all would retry at once and most would be refused.
-func (a *account) wait(needed, rate float64) time.Duration {
-	seconds := (a.awaitingRetry + needed - a.level) / max(minRate, rate)
+// wait returns the time until the account holds what is needed, at the rate that the classes ahead leave, after all
+// refused requests of the class that retry before this one. With the same retry time for all, all would retry at once
+// and most would be refused.
+//
+// In a flood, a class that asks for more than the account can grant would be refused again at that time, because of
+// the new requests. The more of it is refused, the longer is the time, up to maxWait.
+func (a *account) wait(c *demand, needed, rate float64) time.Duration {
+	seconds := (c.awaitingRetry + needed - a.available(c)) / max(minRate, rate-c.ahead)
+	seconds = max(seconds, c.unserved*maxWait.Seconds())
 	return time.Duration(max(minWait.Seconds(), min(maxWait.Seconds(), seconds)) * float64(time.Second))
 }
 
--- a/pkg/customers/keeper.go
+++ b/pkg/customers/keeper.go
@@ -43,12 +43,16 @@
 	a.setLimit(ask.Limit, ask.Version)
 	a.refill(share, k.Tolerance, now)
 	a.settle(ask.Settled, share)
+	if !ask.Classes.Valid(len(ask.Costs)) {
+		ask.Classes = nil
+	}
+	classes := a.noteDemand(ask, share, k.Tolerance)
 	overdraft := 0.0
 	if share < 1 {
 		overdraft = overdraftShare * share * k.Tolerance.units(a.limit)
 	}
-	waits := a.take(ask.Costs, overdraft, share, k)
-	return Grant{Waits: waits, Level: a.level, Share: share}
+	waits := a.take(ask, classes, overdraft, share, k)
+	return Grant{Waits: waits, Level: a.level, Share: share, Thresholds: a.thresholds(ask.Classes)}
 }
 
 // account returns the account of a SpendRequest, which it creates if there is none. The caller holds the lock.
@@ -57,7 +61,7 @@
 	key := accountKey{customer: ask.Customer, scope: ask.Scope}
 	a := k.accounts[key]
 	if a == nil {
-		a = &account{limit: ask.Limit, version: ask.Version, at: now, reserve: k.Random()}
+		a = &account{limit: ask.Limit, version: ask.Version, at: now, reserve: k.Random(), demands: demands{at: now}}
 		a.level = a.initialLevel(share, k.Tolerance)
 		k.accounts[key] = a
 	}
--- a/pkg/customers/keeper_test.go
+++ b/pkg/customers/keeper_test.go
@@ -118,6 +118,8 @@
 	asks   []customers.SpendRequest
 	silent map[customers.Scope]bool
 	wait   time.Duration
+	// thresholds are those of each answer.
+	thresholds []float64
 }
 
 func (k *fakeKeeper) ask(ctx context.Context, ask customers.SpendRequest) (customers.Grant, error) {
@@ -134,7 +136,7 @@
 	for i := range waits {
 		waits[i] = wait
 	}
-	return customers.Grant{Waits: waits, Level: 7, Share: 1}, nil
+	return customers.Grant{Waits: waits, Level: 7, Share: 1, Thresholds: k.thresholds}, nil
 }
 
 var _ = Describe("A spender", func() {
@@ -146,7 +148,7 @@
 			spender := customers.NewSpender(calls.ask)
 			var running sync.WaitGroup
 			for range 50 {
-				running.Go(func() { Expect(spender.Take(customer, 1, 1).Granted).To(BeTrue()) })
+				running.Go(func() { Expect(spender.Take(customer, 1, customers.Class{}, 1).Granted).To(BeTrue()) })
 			}
 			running.Wait()
 			Expect(len(calls.asks)).To(BeNumerically("<=", 3))
@@ -161,7 +163,7 @@
 			go spender.Run(ctx)
 			defer func() { stop(); time.Sleep(time.Second) }()
 			begun := time.Now()
-			verdict := spender.Take(customer, 1, 3)
+			verdict := spender.Take(customer, 1, customers.Class{}, 3)
 			Expect(verdict.Granted).To(BeTrue())
 			Expect(verdict.Scope).To(Equal(customers.BoxScope))
 			Expect(time.Since(begun)).To(BeNumerically("<", 250*time.Millisecond))
@@ -183,7 +185,7 @@
 			ctx, stop := context.WithCancel(context.Background())
 			go spender.Run(ctx)
 			defer func() { stop(); time.Sleep(time.Second) }()
-			spender.Take(customer, 1, 3)
+			spender.Take(customer, 1, customers.Class{}, 3)
 			time.Sleep(4 * time.Second)
 			calls.mu.Lock()
 			calls.silent, calls.asks = nil, nil
@@ -198,7 +200,7 @@
 			calls := &fakeKeeper{}
 			spender := customers.NewSpender(calls.ask)
 			spender.Return(customer, 1, 4)
-			spender.Take(customer, 1, 1)
+			spender.Take(customer, 1, customers.Class{}, 1)
 			Expect(calls.asks[0].Settled).To(Equal(-4.0))
 		})
 	})
@@ -208,11 +210,11 @@
 			calls := &fakeKeeper{silent: map[customers.Scope]bool{customers.FleetScope: true}}
 			spender := customers.NewSpender(calls.ask)
 			spender.Return(customer, 1, 4)
-			spender.Take(customer, 1, 1)
+			spender.Take(customer, 1, customers.Class{}, 1)
 			calls.mu.Lock()
 			calls.silent, calls.asks = nil, nil
 			calls.mu.Unlock()
-			spender.Take(customer, 1, 1)
+			spender.Take(customer, 1, customers.Class{}, 1)
 			Expect(calls.asks[0].Settled).To(Equal(1.0), "only what was spent on the hall's account")
 		})
 	})
@@ -226,7 +228,7 @@
 			refused := 0
 			for range 4000 {
 				running.Go(func() {
-					verdict := spender.Take(customer, 1, 1)
+					verdict := spender.Take(customer, 1, customers.Class{}, 1)
 					mu.Lock()
 					defer mu.Unlock()
 					if !verdict.Granted {
@@ -240,13 +242,45 @@
 		})
 	})
 
+	It("remembers a refusal only for requests of the same service that are no more urgent, and reports what it refused", func() {
+		spectest.Bubble(func() {
+			calls := &fakeKeeper{wait: 5 * time.Second}
+			spender := customers.NewSpender(calls.ask)
+			Expect(spender.Take(customer, 1, ordinary, 3).Granted).To(BeFalse())
+			calls.wait = 0
+			Expect(spender.Take(customer, 1, ordinary, 3).Granted).To(BeFalse())
+			Expect(spender.Take(customer, 1, idle, 4).Granted).To(BeFalse())
+			Expect(calls.asks).To(HaveLen(1))
+			Expect(spender.Take(customer, 1, urgent, 3).Granted).To(BeTrue())
+			Expect(spender.Take(customer, 1, plain, 3).Granted).To(BeTrue())
+			unasked := map[customers.Class]float64{}
+			for i, cost := range calls.asks[1].Classes.Unasked {
+				unasked[calls.asks[1].Classes.Classes[i]] = cost
+			}
+			Expect(unasked).To(Equal(map[customers.Class]float64{urgent: 0, ordinary: 3, idle: 4}))
+			Expect(calls.asks[2].Classes.Unasked).To(BeEmpty())
+			time.Sleep(200 * time.Millisecond)
+			Expect(spender.Take(customer, 1, idle, 4).Granted).To(BeTrue())
+		})
+	})
+
+	It("tells the threshold of a request's class, and none if the keeper's build knows no classes", func() {
+		spectest.Bubble(func() {
+			calls := &fakeKeeper{thresholds: []float64{5}}
+			spender := customers.NewSpender(calls.ask)
+			Expect(spender.Take(customer, 1, ordinary, 3).Threshold).To(Equal(5.0))
+			calls.thresholds = nil
+			Expect(spender.Take(customer, 1, ordinary, 3).Threshold).To(BeZero())
+		})
+	})
+
 	It("asks a keeper only a few times per second about a refused flood, and reports the age of the answer", func() {
 		spectest.Bubble(func() {
 			calls := &fakeKeeper{wait: 5 * time.Second}
 			spender := customers.NewSpender(calls.ask)
 			var last customers.Verdict
 			for range 2000 {
-				last = spender.Take(customer, 1, 1)
+				last = spender.Take(customer, 1, customers.Class{}, 1)
 				Expect(last.Granted).To(BeFalse())
 				Expect(last.RetryAfter).To(Equal(5 * time.Second))
 				time.Sleep(time.Millisecond)
--- a/pkg/customers/quota.go
+++ b/pkg/customers/quota.go
@@ -38,6 +38,8 @@
 	Version int64 `json:"version"`
 	// Costs are the costs of the requests, in the order of arrival.
 	Costs []float64 `json:"costs,omitempty"`
+	// Classes tells the classes of the costs; nil if the box's build doesn't.
+	Classes *ClassList `json:"classes,omitempty"`
 	// Settled is what was spent on other accounts. It is negative for units that were taken from this account and
 	// are returned.
 	Settled float64 `json:"settled,omitempty"`
@@ -55,4 +57,15 @@
 	Level float64 `json:"level"`
 	// Share is the fraction of the limit that the account holds, 0 to 1.
 	Share float64 `json:"share"`
+	// Thresholds holds, for each class of the SpendRequest, the level above which its requests are granted. It is
+	// empty if the keeper's build knows no classes.
+	Thresholds []float64 `json:"thresholds,omitempty"`
+}
+
+// threshold returns the threshold of the class of a cost; 0 if the keeper told none.
+func (g Grant) threshold(list *ClassList, cost int) float64 {
+	if i := list.Of[cost]; i >= 0 && i < len(g.Thresholds) {
+		return g.Thresholds[i]
+	}
+	return 0
 }
--- a/pkg/customers/replay_test.go
+++ b/pkg/customers/replay_test.go
@@ -101,6 +101,8 @@
 	begun        time.Time
 	weights      []float64
 	keepers      []*customers.Keeper
+	// spend replaces Keeper.Spend of a box.
+	spend func(to int, ask customers.SpendRequest, share float64) customers.Grant
 
 	mu    sync.Mutex
 	asked []request
--- a/pkg/customers/replay_ways_test.go
+++ b/pkg/customers/replay_ways_test.go
@@ -39,7 +39,7 @@
 	}
 	r.run(seed, func(box int) bool {
 		limit, version := r.currentLimit()
-		return spenders[box].Take(&customers.Customer{Name: "c", Limit: limit}, version, r.cost).Granted
+		return spenders[box].Take(&customers.Customer{Name: "c", Limit: limit}, version, customers.Class{}, r.cost).Granted
 	})
 	return r.result()
 }
@@ -91,6 +91,9 @@
 	if to != box {
 		time.Sleep(2 * callDelay)
 	}
+	if r.spend != nil {
+		return r.spend(to, ask, share), nil
+	}
 	return r.keeper(to).Spend(ask, share, time.Now()), nil
 }
 
--- a/pkg/customers/spender.go
+++ b/pkg/customers/spender.go
@@ -11,8 +11,8 @@
 	// most two timeouts, the fleet's keeper's and the hall's, and is then decided by its box's own account. An answer
 	// takes 3 ms between halls.
 	askTimeout = 100 * time.Millisecond
-	// refusalTTL is how long a box refuses a customer's requests without asking, after a keeper refused one. With a
-	// flood from one customer, each box asks the keeper at most five times per second.
+	// refusalTTL is how long a box refuses a customer's requests of a class without asking, after a keeper refused
+	// one. With a flood of one class from one customer, each box asks the keeper at most five times per second.
 	refusalTTL = 200 * time.Millisecond
 	// maxBatch is the largest number of requests whose costs one SpendRequest contains.
 	maxBatch = 256
@@ -35,6 +35,8 @@
 	Scope Scope
 	Level float64
 	Share float64
+	// Threshold is the level above which the account grants requests of the class.
+	Threshold float64
 	// Age is the time since the account was asked.
 	Age time.Duration
 }
@@ -61,13 +63,12 @@
 	// the fleet's account are returned. since is when it began to accumulate.
 	unsettled float64
 	since     time.Time
-	// Until refuseUntil, requests are refused without asking, by lastRefusal, which was received at refusedAt.
-	refuseUntil, refusedAt time.Time
-	lastRefusal            Verdict
+	refusals  refusals
 }
 
 type pendingRequest struct {
 	cost    float64
+	class   Class
 	verdict chan Verdict
 }
 
@@ -76,19 +77,23 @@
 	return &Spender{AskKeeper: ask, queues: map[string]*queue{}}
 }
 
-// Take charges a request's cost to its customer's quota in a version of the configuration, or refuses the request. A
+// Take charges a request's cost, in its class, to its customer's quota in a version of the configuration, or refuses the request. A
 // request that is not refused at once may first wait for the SpendRequest under way, and for others if more than
 // maxBatch requests are pending, and then waits for its own. Each SpendRequest takes at most two times askTimeout, for
 // the fleet's keeper and the hall's, since the box's own account always answers.
-func (s *Spender) Take(customer *Customer, version int64, cost float64) Verdict {
+func (s *Spender) Take(customer *Customer, version int64, class Class, cost float64) Verdict {
 	s.mu.Lock()
 	q := s.queue(customer, version)
 	now := time.Now()
-	if now.Before(q.refuseUntil) || len(q.pending) >= maxPending {
+	by := q.refusals.binding(class, now)
+	if by == nil && len(q.pending) >= maxPending {
+		by = &q.refusals.latest
+	}
+	if by != nil {
 		defer s.mu.Unlock()
-		return q.refuse(now)
+		return q.refusals.refuse(class, cost, *by, now)
 	}
-	w := pendingRequest{cost: cost, verdict: make(chan Verdict, 1)}
+	w := pendingRequest{cost: cost, class: class, verdict: make(chan Verdict, 1)}
 	q.pending = append(q.pending, w)
 	s.startAsking(customer.Name, q)
 	s.mu.Unlock()
@@ -175,9 +180,12 @@
 	q.pending = q.pending[n:]
 	ask = SpendRequest{Customer: name, Limit: q.limit, Version: q.version, Settled: q.currentUnsettled(time.Now())}
 	q.unsettled = 0
+	ask.Classes = &ClassList{}
 	for _, w := range batch {
 		ask.Costs = append(ask.Costs, w.cost)
+		ask.Classes.Of = append(ask.Classes.Of, ask.Classes.index(w.class))
 	}
+	q.refusals.report(ask.Classes)
 	return ask, batch, true
 }
 
@@ -216,36 +224,18 @@
 		v := verdict
 		if scope != "" {
 			v.Granted, v.RetryAfter = grant.Waits[i] == 0, grant.Waits[i]
+			v.Threshold = grant.threshold(ask.Classes, i)
 		}
 		if v.Granted && scope != FleetScope {
 			q.addUnsettled(w.cost, now)
 		}
 		if !v.Granted && v.RetryAfter != Never {
-			q.cacheRefusal(v, now)
+			q.refusals.add(w.class, v, now)
 		}
 		w.verdict <- v
 	}
 }
 
-// cacheRefusal makes the next requests be refused without asking, until the retry time of the first refused request
-// but for at most refusalTTL. The caller holds the lock.
-func (q *queue) cacheRefusal(refused Verdict, now time.Time) {
-	if !now.Before(q.refuseUntil) {
-		q.refuseUntil = now.Add(min(refusalTTL, refused.RetryAfter))
-	}
-	q.lastRefusal, q.refusedAt = refused, now
-}
-
-// refuse returns the verdict of a request that is refused without asking. The caller holds the lock.
-func (q *queue) refuse(now time.Time) Verdict {
-	v := q.lastRefusal
-	if v.RetryAfter <= 0 {
-		v.RetryAfter = refusalTTL // No request was refused yet, but maxPending is reached.
-	}
-	v.Age += now.Sub(q.refusedAt)
-	return v
-}
-
 // addUnsettled adds to what must be settled. The caller holds the lock.
 func (q *queue) addUnsettled(units float64, now time.Time) {
 	if units == 0 {
