--- a/pkg/customers/bench_test.go
+++ b/pkg/customers/bench_test.go
@@ -1,6 +1,7 @@
 package customers_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -24,6 +25,25 @@
 	}
 }
 
+// BenchmarkSpendInFlood charges the costs of four classes to the account of a customer that asks for more than its
+// limit.
+func BenchmarkSpendInFlood(b *testing.B) {
+	keeper := customers.NewKeeper(wide)
+	limit := customers.Limit{PerSecond: 2_100_000, Burst: 2_100_000}
+	ask := askForAll(limit, charge{plain, 200}, charge{urgent, 1120}, charge{ordinary, 9244}, charge{idle, 9244})
+	message, err := json.Marshal(ask)
+	if err != nil {
+		b.Fatal(err)
+	}
+	now := time.Now()
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(2 * time.Millisecond)
+		keeper.Spend(ask, 1, now)
+	}
+	b.ReportMetric(float64(len(message)), "message-bytes")
+}
+
 // BenchmarkFind finds the customer of a header field among 300 customers with two keys each.
 func BenchmarkFind(b *testing.B) {
 	list := make([]customers.Customer, 300)
