A box avoids a hall that it does not reach

Cause: each box finds out at each upstream of the hall in turn, and it keeps idle connections to many of them. Each is broken when it is next used; the request was sent by then, so that it may have run and is not sent again.

Now a hall is out of reach for a box once three of its upstreams failed within a second and nothing was heard from it since: no part of an answer, no message of a box. Its upstreams are then candidates only where no other hall has one, and the idle connections to them are closed. The first thing heard ends it, or 2 s without a further failure.

--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -46,6 +46,8 @@
 	VersionInForce func() int64
 	HeldConfig     func() *HeldConfig
 	PutInForce     func(HeldConfig) error
+	// HeardFrom, if not nil, is called with the hall of each box that sends something.
+	HeardFrom func(hall string)
 	// Leaving reports whether this box is about to stop.
 	Leaving func() bool
 	// OnLapsed is called with the upstreams whose entries lapsed.
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -28,8 +28,8 @@
 	suitable
 )
 
-// candidates returns the upstreams of the service that may get the request now. If there are none, lacking is
-// what the most suitable upstream lacks.
+// candidates returns the upstreams of the service that may get the request now, those in halls out of reach only if there
+// are no others. If there are none, lacking is what the most suitable upstream lacks.
 //
 // It reads this box's directory: the platform's list, the order holder's reports and what upstreams answered
 // lately. Where that is out of date, an attempt is sent that its upstream does not execute.
@@ -57,7 +57,7 @@
 	if best < lacksModel && r.need.Model != "" {
 		best = max(best, r.bestLackingModel(now))
 	}
-	return list, r.lackingReason(r.throttledUpstreams.bestLevel(best))
+	return r.gateway.Reach.WithinReach(list), r.lackingReason(r.throttledUpstreams.bestLevel(best))
 }
 
 // bestLackingModel returns the suitability of the best engine among those that do not hold the model. candidates
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -109,6 +109,9 @@
 // upstream is not checked for a crash.
 func (r *inflight) recordBroken(ctx context.Context, choice dispatch.Choice, status int, took time.Duration, err error) {
 	r.gateway.Loads.RecordOutcome(choice.Upstream.ID, false)
+	if ctx.Err() == nil {
+		r.gateway.Reach.RecordFailure(choice.Upstream.Hall, choice.Upstream.ID)
+	}
 	var found []zap.Field
 	if at, crashed := r.gateway.hasCrashed(ctx, *choice.Upstream.Upstream); crashed {
 		r.gateway.Quarantine.NoteCrash(r.fingerprint(), choice.Upstream.ID, at)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,8 @@
 	Quotas Quotas
 	// Quarantine holds what is known about requests under which upstreams crashed.
 	Quarantine *quarantine.Register
+	// Reach holds which halls this box does not reach.
+	Reach fleet.Reach
 	// CallerMemory limits the memory that this box uses for callers' bodies and answers. nil sets no limit.
 	CallerMemory *MemoryBudget
 	Log          *zap.Logger
@@ -100,7 +102,7 @@
 	if config.Quarantine == nil {
 		config.Quarantine = quarantine.NewRegister(quarantine.DefaultPolicy)
 	}
-	return &Gateway{
+	g := &Gateway{
 		Directory:    config.Directory,
 		Loads:        config.Loads,
 		Chooser:      config.Chooser,
@@ -119,6 +121,8 @@
 		uses:         modelUses{running: map[residency.ModelUse]int{}},
 		configured:   make(chan struct{}),
 	}
+	g.watchReach()
+	return g
 }
 
 // SetTable puts a route table in force and reports whether it did. A table that does not replace the current one is
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -69,12 +69,14 @@
 	directory := r.gateway.Directory
 	if err == nil {
 		directory.MarkReachable(id)
+		r.gateway.Reach.RecordContact(choice.Upstream.Hall)
 	}
 	result := outcomeOf(ctx, answer, err)
 	r.attempts.count(result)
 	switch result {
 	case outcomeNotSent:
 		directory.MarkUnreachable(id)
+		r.gateway.Reach.RecordFailure(choice.Upstream.Hall, id)
 		r.attemptFailed(choice, 0, took, err)
 	case outcomeBroken:
 		r.recordBroken(ctx, choice, 0, took, err)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -65,7 +65,7 @@
 	if answer.Status != http.StatusOK {
 		return s.relayFailure(answer)
 	}
-	err = s.relay(answer, ticket)
+	err = s.relay(answer, ticket, choice.Upstream.Hall)
 	if err == nil {
 		s.noteAnswered()
 		s.attemptSucceeded(choice)
@@ -111,7 +111,7 @@
 // relay copies complete events to the caller until the stream is complete. It never passes on part of an event, so
 // that a stream can resume exactly where the caller is. The error is ErrBroken if the upstream broke off, and
 // errCallerGone if the caller's connection failed.
-func (s *stream) relay(answer *Answer, ticket *dispatch.Ticket) error {
+func (s *stream) relay(answer *Answer, ticket *dispatch.Ticket, hall string) error {
 	events := eventstream.NewReader(answer.Body)
 	for {
 		event, err := events.Next()
@@ -125,6 +125,7 @@
 			return errors.WithType(err, ErrBroken)
 		}
 		ticket.Started()
+		s.gateway.Reach.RecordContact(hall)
 		if !s.headWritten {
 			s.writeHead(answer)
 		}
