A box goes on using for a moment what was cut off with it

Cause: an entry that lapsed is used for 1.4 s from when it was last known to be listed; for a box that was cut off this is over before it learns of it. The heartbeats of what was cut off with it did not reach the store.

Now, where a box's list was out of date for 3 s, the 1.4 s run from when the list came. What is leaving or replaced is dropped at once, as before. The platform's bounds do not hold for such a box before it was in touch for 3 s. A box whose list was out of date for less drops at once, as before.

Spec "goes on using what was cut off with this box" (failed on the code before).

--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -142,6 +142,44 @@
 		})
 	})
 
+	// A hall was cut off for 5.5 s. As it came back, each of its boxes learned that the entries of all upstreams beside it
+	// had lapsed, and sent them nothing for 0.5 to 1.5 s, until they were written again: 42 of 42 at one site.
+	It("goes on using what was cut off with this box, until it is listed again or for a short time", func() {
+		spectest.Bubble(func() {
+			d := fleet.New()
+			var list []fleet.Upstream
+			for _, id := range []string{"back", "gone", "left", "replaced"} {
+				upstream := engine(id, 8, "m1")
+				upstream.Address, upstream.Leaving = id+":1", id == "left"
+				list = append(list, upstream)
+			}
+			d.SetList(8, list, time.Time{})
+			current := time.Now()
+			time.Sleep(5500 * time.Millisecond)
+			present := func() []string {
+				var ids []string
+				for _, state := range d.OfService("s") {
+					if state.Usable(time.Now()) {
+						ids = append(ids, state.ID)
+					}
+				}
+				return ids
+			}
+			successor := engine("successor", 8, "m1")
+			successor.Address, successor.Revision = "replaced:1", 9
+			d.SetList(9, []fleet.Upstream{successor}, current)
+			Expect(present()).To(Equal([]string{"back", "gone", "successor"}), "what was leaving or is replaced is not")
+			time.Sleep(time.Second)
+			back := list[0]
+			back.Revision = 10
+			d.SetList(10, []fleet.Upstream{successor, back}, time.Now())
+			Expect(present()).To(Equal([]string{"back", "gone", "successor"}))
+			time.Sleep(500 * time.Millisecond)
+			d.DropLapsed()
+			Expect(present()).To(Equal([]string{"back", "successor"}))
+		})
+	})
+
 	It("sends nothing to an upstream for longer after each failed connection in a row", func() {
 		spectest.Bubble(func() {
 			span := func() time.Duration {
--- a/pkg/fleet/lapse.go
+++ b/pkg/fleet/lapse.go
@@ -8,6 +8,11 @@
 // It is shorter than the 2 s after which a leaving upstream may get nothing.
 const lapseGrace = 1400 * time.Millisecond
 
+// cutOffAfter is how long a box's list is out of date where the box was cut off, or the store was away: beyond what any
+// box needs to learn of a change while it reaches the store or another box. The platform's bounds hold again for such a
+// box once it was in touch for 3 s, which is longer than lapseGrace and the time in which its list arrives.
+const cutOffAfter = 3 * time.Second
+
 // lapseOrDrop marks an upstream without a current entry as lapsed, or removes it. It returns false if
 // nothing changed. The caller holds the lock.
 func (d *Directory) lapseOrDrop(state *State, change ListChange) (Change, bool) {
@@ -29,7 +34,8 @@
 // one replaces, is not coming back and is removed at once (the zero time). One that lapsed with an
 // earlier list keeps its time. One that lapses with this list gets lapseGrace from previousCurrentAt,
 // when the entry was last known to be listed; that is over already if this box's list was out of date
-// for longer. One that the store lost gets restoredGrace, whatever else the copy lists at its address.
+// for longer. But if it was so for cutOffAfter, the time counts from now: the entries of all upstreams
+// that were cut off with this box lapsed, and those that live are back in the list within 2 s or so. One that the store lost gets restoredGrace, whatever else the copy lists at its address.
 func (d *Directory) dropAt(state *State, change ListChange) time.Time {
 	switch {
 	case change.Restored && !state.Leaving && state.DropAt.IsZero():
@@ -41,6 +47,10 @@
 	case !state.DropAt.IsZero():
 		return state.DropAt
 	}
+	now := time.Now()
+	if !change.PreviousCurrentAt.IsZero() && now.Sub(change.PreviousCurrentAt) >= cutOffAfter {
+		return now.Add(lapseGrace)
+	}
 	return change.PreviousCurrentAt.Add(lapseGrace)
 }
 
