Boxes of a hall tell each other which halls they do not reach

Boxes of one hall see the same network. Now an exchange between two of them names the halls out of reach with the age of the latest failure. What was told is passed on once, by a relay to its members, and lasts no longer than where it was found; a box that heard from the hall since, or never, ignores it. The field is optional and absent while all halls are reached; one that cannot be read tells nothing and loses nothing else of its message.

--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -46,8 +46,8 @@
 	VersionInForce func() int64
 	HeldConfig     func() *HeldConfig
 	PutInForce     func(HeldConfig) error
-	// HeardFrom, if not nil, is called with the hall of each box that sends something.
-	HeardFrom func(hall string)
+	// Reach, if not nil, holds which halls this box does not reach.
+	Reach *fleet.Reach
 	// Leaving reports whether this box is about to stop.
 	Leaving func() bool
 	// OnLapsed is called with the upstreams whose entries lapsed.
@@ -153,6 +153,7 @@
 		Version:     e.Directory.Version(),
 		Crashes:     e.crashes.take(to),
 		HeldConfig:  e.heldClaim(),
+		LostHalls:   e.lostHalls(),
 
 		LeavingUpstreams: e.leaving.next(to, e.Directory.LeavingByAnswer()),
 		Limits:           e.limits.take(to),
@@ -174,6 +175,25 @@
 	return e.Members.reportedHolder()
 }
 
+// lostHalls returns the halls that this box tells others of as out of reach.
+func (e *Exchange) lostHalls() fleet.HallLosses {
+	if e.Reach == nil {
+		return nil
+	}
+	return e.Reach.Losses()
+}
+
+// applyReach applies what a message shows of the reach of halls. Only a box of this one's hall sees the same network.
+func (e *Exchange) applyReach(received message) {
+	if e.Reach == nil {
+		return
+	}
+	e.Reach.RecordContact(received.From.Hall)
+	if received.From.Hall == e.Members.self.Hall {
+		e.Reach.ApplyLosses(received.LostHalls)
+	}
+}
+
 // ownSummary returns the load summary of this box alone.
 func (e *Exchange) ownSummary() loadSummary {
 	own := loadSummary{Boxes: 1, Loads: e.Loads.Loads(), Uses: e.ModelUses()}
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -105,6 +105,9 @@
 	// HeldConfig is the configuration in force at the sender, if the store does not have it any more. A box of the previous
 	// version ignores it.
 	HeldConfig *heldConfigClaim `json:"heldConfig,omitempty"`
+	// LostHalls are the halls that the sender does not reach, for boxes of its own hall. A box of the previous version
+	// ignores them.
+	LostHalls fleet.HallLosses `json:"lostHalls,omitempty"`
 	// Pieces means that the sender fetches large records and packed sync answers in pieces. A box of a version that
 	// does not is sent them whole.
 	Pieces bool `json:"pieces,omitempty"`
--- a/internal/cluster/receive.go
+++ b/internal/cluster/receive.go
@@ -41,9 +41,7 @@
 		e.Log.Warn("activity unreadable", zap.String("peer", received.From.Name), logfield.Error(err))
 	}
 	e.Members.applyReport(received, now)
-	if e.HeardFrom != nil {
-		e.HeardFrom(received.From.Hall)
-	}
+	e.applyReach(received)
 	e.applyLoads(now)
 	e.applyUpdates(received, now)
 	e.crashes.receive(received.From.Name, e.Members.Large(), received.Crashes)
--- a/internal/node/new.go
+++ b/internal/node/new.go
@@ -245,7 +245,7 @@
 		Controller: n.controller,
 		Quarantine: s.quarantine,
 		ModelUses:  n.Gateway.ModelUses,
-		HeardFrom:  n.Gateway.Reach.RecordContact,
+		Reach:      &n.Gateway.Reach,
 
 		VersionInForce: n.view.VersionInForce, HeldConfig: n.view.HeldConfig, PutInForce: n.view.PutInForce,
 
--- a/pkg/fleet/reach.go
+++ b/pkg/fleet/reach.go
@@ -30,7 +30,9 @@
 	OnLost     func(hall string)
 	OnRegained func(hall string, after time.Duration)
 
-	// failing is the number of halls with failures, so that contacts cost nothing while there are none.
+	// heard has, by hall, an *atomic.Pointer[time.Time]: when something was last heard from it, to heardResolution.
+	heard sync.Map
+	// failing is the number of halls with failures, so that contacts take no lock while there are none.
 	failing atomic.Int32
 	mu      sync.Mutex
 	halls   map[string]*hallFailures
@@ -42,18 +44,49 @@
 	latest map[string]time.Time
 	// lostAt is when the hall turned out of reach, and lostUntil how long it stays so; zero if it did not.
 	lostAt, lostUntil time.Time
+	// origin is who found that the hall is out of reach.
+	origin lossOrigin
 }
 
-// RecordFailure records that an attempt at an upstream of a hall found no connection, or lost it without an answer.
-func (r *Reach) RecordFailure(hall, upstream string) {
-	if r.recordFailure(hall, upstream, time.Now()) && r.OnLost != nil {
-		r.OnLost(hall)
+// lossOrigin is who found that a hall is out of reach.
+type lossOrigin int
+
+const (
+	foundHere lossOrigin = iota
+	// toldByBox is another box of this one's hall, and toldByRelay a box that was told itself.
+	toldByBox
+	toldByRelay
+)
+
+// heardResolution is how exactly the time is kept at which something was last heard from a hall, so that not each event
+// of each stream stores one.
+const heardResolution = 10 * time.Millisecond
+
+func (r *Reach) noteHeard(hall string, now time.Time) {
+	stored, found := r.heard.Load(hall)
+	if !found {
+		stored, _ = r.heard.LoadOrStore(hall, &atomic.Pointer[time.Time]{})
+	}
+	last := stored.(*atomic.Pointer[time.Time])
+	if at := last.Load(); at == nil || now.Sub(*at) >= heardResolution {
+		last.Store(&now)
 	}
 }
 
-func (r *Reach) recordFailure(hall, upstream string, now time.Time) (lost bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+// lastHeard returns when something was last heard from a hall; the zero time if nothing ever was.
+func (r *Reach) lastHeard(hall string) time.Time {
+	stored, found := r.heard.Load(hall)
+	if !found {
+		return time.Time{}
+	}
+	if at := stored.(*atomic.Pointer[time.Time]).Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+// failuresOf returns the failures at a hall, which it begins to track. The caller holds the lock.
+func (r *Reach) failuresOf(hall string) *hallFailures {
 	failures := r.halls[hall]
 	if failures == nil {
 		if r.halls == nil {
@@ -63,6 +96,20 @@
 		r.halls[hall] = failures
 		r.failing.Add(1)
 	}
+	return failures
+}
+
+// RecordFailure records that an attempt at an upstream of a hall found no connection, or lost it without an answer.
+func (r *Reach) RecordFailure(hall, upstream string) {
+	if r.recordFailure(hall, upstream, time.Now()) && r.OnLost != nil {
+		r.OnLost(hall)
+	}
+}
+
+func (r *Reach) recordFailure(hall, upstream string, now time.Time) (lost bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	failures := r.failuresOf(hall)
 	for id, at := range failures.latest {
 		if now.Sub(at) > lossWindow {
 			delete(failures.latest, id)
@@ -70,18 +117,19 @@
 	}
 	failures.latest[upstream] = now
 	if now.Before(failures.lostUntil) {
-		failures.lostUntil = now.Add(outOfReachFor)
+		failures.lostUntil, failures.origin = now.Add(outOfReachFor), foundHere
 		return false
 	}
 	if len(failures.latest) < minLostUpstreams {
 		return false
 	}
-	failures.lostAt, failures.lostUntil = now, now.Add(outOfReachFor)
+	failures.lostAt, failures.lostUntil, failures.origin = now, now.Add(outOfReachFor), foundHere
 	return true
 }
 
 // RecordContact records that something was heard from a hall: a part of an answer, or a message of a box there.
 func (r *Reach) RecordContact(hall string) {
+	r.noteHeard(hall, time.Now())
 	if r.failing.Load() == 0 {
 		return
 	}
--- a/pkg/fleet/reach_test.go
+++ b/pkg/fleet/reach_test.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"encoding/json"
 	"fmt"
+	"math"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -74,4 +76,45 @@
 			Expect(lost).To(BeEmpty())
 		})
 	})
+
+	It("goes by what another box of its hall does not reach, unless it heard from there since", func() {
+		spectest.Bubble(func() {
+			told := func(age time.Duration, relayed bool) *Reach {
+				box := &Reach{}
+				box.RecordContact("a")
+				time.Sleep(time.Second)
+				box.ApplyLosses(HallLosses{{Hall: "a", Age: age, Relayed: relayed}, {Hall: "nowhere", Age: age}})
+				return box
+			}
+			box := told(500*time.Millisecond, false)
+			Expect(box.WithinReach(both)).To(Equal(both[1:]))
+			Expect(box.Losses()).To(Equal(HallLosses{{Hall: "a", Age: 500 * time.Millisecond, Relayed: true}}), "it passes on what it was told")
+			relayed := told(500*time.Millisecond, true)
+			Expect(relayed.WithinReach(both)).To(Equal(both[1:]))
+			Expect(relayed.Losses()).To(BeEmpty(), "but not a second time")
+			box.ApplyLosses(relayed.Losses())
+			time.Sleep(outOfReachFor - 500*time.Millisecond)
+			Expect(box.WithinReach(both)).To(Equal(both), "nor for longer than after the failure itself")
+			Expect(told(time.Second, false).WithinReach(both)).To(Equal(both), "heard since")
+			for _, bad := range []time.Duration{-1, outOfReachFor, math.MaxInt64, math.MinInt64} {
+				Expect(told(bad, false).WithinReach(both)).To(Equal(both))
+			}
+		})
+	})
+
+	DescribeTable("loses nothing of a message with losses that cannot be read", func(text string, want int) {
+		var read struct {
+			Halls HallLosses `json:"lostHalls"`
+			More  int
+		}
+		Expect(json.Unmarshal([]byte(`{"lostHalls":`+text+`,"more":5}`), &read)).To(Succeed())
+		Expect(read.More).To(Equal(5))
+		Expect(read.Halls).To(HaveLen(want))
+	},
+		Entry("one", `[{"hall":"a","age":5}]`, 1),
+		Entry("none", `null`, 0),
+		Entry("another type", `"a"`, 0),
+		Entry("an age of another type", `[{"hall":"a","age":"long"}]`, 0),
+		Entry("a huge age", `[{"hall":"a","age":1e300}]`, 0),
+	)
 })
