--- a/pkg/customers/replay_order_test.go
+++ b/pkg/customers/replay_order_test.go
@@ -67,6 +67,9 @@
 		})
 		go r.spenders[box].Run(ctx)
 	}
+	if r.restartAll {
+		time.AfterFunc(7*time.Second, func() { r.resetAll(1) })
+	}
 	if r.keeperDown {
 		time.AfterFunc(9*time.Second, func() { r.reset(keeper, 1) })
 	}
--- a/pkg/customers/replay_order_ways_test.go
+++ b/pkg/customers/replay_order_ways_test.go
@@ -31,6 +31,36 @@
 	return changed
 }
 
+// smallPart is the limit of a small customer, of that of the customer above: three captions a second.
+const smallPart = 29_000.0 / 2_100_000
+
+// few returns the kinds at the rates of a small customer.
+func few() []kind {
+	changed := slices.Clone(kinds)
+	for i := range changed {
+		changed[i].perSecond *= smallPart
+	}
+	return changed
+}
+
+// small gives the customer the limit of a small one.
+func small(r *orderReplay) {
+	r.limit.PerSecond *= smallPart
+	r.limit.Burst *= smallPart
+}
+
+// checkAll expects that all is granted.
+func checkAll(got orderResult) {
+	checkOrder(got)
+	Expect(got.granted).To(HaveEach(BeNumerically(">", 0.999)))
+}
+
+// checkSpending expects the sum within the limit, and plain requests and chats granted rather than captions.
+func checkSpending(got orderResult) {
+	Expect(got.worstSpending).To(BeNumerically("<=", 1))
+	Expect(min(got.granted[0], got.granted[1])).To(BeNumerically(">", max(got.granted[2], got.granted[3])))
+}
+
 // checkUrgent expects that what is ahead is granted whole, and the rest by urgency.
 func checkUrgent(got orderResult) {
 	checkOrder(got)
@@ -40,11 +70,14 @@
 }
 
 var orderScenarios = []orderScenario{
-	{scenario: scenario{name: "usual", demandFactor: 1}, check: func(got orderResult) {
-		checkOrder(got)
-		Expect(got.granted).To(HaveEach(BeNumerically(">", 0.999)))
-	}},
+	{scenario: scenario{name: "usual", demandFactor: 1}, check: checkAll},
 	{scenario: scenario{name: "hot", demandFactor: 5.4}, check: checkUrgent},
+	{scenario: scenario{name: "usual, small", demandFactor: 1}, kinds: few(), begin: small, check: checkAll},
+	{scenario: scenario{name: "hot, small", demandFactor: 5.4}, kinds: few(), begin: small, check: checkUrgent},
+	{scenario: scenario{name: "hot, calls lost", demandFactor: 5.4, lossRate: 0.3}, inUseOnly: true, check: checkSpending},
+	{scenario: scenario{name: "hot, 21 boxes isolated", demandFactor: 5.4, isolatedBoxes: 21}, inUseOnly: true, check: checkSpending},
+	{scenario: scenario{name: "hot, keeper frozen", demandFactor: 5.4, keeperFrozen: true}, inUseOnly: true, check: checkSpending},
+	{scenario: scenario{name: "hot, all restarted", demandFactor: 5.4, restartAll: true}, inUseOnly: true, check: checkSpending},
 	{scenario: scenario{name: "hot, one class", demandFactor: 5.4}, kinds: kinds[2:3], check: checkOrder},
 	{scenario: scenario{name: "hot, urgency alike", demandFactor: 5.4}, kinds: alike(), check: func(got orderResult) {
 		checkOrder(got)
