--- a/pkg/customers/keeper_test.go
+++ b/pkg/customers/keeper_test.go
@@ -264,6 +264,25 @@
 		})
 	})
 
+	It("refuses by what it remembers of the class itself, or else of the nearest more urgent one", func() {
+		spectest.Bubble(func() {
+			calls := &fakeKeeper{wait: 2 * time.Second}
+			spender := customers.NewSpender(calls.ask)
+			var running sync.WaitGroup
+			running.Go(func() { spender.Take(customer, 1, urgent, 3) })
+			time.Sleep(time.Millisecond)
+			running.Go(func() { spender.Take(customer, 1, idle, 3) })
+			time.Sleep(time.Millisecond)
+			calls.mu.Lock()
+			calls.wait = 8 * time.Second
+			calls.mu.Unlock()
+			running.Wait()
+			Expect(spender.Take(customer, 1, ordinary, 3).RetryAfter).To(Equal(2 * time.Second))
+			Expect(spender.Take(customer, 1, idle, 3).RetryAfter).To(Equal(8 * time.Second))
+			Expect(calls.asks).To(HaveLen(2))
+		})
+	})
+
 	It("tells the threshold of a request's class, and none if the keeper's build knows no classes", func() {
 		spectest.Bubble(func() {
 			calls := &fakeKeeper{thresholds: []float64{5}}
--- a/pkg/customers/refusals.go
+++ b/pkg/customers/refusals.go
@@ -20,15 +20,18 @@
 	verdict Verdict
 }
 
-// binding returns the refusal that binds a class now, or nil.
+// binding returns the refusal that binds a class now, or nil: of several, that of the class itself or the nearest to it,
+// whose retry time is the nearest, too.
 func (r *refusals) binding(class Class, now time.Time) *refusal {
+	var nearest *refusal
 	for i := range r.list {
 		known := &r.list[i]
-		if known.class.Service == class.Service && known.class.Urgency <= class.Urgency && now.Before(known.until) {
-			return known
+		binds := known.class.Service == class.Service && known.class.Urgency <= class.Urgency && now.Before(known.until)
+		if binds && (nearest == nil || known.class.Urgency > nearest.class.Urgency) {
+			nearest = known
 		}
 	}
-	return nil
+	return nearest
 }
 
 // add remembers a refusal until its retry time, but for at most refusalTTL. One that binds already is not extended.
