--- a/pkg/customers/replay_order_test.go
+++ b/pkg/customers/replay_order_test.go
@@ -134,6 +134,9 @@
 	// granted.
 	served []float64
 	kept   float64
+	// storm is the largest number of requests that came back within a tenth of a second, relative to the new ones that
+	// come in that time under the load.
+	storm float64
 	// refused is the number of refusals of each kind from 4 s to 12 s.
 	refused []int
 }
@@ -171,9 +174,26 @@
 		out.served = append(out.served, atAll[i]/max(1, asked[i]))
 	}
 	out.kept = kept / max(1, returned)
+	out.storm = r.storm()
 	return out
 }
 
+// storm returns orderResult.storm.
+func (r *orderReplay) storm() float64 {
+	most, total := 0, 0.0
+	back := map[time.Duration]int{}
+	for _, e := range r.events {
+		if !e.first {
+			back[e.at/(100*time.Millisecond)]++
+			most = max(most, back[e.at/(100*time.Millisecond)])
+		}
+	}
+	for _, k := range r.kinds {
+		total += k.perSecond
+	}
+	return float64(most) / (total / 10)
+}
+
 // spending returns the highest spending in a window, and the fraction of what one exact account would have granted
 // and this one did not, in units.
 func (r *orderReplay) spending() result {
@@ -244,7 +264,7 @@
 				for i := range got.granted {
 					row += fmt.Sprintf(" %.2f (%.2f)", got.granted[i], got.served[i])
 				}
-				GinkgoWriter.Printf("%s | %.2f | %.1f | %.2f | %v |\n", row, got.worstSpending, 100*got.falselyRefused, got.kept, got.refused)
+				GinkgoWriter.Printf("%s | %.2f | %.1f | %.2f | %.1f | %v |\n", row, got.worstSpending, 100*got.falselyRefused, got.kept, got.storm, got.refused)
 				if way.inUse {
 					s.check(got)
 				}
--- a/pkg/customers/replay_order_ways_test.go
+++ b/pkg/customers/replay_order_ways_test.go
@@ -67,6 +67,7 @@
 	Expect(got.granted[0]).To(BeNumerically(">", 0.98), "plain requests")
 	Expect(got.granted[1]).To(BeNumerically(">", 0.98), "chats")
 	Expect(got.granted[2]).To(BeNumerically(">", got.granted[3]), "premium captions before basic ones")
+	Expect(got.storm).To(BeNumerically("<", 0.75), "requests that come back at once")
 }
 
 var orderScenarios = []orderScenario{
