Places at plain services are counted for all boxes by a keeper

Each box chose by loads 0.1 to 0.65 s old, longer than a request takes, and paid the way from one full upstream to the next from the retry budget.

One box, found as a quota's keeper is, now counts the places at a service's upstreams (slots and a few that wait). A box asks for a place right before it sends and returns it at the end; without one the request waits, ordered by whether it can make its target, urgency and time left, and is refused at once if it can't be served in time. Without the keeper, without slots, in fleets whose boxes exchange directly: as before.

--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -19,6 +19,9 @@
 	methodSpend    = "spend"
 	methodReserve  = "reserve"
 	methodRate     = "cold" // The name that boxes of the previous version know.
+
+	methodPlace        = "place"
+	methodReturnPlaces = "place-return"
 )
 
 // Box holds what a box registers about itself in the store and sends with each exchange.
--- a/internal/gateway/choice.go
+++ b/internal/gateway/choice.go
@@ -19,7 +19,10 @@
 		if refused := r.quarantined(); refused != nil {
 			return dispatch.Choice{}, refused
 		}
-		candidates, lacking := r.candidates()
+		candidates, lacking, refused := r.placedCandidates(ctx)
+		if refused != nil {
+			return r.lastChoice, refused
+		}
 		if choice, wait, ok := r.choose(ctx, candidates); ok {
 			r.lastChoice = choice
 			if wait > 0 && r.mayDelay(choice) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,6 +38,8 @@
 	// AskRate asks for permission to send one request to an upstream that is cold or names a rate limit. It
 	// must be set.
 	AskRate func(ctx context.Context, ask dispatch.RateRequest) (dispatch.RateGrant, error)
+	// Places takes and returns places at the upstreams of plain services.
+	Places Places
 	// Quotas charges the costs of requests to their customers' quotas.
 	Quotas Quotas
 	// Quarantine holds what is known about requests under which upstreams crashed.
@@ -79,6 +81,8 @@
 	// AskRate asks for permission to send one request to an upstream that is cold or names a rate limit. It
 	// must be set.
 	AskRate func(ctx context.Context, ask dispatch.RateRequest) (dispatch.RateGrant, error)
+	// Places takes and returns places at the upstreams of plain services.
+	Places Places
 	// Quotas charges the costs of requests to their customers' quotas.
 	Quotas Quotas
 	// Quarantine holds what is known about requests under which upstreams crashed. nil creates a register that only
@@ -110,6 +114,7 @@
 		RecordDemand: config.RecordDemand,
 		Reserve:      config.Reserve,
 		AskRate:      config.AskRate,
+		Places:       config.Places,
 		Quotas:       config.Quotas,
 		Quarantine:   config.Quarantine,
 		CallerMemory: NewMemoryBudget(config.MemoryBytes),
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -11,7 +11,7 @@
 	"ospreymoor.example/ospreymoor/pkg/routes"
 )
 
-// inflight is a request in flight, from its route to its final answer. A single goroutine uses it. It has 19
+// inflight is a request in flight, from its route to its final answer. A single goroutine uses it. It has 20
 // fields because it holds all that the box knows about one request.
 type inflight struct {
 	gateway *Gateway
@@ -41,6 +41,8 @@
 	crashHistory crashHistory
 	// rate holds the service's settings for cold engines and the request's rate grants.
 	rate rateState
+	// place is the request's place at an upstream of a plain service.
+	place placeState
 	// bufferedBytes is the number of bytes of answers that the request holds of the box's memory budget.
 	bufferedBytes int64
 	// regionBound is set if only upstreams in some regions may serve the request.
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -79,6 +79,7 @@
 		zap.String("customer", r.customerName()),
 		zap.Object("quota", quotaField(r.quota)),
 		r.quarantineField(),
+		r.placeField(),
 		zap.String("model", r.need.Model),
 		zap.String("adapter", r.need.Adapter),
 		zap.String("backend", r.attempts.latestUpstream()),
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
+	"ospreymoor.example/ospreymoor/pkg/places"
 )
 
 // maxBufferedAnswer is the size in bytes up to which a plain answer is buffered until it is complete, so that a
@@ -23,6 +24,7 @@
 	// upstream does better.
 	var failed *bufferedAnswer
 	lastFailure := reasonBroken
+	defer r.endPlace(places.Unused)
 	for {
 		if denied := r.takeAttempt(); denied != "" {
 			return r.finish(w, failed, r.deniedRefusal(denied, lastFailure))
@@ -53,10 +55,16 @@
 func (r *inflight) attemptPlain(ctx context.Context, choice dispatch.Choice) (*bufferedAnswer, error) {
 	answer, ticket, err := r.send(ctx, choice, "")
 	defer ticket.End()
+	result := places.Failed
+	defer func() { r.endPlace(result) }()
 	if err != nil {
+		if errors.Is(ctx.Err(), context.Canceled) {
+			result = places.Unused
+		}
 		return nil, err
 	}
 	if answer.NotExecuted {
+		result = places.TurnedAway
 		discard(answer)
 		return nil, errNotExecuted
 	}
@@ -69,6 +77,7 @@
 	}
 	r.noteAnswered()
 	if buffered.status < http.StatusInternalServerError {
+		result = places.Served
 		r.attemptSucceeded(choice)
 	}
 	return buffered, nil
--- a/internal/node/new.go
+++ b/internal/node/new.go
@@ -68,7 +68,8 @@
 	rates := &cluster.RateGrants{
 		Members: s.members, Client: n.client, Directory: s.directory, Kept: dispatch.NewRateAccounts(config.ColdStarts), Log: config.Log,
 	}
-	n.Gateway = newGateway(config, s, ensurer, n.spender, reservations, rates)
+	plainPlaces := newPlaces(config, s, n.client)
+	n.Gateway = newGateway(config, s, ensurer, n.spender, reservations, rates, plainPlaces)
 	n.view = n.newView(config, s)
 	n.exchange = n.newExchange(config, s)
 	config.Metrics.NewGauge("ospreymoor_held_bytes", func() float64 { return float64(n.Gateway.CallerMemory.Used()) })
@@ -87,6 +88,7 @@
 	quotas.Handle(n.server)
 	reservations.Handle(n.server)
 	rates.Handle(n.server)
+	plainPlaces.Handle(n.server)
 	n.orderLease.Handle(n.server, n.controller.LastOrders)
 	return n
 }
@@ -170,8 +172,20 @@
 	})
 }
 
+// newPlaces returns the places of plain services, and exports those that this box knows of as a keeper.
+func newPlaces(config Config, s shared, client *peer.Client) *cluster.Places {
+	p := cluster.NewPlaces(s.members, client, s.directory, s.loads, config.Log)
+	gauge := func(state string, of func(known, taken, waiting int) int) {
+		config.Metrics.NewGauge(fmt.Sprintf("ospreymoor_places{state=%q}", state), func() float64 { return float64(of(p.Counts())) })
+	}
+	gauge("known", func(known, _, _ int) int { return known })
+	gauge("taken", func(_, taken, _ int) int { return taken })
+	gauge("waiting", func(_, _, waiting int) int { return waiting })
+	return p
+}
+
 func newGateway(config Config, s shared, ensurer *cluster.Ensurer, spender *customers.Spender, reservations *cluster.Reservations,
-	rates *cluster.RateGrants) *gateway.Gateway {
+	rates *cluster.RateGrants, plainPlaces *cluster.Places) *gateway.Gateway {
 	return gateway.New(gateway.Config{
 		Directory:    s.directory,
 		Loads:        s.loads,
@@ -182,6 +196,7 @@
 		RecordDemand: s.pending.AddWork,
 		Reserve:      reservations.Reserve,
 		AskRate:      rates.Ask,
+		Places:       gateway.Places{Counted: plainPlaces.Counted, Ask: plainPlaces.Ask, Return: plainPlaces.Return},
 		Quotas:       gateway.Quotas{Take: spender.Take, Return: spender.Return},
 
 		Quarantine: s.quarantine,
--- /dev/null
+++ b/pkg/places/upstream.go
@@ -0,0 +1,126 @@
+package places
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// waitingShare is the number of requests that wait at an upstream, per slot. At 6 slots and 30 ms of work a slot
+	// is free every 5 ms, and the way of a return and of the next request takes as long between halls.
+	waitingShare = 1.0 / 3
+	// defaultTime is the time that a place is taken for before one was returned.
+	defaultTime = 50 * time.Millisecond
+	// minTime bounds times from below, because rates are divided by them.
+	minTime = time.Millisecond
+	// timeWeight is the weight of one request in the average time. An upstream that turns slow for half a second
+	// ends some 15 requests meanwhile.
+	timeWeight = 0.2
+	// timeDecay is the time without an answer after which the average of an upstream falls back to that of all. One
+	// that was slow gets few requests and would otherwise count as slow long after.
+	timeDecay = 2 * time.Second
+	// failureWeight is the weight of one request in the share of failures. Some 20 requests tell a share of a third
+	// from the failures that all upstreams have.
+	failureWeight = 0.05
+	// failingShare is the share of failures beyond those of the best upstream from which an upstream gets fewer
+	// places. Below it, requests only prefer others: the places of one that fails now and then are needed.
+	failingShare = 0.3
+	// fullCut is what remains of the places of an upstream that turned a request away.
+	fullCut = 0.75
+	// failuresBeforeRest is the number of failures in a row after which an upstream gets no requests for firstRest,
+	// and twice as long after each further one, up to maxRest. One that fails at once would otherwise always have
+	// free places, and get most requests.
+	failuresBeforeRest = 2
+	firstRest          = 50 * time.Millisecond
+	maxRest            = time.Second
+	// refreshInterval is the least time between two searches for places that were not returned.
+	refreshInterval = 20 * time.Millisecond
+)
+
+// place is a place that is taken.
+type place struct {
+	taken, until time.Time
+}
+
+// record is what an account knows of an upstream.
+type record struct {
+	held map[uint64]place
+	// limit is the number of places that was learned from requests turned away; infinite if there were none.
+	limit float64
+	// time is the average time for which a place is taken; 0 before the first one was returned. last is when one was.
+	time time.Duration
+	last time.Time
+	// oldest is when the oldest of the taken places was taken, as of refreshed.
+	oldest, refreshed time.Time
+	// failureShare is the average share of failures.
+	failureShare float64
+	// failures counts the requests in a row that were not served, and restUntil is until when none is sent.
+	failures  int
+	restUntil time.Time
+}
+
+func newRecord() *record {
+	return &record{held: map[uint64]place{}, limit: math.Inf(1)}
+}
+
+// refresh drops the places that were not returned in time.
+func (r *record) refresh(now time.Time) {
+	if now.Sub(r.refreshed) < refreshInterval {
+		return
+	}
+	r.refreshed, r.oldest = now, time.Time{}
+	for id, held := range r.held {
+		if now.After(held.until) {
+			delete(r.held, id)
+			continue
+		}
+		if r.oldest.IsZero() || held.taken.Before(r.oldest) {
+			r.oldest = held.taken
+		}
+	}
+}
+
+// end records the end of a place.
+func (r *record) end(taken time.Time, result Result, places float64, now time.Time) {
+	switch result {
+	case Served:
+		r.failureShare -= failureWeight * r.failureShare
+		r.failures, r.restUntil = 0, time.Time{}
+		r.limit = min(max(r.limit, 1)+1/max(r.limit, 1), max(places, 1))
+		took := max(minTime, now.Sub(taken))
+		if r.time == 0 {
+			r.time = took
+		} else {
+			r.time += time.Duration(timeWeight * float64(took-r.time))
+		}
+		r.last = now
+	case TurnedAway:
+		r.limit = max(1, min(r.limit, float64(len(r.held)+1))*fullCut)
+		r.fail(now)
+	case Failed:
+		r.failureShare += failureWeight * (1 - r.failureShare)
+		r.fail(now)
+	}
+}
+
+// fail counts a request that was not served, and lets the upstream rest after several.
+func (r *record) fail(now time.Time) {
+	r.failures++
+	if over := r.failures - failuresBeforeRest; over >= 0 {
+		r.restUntil = now.Add(min(maxRest, firstRest<<min(over, 5)))
+	}
+}
+
+// expected returns the time for which a place is probably taken, given the average of all upstreams. A place that is
+// taken for longer already shows that the upstream has turned slow.
+func (r *record) expected(mean time.Duration, now time.Time) time.Duration {
+	span := mean
+	if r.time > 0 {
+		own := math.Exp(-now.Sub(r.last).Seconds() / timeDecay.Seconds())
+		span += time.Duration(own * float64(r.time-mean))
+	}
+	if !r.oldest.IsZero() {
+		span = max(span, now.Sub(r.oldest))
+	}
+	return max(minTime, span)
+}
