A keeper of places counts upstreams that it doesn't reach itself, and all slots for most boxes

It left out what it could not reach itself a moment ago, and held 5 of 6 slots while it did not know yet how many boxes are in touch.

What an asking box doesn't reach, its ask says. An account of more than half of the boxes has all slots; what the others send there waits at the upstream.

--- a/internal/cluster/places.go
+++ b/internal/cluster/places.go
@@ -125,13 +125,13 @@
 	return peer.Empty{}, nil
 }
 
-// upstreams returns the upstreams of a service that may get requests, as this box sees them.
+// upstreams returns the upstreams of a service that may get requests. Which of them an asking box doesn't reach, and
+// which asked it for a backoff, its ask says: this box may be cut off from others.
 func (p *Places) upstreams(service string) []places.Upstream {
 	now := time.Now()
 	var list []places.Upstream
 	for _, state := range p.Directory.OfService(service) {
-		_, inBackoff := p.Directory.InBackoff(state.ID)
-		if state.Usable(now) && !state.Evacuated && !inBackoff && !p.Directory.Unavailable(state.ID, "", "") {
+		if state.Usable(now) && !state.Evacuated {
 			list = append(list, places.Upstream{ID: state.ID, Hall: state.Hall, Slots: state.Slots})
 		}
 	}
--- a/pkg/places/account_test.go
+++ b/pkg/places/account_test.go
@@ -170,6 +170,9 @@
 		known, taken, _ := a.Counts()
 		Expect(taken).To(BeZero())
 		Expect(known).To(Equal(4))
+		a.Update(twoUpstreams(), 0.6, noneRunning, after(100))
+		known, _, _ = a.Counts()
+		Expect(known).To(Equal(6))
 	})
 
 	It("knows no upstream for an ask that excludes all, and leaves it to the box", func() {
