Places that weren't returned, and requests turned away, don't stop a plain service

Requests turned away while boxes sent by reported loads took the places down to one, and only served ones brought them back; the one was taken by a request whose return was lost with the frozen keeper, and kept until its deadline. Its age also made the upstream count as slow.

Requests turned away leave half of the slots, and count for a second. A place that isn't returned is free once the upstream ended others for eight times the usual time, and tells nothing of the upstream's pace alone. Returns go to a keeper that didn't answer until it does, and say how long the place was used.

--- a/internal/cluster/places.go
+++ b/internal/cluster/places.go
@@ -18,6 +18,10 @@
 	placeTimeout = 120 * time.Millisecond
 	// returnTimeout bounds a call that returns places. A place that is not returned is free after its deadline.
 	returnTimeout = 500 * time.Millisecond
+	// maxReturnTries is how often in a row places are returned in vain, returnRetryDelay apart, before they are left
+	// to their deadlines.
+	maxReturnTries   = 20
+	returnRetryDelay = 200 * time.Millisecond
 	// maxReturns bounds the places that wait to be returned for one service, while the keeper does not answer.
 	maxReturns = 1000
 	// placesPrefix precedes the service in the name by which its keeper is found, so that a customer of that name
@@ -90,34 +94,44 @@
 	}
 }
 
-// sendReturns returns the places of a service until there are none to return.
+// sendReturns returns the places of a service until there are none to return. While the keeper does not answer, it
+// tries again: one that was frozen still counts them as taken.
 func (p *Places) sendReturns(service string) {
-	for {
-		p.mu.Lock()
+	failures := 0
+	p.mu.Lock()
+	for len(p.returning[service]) > 0 && failures < maxReturnTries {
 		returns := places.Returns{Service: service, Places: p.returning[service]}
-		if len(returns.Places) == 0 {
-			delete(p.returning, service)
-			p.mu.Unlock()
-			return
-		}
 		p.returning[service] = nil
 		p.mu.Unlock()
-		p.sendReturn(returns)
+		err := p.sendReturn(returns)
+		if err != nil {
+			// It is not logged: asks for places log when the keeper is lost and regained.
+			time.Sleep(returnRetryDelay)
+		}
+		p.mu.Lock()
+		if err == nil {
+			failures = 0
+			continue
+		}
+		failures++
+		p.returning[service] = append(returns.Places, p.returning[service]...)
 	}
+	delete(p.returning, service)
+	p.mu.Unlock()
 }
 
-// sendReturn sends one message. An error is not returned: the caller of the keeper logs when it loses and regains it,
-// and the places are free after their deadlines.
-func (p *Places) sendReturn(returns places.Returns) {
+// sendReturn sends one message. It also goes to a keeper that counts as lost: one that was frozen takes no request
+// until its places are returned.
+func (p *Places) sendReturn(returns places.Returns) error {
 	keeper := p.Members.keeperOf(placesPrefix + returns.Service)
 	if keeper.Name == p.Members.self.Name {
 		p.kept.Return(returns)
-		return
-	}
-	call := keeperCall{
-		Members: p.Members, Client: p.Client, Log: p.Log, Method: methodReturnPlaces, Keeper: keeper, Timeout: returnTimeout,
+		return nil
 	}
-	_, _ = callKeeper[peer.Empty](context.Background(), call, returns)
+	ctx, cancel := context.WithTimeout(context.Background(), returnTimeout)
+	defer cancel()
+	_, err := peer.CallKeepingConn[peer.Empty](ctx, p.Client, keeper.Address, methodReturnPlaces, returns)
+	return err
 }
 
 func (p *Places) takeBack(_ context.Context, returns places.Returns) (peer.Empty, error) {
--- a/internal/gateway/places.go
+++ b/internal/gateway/places.go
@@ -39,6 +39,7 @@
 	// while the request waits.
 	id       uint64
 	upstream string
+	takenAt  time.Time
 	// answer is the keeper's latest answer, and waited how long the request waited for places.
 	answer places.Answer
 	waited time.Duration
@@ -73,7 +74,7 @@
 		case answer.Upstream == "":
 			continue
 		}
-		r.place.upstream = answer.Upstream
+		r.place.upstream, r.place.takenAt = answer.Upstream, time.Now()
 		at := slices.IndexFunc(list, func(state *fleet.State) bool { return state.ID == answer.Upstream })
 		if at < 0 {
 			r.endPlace(places.Unused) // The keeper knows an upstream that this box does not know yet.
@@ -125,7 +126,11 @@
 	if r.place.id == 0 {
 		return
 	}
-	r.gateway.Places.Return(r.service, places.Return{ID: r.place.id, Result: result})
+	back := places.Return{ID: r.place.id, Result: result}
+	if r.place.upstream != "" {
+		back.Took = time.Since(r.place.takenAt)
+	}
+	r.gateway.Places.Return(r.service, back)
 	r.place.id, r.place.upstream = 0, ""
 }
 
--- a/pkg/places/account.go
+++ b/pkg/places/account.go
@@ -73,7 +73,7 @@
 	}
 	a.forget()
 	a.updateMean(now)
-	a.recount()
+	a.recount(now)
 }
 
 // candidate is an upstream with its record.
@@ -88,7 +88,7 @@
 func (c *candidate) hasFree() bool { return float64(len(c.held))+1 <= c.places }
 
 // recount sets the places and the health of the upstreams.
-func (a *Account) recount() {
+func (a *Account) recount(now time.Time) {
 	least := 1.0
 	for _, c := range a.usable {
 		least = min(least, c.failureShare)
@@ -96,7 +96,7 @@
 	for n := range a.usable {
 		c := &a.usable[n]
 		c.health = max(minHealth, 1-(c.failureShare-least))
-		c.places = min(c.Upstream.places(a.share), c.limit)
+		c.places = c.limit(c.Upstream.places(a.share), now)
 		if c.health < 1-failingShare {
 			c.places *= c.health
 		}
@@ -187,12 +187,16 @@
 		return
 	}
 	delete(r.held, back.ID)
-	places := 1.0
+	slots, places := 1.0, 1.0
 	if at := slices.IndexFunc(a.usable, func(c candidate) bool { return c.ID == id }); at >= 0 {
-		places = a.usable[at].Upstream.places(a.share)
+		slots, places = a.usable[at].slots(), a.usable[at].Upstream.places(a.share)
 	}
-	r.end(held.taken, back.Result, places, now)
-	a.recount()
+	took := now.Sub(held.taken)
+	if back.Took > 0 {
+		took = min(took, back.Took)
+	}
+	r.end(took, back.Result, slots, places, now)
+	a.recount(now)
 }
 
 // Counts returns the places that the account counts by, how many of them are taken, and how many asks wait.
--- a/pkg/places/messages.go
+++ b/pkg/places/messages.go
@@ -56,6 +56,8 @@
 type Return struct {
 	ID     uint64 `json:"id"`
 	Result Result `json:"result,omitempty"`
+	// Took is how long the box used the place; 0 if unknown. The return may come later.
+	Took time.Duration `json:"took,omitempty"`
 }
 
 // Returns are the places that a box gives back in one message.
--- a/pkg/places/upstream.go
+++ b/pkg/places/upstream.go
@@ -25,8 +25,15 @@
 	// failingShare is the share of failures beyond those of the best upstream from which an upstream gets fewer
 	// places. Below it, requests only prefer others: the places of one that fails now and then are needed.
 	failingShare = 0.3
-	// fullCut is what remains of the places of an upstream that turned a request away.
-	fullCut = 0.75
+	// fullCut is what remains of the places of an upstream that turned a request away, down to minFullShare of its
+	// slots. They are all back within fullRecovery: others may have stopped sending there.
+	fullCut      = 0.75
+	minFullShare = 0.5
+	fullRecovery = time.Second
+	// lostFactor is the factor on the average time after which a place counts as lost whose upstream ended others
+	// meanwhile, at least minLostTime. Its box may be gone, and its deadline be far off.
+	lostFactor  = 8
+	minLostTime = 300 * time.Millisecond
 	// failuresBeforeRest is the number of failures in a row after which an upstream gets no requests for firstRest,
 	// and twice as long after each further one, up to maxRest. One that fails at once would otherwise always have
 	// free places, and get most requests.
@@ -45,13 +52,15 @@
 // record is what an account knows of an upstream.
 type record struct {
 	held map[uint64]place
-	// limit is the number of places that was learned from requests turned away; infinite if there were none.
-	limit float64
+	// cut is the number of places less that was learned from requests turned away, as of cutAt.
+	cut   float64
+	cutAt time.Time
 	// time is the average time for which a place is taken; 0 before the first one was returned. last is when one was.
 	time time.Duration
 	last time.Time
-	// oldest is when the oldest of the taken places was taken, as of refreshed.
-	oldest, refreshed time.Time
+	// ended is when the latest place ended in any way, and oldest when the oldest of those taken was taken, as of
+	// refreshed.
+	ended, oldest, refreshed time.Time
 	// failureShare is the average share of failures.
 	failureShare float64
 	// failures counts the requests in a row that were not served, and restUntil is until when none is sent.
@@ -60,7 +69,7 @@
 }
 
 func newRecord() *record {
-	return &record{held: map[uint64]place{}, limit: math.Inf(1)}
+	return &record{held: map[uint64]place{}}
 }
 
 // refresh drops the places that were not returned in time.
@@ -70,7 +79,7 @@
 	}
 	r.refreshed, r.oldest = now, time.Time{}
 	for id, held := range r.held {
-		if now.After(held.until) {
+		if now.After(held.until) || r.isLost(held, now) {
 			delete(r.held, id)
 			continue
 		}
@@ -80,14 +89,26 @@
 	}
 }
 
-// end records the end of a place.
-func (r *record) end(taken time.Time, result Result, places float64, now time.Time) {
+// isLost reports whether a place is probably not under way any more although it was not returned.
+func (r *record) isLost(held place, now time.Time) bool {
+	span := max(minLostTime, lostFactor*r.time)
+	return now.Sub(held.taken) > span && r.ended.Sub(held.taken) > span/2
+}
+
+// limit returns the number of places, given how many there are without requests turned away.
+func (r *record) limit(places float64, now time.Time) float64 {
+	back := places * now.Sub(r.cutAt).Seconds() / fullRecovery.Seconds()
+	return places - max(0, r.cut-back)
+}
+
+// end records the end of a place that was taken for a time, at an upstream with so many slots and places.
+func (r *record) end(took time.Duration, result Result, slots, places float64, now time.Time) {
+	r.ended = now
 	switch result {
 	case Served:
 		r.failureShare -= failureWeight * r.failureShare
 		r.failures, r.restUntil = 0, time.Time{}
-		r.limit = min(max(r.limit, 1)+1/max(r.limit, 1), max(places, 1))
-		took := max(minTime, now.Sub(taken))
+		took = max(minTime, took)
 		if r.time == 0 {
 			r.time = took
 		} else {
@@ -95,7 +116,8 @@
 		}
 		r.last = now
 	case TurnedAway:
-		r.limit = max(1, min(r.limit, float64(len(r.held)+1))*fullCut)
+		left := max(minFullShare*slots, min(r.limit(places, now), float64(len(r.held)+1))*fullCut)
+		r.cut, r.cutAt = max(0, places-left), now
 		r.fail(now)
 	case Failed:
 		r.failureShare += failureWeight * (1 - r.failureShare)
@@ -111,8 +133,9 @@
 	}
 }
 
-// expected returns the time for which a place is probably taken, given the average of all upstreams. A place that is
-// taken for longer already shows that the upstream has turned slow.
+// expected returns the time for which a place is probably taken, given the average of all upstreams. While places are
+// taken and none ends, it is at least as long as that: the upstream has turned slow. A place that is not returned
+// alone shows nothing.
 func (r *record) expected(mean time.Duration, now time.Time) time.Duration {
 	span := mean
 	if r.time > 0 {
@@ -120,7 +143,7 @@
 		span += time.Duration(own * float64(r.time-mean))
 	}
 	if !r.oldest.IsZero() {
-		span = max(span, now.Sub(r.oldest))
+		span = max(span, min(now.Sub(r.oldest), now.Sub(r.ended)))
 	}
 	return max(minTime, span)
 }
