A refusal by a full plain service keeps the time that the keeper states

The keeper of places states when a denied request can be served. A refusal now says whether its time is such a one.

--- a/internal/gateway/places.go
+++ b/internal/gateway/places.go
@@ -70,7 +70,9 @@
 			return list, lacking, nil
 		case answer.Denied:
 			r.place.id = 0
-			return nil, "", r.refusalFor(reasonFull, answer.Wait)
+			refused = r.refusalFor(reasonFull, answer.Wait)
+			refused.servedAfter = answer.Wait > 0
+			return nil, "", refused
 		case answer.Upstream == "":
 			continue
 		}
