Learn how fast each model's prompts are read from the shortest first tokens, and count loads in time

What callers saw (a site of 140 engines, 33 boxes): in seconds 0 to 20, a quarter of all prompt reading was sent over capacity, because no engine had time left by the reservations, and 682 of the 1,205 live requests sent so had their first event late. Engines read a quarter to a half of their time.

Cause: the time to a first token includes prompts of other boxes that no report tells in time. The geometric mean of these times made a model that is read seven times faster than the others (a quarter of the requests) look nearly as slow as they: its reading was predicted, and reserved, at 6.7 times its true length in the median. And loads counted in tokens: an engine's prompts of other models were scaled with the model of the request at hand.

The log and a metric tell how each prompt's time was reserved, its predicted reading, the engine's factor and the model's pace.

--- a/internal/gateway/choice.go
+++ b/internal/gateway/choice.go
@@ -40,8 +40,10 @@
 				continue
 			}
 			if wait > 0 {
+				r.reservation = reservationOver
 				r.reserveOverCapacity(ctx, choice)
 			}
+			r.noteSent()
 			return choice, nil
 		}
 		wait, refused := r.provide(ctx, lacking)
@@ -110,15 +112,18 @@
 // cannot be made, it decides by the reported loads. retry is the time until the engine probably has time.
 func (r *inflight) reserve(ctx context.Context, choice dispatch.Choice) (free bool, retry time.Duration) {
 	asked, worthIt := choice.Reservation(r.need)
+	r.reservation = reservationNone
 	if !worthIt || r.gateway.Reserve == nil || r.attempts.mayHaveRun > 0 {
 		return r.hasPromptCapacity(choice)
 	}
+	r.reservation = reservationUnasked
 	answer, err := r.gateway.Reserve(ctx, asked)
 	switch {
 	case err != nil:
 		// The error is not logged: the caller of the keeper logs when it loses and regains it.
 		return r.hasPromptCapacity(choice)
 	case answer.Taken:
+		r.reservation = reservationGranted
 		return true, 0
 	}
 	return false, max(capacityPollInterval, min(maxCapacityWait, answer.Wait))
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -11,7 +11,7 @@
 	"ospreymoor.example/ospreymoor/pkg/routes"
 )
 
-// inflight is a request in flight, from its route to its final answer. A single goroutine uses it. It has 19
+// inflight is a request in flight, from its route to its final answer. A single goroutine uses it. It has 21
 // fields because it holds all that the box knows about one request.
 type inflight struct {
 	gateway *Gateway
@@ -33,6 +33,9 @@
 	unservedDemandReported bool
 	// lastChoice is the latest choice of an upstream, for the log. Admission may have refused it.
 	lastChoice dispatch.Choice
+	// reservation and sentAt belong to the latest choice, for the log.
+	reservation reservationResult
+	sentAt      time.Time
 	// throttledUpstreams holds the upstreams that may not get the request now, as of the latest call of candidates.
 	throttledUpstreams throttledUpstreams
 	// endpoint is the chosen upstream, as returned by the directory for the next send.
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -95,6 +95,7 @@
 		zap.Int("running", r.lastChoice.Load.Running),
 		zap.Ints("prefill", r.lastChoice.Load.Prefill[:]),
 		zap.Int("memory", r.lastChoice.Load.Tokens),
+		zap.Object("choice", choiceField{r}),
 		zap.Duration("took", took),
 		zap.Int64("configVersion", g.tableVersion()),
 		zap.Int64("listRevision", kv.SequenceOf(g.Directory.Revision())),
--- a/pkg/dispatch/choice.go
+++ b/pkg/dispatch/choice.go
@@ -92,7 +92,7 @@
 		score += need.GapTarget
 	}
 	if preferred {
-		score -= scale(prefillTime(choice.Uncached), preferenceBonus)
+		score -= scale(choice.prefillTime, preferenceBonus)
 	}
 	if choice.Upstream.Busy() {
 		score += busyPenalty
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -8,7 +8,9 @@
 type Load struct {
 	// Running counts the requests that were sent and whose response has not ended.
 	Running int `json:"r,omitempty"`
-	// Prefill is the number of prompt tokens that the engine has not prefilled yet, by urgency level.
+	// Prefill is the number of prompt tokens that the engine has not prefilled yet, by urgency level. Those of a
+	// model with another pace than 1 count as the number that takes as long at pace 1, because an engine prefills
+	// the prompts of several models.
 	Prefill [UrgencyLevels]int `json:"p,omitzero"`
 	// Tokens is the engine memory, in tokens, that the running requests take or will take.
 	Tokens int `json:"t,omitempty"`
--- a/pkg/dispatch/prediction.go
+++ b/pkg/dispatch/prediction.go
@@ -7,7 +7,7 @@
 )
 
 // Predictions start from the timings of an engine that runs a model of 70 billion parameters. Learned
-// factors correct them for other models and upstreams.
+// paces and factors correct them for other models and upstreams.
 const (
 	// prefillTokensPerMillisecond is the prefill speed of an engine.
 	prefillTokensPerMillisecond = 38.0
@@ -62,8 +62,12 @@
 	// prefillTime is the time to prefill the request's prompt, and eventTime the time to decode one event of
 	// each running stream; both are 0 for plain services.
 	prefillTime, eventTime time.Duration
+	// factor of the engine and pace of the model are the learned corrections that the prediction includes.
+	factor, pace float64
 	// pauseShare is the engine's current pauseShare.
 	pauseShare pauseShare
+	// meanWait is engineWait with the demand factor of the model in place of its pace.
+	meanWait time.Duration
 	// engineWait is Wait without penalties and without the wait for a slot.
 	engineWait time.Duration
 	// Uncached is the number of prompt tokens that the engine has to prefill; 0 for plain services.
@@ -72,9 +76,18 @@
 	Load Load
 }
 
+// PrefillTime returns the predicted time to prefill the request's own prompt.
+func (c *Choice) PrefillTime() time.Duration { return c.prefillTime }
+
+// Factor returns the learned correction of predictions at the engine.
+func (c *Choice) Factor() float64 { return c.factor }
+
+// Pace returns the learned pace of the model.
+func (c *Choice) Pace() float64 { return c.pace }
+
 // predict predicts the time to the first token at an engine:
 //
-//	((ahead + uncached prompt) / prefill speed + running * delay) * model factor + step
+//	ahead / prefill speed + (uncached prompt / prefill speed + running * delay) * model pace + step
 //
 // The result is multiplied by the upstream's factor. The wait for a slot and the penalties for full memory
 // and for another hall are added. The caller holds the tracker's lock.
@@ -84,10 +97,12 @@
 	choice := Choice{Upstream: upstream, Load: load, pauseShare: record.pauseShare}
 	choice.Uncached = max(1, need.PromptTokens-record.cache.cachedTokens(need.Blocks))
 	choice.Pause = c.Loads.enginePause(need, load, choice.Uncached)
-	factor := record.factor * c.Loads.modelFactor(need.Model)
+	choice.factor, choice.pace = record.factor, c.Loads.modelPace(need.Model)
+	factor := choice.factor * choice.pace
 	choice.prefillTime = scale(prefillTime(choice.Uncached), factor)
 	choice.eventTime = scale(eventTime(need, load), factor)
-	choice.engineWait = scale(c.Loads.engineWait(need, load, choice.Uncached), record.factor)
+	choice.engineWait = scale(engineWait(need, load, choice.Uncached, choice.pace), record.factor)
+	choice.meanWait = scale(engineWait(need, load, choice.Uncached, c.Loads.demandFactor(need.Model)), record.factor)
 	choice.Wait = choice.engineWait + slotWait(load, upstream.Slots, record.runTime)
 	if memoryFull(need, load) {
 		choice.Wait += fullPenalty
@@ -98,11 +113,10 @@
 	return choice
 }
 
-func (t *LoadTracker) engineWait(need Requirements, load Load, uncached int) time.Duration {
-	work := prefillTime(load.prefillAhead(need.Urgency) + uncached)
-	work += time.Duration(load.Running) * prefillDelayPerRunning
+func engineWait(need Requirements, load Load, uncached int, pace float64) time.Duration {
+	own := prefillTime(uncached) + time.Duration(load.Running)*prefillDelayPerRunning
 	step := stepTime + time.Duration(load.Running)*stepTimePerRunning
-	return scale(work, t.modelFactor(need.Model)) + step
+	return prefillTime(load.prefillAhead(need.Urgency)) + scale(own, pace) + step
 }
 
 // slotWait returns the time until a slot is free at an engine. With all slots taken, one request ends every
@@ -124,8 +138,8 @@
 	if load.Running == 0 {
 		return 0
 	}
-	prompts := load.prefillAhead(UrgencyLevels) + uncached
-	return scale(prefillTime(prompts)+eventTime(need, load), t.modelFactor(need.Model))
+	own := prefillTime(uncached) + eventTime(need, load)
+	return prefillTime(load.prefillAhead(UrgencyLevels)) + scale(own, t.modelPace(need.Model))
 }
 
 // eventTime returns how long an engine takes to decode one event of each stream, without the prefill in between.
@@ -149,5 +163,5 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	work := prefillTime(uncached) + time.Duration(need.AnswerTokens)*answerTokenTime
-	return scale(work, t.modelFactor(need.Model))
+	return scale(work, t.demandFactor(need.Model))
 }
--- a/pkg/dispatch/ticket.go
+++ b/pkg/dispatch/ticket.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Ticket tracks one request in flight at one upstream. The request counts as load until End.
 type Ticket struct {
@@ -9,9 +12,11 @@
 	model    string
 	load     Load
 	sentAt   time.Time
-	// predicted is the time to the first token as predicted when the request was sent, without penalties and
-	// without the wait for a slot.
+	// predicted is the mean time to the first token as predicted when the request was sent, without penalties
+	// and without the wait for a slot.
 	predicted time.Duration
+	// prefill is how long the uncached part of the prompt takes to prefill at pace 1.
+	prefill   time.Duration
 	started   bool
 	startedAt time.Time
 	ended     bool
@@ -26,12 +31,15 @@
 	record := t.record(id)
 	load := Load{Running: 1, Waiting: 1}
 	if len(need.Blocks) > 0 || need.PromptTokens > 0 {
-		load.Prefill[urgencyLevel(need.Urgency)] = choice.Uncached
+		load.Prefill[urgencyLevel(need.Urgency)] = int(math.Ceil(float64(choice.Uncached) * t.modelPace(need.Model)))
 		load.Tokens = need.PromptTokens + need.AnswerTokens
 		t.recordPrompt(id, record, need)
 	}
 	record.own.Add(load)
-	return &Ticket{tracker: t, upstream: id, model: need.Model, load: load, sentAt: time.Now(), predicted: choice.engineWait}
+	return &Ticket{
+		tracker: t, upstream: id, model: need.Model, load: load, sentAt: time.Now(),
+		predicted: choice.meanWait, prefill: prefillTime(choice.Uncached),
+	}
 }
 
 // OnEnd makes End call f once. The tracker is locked during the call, so f must not use it. OnEnd must be
@@ -53,7 +61,10 @@
 		record.responseTime.add(t.startedAt.Sub(t.sentAt), t.startedAt)
 		return
 	}
-	t.tracker.updateFactors(record, t.model, t.predicted, time.Since(t.sentAt))
+	firstToken := t.startedAt.Sub(t.sentAt)
+	record.updateFactor(t.predicted, firstToken)
+	t.tracker.updateDemandFactor(t.model, t.predicted, firstToken)
+	t.tracker.learnPace(t.model, t.prefill, firstToken)
 }
 
 // End records the end of the request, whatever its outcome. Calls after the first one do nothing.
--- a/pkg/dispatch/tracker.go
+++ b/pkg/dispatch/tracker.go
@@ -13,8 +13,13 @@
 	remote map[string]Load
 	// remoteAt is the time that remote refers to.
 	remoteAt time.Time
-	// modelFactors correct the predicted work, by model; a missing model has factor 1.
-	modelFactors map[string]float64
+	// paces are how long prompts take to prefill, by model.
+	paces map[string]*pace
+	// demandFactors correct the work that placement counts as demand, by model; a missing model has factor 1.
+	demandFactors map[string]float64
+	// overhead is the shortest time that a first token took beside prefill; 0 if no short prompt was observed.
+	overhead      time.Duration
+	overheadKnown bool
 	// pendingPrompts, pendingOutcomes and pendingPauses are returned by the next TakeObservations.
 	pendingPrompts  []SentPrompt
 	pendingOutcomes map[string]Outcomes
@@ -57,7 +62,8 @@
 func NewLoadTracker() *LoadTracker {
 	return &LoadTracker{
 		upstreams:       map[string]*upstreamRecord{},
-		modelFactors:    map[string]float64{},
+		paces:           map[string]*pace{},
+		demandFactors:   map[string]float64{},
 		pendingOutcomes: map[string]Outcomes{},
 		pendingPauses:   map[string]int{},
 	}
