--- a/internal/node/new.go
+++ b/internal/node/new.go
@@ -195,6 +195,7 @@
 		Ensure:       ensurer.Ensure,
 		RecordDemand: s.pending.AddWork,
 		Reserve:      reservations.Reserve,
+		FinishPrompt: reservations.Finish,
 		AskRate:      rates.Ask,
 		Places:       gateway.Places{Counted: plainPlaces.Counted, Ask: plainPlaces.Ask, Return: plainPlaces.Return},
 		Quotas:       gateway.Quotas{Take: spender.Take, Return: spender.Return},
--- a/pkg/dispatch/factors.go
+++ b/pkg/dispatch/factors.go
@@ -8,6 +8,8 @@
 const (
 	// upstreamFactorWeight is the weight of one observation in an upstream's factor.
 	upstreamFactorWeight = 0.05
+	// demandFactorWeight is the weight of one observation in a model's demand factor.
+	demandFactorWeight = 0.1
 	// minFactor and maxFactor bound the factor and each observation.
 	minFactor = 0.2
 	maxFactor = 1.5
@@ -16,24 +18,32 @@
 	minPredicted = 8 * time.Millisecond
 )
 
-// updateFactors updates the factor of the upstream and the common pace from a predicted time to the first token
-// and the observed one. The factor is a moving geometric mean of observed / predicted.
-//
-// The common pace is that of the shortest first tokens at all upstreams. Without it, the upstreams that were used
-// first would look faster than those that were not used yet wherever predictions are too long, and would get all
-// requests. The caller holds the lock.
-func (t *LoadTracker) updateFactors(record *upstreamRecord, predicted, observed time.Duration) {
+// updateFactor updates the factor of the upstream from a predicted time to the first token and the observed
+// one. The factor is a moving geometric mean of observed / predicted.
+func (r *upstreamRecord) updateFactor(predicted, observed time.Duration) {
 	if predicted < minPredicted {
 		return
 	}
-	ratio := float64(observed) / float64(predicted)
-	t.commonPace.add(ratio * t.commonPace.value())
-	record.factor = clampFactor(record.factor * math.Pow(clampFactor(ratio), upstreamFactorWeight))
+	ratio := clampFactor(float64(observed) / float64(predicted))
+	r.factor = clampFactor(r.factor * math.Pow(ratio, upstreamFactorWeight))
 }
 
-// upstreamFactor returns the factor of all predicted waits at an upstream. The caller holds the lock.
-func (t *LoadTracker) upstreamFactor(record *upstreamRecord) float64 {
-	return clampFactor(record.factor * t.commonPace.value())
+// updateDemandFactor updates the factor by which placement corrects a model's demand. Unlike the model's pace it
+// includes waits, so that a model whose prompts wait gets more replicas.
+func (t *LoadTracker) updateDemandFactor(model string, predicted, observed time.Duration) {
+	if model == "" || predicted < minPredicted {
+		return
+	}
+	ratio := clampFactor(float64(observed) / float64(predicted))
+	t.demandFactors[model] = clampFactor(t.demandFactor(model) * math.Pow(ratio, demandFactorWeight))
+}
+
+// demandFactor returns a model's demand factor; 1 if nothing was observed. The caller holds the lock.
+func (t *LoadTracker) demandFactor(model string) float64 {
+	if factor, ok := t.demandFactors[model]; ok {
+		return factor
+	}
+	return 1
 }
 
 func clampFactor(factor float64) float64 { return min(maxFactor, max(minFactor, factor)) }
--- a/pkg/dispatch/prediction.go
+++ b/pkg/dispatch/prediction.go
@@ -66,6 +66,12 @@
 	factor, pace float64
 	// pauseShare is the engine's current pauseShare.
 	pauseShare pauseShare
+	// aheadWait is the part of Wait in which the engine prefills the prompts ahead.
+	aheadWait time.Duration
+	// delay is aheadWait if the keeper of reservations answered it; otherwise 0.
+	delay time.Duration
+	// meanWait is engineWait with the demand factor of the model in place of its pace.
+	meanWait time.Duration
 	// engineWait is Wait without penalties and without the wait for a slot.
 	engineWait time.Duration
 	// Uncached is the number of prompt tokens that the engine has to prefill; 0 for plain services.
@@ -77,6 +83,23 @@
 // PrefillTime returns the predicted time to prefill the request's own prompt.
 func (c *Choice) PrefillTime() time.Duration { return c.prefillTime }
 
+// OwnWait returns the predicted time to the first token if the engine prefills no other prompts before.
+func (c *Choice) OwnWait() time.Duration { return c.Wait - c.aheadWait }
+
+// maxDelay bounds the delay that a keeper answers.
+const maxDelay = 2 * maxReserved
+
+// SetDelay replaces the predicted time in which the engine prefills other prompts before by the one that the
+// keeper of its reservations answered. A keeper of the previous version answers none: the prediction stays.
+func (c *Choice) SetDelay(delay time.Duration) {
+	if delay <= 0 {
+		return
+	}
+	c.Wait = c.OwnWait() + min(maxDelay, delay)
+	c.aheadWait = min(maxDelay, delay)
+	c.delay = c.aheadWait
+}
+
 // Factor returns the learned correction of predictions at the engine.
 func (c *Choice) Factor() float64 { return c.factor }
 
@@ -87,8 +110,8 @@
 //
 //	ahead / prefill speed + (uncached prompt / prefill speed + running * delay) * model pace + step
 //
-// The result is multiplied by the upstream's factor and the common pace. The wait for a slot and the
-// penalties for full memory and for another hall are added. The caller holds the tracker's lock.
+// The result is multiplied by the upstream's factor. The wait for a slot and the penalties for full memory
+// and for another hall are added. The caller holds the tracker's lock.
 func (c *Chooser) predict(need Requirements, upstream *fleet.State, record *upstreamRecord) Choice {
 	load := c.Loads.total(upstream.ID, record)
 	record.cacheCapacity = prefixCacheCapacity(need.CacheTokens)
@@ -99,7 +122,9 @@
 	factor := choice.factor * choice.pace
 	choice.prefillTime = scale(prefillTime(choice.Uncached), factor)
 	choice.eventTime = scale(eventTime(need, load), factor)
-	choice.engineWait = scale(c.Loads.engineWait(need, load, choice.Uncached), c.Loads.upstreamFactor(record))
+	choice.aheadWait = scale(prefillTime(load.prefillAhead(need.Urgency)), record.factor)
+	choice.engineWait = scale(engineWait(need, load, choice.Uncached, choice.pace), record.factor)
+	choice.meanWait = scale(engineWait(need, load, choice.Uncached, c.Loads.demandFactor(need.Model)), record.factor)
 	choice.Wait = choice.engineWait + slotWait(load, upstream.Slots, record.runTime)
 	if memoryFull(need, load) {
 		choice.Wait += fullPenalty
@@ -110,10 +135,10 @@
 	return choice
 }
 
-func (t *LoadTracker) engineWait(need Requirements, load Load, uncached int) time.Duration {
+func engineWait(need Requirements, load Load, uncached int, pace float64) time.Duration {
 	own := prefillTime(uncached) + time.Duration(load.Running)*prefillDelayPerRunning
 	step := stepTime + time.Duration(load.Running)*stepTimePerRunning
-	return prefillTime(load.prefillAhead(need.Urgency)) + scale(own, t.modelPace(need.Model)) + step
+	return prefillTime(load.prefillAhead(need.Urgency)) + scale(own, pace) + step
 }
 
 // slotWait returns the time until a slot is free at an engine. With all slots taken, one request ends every
@@ -160,5 +185,5 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	work := prefillTime(uncached) + time.Duration(need.AnswerTokens)*answerTokenTime
-	return scale(work, t.modelPace(need.Model))
+	return scale(work, t.demandFactor(need.Model))
 }
--- a/pkg/dispatch/tracker.go
+++ b/pkg/dispatch/tracker.go
@@ -13,10 +13,10 @@
 	remote map[string]Load
 	// remoteAt is the time that remote refers to.
 	remoteAt time.Time
-	// commonPace corrects the predicted waits at all upstreams.
-	commonPace pace
 	// paces are how long prompts take to prefill, by model.
 	paces map[string]*pace
+	// demandFactors correct the work that placement counts as demand, by model; a missing model has factor 1.
+	demandFactors map[string]float64
 	// overhead is the shortest time that a first token took beside prefill; 0 if no short prompt was observed.
 	overhead      time.Duration
 	overheadKnown bool
@@ -33,7 +33,7 @@
 	ejection   outlierEjection
 	pauseShare pauseShare
 	streak     failureStreak
-	// factor corrects the predicted wait at this upstream, beside the common pace.
+	// factor corrects the predicted wait at this upstream.
 	factor float64
 	// runTime is the moving average of the time from first token to end of response; 0 if no request ended.
 	runTime time.Duration
@@ -63,6 +63,7 @@
 	return &LoadTracker{
 		upstreams:       map[string]*upstreamRecord{},
 		paces:           map[string]*pace{},
+		demandFactors:   map[string]float64{},
 		pendingOutcomes: map[string]Outcomes{},
 		pendingPauses:   map[string]int{},
 	}
