Classes that a SpendRequest can't contain are left out by the box

A service's name of more than 256 bytes made the keeper ignore all classes of a SpendRequest. Such costs now have no class, the others keep theirs.

--- a/pkg/customers/class.go
+++ b/pkg/customers/class.go
@@ -74,14 +74,14 @@
 	return l.Classes[l.Of[cost]]
 }
 
-// index returns the index of a class, which it adds unless there are maxClasses already: then -1, for none.
+// index returns the index of a class, which it adds, or -1 if the list can't take it.
 func (l *ClassList) index(class Class) int {
 	for i, known := range l.Classes {
 		if known == class {
 			return i
 		}
 	}
-	if len(l.Classes) >= maxClasses {
+	if len(l.Classes) >= maxClasses || class.Urgency < 0 || len(class.Service) > maxServiceBytes {
 		return -1
 	}
 	l.Classes = append(l.Classes, class)
--- a/pkg/customers/spender.go
+++ b/pkg/customers/spender.go
@@ -77,10 +77,10 @@
 	return &Spender{AskKeeper: ask, queues: map[string]*queue{}}
 }
 
-// Take charges a request's cost, in its class, to its customer's quota in a version of the configuration, or refuses the request. A
-// request that is not refused at once may first wait for the SpendRequest under way, and for others if more than
-// maxBatch requests are pending, and then waits for its own. Each SpendRequest takes at most two times askTimeout, for
-// the fleet's keeper and the hall's, since the box's own account always answers.
+// Take charges a request's cost, in its class, to its customer's quota in a version of the configuration, or refuses
+// the request. A request that is not refused at once may first wait for the SpendRequest under way, and for others if
+// more than maxBatch requests are pending, and then waits for its own. Each SpendRequest takes at most two times
+// askTimeout, for the fleet's keeper and the hall's, since the box's own account always answers.
 func (s *Spender) Take(customer *Customer, version int64, class Class, cost float64) Verdict {
 	s.mu.Lock()
 	q := s.queue(customer, version)
