An ask that its keeper reads after the withdrawal takes no place; more requests wait at quick upstreams

The keeper read the withdrawals of asks before the asks when it woke, and gave places that nobody returned, all six, until their deadlines. It now remembers what was withdrawn before it came.

The ways of a return, the next place and its request leave slots idle for longer than two of 30 ms last, so what waits there follows the pace of the upstream.

--- a/pkg/places/account.go
+++ b/pkg/places/account.go
@@ -19,6 +19,9 @@
 	lostAfter = 4 * holdTime
 	// returnSlack is how long after the deadline a place that was not returned is free.
 	returnSlack = 200 * time.Millisecond
+	// withdrawnTime is how long an ask may be on its way, and maxWithdrawn bounds those that are remembered.
+	withdrawnTime = 5 * time.Second
+	maxWithdrawn  = 2000
 	// minHealth keeps an upstream that always fails in use for single requests, which show when it is well again.
 	minHealth = 0.05
 	// minSpare is the share of the rate that must be left over by those in aim, for a late request to wait for it.
@@ -34,6 +37,8 @@
 	// taken holds the upstream of each place that is taken.
 	taken   map[uint64]string
 	waiting []*waiter
+	// withdrawn holds, for withdrawnTime, the asks that were withdrawn before they arrived.
+	withdrawn map[uint64]time.Time
 	// asks counts all asks.
 	asks uint64
 	// arrivals is the number of asks of about the last rateWindow, by urgency.
@@ -48,7 +53,7 @@
 
 // NewAccount returns an account without asks.
 func NewAccount(now time.Time) *Account {
-	return &Account{before: aimFirst, began: now, records: map[string]*record{}, taken: map[uint64]string{}, mean: defaultTime, share: 1}
+	return &Account{before: aimFirst, began: now, records: map[string]*record{}, taken: map[uint64]string{}, withdrawn: map[uint64]time.Time{}, mean: defaultTime, share: 1}
 }
 
 // Update sets the upstreams that may get requests and the share of all boxes that the account serves. running returns
@@ -64,11 +69,13 @@
 		if r == nil {
 			r = newRecord()
 			a.records[upstream.ID] = r
-			for range min(running(upstream.ID), int(upstream.places(a.share))) {
+			for range min(running(upstream.ID), int(upstream.places(a.mean, a.share))) {
 				r.held[rand.Uint64()] = place{taken: now, until: now.Add(a.mean)}
 			}
 		}
-		r.refresh(now)
+		for _, id := range r.refresh(now) {
+			delete(a.taken, id)
+		}
 		a.usable = append(a.usable, candidate{Upstream: upstream, record: r})
 	}
 	a.forget()
@@ -96,7 +103,7 @@
 	for n := range a.usable {
 		c := &a.usable[n]
 		c.health = max(minHealth, 1-(c.failureShare-least))
-		c.places = c.limit(c.Upstream.places(a.share), now)
+		c.places = c.limit(c.Upstream.places(a.mean, a.share), now)
 		if c.health < 1-failingShare {
 			c.places *= c.health
 		}
@@ -137,7 +144,7 @@
 func (a *Account) Offer(ask Ask, now time.Time) Answer {
 	ask = ask.bounded()
 	w := a.waiter(ask.ID)
-	if !a.mayServe(&ask) {
+	if _, withdrawn := a.withdrawn[ask.ID]; withdrawn || !a.mayServe(&ask) {
 		a.withdraw(ask.ID)
 		return Answer{None: true}
 	}
@@ -173,11 +180,16 @@
 	a.waiting = slices.DeleteFunc(a.waiting, func(w *waiter) bool { return w.ask.ID == id })
 }
 
-// Return ends the use of a place, or withdraws an ask that waits.
+// Return ends the use of a place, or withdraws an ask that waits. Messages may overtake each other: after a freeze the
+// keeper may read the withdrawal of an ask before the ask, whose place nobody would return.
 func (a *Account) Return(back Return, now time.Time) {
+	waits := a.waiter(back.ID) != nil
 	a.withdraw(back.ID)
 	id, ok := a.taken[back.ID]
 	delete(a.taken, back.ID)
+	if !ok && !waits {
+		a.noteWithdrawn(back.ID, now)
+	}
 	r := a.records[id]
 	if !ok || r == nil {
 		return
@@ -189,7 +201,7 @@
 	delete(r.held, back.ID)
 	slots, places := 1.0, 1.0
 	if at := slices.IndexFunc(a.usable, func(c candidate) bool { return c.ID == id }); at >= 0 {
-		slots, places = a.usable[at].slots(), a.usable[at].Upstream.places(a.share)
+		slots, places = a.usable[at].slots(), a.usable[at].Upstream.places(a.mean, a.share)
 	}
 	took := now.Sub(held.taken)
 	if back.Took > 0 {
@@ -199,6 +211,20 @@
 	a.recount(now)
 }
 
+// noteWithdrawn notes an ask that was withdrawn before it arrived.
+func (a *Account) noteWithdrawn(id uint64, now time.Time) {
+	if len(a.withdrawn) >= maxWithdrawn {
+		for other, at := range a.withdrawn {
+			if now.Sub(at) > withdrawnTime {
+				delete(a.withdrawn, other)
+			}
+		}
+	}
+	if len(a.withdrawn) < maxWithdrawn {
+		a.withdrawn[id] = now
+	}
+}
+
 // Counts returns the places that the account counts by, how many of them are taken, and how many asks wait.
 func (a *Account) Counts() (known, taken, waiting int) {
 	for _, c := range a.usable {
--- a/pkg/places/keeper.go
+++ b/pkg/places/keeper.go
@@ -71,14 +71,19 @@
 	defer k.mu.Unlock()
 	s := k.update(ask.Service, now)
 	if upstream, ok := s.account.taken[ask.ID]; ok {
-		granted <- upstream // The answer to the former ask was lost.
-		return Answer{}
+		granted <- upstream // It got its place since it asked before, or the answer was lost.
+		return s.counted(Answer{}, now)
 	}
 	answer := s.account.Offer(ask, now)
 	if !answer.Denied && !answer.None {
 		s.held[ask.ID] = granted
 	}
 	s.assign(now)
+	return s.counted(answer, now)
+}
+
+// counted adds what the account counts to an answer.
+func (s *service) counted(answer Answer, now time.Time) Answer {
 	answer.Known, answer.Taken, answer.Waiting = s.account.Counts()
 	answer.Age = now.Sub(s.account.began)
 	return answer
--- a/pkg/places/messages.go
+++ b/pkg/places/messages.go
@@ -100,13 +100,13 @@
 // slots returns the slots within their bounds.
 func (u *Upstream) slots() float64 { return float64(max(1, min(u.Slots, maxSlots))) }
 
-// places returns the number of requests that all boxes may have under way at the upstream, given the share of the
-// boxes that the account serves. The first waitingShare of a slot waits at the upstream, so that a slot has its next
-// request while the end of the former one is still on its way to the keeper. An account of most boxes has all slots:
-// the few requests that the others may send there wait at the upstream.
-func (u *Upstream) places(share float64) float64 {
+// places returns the number of requests that all boxes may have under way at the upstream: its slots, and a few that
+// wait there, given the average time of a request and the share of the boxes that the account serves. An account of
+// most boxes has all slots: the few requests that the others may send there wait at the upstream.
+func (u *Upstream) places(mean time.Duration, share float64) float64 {
 	slots := u.slots()
-	places := math.Ceil((slots + max(1, math.Round(waitingShare*slots))) * share)
+	waiting := min(slots, math.Round(1+slots*returnTime.Seconds()/max(minTime, mean).Seconds()))
+	places := math.Ceil((slots + waiting) * share)
 	if share > 0.5 {
 		return max(slots, places)
 	}
--- a/pkg/places/upstream.go
+++ b/pkg/places/upstream.go
@@ -6,9 +6,11 @@
 )
 
 const (
-	// waitingShare is the number of requests that wait at an upstream, per slot. At 6 slots and 30 ms of work a slot
-	// is free every 5 ms, and the way of a return and of the next request takes as long between halls.
-	waitingShare = 1.0 / 3
+	// returnTime is how long a slot may be idle until its next request arrives: the ways of a return, of the next
+	// place and of its request between halls, with a new connection. As many requests as a slot ends meanwhile wait
+	// at the upstream, and one more, up to its slots. Between two halls with 6 slots and 30 ms of work, two that wait
+	// were too few: two upstreams ended a tenth fewer requests than they could.
+	returnTime = 15 * time.Millisecond
 	// defaultTime is the time that a place is taken for before one was returned.
 	defaultTime = 50 * time.Millisecond
 	// minTime bounds times from below, because rates are divided by them.
@@ -72,21 +74,23 @@
 	return &record{held: map[uint64]place{}}
 }
 
-// refresh drops the places that were not returned in time.
-func (r *record) refresh(now time.Time) {
+// refresh drops the places that were not returned in time, and returns their asks.
+func (r *record) refresh(now time.Time) (dropped []uint64) {
 	if now.Sub(r.refreshed) < refreshInterval {
-		return
+		return nil
 	}
 	r.refreshed, r.oldest = now, time.Time{}
 	for id, held := range r.held {
 		if now.After(held.until) || r.isLost(held, now) {
 			delete(r.held, id)
+			dropped = append(dropped, id)
 			continue
 		}
 		if r.oldest.IsZero() || held.taken.Before(r.oldest) {
 			r.oldest = held.taken
 		}
 	}
+	return dropped
 }
 
 // isLost reports whether a place is probably not under way any more although it was not returned.
