--- a/pkg/places/replay_test.go
+++ b/pkg/places/replay_test.go
@@ -48,6 +48,8 @@
 	fault fault
 	// keeperLost loses the keeper midway.
 	keeperLost bool
+	// cut cuts hall 1 off from the others.
+	cut bool
 }
 
 // replay sends requests from boxes of three halls to upstreams, in one of the ways.
@@ -112,11 +114,22 @@
 			}
 			return ups
 		},
-		Share:   func() float64 { return 1 },
+		Share:   r.keeperShare,
 		Running: func(string) int { return 0 },
 	}
 }
 
+// keeperShare returns the share of the boxes that the keeper is in touch with.
+func (r *replay) keeperShare() float64 {
+	if r.cut {
+		return 2.0 / 3
+	}
+	return 1
+}
+
+// reaches reports whether a box reaches an upstream or another box.
+func (r *replay) reaches(box, other int) bool { return !r.cut || (box%3 == 1) == (other%3 == 1) }
+
 // exchange gives each box the loads of all others at an interval.
 func (r *replay) exchange(stop <-chan struct{}) {
 	interval := 400 * time.Millisecond
@@ -186,7 +199,7 @@
 func (r *replay) candidates(q *replayRequest) []*fleet.State {
 	var list []*fleet.State
 	for n := range r.ups {
-		if !slices.Contains(q.tried, n) && !r.ups[n].lost() {
+		if !slices.Contains(q.tried, n) && !r.ups[n].lost() && r.reaches(q.box, n) {
 			list = append(list, r.states[slices.IndexFunc(r.states, func(s *fleet.State) bool { return s.ID == upstreamID(n) })])
 		}
 	}
--- a/pkg/places/ways_test.go
+++ b/pkg/places/ways_test.go
@@ -63,11 +63,13 @@
 
 // place asks for a place until there is one; without a keeper it returns none.
 func (r *replay) place(ctx context.Context, q *replayRequest, ask Ask) (upstream string, ok bool) {
-	for _, n := range q.tried {
-		ask.Except = append(ask.Except, upstreamID(n))
+	for n := range r.ups {
+		if slices.Contains(q.tried, n) || !r.reaches(q.box, n) {
+			ask.Except = append(ask.Except, upstreamID(n))
+		}
 	}
 	for ctx.Err() == nil {
-		if r.keeperIsLost() {
+		if r.keeperIsLost() || !r.reaches(q.box, keeperBox) {
 			return "", true
 		}
 		ask.Aim = time.Until(q.arrived.Add(replayAim))
@@ -282,6 +284,12 @@
 		Expect(float64(got.messages)).To(BeNumerically("<", 2.01*float64(got.all)))
 	})
 
+	It("are served on both sides of a cut, on the side without the keeper by reported loads", func() {
+		got := replayed(&replay{setting: setting{boxes: 39, upstreams: 6, load: 0.7, cut: true}}, byKeeper(aimFirst))
+		Expect(got.away).To(BeZero())
+		Expect(float64(got.inAim)).To(BeNumerically(">", 0.97*float64(got.all)))
+	})
+
 	It("are served by reported loads once the keeper is lost", func() {
 		got := replayed(&replay{setting: setting{boxes: 39, upstreams: 4, load: 0.7, keeperLost: true}}, byKeeper(aimFirst))
 		Expect(float64(got.inAim)).To(BeNumerically(">", 0.98*float64(got.all)))
