A keeper of places is bounded in services and in asks that wait

A service that the keeper's list doesn't have made an account, and 256 of them would have evicted the others; asks without target and deadline waited without a bound. Services without upstreams have no account, and 2,000 asks wait.

--- a/pkg/places/account_test.go
+++ b/pkg/places/account_test.go
@@ -96,6 +96,17 @@
 		Fail("all 100 asks wait")
 	})
 
+	It("bounds the asks that wait without a target and a deadline", func() {
+		a := newTestAccount()
+		denied := 0
+		for id := range uint64(maxWaiting + 100) {
+			if a.Offer(Ask{ID: id + 1}, began).Denied {
+				denied++
+			}
+		}
+		Expect(denied).To(Equal(100))
+	})
+
 	It("frees the places of a box that died after their deadline", func() {
 		a := newTestAccount()
 		a.fill(began)
--- a/pkg/places/estimate.go
+++ b/pkg/places/estimate.go
@@ -24,6 +24,9 @@
 			ahead++
 		}
 	}
+	if len(a.waiting) > maxWaiting {
+		return Answer{Denied: true, Wait: seconds(maxWait)}
+	}
 	if ahead < free {
 		if inTime(now, a.mean, w.deadline) {
 			return Answer{}
@@ -43,6 +46,9 @@
 	return Answer{Denied: true, Wait: seconds(wait)}
 }
 
+// maxWaiting bounds the asks that wait, which have no other bound where routes have no timeout.
+const maxWaiting = 2000
+
 // maxWait bounds the waits that are computed from rates near 0.
 const maxWait = 10.0
 
--- a/pkg/places/keeper.go
+++ b/pkg/places/keeper.go
@@ -70,6 +70,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s := k.update(ask.Service, now)
+	if s == nil {
+		return Answer{None: true}
+	}
 	if upstream, ok := s.account.taken[ask.ID]; ok {
 		granted <- upstream // It got its place since it asked before, or the answer was lost.
 		return s.counted(Answer{}, now)
@@ -95,6 +98,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s := k.update(returns.Service, now)
+	if s == nil {
+		return
+	}
 	for _, back := range returns.Places {
 		delete(s.held, back.ID)
 		s.account.Return(back, now)
@@ -102,9 +108,14 @@
 	s.assign(now)
 }
 
-// update returns the account of a service with its upstreams as of now. The caller holds the lock.
+// update returns the account of a service with its upstreams as of now; nil for one that has none and had none. The
+// caller holds the lock.
 func (k *Keeper) update(name string, now time.Time) *service {
+	upstreams := k.Upstreams(name)
 	s := k.services[name]
+	if s == nil && len(upstreams) == 0 {
+		return nil
+	}
 	if s == nil {
 		s = &service{account: NewAccount(now), held: map[uint64]chan string{}}
 		k.prune(now)
@@ -114,7 +125,7 @@
 		k.services[name] = s
 	}
 	s.usedAt = now
-	s.account.Update(k.Upstreams(name), k.Share(), k.Running, now)
+	s.account.Update(upstreams, k.Share(), k.Running, now)
 	return s
 }
 
