--- a/pkg/places/upstream.go
+++ b/pkg/places/upstream.go
@@ -7,9 +7,8 @@
 
 const (
 	// returnTime is how long a slot may be idle until its next request arrives: the ways of a return, of the next
-	// place and of its request between halls, with a new connection. As many requests as a slot ends meanwhile wait
-	// at the upstream, and one more, up to its slots. Between two halls with 6 slots and 30 ms of work, two that wait
-	// were too few: two upstreams ended a tenth fewer requests than they could.
+	// place and of its request between halls, with a new connection. As many requests as the slots end meanwhile wait
+	// at the upstream, and one more, up to its slots.
 	returnTime = 15 * time.Millisecond
 	// defaultTime is the time that a place is taken for before one was returned.
 	defaultTime = 50 * time.Millisecond
