--- a/internal/gateway/places.go
+++ b/internal/gateway/places.go
@@ -70,9 +70,7 @@
 			return list, lacking, nil
 		case answer.Denied:
 			r.place.id = 0
-			refused = r.refusalFor(reasonFull, answer.Wait)
-			refused.servedAfter = answer.Wait > 0
-			return nil, "", refused
+			return nil, "", r.refusalFor(reasonFull, answer.Wait)
 		case answer.Upstream == "":
 			continue
 		}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -80,8 +80,6 @@
 	status int
 	// retryAfter is after how long the caller may send the request again; 0 if unknown.
 	retryAfter time.Duration
-	// servedAfter means that retryAfter is when the request can be served, by the account that decides it.
-	servedAfter bool
 }
 
 // statusCallerLeft is the status that is commonly logged for a client that closed its connection.
--- a/internal/gateway/returns.go
+++ b/internal/gateway/returns.go
@@ -73,9 +73,9 @@
 	return false
 }
 
-// setReturn sets when the caller of a refused request should return, unless the refusal knows when it is served.
+// setReturn sets when the caller of a refused request should return.
 func (r *inflight) setReturn(refused *refusal) {
-	if refused.retryAfter == 0 || refused.servedAfter {
+	if refused.retryAfter == 0 {
 		return
 	}
 	question := returnQuestion{
