--- a/internal/gateway/returns.go
+++ b/internal/gateway/returns.go
@@ -7,10 +7,10 @@
 )
 
 // This file decides when a refused caller should come back. It answers callers that returned while the cause still
-// lasted: told to wait 50 ms where engines failed for 4 s, or 0.5 s where the engines of a model were full for
-// several seconds, four in ten were refused again, although most had seconds left. A return is worth the same at
-// any time that meets the same end of the caller's, so it is best as late as that end allows: the target while
-// it can still be met, and the caller's deadline after that.
+// lasted: told to wait 50 ms where engines failed or an order holder was out of reach for seconds, a quarter were
+// refused again, although most had seconds left. A return is worth the same at any time that meets the same end of
+// the caller's, so it is best as late as that end allows: the target while it can still be met, and the caller's
+// deadline after that.
 
 const (
 	// returnShare is the part of the caller's time left that passes before it returns once the target is missed.
@@ -56,17 +56,15 @@
 
 // inTarget returns the return that can still meet the target; 0 or less if none can.
 func (q returnQuestion) inTarget() time.Duration {
-	if q.cause == reasonFull {
-		return 0 // The wait at the best engine exceeds the target.
-	}
 	spare := q.target - time.Duration(targetAnswerShare*float64(q.target)) - q.elapsed
 	return time.Duration(targetReturnShare * float64(spare))
 }
 
-// mayLast reports whether other boxes may run into the same cause, and for a time that is not stated.
+// mayLast reports whether other boxes may run into the same cause, and for a time that is not stated. Full engines
+// state their wait: later returns to them were served no more often, since they add to the load of that time.
 func (q returnQuestion) mayLast() bool {
 	switch q.cause {
-	case reasonFull, reasonBroken, reasonNotExecuted, reasonUnreachable, reasonNoUpstream, reasonNoModel, reasonNoAdapter,
+	case reasonBroken, reasonNotExecuted, reasonUnreachable, reasonNoUpstream, reasonNoModel, reasonNoAdapter,
 		reasonAttempts:
 		return true
 	}
