--- a/internal/gateway/choice.go
+++ b/internal/gateway/choice.go
@@ -89,6 +89,6 @@
 	if r.attempts.mayHaveRun > 0 {
 		return false
 	}
-	due := time.Since(r.request.Arrived) + choice.OwnWait()
+	due := time.Since(r.request.Arrived) + choice.Wait
 	return due < time.Duration(delayShare*float64(r.route.Target))
 }
--- a/internal/gateway/promptchoice.go
+++ b/internal/gateway/promptchoice.go
@@ -13,7 +13,7 @@
 const (
 	// maxReservations is the number of engines at which a request tries to reserve time before it waits. Each try
 	// costs a call to another box.
-	maxReservations = 5
+	maxReservations = 10
 	// minMaxDelay is the shortest delay for which another engine is tried. A try takes about half of it.
 	minMaxDelay = 10 * time.Millisecond
 )
--- a/pkg/dispatch/choice.go
+++ b/pkg/dispatch/choice.go
@@ -17,6 +17,9 @@
 	// crowdedShare is the fraction of the gap target above which an engine's predicted pause counts as
 	// crowded. The rest is a margin for prompts of other boxes that were not reported to this box yet.
 	crowdedShare = 0.7
+	// queuePenalty is the fraction of the gap target that is added for queuing at an engine with the smallest
+	// pauseShare.
+	queuePenalty = 0.3
 	// busyPenalty is added for an engine that is loading or unloading a model.
 	busyPenalty = 2 * time.Millisecond
 	// failurePenalty is multiplied by the excess of the upstream's failure rate over the baseline.
@@ -88,7 +91,7 @@
 	if c.PausesStreams(need) {
 		return need.GapTarget
 	}
-	return scale(need.GapTarget, float64(maxPauseShare-c.pauseShare)/(maxPauseShare-minPauseShare))
+	return scale(need.GapTarget, queuePenalty*float64(maxPauseShare-c.pauseShare)/(maxPauseShare-minPauseShare))
 }
 
 // score returns the predicted wait plus penalties and minus bonuses.
--- a/pkg/dispatch/prediction_test.go
+++ b/pkg/dispatch/prediction_test.go
@@ -51,6 +51,26 @@
 		})
 	})
 
+	It("take the delay that a keeper answers in place of the reported prompts, within bounds", func() {
+		spectest.Bubble(func() {
+			tracker := dispatch.NewLoadTracker()
+			chooser := &dispatch.Chooser{Loads: tracker}
+			request := dispatch.Requirements{Model: "m", PromptTokens: 3_800, CacheTokens: 1_000_000}
+			tracker.SetRemoteLoads(map[string]dispatch.Load{"e0": {Running: 1, Prefill: [dispatch.UrgencyLevels]int{38_000}}}, time.Now())
+			choice, _ := chooser.Choose(request, engines(1))
+			own := choice.OwnWait()
+			Expect(choice.Wait).To(Equal(own + time.Second))
+			for _, answered := range []time.Duration{0, -time.Hour} {
+				choice.SetDelay(answered)
+				Expect(choice.Wait).To(Equal(own + time.Second))
+			}
+			choice.SetDelay(200 * time.Millisecond)
+			Expect(choice.Wait).To(Equal(own + 200*time.Millisecond))
+			choice.SetDelay(1 << 62)
+			Expect(choice.Wait).To(Equal(own + 20*time.Second))
+		})
+	})
+
 	It("count a full upstream as a long wait", func() {
 		spectest.Bubble(func() {
 			tracker := dispatch.NewLoadTracker()
