--- a/pkg/dispatch/pace_test.go
+++ b/pkg/dispatch/pace_test.go
@@ -70,6 +70,17 @@
 		})
 	})
 
+	It("leaves what placement counts as demand to the mean, which settles", func() {
+		spectest.Bubble(func() {
+			tracker := dispatch.NewLoadTracker()
+			for range 300 {
+				serve(tracker, prompt("m"), func(time.Duration) time.Duration { return 100 * time.Millisecond })
+			}
+			// The engine's factor has a part of the correction.
+			Expect(tracker.EngineTime(prompt("m"), 7_600)).To(BeNumerically("~", 125*time.Millisecond, 25*time.Millisecond))
+		})
+	})
+
 	It("does not apply to the prompts of other models at an engine", func() {
 		spectest.Bubble(func() {
 			tracker := dispatch.NewLoadTracker()
