An idle engine counts as idle by its keeper's answer, not by the reported loads

Cause: an answer's delay of 0 was read as "none answered", as a keeper of the version before does, so that the reported prompts of a third of a second ago stayed in the prediction of just the engines that were idle, and those with a known short queue looked faster.

Change: the answer says whether it predicts.

--- a/internal/gateway/promptchoice.go
+++ b/internal/gateway/promptchoice.go
@@ -111,7 +111,9 @@
 		// The error is not logged: the caller of the keeper logs when it loses and regains it.
 		return r.promptCapacity(choice)
 	}
-	choice.SetDelay(answer.Delay)
+	if answer.Predicted {
+		choice.SetDelay(answer.Delay)
+	}
 	if answer.Taken {
 		r.reservation, r.delay, r.reservedEngine = reservationGranted, answer.Delay, asked.Engine
 		return reserveResult{free: true}
--- a/pkg/dispatch/prediction.go
+++ b/pkg/dispatch/prediction.go
@@ -90,14 +90,11 @@
 const maxDelay = 2 * maxReserved
 
 // SetDelay replaces the predicted time in which the engine prefills other prompts before by the one that the
-// keeper of its reservations answered. A keeper of the previous version answers none: the prediction stays.
+// keeper of its reservations answered.
 func (c *Choice) SetDelay(delay time.Duration) {
-	if delay <= 0 {
-		return
-	}
-	c.Wait = c.OwnWait() + min(maxDelay, delay)
-	c.aheadWait = min(maxDelay, delay)
-	c.delay = c.aheadWait
+	delay = max(0, min(maxDelay, delay))
+	c.Wait = c.OwnWait() + delay
+	c.aheadWait, c.delay = delay, delay
 }
 
 // Factor returns the learned correction of predictions at the engine.
--- a/pkg/dispatch/reservations.go
+++ b/pkg/dispatch/reservations.go
@@ -38,8 +38,10 @@
 	Taken bool `json:"taken"`
 	// Wait is the time after which it could be reserved, if no other box takes it; 0 if it is taken.
 	Wait time.Duration `json:"wait,omitempty"`
-	// Delay is the time until the engine begins with the prompt.
-	Delay time.Duration `json:"delay,omitempty"`
+	// Delay is the time until the engine begins with the prompt, if Predicted is set; a keeper of the previous
+	// version sets neither.
+	Delay     time.Duration `json:"delay,omitempty"`
+	Predicted bool          `json:"predicted,omitempty"`
 }
 
 // Reservations hold when engines prefill the prompts that boxes reserved time for, one prompt after the other.
@@ -72,7 +74,7 @@
 	queue = queue.drop(now.Add(-asked.Window))
 	begin := queue.free(now)
 	next := span{begin: begin, end: begin.Add(asked.PrefillTime), id: asked.ID, prefill: asked.PrefillTime, reserved: now}
-	answer := ReservationAnswer{Delay: begin.Sub(now)}
+	answer := ReservationAnswer{Delay: begin.Sub(now), Predicted: true}
 	windowBegin := next.end.Add(-asked.Window)
 	excess := queue.prefillTimeSince(windowBegin) - max(0, asked.Budget-asked.PrefillTime)
 	switch {
