--- a/internal/cluster/reservations.go
+++ b/internal/cluster/reservations.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -25,6 +26,8 @@
 	Client  *peer.Client
 	Kept    *dispatch.Reservations
 	Log     *zap.Logger
+	// invalid makes a reservation out of bounds logged once.
+	invalid sync.Once
 }
 
 // Handle registers the methods by which other boxes reserve time of the engines that this box keeps, and report
@@ -57,6 +60,9 @@
 }
 
 func (r *Reservations) answer(_ context.Context, reservation dispatch.Reservation) (dispatch.ReservationAnswer, error) {
+	if !reservation.Valid() {
+		r.invalid.Do(func() { r.Log.Warn("reservation out of bounds: bounded", zap.Any("reservation", reservation)) })
+	}
 	return r.Kept.Reserve(reservation, time.Now()), nil
 }
 
--- a/pkg/dispatch/promptqueue_test.go
+++ b/pkg/dispatch/promptqueue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -84,6 +85,11 @@
 		negative := dispatch.Reservation{Engine: "e", PrefillTime: math.MinInt64, Window: -1, Budget: -1, ID: "y"}
 		Expect(r.Reserve(negative, at(32_000)).Taken).To(BeTrue())
 		Expect(delay(at(32_000))).To(BeZero())
+		Expect(negative.Valid()).To(BeFalse())
+		long := ask(strings.Repeat("x", 101))
+		Expect(long.Valid()).To(BeFalse())
+		sound := ask("x")
+		Expect(sound.Valid()).To(BeTrue())
 		By("keeping a limited number of prompts")
 		for range 1000 {
 			r.Reserve(dispatch.Reservation{Engine: "f", Budget: dispatch.UnlimitedBudget, PrefillTime: time.Hour, Window: time.Hour}, at(0))
--- a/pkg/dispatch/reservations.go
+++ b/pkg/dispatch/reservations.go
@@ -29,8 +29,12 @@
 // UnlimitedBudget is the budget of a prompt that is sent no matter how long the engine prefills others.
 const UnlimitedBudget = time.Duration(math.MaxInt64)
 
-// maxReserved bounds the times of a reservation, so that a wrong one blocks an engine only for a moment.
-const maxReserved = 10 * time.Second
+const (
+	// maxReserved bounds the times of a reservation, so that a wrong one blocks an engine only for a moment.
+	maxReserved = 10 * time.Second
+	// maxPromptID bounds the length of an ID in bytes; a longer one counts as none.
+	maxPromptID = 100
+)
 
 // ReservationAnswer is the response to a Reservation.
 type ReservationAnswer struct {
@@ -90,8 +94,19 @@
 	return answer
 }
 
-// bound bounds the times of a reservation that another box sent.
+// Valid reports whether the reservation is within the bounds that Reserve applies.
+func (r *Reservation) Valid() bool {
+	bounded := *r
+	bounded.bound()
+	return bounded == *r
+}
+
+// bound bounds a reservation that another box sent.
 func (r *Reservation) bound() {
+	r.MaxDelay = max(0, r.MaxDelay)
+	if len(r.ID) > maxPromptID {
+		r.ID = ""
+	}
 	r.PrefillTime = max(0, min(maxReserved, r.PrefillTime))
 	r.Window = max(0, min(maxReserved, r.Window))
 }
