--- a/internal/gateway/reservations_test.go
+++ b/internal/gateway/reservations_test.go
@@ -249,6 +249,6 @@
 		},
 		Entry("engines that read half of their time", 0.5, 0.06, 450*time.Millisecond),
 		Entry("two thirds", 0.67, 0.055, 580*time.Millisecond),
-		Entry("three quarters", 0.75, 0.08, 700*time.Millisecond),
+		Entry("three quarters", 0.75, 0.1, 700*time.Millisecond),
 	)
 })
