--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -62,8 +62,8 @@
 	// fetching means that a fetch of newer state is in progress, and fetchingLarge one of large records that this
 	// box lacks.
 	fetching, fetchingLarge atomic.Bool
-	// fetchingConfig means that a fetch of a configuration that another box holds is in progress. badClaims has the boxes
-	// whose claim to hold one was logged as wrong.
+	// fetchingConfig means that a fetch of a configuration that another box holds is in progress. badClaims has the
+	// boxes whose claim to hold one was logged as wrong.
 	fetchingConfig atomic.Bool
 	badClaims      sync.Map
 	sender         *pieceSender
--- a/internal/cluster/inforce.go
+++ b/internal/cluster/inforce.go
@@ -147,9 +147,9 @@
 		zap.String("peer", from), zap.Int64("version", claim.Version), zap.Int64("own", e.VersionInForce()), zap.String("unreadable", claim.unreadable))
 }
 
-// AwaitsHeldConfig reports whether a box that first had a configuration at configuredAt, if it has one yet, still asks others whether they hold a
-// newer one. It does so only if the store came back from a copy at some time, and no longer than one call of another box
-// takes.
+// AwaitsHeldConfig reports whether a box that first had a configuration at configuredAt, if it has one yet, still
+// asks others whether they hold a newer one. It does so only if the store came back from a copy at some time, and no
+// longer than one call of another box takes.
 func (e *Exchange) AwaitsHeldConfig(epoch int64, configuredAt time.Time) bool {
 	switch {
 	case epoch <= firstStoreEpoch:
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -106,8 +106,8 @@
 	LeavingUpstreams []string `json:"leavingUpstreams,omitempty"`
 	// Limits reports limits that upstreams set or changed, and limits that ended.
 	Limits []fleet.LimitReport `json:"limits,omitempty"`
-	// HeldConfig is the configuration in force at the sender, if the store does not have it any more. A box of the previous
-	// version ignores it.
+	// HeldConfig is the configuration in force at the sender, if the store does not have it any more. A box of the
+	// previous version ignores it.
 	HeldConfig *heldConfigClaim `json:"heldConfig,omitempty"`
 	// LostHalls are the halls that the sender does not reach, for boxes of its own hall. A box of the previous version
 	// ignores them.
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -28,11 +28,11 @@
 	suitable
 )
 
-// candidates returns the upstreams of the service that may get the request now, those in halls out of reach only if there
-// are no others. If there are none, lacking is what the most suitable upstream lacks.
+// candidates returns the upstreams of the service that may get the request now, those in halls out of reach only if
+// there are no others. If there are none, lacking is what the most suitable upstream lacks.
 //
-// It reads this box's directory: the platform's list, the order holder's reports and what upstreams answered
-// lately. Where that is out of date, an attempt is sent that its upstream does not execute.
+// It reads this box's directory: the platform's list, the order holder's reports and what upstreams answered lately.
+// Where that is out of date, an attempt is sent that its upstream does not execute.
 func (r *inflight) candidates() (list []*fleet.State, lacking reason) {
 	now := time.Now()
 	r.throttledUpstreams = throttledUpstreams{}
--- a/internal/gateway/promptchoice.go
+++ b/internal/gateway/promptchoice.go
@@ -97,7 +97,8 @@
 }
 
 // reserve reserves time at the chosen engine to prefill the request's prompt, if the engine begins with it within
-// maxDelay; 0 sets no limit. The keeper's answer corrects the choice's predicted wait. If a reservation is not worthwhile or cannot be made, it decides by the reported loads.
+// maxDelay; 0 sets no limit. The keeper's answer corrects the choice's predicted wait. If a reservation is not
+// worthwhile or cannot be made, it decides by the reported loads.
 func (r *inflight) reserve(ctx context.Context, choice *dispatch.Choice, maxDelay time.Duration) reserveResult {
 	asked, worthIt := choice.Reservation(r.need)
 	r.reservation = reservationNone
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -142,8 +142,9 @@
 		})
 	})
 
-	// A hall was cut off for 5.5 s. As it came back, each of its boxes learned that the entries of all upstreams beside it
-	// had lapsed, and sent them nothing for 0.5 to 1.5 s, until they were written again: 42 of 42 at one site.
+	// A hall was cut off for 5.5 s. As it came back, each of its boxes learned that the entries of all upstreams
+	// beside it had lapsed, and sent them nothing for 0.5 to 1.5 s, until they were written again: 42 of 42 at one
+	// site.
 	It("goes on using what was cut off with this box, until it is listed again or for a short time", func() {
 		spectest.Bubble(func() {
 			d := fleet.New()
--- a/pkg/fleet/lapse.go
+++ b/pkg/fleet/lapse.go
@@ -30,12 +30,12 @@
 	return Change{}, false
 }
 
-// dropAt returns when an upstream without an entry is removed. One that was leaving, or that another
-// one replaces, is not coming back and is removed at once (the zero time). One that lapsed with an
-// earlier list keeps its time. One that lapses with this list gets lapseGrace from previousCurrentAt,
-// when the entry was last known to be listed; that is over already if this box's list was out of date
-// for longer. But if it was so for cutOffAfter, the time counts from now: the entries of all upstreams
-// that were cut off with this box lapsed, and those that live are back in the list within 2 s or so. One that the store lost gets restoredGrace, whatever else the copy lists at its address.
+// dropAt returns when an upstream without an entry is removed. One that was leaving, or that another one replaces, is
+// not coming back and is removed at once (the zero time). One that lapsed with an earlier list keeps its time. One
+// that lapses with this list gets lapseGrace from previousCurrentAt, when the entry was last known to be listed; that
+// is over already if this box's list was out of date for longer. But if it was so for cutOffAfter, the time counts
+// from now: the entries of all upstreams that were cut off with this box lapsed, and those that live are back in the
+// list within 2 s or so. One that the store lost gets restoredGrace, whatever else the copy lists at its address.
 func (d *Directory) dropAt(state *State, change ListChange) time.Time {
 	switch {
 	case change.Restored && !state.Leaving && state.DropAt.IsZero():
--- a/pkg/fleet/reach_told.go
+++ b/pkg/fleet/reach_told.go
@@ -24,7 +24,8 @@
 	Hall string `json:"hall"`
 	// Age is how long ago the latest failure there was.
 	Age time.Duration `json:"age"`
-	// Relayed means that another box told the sender. It is not passed on again, so that no loss renews itself on its way.
+	// Relayed means that another box told the sender. It is not passed on again, so that no loss renews itself on its
+	// way.
 	Relayed bool `json:"relayed,omitempty"`
 }
 
--- a/pkg/places/estimate.go
+++ b/pkg/places/estimate.go
@@ -14,8 +14,9 @@
 	return sum / rateWindow.Seconds()
 }
 
-// deny denies an ask whose expected end is after its deadline. More urgent ones that arrive meanwhile go first. One that would miss its aim waits until those that
-// make theirs leave places over; if they leave none it is denied at once.
+// deny denies an ask whose expected end is after its deadline. More urgent ones that arrive meanwhile go first. One
+// that would miss its aim waits until those that make theirs leave places over; if they leave none it is denied at
+// once.
 func (a *Account) deny(w *waiter, now time.Time) Answer {
 	rate, free := a.rate(w, now)
 	ahead := 0.0
