--- a/internal/cluster/reservations.go
+++ b/internal/cluster/reservations.go
@@ -81,10 +81,10 @@
 		Members: r.Members, Client: r.Client, Log: r.Log, Method: methodFinish, Keeper: keeper, Timeout: reserveTimeout,
 	}
 	// The error is not returned: callKeeper logs when the keeper is lost and regained.
-	_, _ = callKeeper[struct{}](ctx, call, finished)
+	_, _ = callKeeper[peer.Empty](ctx, call, finished)
 }
 
-func (r *Reservations) finish(_ context.Context, finished dispatch.FinishedPrompt) (struct{}, error) {
+func (r *Reservations) finish(_ context.Context, finished dispatch.FinishedPrompt) (peer.Empty, error) {
 	r.Kept.Finish(finished, time.Now())
-	return struct{}{}, nil
+	return peer.Empty{}, nil
 }
