--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -111,6 +111,7 @@
 	r.gateway.Loads.RecordOutcome(choice.Upstream.ID, false)
 	if ctx.Err() == nil {
 		r.gateway.Reach.RecordFailure(choice.Upstream.Hall, choice.Upstream.ID)
+		r.gateway.Links.RecordFailure(choice.Upstream.ID)
 	}
 	var found []zap.Field
 	if at, crashed := r.gateway.hasCrashed(ctx, *choice.Upstream.Upstream); crashed {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,6 +51,8 @@
 	Quarantine *quarantine.Register
 	// Reach holds which halls this box does not reach.
 	Reach fleet.Reach
+	// Links tracks whether this box reaches any upstream over its own links.
+	Links fleet.Links
 	// CallerMemory limits the memory that this box uses for callers' bodies and answers. nil sets no limit.
 	CallerMemory *MemoryBudget
 	Log          *zap.Logger
@@ -139,6 +141,7 @@
 		configured:   make(chan struct{}),
 	}
 	g.watchReach()
+	g.watchLinks()
 	return g
 }
 
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -70,6 +70,7 @@
 	if err == nil {
 		directory.MarkReachable(id)
 		r.gateway.Reach.RecordContact(choice.Upstream.Hall)
+		r.gateway.Links.RecordContact()
 	}
 	result := outcomeOf(ctx, answer, err)
 	r.attempts.count(result)
@@ -77,6 +78,7 @@
 	case outcomeNotSent:
 		directory.MarkUnreachable(id)
 		r.gateway.Reach.RecordFailure(choice.Upstream.Hall, id)
+		r.gateway.Links.RecordFailure(id)
 		r.attemptFailed(choice, 0, took, err)
 	case outcomeBroken:
 		r.recordBroken(ctx, choice, 0, took, err)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -127,6 +127,7 @@
 		}
 		ticket.Started()
 		s.gateway.Reach.RecordContact(hall)
+		s.gateway.Links.RecordContact()
 		s.finishReservation(ctx)
 		if !s.headWritten {
 			s.writeHead(answer)
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -28,6 +28,9 @@
 	idleConnTimeout = 20 * time.Second
 )
 
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Dial opens a connection that fails soon after the remote host stops responding.
 func Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{
@@ -45,7 +48,15 @@
 		return nil, err
 	}
 	resetOnClose(conn)
-	return &countingConn{Conn: conn}, nil
+	return counted(conn), nil
+}
+
+// counted returns a connection whose written bytes are counted.
+func counted(conn net.Conn) net.Conn {
+	if already, ok := conn.(*countingConn); ok {
+		return already
+	}
+	return &countingConn{Conn: conn}
 }
 
 // resetOnClose makes a connection discard undelivered data when it is closed. Otherwise an order that was
@@ -78,9 +89,17 @@
 }
 
 // New returns a transport that shares its connections with no other transport.
-func New() *http.Transport {
+func New() *http.Transport { return newTransport(Dial) }
+
+func newTransport(dial DialFunc) *http.Transport {
 	return &http.Transport{
-		DialContext:         Dial,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return counted(conn), nil
+		},
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleConnTimeout,
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -15,6 +15,9 @@
 // that calls each of 10,000 engines once keeps no more than that. The zero value is ready for use. A Pool is safe
 // for concurrent use.
 type Pool struct {
+	// Dial opens connections; nil means the package's Dial. It must not be changed after the first use.
+	Dial DialFunc
+
 	mu     sync.Mutex
 	byName map[string]*list.Element
 	// byUse holds the transports in the order of their use, the most recently used first.
@@ -38,7 +41,7 @@
 		p.byUse.MoveToFront(element)
 		return element.Value.(*pooledTransport).transport
 	}
-	added := &pooledTransport{name: name, transport: New()}
+	added := &pooledTransport{name: name, transport: p.newTransport()}
 	p.byName[name] = p.byUse.PushFront(added)
 	if oldest := p.byUse.Back(); p.byUse.Len() > maxPooled {
 		p.drop(oldest)
@@ -46,6 +49,13 @@
 	return added.transport
 }
 
+func (p *Pool) newTransport() *http.Transport {
+	if p.Dial == nil {
+		return New()
+	}
+	return newTransport(p.Dial)
+}
+
 // Forget removes the transport of a name and closes its idle connections. Connections in use stay open until their
 // calls end.
 func (p *Pool) Forget(name string) {
