A box without links to any upstream connects through other boxes

Cause: a box's only way to an upstream was its own link. It neither told "none of them answers me" from "this one is down", nor had another way.

Change: fleet.Links suspects the box's own links once two upstreams failed with nothing received from any between, and takes them for lost when another box connects meanwhile. Each attempt that found no connection, while nothing was received from any upstream, is sent once more through a tunnel: a connection that another box opens to the same upstream (peer.OpenTunnel, cluster.Tunnels). Once the links are lost, all attempts go through tunnels until two probes in a row reach upstreams. Everything else of a request (quota, choice, grants, deadlines, retry budget, notices, resumption) stays with the box that received it, so that nothing is charged twice. An exit dials upstreams itself and only those that it lists, so no circles arise. A tunnel marks the end of the upstream's connection: without that mark, its end is an error and no answer looks complete that is not. With no other box to ask, a box that has lost its links refuses at once.

A cut-off box reports no failed upstreams and halls to others, does not take upstreams for crashed that refuse only its own connections, neither contends for nor keeps the order lease, and sends orders through no tunnel: they would arrive from another box.

Ruled out: turning unready alone. Open connections stay, and with most of a hall cut off all of its boxes get connections again.

--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -46,8 +46,9 @@
 	VersionInForce func() int64
 	HeldConfig     func() *HeldConfig
 	PutInForce     func(HeldConfig) error
-	// Reach, if not nil, holds which halls this box does not reach.
+	// Reach, if not nil, holds which halls this box does not reach, and Links whether it reaches any upstream.
 	Reach *fleet.Reach
+	Links *fleet.Links
 	// Leaving reports whether this box is about to stop.
 	Leaving func() bool
 	// OnLapsed is called with the upstreams whose entries lapsed.
@@ -144,6 +145,7 @@
 		Scope:       sent,
 		Leaving:     e.Leaving(),
 		StoreLost:   e.Mirror.Lost(),
+		LinksLost:   e.Links != nil && e.Links.Lost(),
 		StoreAge:    e.Mirror.StoreAge(),
 		Staleness:   e.Mirror.Staleness(),
 		Revision:    kv.SequenceOf(revision),
@@ -175,9 +177,10 @@
 	return e.Members.reportedHolder()
 }
 
-// lostHalls returns the halls that this box tells others of as out of reach.
+// lostHalls returns the halls that this box reports to others as out of reach. A box that may have lost its own links
+// knows nothing of halls.
 func (e *Exchange) lostHalls() fleet.HallLosses {
-	if e.Reach == nil {
+	if e.Reach == nil || e.Links != nil && e.Links.Suspected() {
 		return nil
 	}
 	return e.Reach.Losses()
--- a/internal/cluster/members.go
+++ b/internal/cluster/members.go
@@ -67,6 +67,8 @@
 	received  time.Time
 	leaving   bool
 	storeLost bool
+	// linksLost means that the box reaches no upstream over its own links.
+	linksLost bool
 	// storeAnswered is when the store last answered the box.
 	storeAnswered time.Time
 	// holdsOrderLease means that the box reported itself as the order holder.
@@ -153,7 +155,7 @@
 	sender := m.update(received.From)
 	sender.report.received = now
 	sender.report.pieces, sender.report.readsBinary = received.Pieces, received.ReadsBinary
-	sender.report.leaving, sender.report.storeLost = received.Leaving, received.StoreLost
+	sender.report.leaving, sender.report.storeLost, sender.report.linksLost = received.Leaving, received.StoreLost, received.LinksLost
 	if received.StoreAge >= 0 {
 		sender.report.storeAnswered = now.Add(-received.StoreAge)
 	}
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -35,6 +35,9 @@
 	Incarnation string `json:"incarnation"`
 	// Cores is the processor time that the box may use, in cores.
 	Cores float64 `json:"cores,omitempty"`
+	// CarriesTunnels means that the box carries connections to upstreams for others. A box of the previous version does
+	// not.
+	CarriesTunnels bool `json:"tunnels,omitempty"`
 }
 
 // scope is the set of boxes that the load summary of an exchange covers.
@@ -72,6 +75,8 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// StoreLost means that the sender does not reach the store.
 	StoreLost bool `json:"storeLost,omitempty"`
+	// LinksLost means that the sender reaches no upstream over its own links, while other boxes do.
+	LinksLost bool `json:"linksLost,omitempty"`
 	// StoreAge is how long ago the store itself last answered the sender. Staleness is how long ago the sender's
 	// copy of the store was current by any source. Both are negative if that never happened.
 	StoreAge  time.Duration `json:"storeAge"`
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -15,12 +15,9 @@
 	r.reportDemand(choice.Uncached)
 	ticket := r.beginLoad(choice)
 	attempt := Attempt{Request: r.request, LastEventID: lastEventID, Urgency: r.need.Urgency, Customer: r.customerName()}
-	if !r.deadlines.answer.IsZero() {
-		attempt.TimeLeft = time.Until(r.deadlines.answer)
-	}
 	r.logSentAgainstNotice(choice)
 	begun := time.Now()
-	answer, err := r.gateway.Upstreams.Send(ctx, r.endpoint, attempt)
+	answer, ticket, err := r.deliver(ctx, choice, attempt, ticket)
 	r.endpoint.End()
 	r.recordOutcome(ctx, choice, answer, err, time.Since(begun))
 	return answer, ticket, err
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -57,7 +57,7 @@
 	if best < lacksModel && r.need.Model != "" {
 		best = max(best, r.bestLackingModel(now))
 	}
-	return r.gateway.Reach.WithinReach(list), r.lackingReason(r.throttledUpstreams.bestLevel(best))
+	return r.gateway.withinReach(list), r.lackingReason(r.throttledUpstreams.bestLevel(best))
 }
 
 // bestLackingModel returns the suitability of the best engine among those that do not hold the model. candidates
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -85,7 +85,7 @@
 func (g *Gateway) runCrashCheck(ctx context.Context, upstream fleet.Upstream, check *crashCheck) {
 	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashCheckTimeout)
 	defer cancel()
-	check.crashed = g.Upstreams.RefusesConnection(bounded, upstream)
+	check.crashed = g.refusesConnections(bounded, upstream)
 	close(check.done)
 	if check.crashed {
 		g.Metrics.GetOrCreateCounter("ospreymoor_upstream_crashes_total").Inc()
@@ -97,6 +97,23 @@
 	}
 }
 
+// refusesConnections reports whether an upstream refuses connections, by another box's word as well: a box that is cut
+// off by resets is refused everywhere.
+func (g *Gateway) refusesConnections(ctx context.Context, upstream fleet.Upstream) bool {
+	if !g.Links.Lost() && !g.Upstreams.RefusesConnection(ctx, upstream) {
+		return false
+	}
+	if g.Tunnels.Check == nil {
+		return true
+	}
+	accepts, err := g.Tunnels.Check(ctx, upstream.ID)
+	if err != nil {
+		// The error is not logged: no other box can be asked, so this box's own view decides.
+		return !g.Links.Suspected()
+	}
+	return !accepts
+}
+
 // crashHistory holds what this box knows about upstreams that crashed under a request in flight.
 type crashHistory struct {
 	// fingerprint identifies the request by its content; nil until it is needed.
@@ -108,11 +125,11 @@
 // recordBroken records an attempt whose answer broke off. If the caller left or the deadline passed meanwhile, the
 // upstream is not checked for a crash.
 func (r *inflight) recordBroken(ctx context.Context, choice dispatch.Choice, status int, took time.Duration, err error) {
-	r.gateway.Loads.RecordOutcome(choice.Upstream.ID, false)
-	if ctx.Err() == nil {
+	if ctx.Err() == nil && !r.attempts.tunnelled {
 		r.gateway.Reach.RecordFailure(choice.Upstream.Hall, choice.Upstream.ID)
 		r.gateway.Links.RecordFailure(choice.Upstream.ID)
 	}
+	r.recordFailed(choice.Upstream.ID)
 	var found []zap.Field
 	if at, crashed := r.gateway.hasCrashed(ctx, *choice.Upstream.Upstream); crashed {
 		r.gateway.Quarantine.NoteCrash(r.fingerprint(), choice.Upstream.ID, at)
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -15,8 +15,8 @@
 	balancerDelay = 2 * time.Second
 	// acceptTime is how long requests are still accepted. A later one might not end within the grace time.
 	acceptTime = 2800 * time.Millisecond
-	// drainMargin is the part at the end of the grace time that is left for the rest of the process to stop.
-	drainMargin = 300 * time.Millisecond
+	// DrainMargin is the part at the end of the grace time that is left for the rest of the process to stop.
+	DrainMargin = 300 * time.Millisecond
 )
 
 // Drain accepts requests until the load balancer has noticed that this box is leaving, then closes connections
@@ -28,7 +28,7 @@
 	f.closing.Store(true)
 	time.Sleep(min(acceptTime, grace/2) - time.Since(begun))
 	f.refusing.Store(true)
-	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(grace-drainMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(grace-DrainMargin))
 	defer cancel()
 	if f.Server.Shutdown(ctx) != nil {
 		// The error is not logged: the caller logs how many requests are cut off.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,8 @@
 	Ensure func(ctx context.Context, want residency.Want) (residency.EnsureResult, error)
 	// RecordDemand records requested work per model, in milliseconds of engine time.
 	RecordDemand func(work map[residency.WorkKey]float64)
+	// Tunnels are the connections that other boxes open to upstreams for this one. The zero value means that there are none.
+	Tunnels Tunnels
 	// Reserve reserves engine time for the prefill of a prompt. If it is nil or returns an error, requests are placed
 	// by the reported loads alone.
 	Reserve func(ctx context.Context, asked dispatch.Reservation) (dispatch.ReservationAnswer, error)
@@ -84,6 +86,8 @@
 	Ensure func(ctx context.Context, want residency.Want) (residency.EnsureResult, error)
 	// RecordDemand records requested work per model, in milliseconds of engine time.
 	RecordDemand func(work map[residency.WorkKey]float64)
+	// Tunnels are the connections that other boxes open to upstreams for this one. The zero value means that there are none.
+	Tunnels Tunnels
 	// Reserve reserves engine time for the prefill of a prompt. If it is nil or returns an error, requests are placed
 	// by the reported loads alone.
 	Reserve func(ctx context.Context, asked dispatch.Reservation) (dispatch.ReservationAnswer, error)
@@ -125,6 +129,7 @@
 		Upstreams:    config.Upstreams,
 		Regions:      config.Regions,
 		Ensure:       config.Ensure,
+		Tunnels:      config.Tunnels,
 		RecordDemand: config.RecordDemand,
 		Reserve:      config.Reserve,
 		FinishPrompt: config.FinishPrompt,
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -128,6 +128,10 @@
 	// abandoned counts the attempts during which the caller left, before it was known whether an upstream received
 	// them.
 	abandoned int
+	// unreached counts the upstreams to which this box's own links had no connection.
+	unreached int
+	// tunnelled is set if the latest attempt went through a tunnel.
+	tunnelled bool
 	// upstreams holds the ids of the upstreams that the request was sent to.
 	upstreams []string
 }
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -1,12 +1,124 @@
 package gateway
 
 import (
+	"context"
+	"math/rand/v2"
 	"time"
 
+	"github.com/juju/errors"
 	"go.uber.org/zap"
+
+	"ospreymoor.example/ospreymoor/pkg/dispatch"
+	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/pause"
 )
 
-// watchLinks logs and exports whether this box reaches any upstream over its own links.
+// This file decides whether an attempt uses this box's own links or a tunnel: a connection that another box opens. The
+// upstream is chosen, charged and given notice of as always; only the way to it differs.
+//
+//	links        first way  second way, for the same attempt
+//	sound        own        none
+//	in question  own        a tunnel, if nothing was sent
+//	lost         a tunnel   none: without another box to ask, the request is refused at once
+//
+// The links are in question if nothing was received from any upstream since the attempt began, or if the request found
+// no connection to another upstream before. A sound fleet opens no tunnels.
+
+// Tunnels are the connections that other boxes open to upstreams for this one.
+type Tunnels struct {
+	// Check asks another box whether an upstream accepts connections. The error is ErrNoTunnel if none could be asked.
+	Check func(ctx context.Context, upstream string) (accepts bool, err error)
+	// Open returns how many tunnels this box uses.
+	Open func() int
+	// ExitLeaves reports whether a box that carries one of them is about to stop or has lost its own links.
+	ExitLeaves func() bool
+}
+
+// deliver sends the attempt over this box's own links or through a tunnel. It returns the ticket of the way that was
+// used last.
+func (r *inflight) deliver(ctx context.Context, choice dispatch.Choice, attempt Attempt, ticket *dispatch.Ticket) (*Answer, *dispatch.Ticket, error) {
+	g := r.gateway
+	if g.Links.Lost() {
+		answer, err := r.sendThrough(ctx, attempt, true)
+		return answer, ticket, err
+	}
+	begun := time.Now()
+	answer, err := r.sendThrough(ctx, attempt, false)
+	if !errors.Is(err, ErrNotSent) || ctx.Err() != nil {
+		return answer, ticket, err
+	}
+	r.recordUnreached(choice)
+	r.attempts.unreached++
+	inQuestion := !g.Links.ContactSince(begun) || r.attempts.unreached > 1
+	if g.Tunnels.Open == nil || !inQuestion || !g.Links.MayTunnel() || !r.beginAgain(choice) {
+		return nil, ticket, err
+	}
+	ticket = r.renewLoad(choice, ticket)
+	answer, tunnelErr := r.sendThrough(ctx, attempt, true)
+	if errors.Is(tunnelErr, ErrNotSent) {
+		return nil, ticket, err
+	}
+	return answer, ticket, tunnelErr
+}
+
+// sendThrough sends the attempt through a tunnel or over this box's own links.
+func (r *inflight) sendThrough(ctx context.Context, attempt Attempt, tunnelled bool) (*Answer, error) {
+	r.attempts.tunnelled = tunnelled
+	attempt.Tunnelled = tunnelled
+	if !r.deadlines.answer.IsZero() {
+		attempt.TimeLeft = time.Until(r.deadlines.answer)
+	}
+	if tunnelled {
+		r.gateway.Metrics.GetOrCreateCounter("ospreymoor_tunnelled_attempts_total").Inc()
+	}
+	return r.gateway.Upstreams.Send(ctx, r.endpoint, attempt)
+}
+
+// beginAgain begins sending to the same upstream for a second time, as beginSend does. What was known when the first one
+// began may be out of date.
+func (r *inflight) beginAgain(choice dispatch.Choice) bool {
+	r.endpoint.End()
+	return r.beginSend(choice)
+}
+
+// renewLoad replaces a ticket, so that the time lost on the first way is not taken for slowness of the upstream.
+func (r *inflight) renewLoad(choice dispatch.Choice, ticket *dispatch.Ticket) *dispatch.Ticket {
+	ticket.End()
+	return r.beginLoad(choice)
+}
+
+// recordUnreached records that this box's own links did not reach the chosen upstream. Once they are lost, that shows
+// nothing about the upstream.
+func (r *inflight) recordUnreached(choice dispatch.Choice) {
+	id := choice.Upstream.ID
+	r.gateway.Links.RecordFailure(id)
+	if r.gateway.Links.Lost() {
+		return
+	}
+	r.gateway.Directory.MarkUnreachable(id)
+	r.gateway.Reach.RecordFailure(choice.Upstream.Hall, id)
+}
+
+// recordContact records that something was received from an upstream, unless it came through a tunnel.
+func (r *inflight) recordContact(hall string) {
+	if r.attempts.tunnelled {
+		return
+	}
+	r.gateway.Reach.RecordContact(hall)
+	r.gateway.Links.RecordContact()
+}
+
+// withinReach returns the upstreams in halls within reach. Through tunnels, all halls are.
+func (g *Gateway) withinReach(list []*fleet.State) []*fleet.State {
+	if g.Links.Lost() {
+		return list
+	}
+	return g.Reach.WithinReach(list)
+}
+
+// watchLinks logs and exports the state of this box's own links. When they are lost, idle connections over them are
+// closed, since a request on one would be sent and lost, and upstreams that were marked as unreachable over them become
+// candidates again.
 func (g *Gateway) watchLinks() {
 	g.Links.OnSuspected = func(upstreams int, silence time.Duration) {
 		g.Log.Info("links to upstreams suspected: several failed and none answered meanwhile",
@@ -15,10 +127,58 @@
 	g.Links.OnContact = func(after time.Duration) {
 		g.Log.Info("links to upstreams no longer suspected", zap.Duration("after", after))
 	}
-	g.Metrics.NewGauge("ospreymoor_upstream_links_suspected", func() float64 {
-		if g.Links.Suspected() {
-			return 1
+	g.Links.OnLost = func(silence time.Duration) {
+		g.Log.Warn("links to upstreams lost: other boxes carry this one's connections", zap.Duration("silence", silence))
+		g.Metrics.GetOrCreateCounter("ospreymoor_upstream_links_lost_total").Inc()
+		g.Directory.ForgetUnreachable()
+		g.Upstreams.closeIdle(false)
+	}
+	g.Links.OnRegained = func(after time.Duration) {
+		g.Log.Info("links to upstreams regained", zap.Duration("after", after))
+	}
+	gauge := func(name string, value func() bool) {
+		g.Metrics.NewGauge(name, func() float64 {
+			if value() {
+				return 1
+			}
+			return 0
+		})
+	}
+	gauge("ospreymoor_upstream_links_suspected", g.Links.Suspected)
+	gauge("ospreymoor_upstream_links_lost", g.Links.Lost)
+}
+
+const (
+	// probeInterval is the mean time between two probes of lost links, and the time between two looks whether a box that
+	// carries a tunnel is about to stop. Probes are spread over half of it to either side, so that boxes that lost their
+	// links together do not return to their upstreams together.
+	probeInterval = 500 * time.Millisecond
+	// probeTimeout bounds a probe.
+	probeTimeout = 200 * time.Millisecond
+)
+
+// RunLinks probes this box's own links while they are lost, and closes the idle tunnels that are not to be used again,
+// until ctx ends.
+func (g *Gateway) RunLinks(ctx context.Context) {
+	for pause.For(ctx, probeInterval/2+rand.N(probeInterval)) == nil {
+		lost := g.Links.Lost()
+		if lost {
+			g.Links.RecordProbe(g.probe(ctx))
+		}
+		if g.Tunnels.Open != nil && g.Tunnels.Open() > 0 && (!lost || g.Tunnels.ExitLeaves()) {
+			g.Upstreams.closeIdle(true)
 		}
-		return 0
-	})
+	}
+}
+
+// probe opens and closes a connection of this box's own to a random upstream, and reports whether that succeeded.
+func (g *Gateway) probe(ctx context.Context) bool {
+	upstream := g.Directory.Random()
+	if upstream == nil || g.Upstreams.Accepts == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	g.Metrics.GetOrCreateCounter("ospreymoor_upstream_link_probes_total").Inc()
+	return g.Upstreams.Accepts(ctx, *upstream)
 }
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -14,7 +14,7 @@
 //
 //	outcome      reached  may have run  outlier ejection    directory
 //	abandoned    no       no            nothing             nothing
-//	not sent     no       no            failure             unreachable
+//	not sent     no       no            failure             unreachable, over own links by recordUnreached
 //	broken       yes      yes           failure             nothing
 //	misdirected  yes      no            nothing             lacks the model, or is gone
 //	not executed yes      no            failure if backoff  lacks the adapter, if one is needed
@@ -69,16 +69,15 @@
 	directory := r.gateway.Directory
 	if err == nil {
 		directory.MarkReachable(id)
-		r.gateway.Reach.RecordContact(choice.Upstream.Hall)
-		r.gateway.Links.RecordContact()
+		r.recordContact(choice.Upstream.Hall)
 	}
 	result := outcomeOf(ctx, answer, err)
 	r.attempts.count(result)
 	switch result {
 	case outcomeNotSent:
-		directory.MarkUnreachable(id)
-		r.gateway.Reach.RecordFailure(choice.Upstream.Hall, id)
-		r.gateway.Links.RecordFailure(id)
+		if r.attempts.tunnelled && !errors.Is(err, ErrNoTunnel) {
+			directory.MarkUnreachable(id)
+		}
 		r.attemptFailed(choice, 0, took, err)
 	case outcomeBroken:
 		r.recordBroken(ctx, choice, 0, took, err)
@@ -116,10 +115,18 @@
 
 // attemptFailed records a failure of the upstream and logs it.
 func (r *inflight) attemptFailed(choice dispatch.Choice, status int, took time.Duration, err error) {
-	r.gateway.Loads.RecordOutcome(choice.Upstream.ID, false)
+	r.recordFailed(choice.Upstream.ID)
 	r.logAttempt(choice, status, took, err)
 }
 
+// recordFailed records a failure of an upstream, which other boxes learn of, unless the failure may be that of this
+// box's own links.
+func (r *inflight) recordFailed(upstream string) {
+	if r.attempts.tunnelled || !r.gateway.Links.Suspected() {
+		r.gateway.Loads.RecordOutcome(upstream, false)
+	}
+}
+
 // attemptSucceeded records a complete answer of the upstream.
 func (r *inflight) attemptSucceeded(choice dispatch.Choice) {
 	r.gateway.Loads.RecordOutcome(choice.Upstream.ID, true)
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -26,6 +26,8 @@
 	// reasonUnreachable: the upstreams that hold all that is needed were unreachable, or reported it missing, a
 	// moment ago.
 	reasonUnreachable reason = "back ends that have it do not answer"
+	// reasonNoLinks: this box has lost its links to all upstreams, and no other box carries its connections.
+	reasonNoLinks reason = "no links to back ends"
 	// reasonBackoff: the upstreams that hold all that is needed asked this box for a backoff, in which they get no
 	// requests.
 	reasonBackoff reason = "back ends want rest"
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -41,6 +41,8 @@
 			return err
 		case ctx.Err() != nil:
 			return s.end(s.contextRefusal(ctx))
+		case errors.Is(err, ErrNoTunnel):
+			return s.end(s.refusalFor(reasonNoLinks, 0))
 		case !s.mayRetry(err):
 			return s.end(mayHaveRun(reasonBroken))
 		}
@@ -126,8 +128,7 @@
 			return errors.WithType(err, ErrBroken)
 		}
 		ticket.Started()
-		s.gateway.Reach.RecordContact(hall)
-		s.gateway.Links.RecordContact()
+		s.recordContact(hall)
 		s.finishReservation(ctx)
 		if !s.headWritten {
 			s.writeHead(answer)
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -16,6 +16,8 @@
 const (
 	// ErrNotSent means that no part of the request reached the upstream.
 	ErrNotSent = errors.ConstError("request was not sent: it may go to another upstream")
+	// ErrNoTunnel means that no other box could be asked for a tunnel. Such an error is also of type ErrNotSent.
+	ErrNoTunnel = errors.ConstError("no other box opens a connection to the upstream")
 	// ErrBroken means that the request was sent but no complete answer arrived: it may have run.
 	ErrBroken = errors.ConstError("answer lost or broken: the request may have run")
 )
@@ -31,6 +33,8 @@
 	Urgency int
 	// Customer is the name of the customer that the request is run for; empty if there is none.
 	Customer string
+	// Tunnelled sends the attempt over a connection that another box opens.
+	Tunnelled bool
 }
 
 // Answer is the head of an upstream's answer, with the body still to be read.
@@ -55,8 +59,19 @@
 	// is gone. It returns false if the host does not answer before ctx ends. If RefusesConnection is nil, no upstream
 	// counts as crashed.
 	RefusesConnection func(ctx context.Context, of fleet.Upstream) bool
+	// Accepts reports whether this box can connect to an upstream. It returns false once ctx ends. If Accepts is nil, lost
+	// links stay lost.
+	Accepts func(ctx context.Context, of fleet.Upstream) bool
+	// CloseIdle closes all idle connections: the tunnels, or those over this box's own links. It may be nil.
+	CloseIdle func(tunnels bool)
 	// Forget closes the idle connections to an upstream that is gone.
 	Forget func(upstream string)
 	// Engines executes the orders of the order holder at engines.
 	Engines residency.Engines
 }
+
+func (u *Upstreams) closeIdle(tunnels bool) {
+	if u.CloseIdle != nil {
+		u.CloseIdle(tunnels)
+	}
+}
--- a/internal/node/new.go
+++ b/internal/node/new.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/google/uuid"
 	"go.uber.org/zap"
@@ -45,6 +46,8 @@
 		Address:     config.PeerAddress,
 		Incarnation: uuid.NewString(),
 		Cores:       config.Cores,
+
+		CarriesTunnels: config.DialUpstream != nil,
 	}
 	n := &Node{}
 	s := shared{
@@ -69,7 +72,9 @@
 		Members: s.members, Client: n.client, Directory: s.directory, Kept: dispatch.NewRateAccounts(config.ColdStarts), Log: config.Log,
 	}
 	plainPlaces := newPlaces(config, s, n.client)
-	n.Gateway = newGateway(config, s, ensurer, n.spender, reservations, rates, plainPlaces)
+	n.tunnels = n.newTunnels(config, s)
+	n.Gateway = newGateway(config, s, ensurer, n.spender, reservations, rates, plainPlaces, n.gatewayTunnels())
+	n.tunnels.Links = &n.Gateway.Links
 	n.view = n.newView(config, s)
 	n.exchange = n.newExchange(config, s)
 	config.Metrics.NewGauge("ospreymoor_held_bytes", func() float64 { return float64(n.Gateway.CallerMemory.Used()) })
@@ -89,6 +94,9 @@
 	reservations.Handle(n.server)
 	rates.Handle(n.server)
 	plainPlaces.Handle(n.server)
+	if config.DialUpstream != nil {
+		n.tunnels.Handle(n.server)
+	}
 	n.orderLease.Handle(n.server, n.controller.LastOrders)
 	return n
 }
@@ -152,6 +160,7 @@
 		Client:  n.client,
 		State:   n.state,
 		Leaving: n.leaving.Load,
+		CutOff:  func() time.Duration { return n.Gateway.Links.LostFor() },
 		Log:     config.Log,
 	})
 }
@@ -185,7 +194,7 @@
 }
 
 func newGateway(config Config, s shared, ensurer *cluster.Ensurer, spender *customers.Spender, reservations *cluster.Reservations,
-	rates *cluster.RateGrants, plainPlaces *cluster.Places) *gateway.Gateway {
+	rates *cluster.RateGrants, plainPlaces *cluster.Places, tunnels gateway.Tunnels) *gateway.Gateway {
 	return gateway.New(gateway.Config{
 		Directory:    s.directory,
 		Loads:        s.loads,
@@ -193,6 +202,7 @@
 		Upstreams:    config.Upstreams,
 		Regions:      config.Regions,
 		Ensure:       ensurer.Ensure,
+		Tunnels:      tunnels,
 		RecordDemand: s.pending.AddWork,
 		Reserve:      reservations.Reserve,
 		FinishPrompt: reservations.Finish,
@@ -263,6 +273,7 @@
 		Quarantine: s.quarantine,
 		ModelUses:  n.Gateway.ModelUses,
 		Reach:      &n.Gateway.Reach,
+		Links:      &n.Gateway.Links,
 
 		VersionInForce: n.view.VersionInForce, HeldConfig: n.view.HeldConfig, PutInForce: n.view.PutInForce,
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,7 +25,7 @@
 // Platform gives access to what the platform keeps in its store.
 type Platform = storeview.Platform
 
-// Config holds the settings and dependencies of one box. It has 21 fields because it is the only place for them.
+// Config holds the settings and dependencies of one box. It has 22 fields because it is the only place for them.
 type Config struct {
 	// Name identifies this box; it stays the same after a restart.
 	Name string
@@ -60,9 +60,11 @@
 	// MoveCost is the least benefit that justifies a load, in squared engine time.
 	MoveCost float64
 	// Dial opens connections to other boxes.
-	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
-	Log     *zap.Logger
-	Metrics *metrics.Set
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// DialUpstream opens connections to upstreams for other boxes; nil carries none.
+	DialUpstream func(ctx context.Context, network, address string) (net.Conn, error)
+	Log          *zap.Logger
+	Metrics      *metrics.Set
 }
 
 // Node is one box of the fleet.
@@ -79,6 +81,7 @@
 	exchange     *cluster.Exchange
 	spender      *customers.Spender
 	holdRecorder *storeview.HoldRecorder
+	tunnels      *cluster.Tunnels
 
 	leaving atomic.Bool
 	// orderCtx ends when this box stops competing for the order lease and giving orders.
@@ -99,6 +102,7 @@
 	n.background.Go(func() { n.registration.Run(ctx) })
 	n.background.Go(func() { n.spender.Run(ctx) })
 	n.background.Go(func() { n.holdRecorder.Run(ctx) })
+	n.background.Go(func() { n.Gateway.RunLinks(ctx) })
 	<-ctx.Done()
 	n.background.Wait()
 	n.server.Close()
--- a/internal/orderlease/lease.go
+++ b/internal/orderlease/lease.go
@@ -57,7 +57,10 @@
 	State func() mirror.State
 	// Leaving reports whether this box is about to stop.
 	Leaving func() bool
-	Log     *zap.Logger
+	// CutOff returns for how long this box has reached no engine although other boxes do; 0 if it reaches some. nil means
+	// never.
+	CutOff func() time.Duration
+	Log    *zap.Logger
 }
 
 // Peers holds the functions by which the order lease learns about the other boxes.
@@ -96,6 +99,9 @@
 func New(config Config) *Lease {
 	margin := config.TTL / marginDivisor
 	config.OrderGap += orderGapMargin
+	if config.CutOff == nil {
+		config.CutOff = func() time.Duration { return 0 }
+	}
 	if config.Peers.HighestTerm == nil {
 		config.Peers.HighestTerm = func() int64 { return 0 }
 	}
@@ -168,9 +174,9 @@
 func (l *Lease) NotBefore(engine string) time.Time { return l.handover.notBefore(engine) }
 
 // mayBeFree reports whether, by the copy of the store, the lease is free or has this box's name. It returns false if
-// this box is leaving or has no copy yet.
+// this box is leaving, reaches no engine or has no copy yet.
 func (l *Lease) mayBeFree() bool {
-	if l.Leaving() {
+	if l.Leaving() || l.CutOff() > 0 {
 		return false
 	}
 	state := l.State()
--- a/internal/orderlease/lease_test.go
+++ b/internal/orderlease/lease_test.go
@@ -25,6 +25,8 @@
 	*Lease
 	cutOff, lostByAll, leaving, otherReaches atomic.Bool
 	unlisted, follows                        atomic.Bool
+	// withoutLinks is for how long, in nanoseconds, the box has reached no engine.
+	withoutLinks atomic.Int64
 	state                                    atomic.Pointer[mirror.State]
 }
 
@@ -58,6 +60,7 @@
 		Client:  peer.NewClient("", noDial, metrics.NewSet()),
 		State:   func() mirror.State { return *c.state.Load() },
 		Leaving: c.leaving.Load,
+		CutOff:  func() time.Duration { return time.Duration(c.withoutLinks.Load()) },
 	})
 	go c.Run(ctx)
 	go c.ResignWhenCutOff(ctx)
@@ -104,6 +107,28 @@
 		})
 	})
 
+	It("is given up for others by a box that reaches no engine for a second, and not contended for before it does", func() {
+		inBubble(func(c *contender, store kv.Store) {
+			time.Sleep(5 * time.Second)
+			Expect(c.Held()).To(BeTrue())
+			c.withoutLinks.Store(int64(900 * time.Millisecond))
+			time.Sleep(time.Second)
+			Expect(c.Held()).To(BeTrue(), "a short cut is not worth a handover")
+			c.withoutLinks.Store(int64(time.Second))
+			time.Sleep(500 * time.Millisecond)
+			Expect(c.Held()).To(BeFalse())
+			_, err := c.Term()
+			Expect(err).To(MatchError(residency.ErrNotHolder))
+			_, err = store.Get(context.Background(), leaseKey)
+			Expect(err).To(MatchError(kv.ErrNotFound))
+			time.Sleep(5 * time.Second)
+			Expect(c.Held()).To(BeFalse())
+			c.withoutLinks.Store(0)
+			time.Sleep(5 * time.Second)
+			Expect(c.Held()).To(BeTrue())
+		})
+	})
+
 	It("is not contended for while another box holds it, there is no copy of the store or this box is leaving", func() {
 		inBubble(func(c *contender, _ kv.Store) {
 			Expect(c.mayBeFree()).To(BeTrue())
--- a/internal/orderlease/resign.go
+++ b/internal/orderlease/resign.go
@@ -19,10 +19,13 @@
 	// resignAfter is how long after its last renewal a holder resigns if another box reaches the store. Renewals are
 	// a third of the TTL apart.
 	resignAfter = 2500 * time.Millisecond
+	// resignCutOffAfter is how long a holder reaches no engine before it resigns. Another box may give orders some seconds
+	// after it, which a shorter cut is not worth.
+	resignCutOffAfter = time.Second
 )
 
-// ResignWhenCutOff makes this box resign when it can't renew the lease and another box reaches the store. It runs
-// until ctx ends.
+// ResignWhenCutOff makes this box resign when it can't renew the lease and another box reaches the store, or when it
+// reaches no engine while others do. It runs until ctx ends.
 func (l *Lease) ResignWhenCutOff(ctx context.Context) {
 	for pause.For(ctx, resignCheckInterval) == nil {
 		l.handover.noteEpoch()
@@ -30,6 +33,10 @@
 			l.wakeUp()
 		}
 		status := l.lease.Status()
+		if cutOff := l.CutOff(); status.Term != 0 && cutOff >= resignCutOffAfter {
+			l.resignCutOff(ctx, status.Term, cutOff)
+			continue
+		}
 		if status.Term == 0 || time.Since(status.LastRenewal) < resignAfter {
 			continue
 		}
@@ -44,6 +51,18 @@
 	}
 }
 
+// resignCutOff gives up the lease of a box that reaches no engine, and revokes it in the store.
+func (l *Lease) resignCutOff(ctx context.Context, term int64, cutOff time.Duration) {
+	id := l.lease.Resign()
+	l.handover.forgetOrders()
+	l.Log.Warn("order lease resigned: no links to engines", zap.Int64("term", term), zap.Duration("cutOff", cutOff))
+	callCtx, cancel := context.WithTimeout(ctx, cluster.CallTimeout)
+	defer cancel()
+	if err := l.Store.Revoke(callCtx, id); err != nil {
+		l.Log.Info("order lease not revoked: it expires by itself", logfield.Error(err))
+	}
+}
+
 // revokeThrough asks another box to revoke a lease in the store.
 func (l *Lease) revokeThrough(ctx context.Context, address string, id kv.LeaseID) {
 	callCtx, cancel := context.WithTimeout(ctx, cluster.CallTimeout)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bufio"
 	"context"
 	"crypto/subtle"
 	"encoding/json"
@@ -28,6 +29,9 @@
 	// OnAcceptError is called with each error of Accept except that of a closed listener; nil ignores them. Set it
 	// before Serve.
 	OnAcceptError func(error)
+	// OnTunnel opens a connection of this box's own to an upstream, for a tunnel of another box. The connection is nil
+	// unless the status is TunnelOpen. If OnTunnel is nil, requests for tunnels are not answered. Set it before Serve.
+	OnTunnel func(upstream string) (net.Conn, TunnelStatus)
 
 	secret   string
 	metrics  *metrics.Set
@@ -85,11 +89,20 @@
 	}
 }
 
+// peekBytes is the size of the buffer for the first byte of a connection, the least that bufio allows.
+const peekBytes = 16
+
 func (s *Server) serve(conn net.Conn) {
 	s.track(conn, true)
 	defer s.track(conn, false)
+	conn = newCountedConn(conn, s.metrics)
+	reader := bufio.NewReaderSize(conn, peekBytes)
+	if first, err := reader.Peek(1); err == nil && first[0] == tunnelMark {
+		s.serveTunnel(conn, reader)
+		return
+	}
 	session := &session{server: s}
-	stream := jsonrpc2.NewBufferedStream(newCountedConn(conn, s.metrics), codec{})
+	stream := jsonrpc2.NewBufferedStream(peekedConn{Conn: conn, reader: reader}, codec{})
 	rpc := jsonrpc2.NewConn(context.Background(), stream, session, jsonrpc2.SetLogger(discardLogger{}))
 	<-rpc.DisconnectNotify()
 }
@@ -120,11 +133,14 @@
 	go s.answer(ctx, conn, request)
 }
 
+func (s *Server) secretMatches(secret string) bool {
+	return subtle.ConstantTimeCompare([]byte(secret), []byte(s.secret)) == 1
+}
+
 // authenticate accepts only a hello with the right secret; any other message closes the connection.
 func (s *session) authenticate(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
 	hello, err := decode[Hello](request.Params)
-	secretMatches := subtle.ConstantTimeCompare([]byte(hello.Secret), []byte(s.server.secret)) == 1
-	if err != nil || request.Method != MethodHello || !secretMatches {
+	if err != nil || request.Method != MethodHello || !s.server.secretMatches(hello.Secret) {
 		s.server.metrics.GetOrCreateCounter(`ospreymoor_peer_refused_total`).Inc()
 		_ = conn.ReplyWithError(ctx, request.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: ErrWrongSecret.Error()})
 		_ = conn.Close()
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -2,6 +2,8 @@
 
 import (
 	"container/list"
+	"context"
+	"net"
 	"net/http"
 	"sync"
 )
@@ -15,8 +17,9 @@
 // that calls each of 10,000 engines once keeps no more than that. The zero value is ready for use. A Pool is safe
 // for concurrent use.
 type Pool struct {
-	// Dial opens connections; nil means the package's Dial. It must not be changed after the first use.
-	Dial DialFunc
+	// Dial opens the connections of a name to an address; nil means the package's Dial. It must not be changed after the
+	// first use.
+	Dial func(ctx context.Context, name, address string) (net.Conn, error)
 
 	mu     sync.Mutex
 	byName map[string]*list.Element
@@ -41,7 +44,7 @@
 		p.byUse.MoveToFront(element)
 		return element.Value.(*pooledTransport).transport
 	}
-	added := &pooledTransport{name: name, transport: p.newTransport()}
+	added := &pooledTransport{name: name, transport: p.newTransport(name)}
 	p.byName[name] = p.byUse.PushFront(added)
 	if oldest := p.byUse.Back(); p.byUse.Len() > maxPooled {
 		p.drop(oldest)
@@ -49,11 +52,20 @@
 	return added.transport
 }
 
-func (p *Pool) newTransport() *http.Transport {
+func (p *Pool) newTransport(name string) *http.Transport {
 	if p.Dial == nil {
 		return New()
 	}
-	return newTransport(p.Dial)
+	return newTransport(func(ctx context.Context, _, address string) (net.Conn, error) { return p.Dial(ctx, name, address) })
+}
+
+// CloseIdle closes the idle connections of all names.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for element := p.byUse.Front(); element != nil; element = element.Next() {
+		element.Value.(*pooledTransport).transport.CloseIdleConnections()
+	}
 }
 
 // Forget removes the transport of a name and closes its idle connections. Connections in use stay open until their
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -97,6 +97,19 @@
 	return d.states[id]
 }
 
+// Random returns a random upstream that is listed and not leaving; nil if there is none.
+func (d *Directory) Random() *Upstream {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	now := time.Now()
+	for _, state := range d.states { // In random order.
+		if state.Usable(now) {
+			return state.Upstream
+		}
+	}
+	return nil
+}
+
 // OfService returns the upstreams of a service, sorted by id. The caller must not change the slice.
 func (d *Directory) OfService(service string) []*State {
 	d.mu.RLock()
--- a/pkg/fleet/links_test.go
+++ b/pkg/fleet/links_test.go
@@ -37,4 +37,59 @@
 			Expect(suspicions).To(Equal(1))
 		})
 	})
+
+	It("are lost only if another box connects to an upstream while none answers this one", func() {
+		spectest.Bubble(func() {
+			var links fleet.Links
+			lost := 0
+			links.OnLost = func(time.Duration) { lost++ }
+			links.RecordCarried()
+			links.RecordFailure("a")
+			links.RecordFailure("b")
+			Expect(links.Lost()).To(BeFalse(), "all upstreams may be down")
+			links.RecordCarried()
+			Expect(links.Lost()).To(BeTrue())
+			links.RecordFailure("c")
+			links.RecordCarried()
+			Expect(lost).To(Equal(1))
+		})
+	})
+
+	It("count as regained after several probes in a row, not by a connection that lives on", func() {
+		spectest.Bubble(func() {
+			var links fleet.Links
+			var regainedAfter time.Duration
+			links.OnRegained = func(after time.Duration) { regainedAfter = after }
+			links.RecordFailure("a")
+			links.RecordCarried()
+			links.RecordFailure("b")
+			Expect(links.Lost()).To(BeTrue())
+			links.RecordContact()
+			Expect(links.Lost()).To(BeTrue())
+			for _, reached := range []bool{true, false, true} {
+				time.Sleep(time.Second)
+				links.RecordProbe(reached)
+				Expect(links.Lost()).To(BeTrue())
+			}
+			time.Sleep(time.Second)
+			links.RecordProbe(true)
+			Expect(links.Lost()).To(BeFalse())
+			Expect(links.Suspected()).To(BeFalse())
+			Expect(regainedAfter).To(Equal(4 * time.Second))
+		})
+	})
+
+	It("do not try tunnels again at once after other boxes did not reach an upstream either", func() {
+		spectest.Bubble(func() {
+			var links fleet.Links
+			Expect(links.MayTunnel()).To(BeTrue())
+			links.RecordNotCarried()
+			Expect(links.MayTunnel()).To(BeFalse())
+			time.Sleep(500 * time.Millisecond)
+			Expect(links.MayTunnel()).To(BeTrue())
+			links.RecordNotCarried()
+			links.RecordCarried()
+			Expect(links.MayTunnel()).To(BeTrue())
+		})
+	})
 })
--- a/pkg/fleet/marks.go
+++ b/pkg/fleet/marks.go
@@ -50,6 +50,17 @@
 	d.marks[key] = time.Now().Add(span)
 }
 
+// ForgetUnreachable drops the records of failed connections. A box whose own links are lost calls it: its failures
+// show nothing about upstreams.
+func (d *Directory) ForgetUnreachable() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for upstream := range d.connectFailures {
+		delete(d.marks, mark{upstream: upstream})
+	}
+	clear(d.connectFailures)
+}
+
 // MarkReachable records that an upstream answered: its next failed connection counts as the first one.
 // A mark that is set stays until it expires.
 func (d *Directory) MarkReachable(upstream string) {
