--- a/internal/node/notice_fleet_test.go
+++ b/internal/node/notice_fleet_test.go
@@ -35,8 +35,9 @@
 	coldPerSecond float64
 	// slots is the number of slots that engines state; 0 means 64.
 	slots int
-	// tune changes a box before it runs; nil changes nothing.
-	tune func(n *noticeFleet, box *Node)
+	// tune changes a box before it runs, and tuneConfig its configuration; nil changes nothing.
+	tune       func(n *noticeFleet, box *Node)
+	tuneConfig func(n *noticeFleet, box int, config *Config)
 }
 
 // noticeFleet is a fleet of boxes with engines whose answers state that they leave, that they need a backoff, or a
@@ -170,6 +171,9 @@
 			return residency.Report{Models: []fleet.Holding{{Model: "m"}}}, nil
 		},
 	}
+	if n.variant.tuneConfig != nil {
+		n.variant.tuneConfig(n, box, config)
+	}
 }
 
 // tuneBox applies the variant to a box and records when the box learns that an engine leaves.
