Upstreams that only a tunnel reaches are reached through tunnels first

Such an upstream is now preferred through tunnels for a second and marked only if those do not reach it either.

--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -22,7 +22,8 @@
 //	lost         a tunnel   none: without another box to ask, the request is refused at once
 //
 // The links are in question if nothing was received from any upstream since the attempt began, or if the request found
-// no connection to another upstream before. A sound fleet opens no tunnels.
+// no connection to another upstream before. An upstream that a tunnel reached in this way gets the next requests through
+// tunnels first, and over own links only if there is no other box to ask. A sound fleet opens no tunnels.
 
 // Tunnels are the connections that other boxes open to upstreams for this one.
 type Tunnels struct {
@@ -37,10 +38,13 @@
 // deliver sends the attempt over this box's own links or through a tunnel. It returns the ticket of the way that was
 // used last.
 func (r *inflight) deliver(ctx context.Context, choice dispatch.Choice, attempt Attempt, ticket *dispatch.Ticket) (*Answer, *dispatch.Ticket, error) {
-	g := r.gateway
-	if g.Links.Lost() {
+	links, id := &r.gateway.Links, choice.Upstream.ID
+	if lost := links.Lost(); lost || links.PrefersTunnel(id) {
 		answer, err := r.sendThrough(ctx, attempt, true)
-		return answer, ticket, err
+		if lost || !errors.Is(err, ErrNoTunnel) || ctx.Err() != nil || !r.beginAgain(choice) {
+			return answer, ticket, err
+		}
+		ticket = r.renewLoad(choice, ticket)
 	}
 	begun := time.Now()
 	answer, err := r.sendThrough(ctx, attempt, false)
@@ -48,17 +52,26 @@
 		return answer, ticket, err
 	}
 	r.recordUnreached(choice)
-	r.attempts.unreached++
-	inQuestion := !g.Links.ContactSince(begun) || r.attempts.unreached > 1
-	if g.Tunnels.Open == nil || !inQuestion || !g.Links.MayTunnel() || !r.beginAgain(choice) {
-		return nil, ticket, err
+	if r.mayTunnel(begun) && r.beginAgain(choice) {
+		ticket = r.renewLoad(choice, ticket)
+		answer, tunnelErr := r.sendThrough(ctx, attempt, true)
+		if !errors.Is(tunnelErr, ErrNotSent) {
+			links.RecordReachedByTunnel(id)
+			return answer, ticket, tunnelErr
+		}
+		r.attempts.tunnelled = false
 	}
-	ticket = r.renewLoad(choice, ticket)
-	answer, tunnelErr := r.sendThrough(ctx, attempt, true)
-	if errors.Is(tunnelErr, ErrNotSent) {
-		return nil, ticket, err
+	if !links.Lost() {
+		r.gateway.Directory.MarkUnreachable(id)
 	}
-	return answer, ticket, tunnelErr
+	return nil, ticket, err
+}
+
+// mayTunnel reports whether an attempt that found no connection over this box's own links may go through a tunnel.
+func (r *inflight) mayTunnel(begun time.Time) bool {
+	links := &r.gateway.Links
+	inQuestion := !links.ContactSince(begun) || r.attempts.unreached > 1
+	return r.gateway.Tunnels.Open != nil && inQuestion && links.MayTunnel()
 }
 
 // sendThrough sends the attempt through a tunnel or over this box's own links.
@@ -88,15 +101,13 @@
 }
 
 // recordUnreached records that this box's own links did not reach the chosen upstream. Once they are lost, that shows
-// nothing about the upstream.
+// nothing about its hall.
 func (r *inflight) recordUnreached(choice dispatch.Choice) {
-	id := choice.Upstream.ID
-	r.gateway.Links.RecordFailure(id)
-	if r.gateway.Links.Lost() {
-		return
+	r.attempts.unreached++
+	r.gateway.Links.RecordFailure(choice.Upstream.ID)
+	if !r.gateway.Links.Lost() {
+		r.gateway.Reach.RecordFailure(choice.Upstream.Hall, choice.Upstream.ID)
 	}
-	r.gateway.Directory.MarkUnreachable(id)
-	r.gateway.Reach.RecordFailure(choice.Upstream.Hall, id)
 }
 
 // recordContact records that something was received from an upstream, unless it came through a tunnel.
--- a/pkg/fleet/links.go
+++ b/pkg/fleet/links.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,9 @@
 	// tunnelPause is how long no tunnel is tried after other boxes did not reach an upstream either, while the links are
 	// not lost.
 	tunnelPause = 500 * time.Millisecond
+	// tunnelPreference is how long an upstream that this box did not reach, and a tunnel did, is reached through tunnels
+	// first.
+	tunnelPreference = time.Second
 )
 
 // Links tracks whether this box reaches upstreams over connections of its own. A single upstream or hall that fails
@@ -44,6 +48,8 @@
 	contact atomic.Pointer[time.Time]
 	// failed is set while there are failures, so that contacts take no lock otherwise.
 	failed atomic.Bool
+	// hasPreferred is set once preferred was not empty.
+	hasPreferred atomic.Bool
 
 	mu sync.Mutex
 	// failures holds when each upstream last failed since the latest contact, and carried means that another box connected
@@ -56,6 +62,8 @@
 	probes int
 	// tunnelsFrom is when a tunnel may be tried again.
 	tunnelsFrom time.Time
+	// preferred holds until when upstreams are reached through tunnels first.
+	preferred map[string]time.Time
 }
 
 // RecordFailure records that an attempt at an upstream over a connection of this box's own found no connection, or lost
@@ -116,6 +124,29 @@
 	}
 }
 
+// RecordReachedByTunnel records that a tunnel reached an upstream to which this box found no connection.
+func (l *Links) RecordReachedByTunnel(upstream string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	maps.DeleteFunc(l.preferred, func(_ string, until time.Time) bool { return !now.Before(until) })
+	if l.preferred == nil {
+		l.preferred = map[string]time.Time{}
+	}
+	l.preferred[upstream] = now.Add(tunnelPreference)
+	l.hasPreferred.Store(true)
+}
+
+// PrefersTunnel reports whether an upstream is to be reached through a tunnel first.
+func (l *Links) PrefersTunnel(upstream string) bool {
+	if !l.hasPreferred.Load() {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Now().Before(l.preferred[upstream])
+}
+
 // RecordNotCarried records that no other box connected to an upstream for this one.
 func (l *Links) RecordNotCarried() {
 	l.mu.Lock()
