An exit that is cut off itself is not believed about upstreams

An exit now says that an upstream refuses only while it connects to another one, and silent exits end the search by its time alone. A box that no other box can tell about a refused connection goes by the same test.

--- a/internal/cluster/tunnels.go
+++ b/internal/cluster/tunnels.go
@@ -34,8 +34,8 @@
 	// exitAskTimeout bounds a request for a tunnel, and openTimeout all of those for one connection.
 	exitAskTimeout = exitDialTimeout + 100*time.Millisecond
 	openTimeout    = 400 * time.Millisecond
-	// maxSilentExits is how many exits may find an upstream silent before it counts as not reached.
-	maxSilentExits = 2
+	// maxExits is how many boxes are asked for one connection.
+	maxExits = 8
 	// exitRetryDelay is how long a box that could not carry a tunnel is not asked for another one.
 	exitRetryDelay = time.Second
 )
@@ -70,8 +70,9 @@
 func (t *Tunnels) Open(ctx context.Context, upstream string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
-	silent := 0
-	for _, exit := range t.exits() {
+	silent := false
+	exits := t.exits()
+	for _, exit := range exits[:min(len(exits), maxExits)] {
 		conn, status := t.openThrough(ctx, exit, upstream)
 		switch status {
 		case peer.TunnelOpen:
@@ -80,14 +81,14 @@
 		case peer.TunnelRefused:
 			return nil, errors.Annotatef(ErrUpstreamRefuses, "box %s", exit.Name)
 		case peer.TunnelSilent:
-			silent++
+			silent = true
 		}
-		if silent == maxSilentExits || ctx.Err() != nil {
+		if ctx.Err() != nil {
 			break
 		}
 	}
 	t.Links.RecordNotCarried()
-	if silent > 0 {
+	if silent {
 		return nil, ErrNotReached
 	}
 	return nil, ErrNoExit
@@ -201,7 +202,7 @@
 	conn, err := t.Dial(ctx, "tcp", state.Address)
 	if err != nil {
 		t.endCarrying()
-		if errors.Is(err, syscall.ECONNREFUSED) {
+		if errors.Is(err, syscall.ECONNREFUSED) && t.reachesOther(ctx, upstream) {
 			return nil, peer.TunnelRefused
 		}
 		return nil, peer.TunnelSilent
@@ -209,6 +210,21 @@
 	return &countedTunnel{Conn: conn, onClose: t.endCarrying}, peer.TunnelOpen
 }
 
+// reachesOther reports whether this box connects to another upstream. Otherwise it may be refused everywhere, since its own
+// links are cut.
+func (t *Tunnels) reachesOther(ctx context.Context, than string) bool {
+	other := t.Directory.RandomOther(than)
+	if other == nil {
+		return true
+	}
+	conn, err := t.Dial(ctx, "tcp", other.Address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close() // Nothing was sent.
+	return true
+}
+
 func (t *Tunnels) beginCarrying() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -174,7 +174,7 @@
 	for pause.For(ctx, probeInterval/2+rand.N(probeInterval)) == nil {
 		lost := g.Links.Lost()
 		if lost {
-			g.Links.RecordProbe(g.probe(ctx))
+			g.Links.RecordProbe(g.reachesOther(ctx, ""))
 		}
 		if g.Tunnels.Open != nil && g.Tunnels.Open() > 0 && (!lost || g.Tunnels.ExitLeaves()) {
 			g.Upstreams.closeIdle(true)
@@ -182,9 +182,10 @@
 	}
 }
 
-// probe opens and closes a connection of this box's own to a random upstream, and reports whether that succeeded.
-func (g *Gateway) probe(ctx context.Context) bool {
-	upstream := g.Directory.Random()
+// reachesOther opens and closes a connection of this box's own to a random upstream other than one, and reports whether
+// that succeeded.
+func (g *Gateway) reachesOther(ctx context.Context, than string) bool {
+	upstream := g.Directory.RandomOther(than)
 	if upstream == nil || g.Upstreams.Accepts == nil {
 		return false
 	}
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -97,13 +97,13 @@
 	return d.states[id]
 }
 
-// Random returns a random upstream that is listed and not leaving; nil if there is none.
-func (d *Directory) Random() *Upstream {
+// RandomOther returns a random upstream that is listed and not leaving, other than one; nil if there is none.
+func (d *Directory) RandomOther(than string) *Upstream {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	now := time.Now()
 	for _, state := range d.states { // In random order.
-		if state.Usable(now) {
+		if state.ID != than && state.Usable(now) {
 			return state.Upstream
 		}
 	}
