The first byte of a peer connection is read without a buffer

The look at a connection's first byte read through a buffer of 16 bytes, so that the rest of the frame stayed unread in the socket when it was closed. Only the first byte is read ahead now. The new spec of tunnels had a data race of its own counter, which is atomic now.

--- a/internal/cluster/tunnels_test.go
+++ b/internal/cluster/tunnels_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,7 +26,7 @@
 	// silence is os.ErrDeadlineExceeded.
 	dialError func(address string) error
 	leaving   bool
-	dials     int
+	dials     atomic.Int64
 }
 
 // withTunnelBoxes runs f on boxes of two halls that know each other and the upstreams u0 to u3.
@@ -74,7 +75,7 @@
 }
 
 func (b *tunnelBox) dial(ctx context.Context, _, address string) (net.Conn, error) {
-	b.dials++
+	b.dials.Add(1)
 	if err := b.dialError(address); err != nil {
 		if err == os.ErrDeadlineExceeded {
 			<-ctx.Done()
@@ -165,11 +166,11 @@
 			_, err := boxes[0].Open(context.Background(), "u1")
 			Expect(err).To(MatchError(ErrNotReached))
 			Expect(time.Since(begun)).To(BeNumerically("<=", openTimeout))
-			dials := 0
+			dials := int64(0)
 			for _, b := range boxes {
-				dials += b.dials
+				dials += b.dials.Load()
 			}
-			Expect(dials).To(Equal(3), "each other box once, this one not")
+			Expect(dials).To(Equal(int64(3)), "each other box once, this one not")
 			Expect(boxes[0].Links.Lost()).To(BeFalse())
 			Expect(boxes[0].Links.MayTunnel()).To(BeFalse())
 		})
@@ -187,7 +188,7 @@
 			boxes[0].Members.applyReport(message{From: old, Scope: noScope}, time.Now())
 			_, err = boxes[0].Open(context.Background(), "u1")
 			Expect(err).To(MatchError(ErrNoExit))
-			Expect(boxes[1].dials).To(BeZero())
+			Expect(boxes[1].dials.Load()).To(BeZero())
 		})
 	})
 })
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -1,10 +1,11 @@
 package peer
 
 import (
-	"bufio"
+	"bytes"
 	"context"
 	"crypto/subtle"
 	"encoding/json"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -89,20 +90,21 @@
 	}
 }
 
-// peekBytes is the size of the buffer for the first byte of a connection, the least that bufio allows.
-const peekBytes = 16
-
 func (s *Server) serve(conn net.Conn) {
 	s.track(conn, true)
 	defer s.track(conn, false)
 	conn = newCountedConn(conn, s.metrics)
-	reader := bufio.NewReaderSize(conn, peekBytes)
-	if first, err := reader.Peek(1); err == nil && first[0] == tunnelMark {
-		s.serveTunnel(conn, reader)
+	first := make([]byte, 1)
+	if _, err := io.ReadFull(conn, first); err != nil {
+		_ = conn.Close() // Nothing was asked.
+		return
+	}
+	if first[0] == tunnelMark {
+		s.serveTunnel(conn)
 		return
 	}
 	session := &session{server: s}
-	stream := jsonrpc2.NewBufferedStream(peekedConn{Conn: conn, reader: reader}, codec{})
+	stream := jsonrpc2.NewBufferedStream(peekedConn{Conn: conn, first: bytes.NewReader(first)}, codec{})
 	rpc := jsonrpc2.NewConn(context.Background(), stream, session, jsonrpc2.SetLogger(discardLogger{}))
 	<-rpc.DisconnectNotify()
 }
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/binary"
 	"io"
@@ -129,15 +130,13 @@
 	return n, nil
 }
 
-// serveTunnel answers a request for a tunnel and carries it until either end closes it.
-func (s *Server) serveTunnel(conn net.Conn, reader *bufio.Reader) {
+// serveTunnel answers the request for a tunnel that follows tunnelMark, and carries it until either end closes it.
+func (s *Server) serveTunnel(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
 	// SetReadDeadline fails only on a closed connection, and then the read fails too.
 	_ = conn.SetReadDeadline(time.Now().Add(tunnelRequestTimeout))
 	var request tunnelRequest
-	if _, err := reader.Discard(1); err != nil {
-		return
-	}
 	if (codec{}).ReadObject(reader, &request) != nil || !s.secretMatches(request.Secret) || s.OnTunnel == nil {
 		s.metrics.GetOrCreateCounter(`ospreymoor_peer_refused_total`).Inc()
 		return
@@ -191,11 +190,16 @@
 
 type readerOnly struct{ io.Reader }
 
-// peekedConn is a connection whose first bytes are buffered.
+// peekedConn is a connection whose first byte was read.
 type peekedConn struct {
 	net.Conn
-	reader *bufio.Reader
+	first *bytes.Reader
 }
 
-// Read reads from the buffer, then from the connection.
-func (c peekedConn) Read(p []byte) (int, error) { return c.reader.Read(p) }
+// Read reads the first byte, then from the connection.
+func (c peekedConn) Read(p []byte) (int, error) {
+	if c.first.Len() > 0 {
+		return c.first.Read(p)
+	}
+	return c.Conn.Read(p)
+}
