A box without links finds another hall at once where a whole large hall is cut off

At most two boxes of the own hall are asked first now, and boxes of a hall where one just could not carry a tunnel come last.

--- a/internal/cluster/tunnels.go
+++ b/internal/cluster/tunnels.go
@@ -36,8 +36,12 @@
 	openTimeout    = 400 * time.Millisecond
 	// maxExits is how many boxes are asked for one connection.
 	maxExits = 8
+	// maxOwnHallExits is how many of them are boxes of this one's hall, while there are others.
+	maxOwnHallExits = 2
 	// exitRetryDelay is how long a box that could not carry a tunnel is not asked for another one.
 	exitRetryDelay = time.Second
+	// hallRetryDelay is how long the boxes of a hall are asked last after one of them could not carry a tunnel.
+	hallRetryDelay = 5 * time.Second
 )
 
 // Tunnels opens connections to upstreams through other boxes, for a box that has lost its own links to them, and carries
@@ -55,9 +59,10 @@
 
 	mu sync.Mutex
 	// own counts this box's open tunnels by exit. unavailableAt is when a box last could not carry one, and silentAt when
-	// an upstream last did not answer one: that box may have lost its links as well.
-	own                     map[string]int
-	unavailableAt, silentAt map[string]time.Time
+	// an upstream last did not answer one: that box may have lost its links as well. hallFailedAt is when either last
+	// happened in a hall, unless a box there carried a tunnel since.
+	own                                   map[string]int
+	unavailableAt, silentAt, hallFailedAt map[string]time.Time
 	// carried counts the tunnels that this box carries.
 	carried int
 }
@@ -104,14 +109,17 @@
 	if err != nil || status == peer.TunnelUnavailable {
 		// The error is not logged: the exchange logs which boxes are lost.
 		record(&t.unavailableAt, exit.Name)
+		record(&t.hallFailedAt, exit.Hall)
 		return nil, peer.TunnelUnavailable
 	}
 	if status == peer.TunnelSilent {
 		record(&t.silentAt, exit.Name)
+		record(&t.hallFailedAt, exit.Hall)
 	}
 	if conn == nil {
 		return nil, status
 	}
+	delete(t.hallFailedAt, exit.Hall)
 	if t.own == nil {
 		t.own = map[string]int{}
 	}
@@ -119,12 +127,12 @@
 	return &countedTunnel{Conn: conn, onClose: func() { t.closeOwn(exit.Name) }}, status
 }
 
-// record sets the time of a box to now.
-func record(times *map[string]time.Time, box string) {
+// record sets the time of a box or hall to now.
+func record(times *map[string]time.Time, name string) {
 	if *times == nil {
 		*times = map[string]time.Time{}
 	}
-	(*times)[box] = time.Now()
+	(*times)[name] = time.Now()
 }
 
 func (t *Tunnels) closeOwn(exit string) {
@@ -137,7 +145,7 @@
 
 // exits returns the boxes to ask for a tunnel in order: those through which this box has the fewest, so that its
 // callers' requests are spread over all boxes, and among equals those of its hall first. Those that just found an upstream
-// silent come last.
+// silent come last, and before them those in halls where that happened: a whole hall may have lost its links.
 func (t *Tunnels) exits() []Box {
 	now := time.Now()
 	boxes := t.Members.exits(now)
@@ -147,7 +155,10 @@
 	boxes = slices.DeleteFunc(boxes, func(box Box) bool { return now.Sub(t.unavailableAt[box.Name]) < exitRetryDelay })
 	rank := func(box Box) [3]int {
 		rank := [3]int{0, t.own[box.Name], 0}
-		if now.Sub(t.silentAt[box.Name]) < exitRetryDelay {
+		switch {
+		case now.Sub(t.silentAt[box.Name]) < exitRetryDelay:
+			rank[0] = 2
+		case now.Sub(t.hallFailedAt[box.Hall]) < hallRetryDelay:
 			rank[0] = 1
 		}
 		if box.Hall != t.Members.self.Hall {
@@ -159,7 +170,26 @@
 		rankA, rankB := rank(a), rank(b)
 		return slices.Compare(rankA[:], rankB[:])
 	})
-	return boxes
+	return t.limitOwnHall(boxes)
+}
+
+// limitOwnHall moves the boxes of this one's hall beyond the first maxOwnHallExits behind those of other halls: a whole
+// hall may have lost its links.
+func (t *Tunnels) limitOwnHall(boxes []Box) []Box {
+	first := make([]Box, 0, len(boxes))
+	var rest []Box
+	ownHall := 0
+	for _, box := range boxes {
+		if box.Hall == t.Members.self.Hall {
+			ownHall++
+			if ownHall > maxOwnHallExits {
+				rest = append(rest, box)
+				continue
+			}
+		}
+		first = append(first, box)
+	}
+	return append(first, rest...)
 }
 
 // UsesLeaving reports whether a box that is about to stop, or has lost its links, carries a tunnel of this one.
--- a/internal/cluster/tunnels_test.go
+++ b/internal/cluster/tunnels_test.go
@@ -30,13 +30,15 @@
 }
 
 // withTunnelBoxes runs f on boxes of two halls that know each other and the upstreams u0 to u3.
-func withTunnelBoxes(count int, f func(boxes []*tunnelBox)) {
+func withTunnelBoxes(count int, f func(boxes []*tunnelBox)) { withTunnelHalls(count, 2, f) }
+
+func withTunnelHalls(count, halls int, f func(boxes []*tunnelBox)) {
 	spectest.Bubble(func() {
 		network := &spectest.Network{}
 		var boxes []*tunnelBox
 		for n := range count {
 			boxes = append(boxes, &tunnelBox{
-				box:       Box{Name: fmt.Sprint("b", n), Hall: fmt.Sprint("h", n%2), Address: fmt.Sprint("b", n, ":1"), Incarnation: "1", CarriesTunnels: true},
+				box:       Box{Name: fmt.Sprint("b", n), Hall: fmt.Sprint("h", n%halls), Address: fmt.Sprint("b", n, ":1"), Incarnation: "1", CarriesTunnels: true},
 				dialError: func(string) error { return nil },
 			})
 		}
@@ -141,6 +143,42 @@
 		}, time.Duration(0)),
 	)
 
+	It("are opened at once through another hall if all of a large hall is cut off", func() {
+		withTunnelBoxes(40, func(boxes []*tunnelBox) {
+			for n := 2; n < len(boxes); n += 2 {
+				boxes[n].dialError = always(syscall.ECONNREFUSED)
+			}
+			begun := time.Now()
+			conn, err := boxes[0].Open(context.Background(), "u1")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(time.Since(begun)).To(BeZero())
+			Expect(conn.Close()).To(Succeed())
+		})
+	})
+
+	It("are opened without delay after a few tries if all halls but one of a large fleet are cut off in silence", func() {
+		withTunnelHalls(140, 7, func(boxes []*tunnelBox) {
+			for n, b := range boxes {
+				if n%7 != 6 {
+					b.dialError = always(os.ErrDeadlineExceeded)
+				}
+			}
+			delayed := 0
+			for range 40 {
+				begun := time.Now()
+				conn, err := boxes[0].Open(context.Background(), "u1")
+				if time.Since(begun) > 0 {
+					delayed++
+				}
+				if err == nil {
+					defer conn.Close()
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			Expect(delayed).To(BeNumerically("<=", 6), "one for each hall that is cut off")
+		})
+	})
+
 	It("show that an upstream refuses connections only if the exit reaches another one", func() {
 		withTunnelBoxes(2, func(boxes []*tunnelBox) {
 			boxes[1].dialError = func(address string) error {
