--- a/internal/node/brittle_test.go
+++ b/internal/node/brittle_test.go
@@ -37,7 +37,6 @@
 	}
 	engine.rejections = append(engine.rejections, now)
 	if len(engine.rejections) > n.brittle && now.Sub(n.brittleSince) > brittleNotice {
-		engine.rejections = nil
 		engine.rejections = nil
 		engine.fallenUntil = now.Add(fallTime)
 		n.falls++
@@ -47,8 +46,12 @@
 	return true
 }
 
-// isDown reports whether the engine fell over and is not back.
-func (e *noticeEngine) isDown() bool { return time.Now().Before(e.fallenUntil) }
+// isDown reports whether an engine is gone, or fell over and is not back.
+func (n *noticeFleet) isDown(engine *noticeEngine) bool {
+	n.noticeMu.Lock()
+	defer n.noticeMu.Unlock()
+	return engine.gone || time.Now().Before(engine.fallenUntil)
+}
 
 // brittleLoad sends requests for a time, with a burst in the middle, to a fleet of brittle engines with few slots.
 func (n *noticeFleet) brittleLoad(perSecond float64) {
@@ -72,8 +75,8 @@
 
 var _ = Describe("engines that are brittle", func() {
 	DescribeTable("reject so few requests of all boxes together that hardly one falls over, and are not left idle", func(size smallFleetSize, slots int) {
-		if raceDetector && size.boxes > raceSize.boxes {
-			size = raceSize
+		if raceDetector && size.boxes > brittleSizes[0].boxes {
+			size = brittleSizes[0]
 		}
 		servedUnread := 0
 		playBrittle(size, noticeVariant{ignoreNotices: true, slots: slots}, func(n *noticeFleet) {
--- a/internal/node/notice_fleet_test.go
+++ b/internal/node/notice_fleet_test.go
@@ -216,7 +216,7 @@
 		return nil, err
 	}
 	engine, rejected, notice := n.arrive(box, to.ID)
-	if engine.gone || engine.isDown() {
+	if n.isDown(engine) {
 		return nil, gateway.ErrNotSent
 	}
 	if err := pause.For(ctx, time.Millisecond); err != nil {
