A crash counts where no other box and no other upstream can be compared with

What callers saw: nothing on the platform, where a box always can try another upstream; but an embedder without that, and a box whose directory has one upstream and whom no box answers, counted no crash: a request under which upstreams crash was sent on each time.

Cause: where no box could be asked about an upstream that refuses connections, "does this box reach another upstream" was false also if there was none to try.

The check stands once now, on the directory, and returns whether it could be made; the exit of a tunnel used its own copy of it, which had this right.

--- a/internal/cluster/tunnels.go
+++ b/internal/cluster/tunnels.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"ospreymoor.example/ospreymoor/internal/peer"
+	"ospreymoor.example/ospreymoor/internal/transport"
 	"ospreymoor.example/ospreymoor/pkg/fleet"
 )
 
@@ -53,7 +54,7 @@
 	Directory *fleet.Directory
 	Links     *fleet.Links
 	// Dial opens a connection of this box's own to an upstream.
-	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	Dial transport.DialFunc
 	// Leaving reports whether this box is about to stop.
 	Leaving func() bool
 
@@ -232,7 +233,7 @@
 	conn, err := t.Dial(ctx, "tcp", state.Address)
 	if err != nil {
 		t.endCarrying()
-		if errors.Is(err, syscall.ECONNREFUSED) && t.reachesOther(ctx, upstream) {
+		if errors.Is(err, syscall.ECONNREFUSED) && t.hasLinks(ctx, upstream) {
 			return nil, peer.TunnelRefused
 		}
 		return nil, peer.TunnelSilent
@@ -240,19 +241,13 @@
 	return &countedTunnel{Conn: conn, onClose: t.endCarrying}, peer.TunnelOpen
 }
 
-// reachesOther reports whether this box connects to another upstream. Otherwise it may be refused everywhere, since its own
-// links are cut.
-func (t *Tunnels) reachesOther(ctx context.Context, than string) bool {
-	other := t.Directory.RandomOther(than)
-	if other == nil {
-		return true
-	}
-	conn, err := t.Dial(ctx, "tcp", other.Address)
-	if err != nil {
-		return false
-	}
-	_ = conn.Close() // Nothing was sent.
-	return true
+// hasLinks reports whether this box connects to another upstream, or has no other to try. Otherwise it may be refused
+// everywhere, since its own links are cut.
+func (t *Tunnels) hasLinks(ctx context.Context, than string) bool {
+	reaches, known := t.Directory.ReachesOther(ctx, than, func(ctx context.Context, of fleet.Upstream) bool {
+		return t.Dial.Accepts(ctx, of.Address)
+	})
+	return reaches || !known
 }
 
 func (t *Tunnels) beginCarrying() bool {
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -97,8 +97,8 @@
 	}
 }
 
-// refusesConnections reports whether an upstream refuses connections, by another box's word as well, or while this box
-// reaches another upstream: a box that is cut off by resets is refused everywhere.
+// refusesConnections reports whether an upstream refuses connections, to another box as well. If none can be asked, this
+// box's own result counts unless other upstreams refuse it too: a box that is cut off by resets is refused everywhere.
 func (g *Gateway) refusesConnections(ctx context.Context, upstream fleet.Upstream) bool {
 	if !g.Links.Lost() && !g.Upstreams.RefusesConnection(ctx, upstream) {
 		return false
@@ -108,8 +108,9 @@
 	}
 	accepts, err := g.Tunnels.Check(ctx, upstream.ID)
 	if err != nil {
-		// The error is not logged: no other box can be asked, so this box's own view decides.
-		return g.reachesOther(ctx, upstream.ID)
+		// The error is not logged: this box's own result decides.
+		reaches, known := g.reachesOther(ctx, upstream.ID)
+		return reaches || !known
 	}
 	return !accepts
 }
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"ospreymoor.example/ospreymoor/pkg/fleet"
 	"ospreymoor.example/ospreymoor/pkg/quarantine"
 	"ospreymoor.example/ospreymoor/pkg/residency"
 	"ospreymoor.example/ospreymoor/pkg/spectest"
@@ -64,6 +65,25 @@
 	})
 })
 
+// none is the state of a fleet in which no box can be asked about an upstream.
+func none(context.Context, string) (bool, error) { return false, ErrNoTunnel }
+
+var _ = DescribeTable("an upstream that refuses connections after its answer broke has crashed or is out of reach",
+	func(check func(context.Context, string) (bool, error), accepts func(context.Context, fleet.Upstream) bool, crashed bool) {
+		spectest.Bubble(func() {
+			f := newFixture(func(string, int) behavior { return crashes }, 1)
+			f.Upstreams.Accepts, f.Tunnels.Check = accepts, check
+			f.ask(context.Background(), "r", "/once/x", "")
+			Expect(!f.Quarantine.Empty()).To(Equal(crashed))
+		})
+	},
+	Entry("crashed: no box can be asked, and no other upstream can be tried", none, nil, true),
+	Entry("crashed: no box can be asked, and others accept", none, func(context.Context, fleet.Upstream) bool { return true }, true),
+	Entry("out of reach: no box can be asked, and others refuse as well", none, func(context.Context, fleet.Upstream) bool { return false }, false),
+	Entry("crashed: it refuses another box", func(context.Context, string) (bool, error) { return false, nil }, nil, true),
+	Entry("out of reach: it accepts another box", func(context.Context, string) (bool, error) { return true, nil }, nil, false),
+)
+
 var _ = Describe("a request under which upstreams crash one after the other", func() {
 	It("is refused at once with a Retry-After, and reaches no upstream", func() {
 		spectest.Bubble(func() {
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -178,7 +178,8 @@
 func (g *Gateway) RunLinks(ctx context.Context) {
 	for pause.For(ctx, probeInterval/2+rand.N(probeInterval)) == nil {
 		if g.Links.Lost() {
-			g.Links.RecordProbe(g.reachesOther(ctx, ""))
+			reaches, _ := g.reachesOther(ctx, "")
+			g.Links.RecordProbe(reaches)
 		}
 		if g.Tunnels.Open != nil && g.Tunnels.Open() > 0 && (!g.Links.UsesTunnels() || g.Tunnels.ExitLeaves()) {
 			g.Upstreams.closeIdle(true)
@@ -186,15 +187,14 @@
 	}
 }
 
-// reachesOther opens and closes a connection of this box's own to a random upstream other than one, and reports whether
-// that succeeded.
-func (g *Gateway) reachesOther(ctx context.Context, than string) bool {
-	upstream := g.Directory.RandomOther(than)
-	if upstream == nil || g.Upstreams.Accepts == nil {
-		return false
+// reachesOther reports whether this box's own links reach a random upstream other than one. The result known is false if
+// that cannot be tried.
+func (g *Gateway) reachesOther(ctx context.Context, than string) (reaches, known bool) {
+	if g.Upstreams.Accepts == nil {
+		return false, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	g.Metrics.GetOrCreateCounter("ospreymoor_upstream_link_probes_total").Inc()
-	return g.Upstreams.Accepts(ctx, *upstream)
+	return g.Directory.ReachesOther(ctx, than, g.Upstreams.Accepts)
 }
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -60,7 +60,7 @@
 	// counts as crashed.
 	RefusesConnection func(ctx context.Context, of fleet.Upstream) bool
 	// Accepts reports whether this box can connect to an upstream. It returns false once ctx ends. If Accepts is nil, lost
-	// links stay lost.
+	// links stay lost, and this box's own links are never questioned when an upstream refuses connections.
 	Accepts func(ctx context.Context, of fleet.Upstream) bool
 	// CloseIdle closes all idle connections: the tunnels, or those over this box's own links. It may be nil.
 	CloseIdle func(tunnels bool)
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -10,6 +10,7 @@
 package fleet
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -97,8 +98,18 @@
 	return d.states[id]
 }
 
-// RandomOther returns a random upstream that is listed and not leaving, other than one; nil if there is none.
-func (d *Directory) RandomOther(than string) *Upstream {
+// ReachesOther reports whether this box connects to a random upstream other than one, which shows that its own links
+// hold. The result known is false if there is no such upstream.
+func (d *Directory) ReachesOther(ctx context.Context, than string, accepts func(context.Context, Upstream) bool) (reaches, known bool) {
+	other := d.randomOther(than)
+	if other == nil {
+		return false, false
+	}
+	return accepts(ctx, *other), true
+}
+
+// randomOther returns a random upstream that is listed and not leaving, other than one; nil if there is none.
+func (d *Directory) randomOther(than string) *Upstream {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	now := time.Now()
