A frozen box that is asked about a crash leaves time to try another upstream

What callers saw: by reading, not seen. A box asks another one whether an upstream refuses connections there too. If that box is frozen, the whole 100 ms of the check went by, the box's own links were tried with no time left, and the crash did not count: the request went on to one more upstream.

Half of the check's time is for the other box now.

Measured: the new entry "the box that is asked does not answer, and others accept" failed before.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -22,6 +22,9 @@
 	// one round trip; the limit is thirty round trips between halls. A host that stays silent, as behind a network
 	// partition, does not show whether the upstream crashed.
 	crashCheckTimeout = 100 * time.Millisecond
+	// otherBoxTimeout is the part of crashCheckTimeout for another box's result. The rest is left to try another upstream
+	// if that box is frozen.
+	otherBoxTimeout = crashCheckTimeout / 2
 	// crashCheckTTL is how long the result of a check is valid. All answers of an upstream that crashes break
 	// within some milliseconds, and its process needs seconds to restart.
 	crashCheckTTL = 500 * time.Millisecond
@@ -106,7 +109,9 @@
 	if g.Tunnels.Check == nil {
 		return true
 	}
-	accepts, err := g.Tunnels.Check(ctx, upstream.ID)
+	asking, cancel := context.WithTimeout(ctx, otherBoxTimeout)
+	defer cancel()
+	accepts, err := g.Tunnels.Check(asking, upstream.ID)
 	if err != nil {
 		// The error is not logged: this box's own result decides.
 		reaches, known := g.reachesOther(ctx, upstream.ID)
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -68,6 +68,12 @@
 // none is the state of a fleet in which no box can be asked about an upstream.
 func none(context.Context, string) (bool, error) { return false, ErrNoTunnel }
 
+// silent is the state of a fleet in which the box that is asked is frozen.
+func silent(ctx context.Context, _ string) (bool, error) {
+	<-ctx.Done()
+	return false, ErrNoTunnel
+}
+
 var _ = DescribeTable("an upstream that refuses connections after its answer broke has crashed or is out of reach",
 	func(check func(context.Context, string) (bool, error), accepts func(context.Context, fleet.Upstream) bool, crashed bool) {
 		spectest.Bubble(func() {
@@ -79,6 +85,7 @@
 	},
 	Entry("crashed: no box can be asked, and no other upstream can be tried", none, nil, true),
 	Entry("crashed: no box can be asked, and others accept", none, func(context.Context, fleet.Upstream) bool { return true }, true),
+	Entry("crashed: the box that is asked does not answer, and others accept", silent, func(ctx context.Context, _ fleet.Upstream) bool { return ctx.Err() == nil }, true),
 	Entry("out of reach: no box can be asked, and others refuse as well", none, func(context.Context, fleet.Upstream) bool { return false }, false),
 	Entry("crashed: it refuses another box", func(context.Context, string) (bool, error) { return false, nil }, nil, true),
 	Entry("out of reach: it accepts another box", func(context.Context, string) (bool, error) { return true, nil }, nil, false),
