An upstream that rejected many requests keeps part of its room in use

What callers saw: a brittle upstream under far more load than it has room for served a quarter of what fits; all other requests were refused (`back ends limit requests`).

Cause: from half of the stated rejections on, nothing was granted until they were a second old, also while nothing was in flight. Seen in the keeper's accounts: in flight 0, room 4, rejections 2 of 3, denied for 0.9 s.

Half of the room is granted meanwhile, and no more requests than the upstream could reject without failing, if it rejected all that it has not been seen to take: its room may have shrunk since.

--- a/pkg/dispatch/room.go
+++ b/pkg/dispatch/room.go
@@ -12,11 +12,13 @@
 //
 // A request within the upstream's room is granted freely. The room is its slots at first, and less than what was in
 // flight when it rejected a request; it grows again slowly. Beyond the room, as many requests are granted as the upstream
-// can reject. While it rejects nearly as many as that, nothing is granted.
+// can reject. While it rejects nearly as many as that, only part of the room is granted.
 
 const (
 	// reportLag is how long after a grant the keeper may not know of the request from the loads that boxes report.
 	reportLag = 500 * time.Millisecond
+	// answerTime is how long after a grant a rejection may not be reported yet.
+	answerTime = RateGrantTTL + 50*time.Millisecond
 	// minGrantSpan is the least time for which a grant counts as a request in flight: what it takes to be used.
 	minGrantSpan = 20 * time.Millisecond
 	// rejectionWindow is the time in which an upstream's rejections are counted.
@@ -24,8 +26,10 @@
 	// riskShare is the share of an upstream's rejections that may be risked at once, and again in each second. Requests
 	// granted within a second and a half may arrive within one.
 	riskShare = 0.2
-	// maxRejectedShare is the share of them at which nothing more is granted.
+	// maxRejectedShare is the share of them from which on only cautiousShare of the room is granted. The upstream may have
+	// less room than it had, so all requests granted meanwhile may be rejected without making it fail.
 	maxRejectedShare = 0.5
+	cautiousShare    = 0.5
 	// roomGrowth is by how much the room grows per second after a rejection, as a share of it, and minRoomGrowth the least
 	// growth, in requests per second.
 	roomGrowth    = 0.05
@@ -86,6 +90,17 @@
 	return float64(o.Running + len(a.grants))
 }
 
+// unanswered returns how many of the granted requests the upstream may not have answered yet.
+func (a *roomAccount) unanswered(now time.Time) float64 {
+	count := 0.0
+	for _, at := range a.grants {
+		if now.Sub(at) <= answerTime {
+			count++
+		}
+	}
+	return count
+}
+
 // room returns how many requests the upstream has room for.
 func (a *roomAccount) room(o Occupancy, now time.Time) float64 {
 	if a.learnedAt.IsZero() {
@@ -98,10 +113,11 @@
 // mayTake reports whether one more request may be granted.
 func (a *roomAccount) mayTake(o Occupancy, rejections, share float64, now time.Time) bool {
 	a.rejections = slices.DeleteFunc(a.rejections, func(at time.Time) bool { return now.Sub(at) > rejectionWindow })
-	if float64(len(a.rejections)) >= max(1, maxRejectedShare*rejections) {
-		return false
+	room := share * a.room(o, now)
+	if rejected := float64(len(a.rejections)); rejected >= max(1, maxRejectedShare*rejections) {
+		return rejected+a.unanswered(now) < share*rejections && a.inFlight(o, now) < cautiousShare*room
 	}
-	if a.inFlight(o, now) < share*a.room(o, now) {
+	if a.inFlight(o, now) < room {
 		return true
 	}
 	a.refillRisk(share*rejections, now)
