--- a/internal/cluster/tunnels.go
+++ b/internal/cluster/tunnels.go
@@ -27,7 +27,7 @@
 )
 
 const (
-	// maxTunnels is how many tunnels a box carries at once. Each takes two file descriptors and some 20 KB, of at least
+	// maxTunnels is how many tunnels a box carries at once. Each takes two file descriptors and 16 KB of buffers, of at least
 	// 4,100 descriptors and 64 MB.
 	maxTunnels = 256
 	// exitDialTimeout bounds how long an exit tries to connect to an upstream. It is far above a round trip between halls.
--- a/internal/node/links_fleet_test.go
+++ b/internal/node/links_fleet_test.go
@@ -17,6 +17,7 @@
 	"ospreymoor.example/ospreymoor/internal/gateway"
 	"ospreymoor.example/ospreymoor/pkg/fleet"
 	"ospreymoor.example/ospreymoor/pkg/pause"
+	"ospreymoor.example/ospreymoor/pkg/spectest"
 )
 
 // linkWays selects the variants to compare. docs/incidents/links-lost.md has their results.
@@ -101,21 +102,14 @@
 
 // linkCount counts first attempts from contactTime after the cut on, and the longest and mean time to the first event.
 type linkCount struct {
-	asked, served [2]int
-	total         time.Duration
-	longest       time.Duration
+	spectest.FirstTries
+	total   time.Duration
+	longest time.Duration
 }
 
 // contactTime is how long after a cut began the platform counts requests.
 const contactTime = 3 * time.Second
 
-// keeps reports whether the platform's rule is kept: at boxes that are cut off, first attempts are served at least two
-// thirds as often, or few fail.
-func (c linkCount) keeps() bool {
-	failed := c.asked[1] - c.served[1]
-	return failed <= 10+(c.asked[0]+c.asked[1])/50 || 3*c.served[1]*c.asked[0] >= 2*c.served[0]*c.asked[1]
-}
-
 // playCut cuts boxes off for some seconds under load. Callers of box n go to the box that route returns.
 func (l *linkFleet) playCut(cutBoxes []int, perSecond float64, route func(box int, cutFor time.Duration) int) linkCount {
 	l.linkMu.Lock()
@@ -138,15 +132,8 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			side := 0
-			if l.isCut(box) {
-				side = 1
-			}
-			count.asked[side]++
-			if outcome == served && time.Since(sent) <= callTime {
-				count.served[side]++
-			}
 			took := time.Since(sent)
+			count.Count(l.isCut(box), outcome == served && took <= callTime)
 			count.total += took
 			count.longest = max(count.longest, took)
 		})
@@ -195,8 +182,8 @@
 		withLinkFleet(size, boxesBefore, func(*Node) {}, func(l *linkFleet) {
 			count := l.playCut(cut, 10*float64(size.boxes), stays)
 			GinkgoWriter.Printf("%+v, carried %v\n", count, l.carried)
-			Expect(count.keeps()).To(BeTrue(), "%+v", count)
-			Expect(count.asked[1]).To(BeNumerically(">", 20))
+			Expect(count.KeepsRecovery()).To(BeTrue(), "%+v", count)
+			Expect(count.CutAsked).To(BeNumerically(">", 20))
 			most, sum := 0, 0
 			for _, carried := range l.carried {
 				most = max(most, carried)
@@ -274,7 +261,7 @@
 		for _, carried := range l.carried {
 			most = max(most, carried)
 		}
-		fmt.Printf("| %d | %s | %s | %d of %d | %d of %d | %v | %d |\n", size.boxes, name, way, count.served[1], count.asked[1], count.served[0], count.asked[0],
+		fmt.Printf("| %d | %s | %s | %d of %d | %d of %d | %v | %d |\n", size.boxes, name, way, count.CutServed, count.CutAsked, count.OthersServed, count.OthersAsked,
 			count.longest.Round(time.Millisecond), most)
 	})
 }
--- a/pkg/dispatch/rates.go
+++ b/pkg/dispatch/rates.go
@@ -136,19 +136,16 @@
 	switch {
 	case ask.Rejected:
 		account.room.recordRejection(ask.Occupancy, now)
-	case brittle && !account.room.mayTake(ask.Occupancy, *ask.Limit.Rejections, share, now):
-		account.denied++
-		grant.Wait = spread(account.denied / (asksPerEnd * ask.Occupancy.endsPerSecond() * share))
 	case account.tokens < 1:
 		account.denied++
 		// Spread the retries of denied boxes to about the rate at which requests may be granted.
 		grant.Wait = spread((1 - account.tokens + account.denied - 1) / rate)
+	case brittle && !account.room.take(ask.Occupancy, *ask.Limit.Rejections, share, now):
+		account.denied++
+		grant.Wait = spread(account.denied / (asksPerEnd * ask.Occupancy.endsPerSecond() * share))
 	default:
 		grant.Granted = true
 		account.tokens--
-		if brittle {
-			account.room.take(ask.Occupancy, *ask.Limit.Rejections, share, now)
-		}
 	}
 	c.accounts[key] = account
 	return grant
--- a/pkg/dispatch/room.go
+++ b/pkg/dispatch/room.go
@@ -110,27 +110,29 @@
 	return min(o.slots(), a.learned+now.Sub(a.learnedAt).Seconds()*growth)
 }
 
-// mayTake reports whether one more request may be granted.
-func (a *roomAccount) mayTake(o Occupancy, rejections, share float64, now time.Time) bool {
+// take grants one more request if the upstream has room for it, or if its rejection may be risked.
+func (a *roomAccount) take(o Occupancy, rejections, share float64, now time.Time) (granted bool) {
 	a.rejections = slices.DeleteFunc(a.rejections, func(at time.Time) bool { return now.Sub(at) > rejectionWindow })
-	room := share * a.room(o, now)
+	inFlight, room := a.inFlight(o, now), share*a.room(o, now)
 	if rejected := float64(len(a.rejections)); rejected >= max(1, maxRejectedShare*rejections) {
-		return rejected+a.unanswered(now) < share*rejections && a.inFlight(o, now) < cautiousShare*room
+		granted = rejected+a.unanswered(now) < share*rejections && inFlight < cautiousShare*room
+	} else {
+		granted = inFlight < room || a.takeRisk(share*rejections, now)
 	}
-	if a.inFlight(o, now) < room {
-		return true
+	if granted {
+		a.grants = append(a.grants, now)
 	}
-	a.refillRisk(share*rejections, now)
-	return a.risk >= 1
+	return granted
 }
 
-// take grants a request that mayTake allowed.
-func (a *roomAccount) take(o Occupancy, rejections, share float64, now time.Time) {
-	if a.inFlight(o, now) >= share*a.room(o, now) {
-		a.refillRisk(share*rejections, now)
-		a.risk--
+// takeRisk reports whether one request beyond the room may be granted, and uses that up.
+func (a *roomAccount) takeRisk(rejections float64, now time.Time) bool {
+	a.refillRisk(rejections, now)
+	if a.risk < 1 {
+		return false
 	}
-	a.grants = append(a.grants, now)
+	a.risk--
+	return true
 }
 
 // refillRisk adds what may be risked since the last call. It is at least one request at a time if the upstream can reject
