--- a/internal/cluster/tunnels.go
+++ b/internal/cluster/tunnels.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -37,12 +35,6 @@
 	openTimeout    = 400 * time.Millisecond
 	// maxExits is how many boxes are asked for one connection.
 	maxExits = 8
-	// maxOwnHallExits is how many of them are boxes of this one's hall, while there are others.
-	maxOwnHallExits = 2
-	// exitRetryDelay is how long a box that could not carry a tunnel is not asked for another one.
-	exitRetryDelay = time.Second
-	// hallRetryDelay is how long the boxes of a hall are asked last after one of them could not carry a tunnel.
-	hallRetryDelay = 5 * time.Second
 )
 
 // Tunnels opens connections to upstreams through other boxes, for a box that has lost its own links to them, and carries
@@ -59,11 +51,11 @@
 	Leaving func() bool
 
 	mu sync.Mutex
-	// own counts this box's open tunnels by exit. unavailableAt is when a box last could not carry one, and silentAt when
-	// an upstream last did not answer one: that box may have lost its links as well. hallFailedAt is when either last
-	// happened in a hall, unless a box there carried a tunnel since.
-	own                                   map[string]int
-	unavailableAt, silentAt, hallFailedAt map[string]time.Time
+	// byExit is what this box knows about others as exits, by their names.
+	byExit map[string]exitState
+	// hallFailedAt is when a box of a hall last could not carry a tunnel or found the upstream silent, unless one there
+	// carried a tunnel since.
+	hallFailedAt map[string]time.Time
 	// carried counts the tunnels that this box carries.
 	carried int
 }
@@ -107,90 +99,33 @@
 	conn, status, err := t.Client.OpenTunnel(ctx, exit.Address, upstream)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if err != nil || status == peer.TunnelUnavailable {
-		// The error is not logged: the exchange logs which boxes are lost.
-		record(&t.unavailableAt, exit.Name)
-		record(&t.hallFailedAt, exit.Hall)
-		return nil, peer.TunnelUnavailable
-	}
-	if status == peer.TunnelSilent {
-		record(&t.silentAt, exit.Name)
-		record(&t.hallFailedAt, exit.Hall)
-	}
-	if conn == nil {
-		return nil, status
+	if t.byExit == nil {
+		t.byExit, t.hallFailedAt = map[string]exitState{}, map[string]time.Time{}
 	}
-	delete(t.hallFailedAt, exit.Hall)
-	if t.own == nil {
-		t.own = map[string]int{}
-	}
-	t.own[exit.Name]++
-	return &countedTunnel{Conn: conn, onClose: func() { t.closeOwn(exit.Name) }}, status
-}
-
-// record sets the time of a box or hall to now.
-func record(times *map[string]time.Time, name string) {
-	if *times == nil {
-		*times = map[string]time.Time{}
+	now, state := time.Now(), t.byExit[exit.Name]
+	switch {
+	case err != nil || status == peer.TunnelUnavailable:
+		// The error is not logged: the exchange logs which boxes are lost.
+		status, state.unavailableAt = peer.TunnelUnavailable, now
+		t.hallFailedAt[exit.Hall] = now
+	case status == peer.TunnelSilent:
+		state.silentAt = now
+		t.hallFailedAt[exit.Hall] = now
+	case status == peer.TunnelOpen:
+		state.open++
+		delete(t.hallFailedAt, exit.Hall)
+		conn = &countedTunnel{Conn: conn, onClose: func() { t.closeOwn(exit.Name) }}
 	}
-	(*times)[name] = time.Now()
+	t.byExit[exit.Name] = state
+	return conn, status
 }
 
 func (t *Tunnels) closeOwn(exit string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.own[exit]--; t.own[exit] == 0 {
-		delete(t.own, exit)
-	}
-}
-
-// exits returns the boxes to ask for a tunnel in order: those through which this box has the fewest, so that its
-// callers' requests are spread over all boxes, and among equals those of its hall first. Those that just found an upstream
-// silent come last, and before them those in halls where that happened: a whole hall may have lost its links.
-func (t *Tunnels) exits() []Box {
-	now := time.Now()
-	boxes := t.Members.exits(now)
-	rand.Shuffle(len(boxes), func(i, k int) { boxes[i], boxes[k] = boxes[k], boxes[i] })
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	boxes = slices.DeleteFunc(boxes, func(box Box) bool { return now.Sub(t.unavailableAt[box.Name]) < exitRetryDelay })
-	rank := func(box Box) [3]int {
-		rank := [3]int{0, t.own[box.Name], 0}
-		switch {
-		case now.Sub(t.silentAt[box.Name]) < exitRetryDelay:
-			rank[0] = 2
-		case now.Sub(t.hallFailedAt[box.Hall]) < hallRetryDelay:
-			rank[0] = 1
-		}
-		if box.Hall != t.Members.self.Hall {
-			rank[2] = 1
-		}
-		return rank
-	}
-	slices.SortStableFunc(boxes, func(a, b Box) int {
-		rankA, rankB := rank(a), rank(b)
-		return slices.Compare(rankA[:], rankB[:])
-	})
-	return t.limitOwnHall(boxes)
-}
-
-// limitOwnHall moves the boxes of this one's hall beyond the first maxOwnHallExits behind those of other halls: a whole
-// hall may have lost its links.
-func (t *Tunnels) limitOwnHall(boxes []Box) []Box {
-	first := make([]Box, 0, len(boxes))
-	var rest []Box
-	ownHall := 0
-	for _, box := range boxes {
-		if box.Hall == t.Members.self.Hall {
-			ownHall++
-			if ownHall > maxOwnHallExits {
-				rest = append(rest, box)
-				continue
-			}
-		}
-		first = append(first, box)
-	}
-	return append(first, rest...)
+	state := t.byExit[exit]
+	state.open--
+	t.byExit[exit] = state
 }
 
 // UsesLeaving reports whether a box that is about to stop, or has lost its links, carries a tunnel of this one.
@@ -201,8 +136,8 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for exit := range t.own {
-		if !available[exit] {
+	for exit, state := range t.byExit {
+		if state.open > 0 && !available[exit] {
 			return true
 		}
 	}
@@ -213,8 +148,8 @@
 func (t *Tunnels) Counts() (own, carried int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, count := range t.own {
-		own += count
+	for _, state := range t.byExit {
+		own += state.open
 	}
 	return own, t.carried
 }
@@ -278,19 +213,3 @@
 	c.once.Do(c.onClose)
 	return c.Conn.Close()
 }
-
-// exits returns the other boxes that may carry a tunnel: they can, are not about to stop, answer the exchange and have
-// not reported that they lost their own links.
-func (m *Members) exits(now time.Time) []Box {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var list []Box
-	for _, other := range m.byName {
-		recent := now.Sub(other.report.received) < reportTTL
-		unable := other.call.lost() || recent && (other.report.leaving || other.report.linksLost)
-		if other.CarriesTunnels && !unable {
-			list = append(list, other.Box)
-		}
-	}
-	return list
-}
--- a/internal/cluster/tunnels_test.go
+++ b/internal/cluster/tunnels_test.go
@@ -94,6 +94,15 @@
 
 func always(err error) func(string) error { return func(string) error { return err } }
 
+// openByExit returns the numbers of this box's open tunnels.
+func (t *tunnelBox) openByExit() map[string]int {
+	open := map[string]int{}
+	for exit, state := range t.byExit {
+		open[exit] = state.open
+	}
+	return open
+}
+
 var _ = Describe("tunnels to upstreams", func() {
 	It("are spread over all boxes that can carry them, those of the own hall first", func() {
 		withTunnelBoxes(5, func(boxes []*tunnelBox) {
@@ -103,10 +112,10 @@
 				Expect(err).NotTo(HaveOccurred())
 				open = append(open, conn)
 				if len(open) == 2 {
-					Expect(boxes[0].own).To(Equal(map[string]int{"b2": 1, "b4": 1}))
+					Expect(boxes[0].openByExit()).To(Equal(map[string]int{"b2": 1, "b4": 1}))
 				}
 			}
-			Expect(boxes[0].own).To(Equal(map[string]int{"b1": 2, "b2": 2, "b3": 2, "b4": 2}))
+			Expect(boxes[0].openByExit()).To(Equal(map[string]int{"b1": 2, "b2": 2, "b3": 2, "b4": 2}))
 			for _, conn := range open {
 				Expect(conn.Close()).To(Succeed())
 			}
