Simulated links do not wait on timers that are due already

Cause: a receive from the channel of a timer that is due already, with a bubble's clock. The runtime then runs the timer on the receiving goroutine's system stack, with the race context of its processor. Links waited so for each transfer that takes no time. Ruled out: the number of synchronizing events, suspected before; 60 goroutines with 3,000 timers of 1 us each, 40 times, pass.

They wait by pause.For now, which makes no timer for 0 or less; so do the store's faults, and polls wait 1 ns at least.

--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -93,7 +93,7 @@
 				if !ok {
 					return
 				}
-			case <-time.After(wait):
+			case <-time.After(max(wait, 1)): // See pause.For.
 			case <-ctx.Done():
 				return
 			}
--- a/pkg/kv/kvtest/kvtest.go
+++ b/pkg/kv/kvtest/kvtest.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"ospreymoor.example/ospreymoor/pkg/kv"
+	"ospreymoor.example/ospreymoor/pkg/pause"
 )
 
 // Fault describes the fault injected into one call; the zero value injects none.
@@ -87,10 +88,5 @@
 }
 
 func wait(ctx context.Context, delay time.Duration) bool {
-	select {
-	case <-time.After(delay):
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause.For(ctx, delay) == nil
 }
--- a/pkg/spectest/link.go
+++ b/pkg/spectest/link.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"ospreymoor.example/ospreymoor/pkg/pause"
 )
 
 // segment is how many bytes of one connection a link sends before other connections get their turn.
@@ -58,14 +60,7 @@
 	if to != nil {
 		end = to.received.reserve(end.Add(-to.transferTime(bytes)), to.transferTime(bytes))
 	}
-	timer := time.NewTimer(time.Until(end))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return pause.For(ctx, time.Until(end))
 }
 
 // transferTime returns how long bytes take in one direction at the current rate.
