--- a/internal/cluster/tunnels_test.go
+++ b/internal/cluster/tunnels_test.go
@@ -95,9 +95,9 @@
 func always(err error) func(string) error { return func(string) error { return err } }
 
 // openByExit returns the numbers of this box's open tunnels.
-func (t *tunnelBox) openByExit() map[string]int {
+func (b *tunnelBox) openByExit() map[string]int {
 	open := map[string]int{}
-	for exit, state := range t.byExit {
+	for exit, state := range b.byExit {
 		open[exit] = state.open
 	}
 	return open
