--- a/internal/node/links_fleet_test.go
+++ b/internal/node/links_fleet_test.go
@@ -171,7 +171,9 @@
 
 func allHallsButOne(size smallFleetSize) []int { return hallBoxes(size.halls - 1)(size) }
 
-var linkSizes = []smallFleetSize{{boxes: 7, halls: 4, upstreams: 18}, {boxes: 39, halls: 3, upstreams: 60}}
+var linkSizes = []smallFleetSize{
+	{boxes: 7, halls: 4, upstreams: 18}, {boxes: 39, halls: 3, upstreams: 60}, {boxes: 86, halls: 4, upstreams: 144}, {boxes: 300, halls: 7, upstreams: 400},
+}
 
 var _ = Describe("boxes of a fleet that lose their links to all upstreams", func() {
 	DescribeTable("serve their callers nearly as often as the others, over links that are spread", func(size smallFleetSize, cutOf func(smallFleetSize) []int, boxesBefore int) {
