Lost links alone do not show that an upstream crashed

Read from the diff, not seen: with lost links a box does not ask the upstream itself, so that it has no result of its own. Where no other box could be asked either and no other upstream be tried, the upstream counted as crashed without anything having refused a connection, and the request could be held for it. The platform mode can always try another upstream while one is listed.

Measured: the new spec failed before; internal/gateway under the race detector, the specs of crashes of internal/node and those of links, crashes and brittle upstreams of platform pass.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -113,9 +113,9 @@
 	defer cancel()
 	accepts, err := g.Tunnels.Check(asking, upstream.ID)
 	if err != nil {
-		// The error is not logged: this box's own result decides.
+		// The error is not logged: this box's own result decides, if there is one.
 		reaches, known := g.reachesOther(ctx, upstream.ID)
-		return reaches || !known
+		return reaches || !known && !g.Links.Lost()
 	}
 	return !accepts
 }
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -91,6 +91,20 @@
 	Entry("out of reach: it accepts another box", func(context.Context, string) (bool, error) { return true, nil }, nil, false),
 )
 
+var _ = Describe("an upstream behind lost links", func() {
+	It("does not count as crashed if neither another box nor another upstream can be tried", func() {
+		spectest.Bubble(func() {
+			f := newFixture(func(string, int) behavior { return crashes }, 1)
+			f.Tunnels.Check = none
+			f.Links.RecordFailure("p1")
+			f.Links.RecordFailure("p2")
+			f.Links.RecordCarried()
+			Expect(f.Links.Lost()).To(BeTrue())
+			Expect(f.refusesConnections(context.Background(), fleet.Upstream{ID: "p0"})).To(BeFalse())
+		})
+	})
+})
+
 var _ = Describe("a request under which upstreams crash one after the other", func() {
 	It("is refused at once with a Retry-After, and reaches no upstream", func() {
 		spectest.Bubble(func() {
