Log lines name the software versions of upstreams and the attempt that a stream resumes

The lines did not show whether an answer's events came from two software versions, nor whether a caller took a stream up again: the record of the incident can't tell the two apart.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -207,11 +207,35 @@
 }
 
 func (f *fixture) ask(ctx context.Context, id, path, model string) *caller {
-	c := &caller{ResponseRecorder: httptest.NewRecorder()}
-	request := &Request{
+	return f.serve(ctx, &Request{
 		ID: id, Arrived: time.Now(), Deadline: time.Now().Add(4 * time.Second), Method: http.MethodPost, URI: path, Path: path,
 		Host: "h", Header: http.Header{}, Model: model, PromptTokens: 200, AnswerTokens: 20,
+	})
+}
+
+// streamRequest returns a request for a stream that may be resumed.
+func streamRequest(id string) *Request {
+	return &Request{
+		ID: id, Arrived: time.Now(), Deadline: time.Now().Add(4 * time.Second), Method: http.MethodPost, URI: "/stream/x",
+		Path: "/stream/x", Host: "h", Header: http.Header{}, Model: "m", PromptTokens: 200, AnswerTokens: 20,
+	}
+}
+
+// setVersions lists the engines with software versions.
+func (f *fixture) setVersions(versions ...string) {
+	revision := f.Directory.Revision() + 1
+	var list []fleet.Upstream
+	for n, version := range versions {
+		list = append(list, fleet.Upstream{
+			ID: fmt.Sprint("e", n), Service: "engines", Slots: 8, Revision: revision, SoftwareVersion: version,
+			Models: []fleet.Holding{{Model: "m"}},
+		})
 	}
+	f.Directory.SetList(revision, list, time.Now())
+}
+
+func (f *fixture) serve(ctx context.Context, request *Request) *caller {
+	c := &caller{ResponseRecorder: httptest.NewRecorder()}
 	err := f.Serve(ctx, c, request)
 	c.aborted = errors.Is(err, ErrAborted)
 	return c
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -134,6 +134,15 @@
 	tunnelled bool
 	// upstreams holds the ids of the upstreams that the request was sent to.
 	upstreams []string
+	// eventVersions holds the software versions of the upstreams whose events were passed on, without repeats in a row.
+	eventVersions []string
+}
+
+// recordEventVersion records the software version of an upstream whose events are passed on.
+func (a *attempts) recordEventVersion(version string) {
+	if len(a.eventVersions) == 0 || a.eventVersions[len(a.eventVersions)-1] != version {
+		a.eventVersions = append(a.eventVersions, version)
+	}
 }
 
 // begin counts one more attempt.
--- a/internal/gateway/log_test.go
+++ b/internal/gateway/log_test.go
@@ -34,4 +34,23 @@
 			Expect(fields["memory"]).To(Equal(int64(5000)))
 		})
 	})
+
+	It("names the software versions that wrote a stream and the attempt that the stream resumes", func() {
+		spectest.Bubble(func() {
+			f := newFixture(func(_ string, n int) behavior { return []behavior{brokenBody, succeeds}[min(n, 2)-1] }, 1)
+			core, lines := observer.New(zap.InfoLevel)
+			f.Log = zap.New(core)
+			f.setVersions("v1", "v1", "v1", "v1")
+			request := streamRequest("r2")
+			request.LastEventID, request.Resumes = "1", []string{"r1"}
+			Expect(f.serve(context.Background(), request).Code).To(Equal(200))
+			ended := lines.FilterMessage("request ended").All()
+			Expect(ended).To(HaveLen(1))
+			fields := ended[0].ContextMap()
+			Expect(fields["versions"]).To(Equal([]any{"v1"}))
+			Expect(fields["resumes"]).To(Equal([]any{"r1"}))
+			Expect(fields["resumesAfter"]).To(Equal("1"))
+			Expect(lines.FilterMessage("attempt failed").All()[0].ContextMap()["version"]).To(Equal("v1"))
+		})
+	})
 })
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -50,4 +50,22 @@
 	LengthGuess int
 	// LastEventID is the id of the last event that the caller received, if it resumes a stream.
 	LastEventID string
+	// Resumes names the attempt of the caller that brought the first event of the stream that it resumes. A caller may
+	// send none or several.
+	Resumes []string
+}
+
+// maxLoggedResumes and maxLoggedIDBytes bound what a log line has of Resumes.
+const (
+	maxLoggedResumes = 2
+	maxLoggedIDBytes = 64
+)
+
+// loggedResumes returns Resumes, cut to what a log line may have.
+func (r *Request) loggedResumes() []string {
+	var logged []string
+	for _, id := range r.Resumes[:min(len(r.Resumes), maxLoggedResumes)] {
+		logged = append(logged, id[:min(len(id), maxLoggedIDBytes)])
+	}
+	return logged
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -11,6 +11,7 @@
 
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
 	"ospreymoor.example/ospreymoor/pkg/eventstream"
+	"ospreymoor.example/ospreymoor/pkg/fleet"
 )
 
 // stream is a request whose answer is a stream of events, with the progress of what was passed to the caller.
@@ -68,7 +69,7 @@
 	if answer.Status != http.StatusOK {
 		return s.relayFailure(answer)
 	}
-	err = s.relay(ctx, answer, ticket, choice.Upstream.Hall)
+	err = s.relay(ctx, answer, ticket, choice.Upstream)
 	if err == nil {
 		s.noteAnswered()
 		s.attemptSucceeded(choice)
@@ -114,7 +115,7 @@
 // relay copies complete events to the caller until the stream is complete. It never passes on part of an event, so
 // that a stream can resume exactly where the caller is. The error is ErrBroken if the upstream broke off, and
 // errCallerGone if the caller's connection failed.
-func (s *stream) relay(ctx context.Context, answer *Answer, ticket *dispatch.Ticket, hall string) error {
+func (s *stream) relay(ctx context.Context, answer *Answer, ticket *dispatch.Ticket, upstream *fleet.State) error {
 	events := eventstream.NewReader(answer.Body)
 	for {
 		event, err := events.Next()
@@ -128,11 +129,12 @@
 			return errors.WithType(err, ErrBroken)
 		}
 		ticket.Started()
-		s.recordContact(hall)
+		s.recordContact(upstream.Hall)
 		s.finishReservation(ctx)
 		if !s.headWritten {
 			s.writeHead(answer)
 		}
+		s.attempts.recordEventVersion(upstream.SoftwareVersion)
 		if err := s.write(event); err != nil {
 			return err
 		}
--- a/internal/storeview/upstreams.go
+++ b/internal/storeview/upstreams.go
@@ -105,6 +105,7 @@
 func (v *View) logChange(change fleet.Change, revision int64) {
 	v.config.Log.Info("upstream "+string(change.Kind),
 		zap.String("backend", change.Upstream.ID),
+		zap.String("version", change.Upstream.SoftwareVersion),
 		zap.String("service", change.Upstream.Service),
 		zap.String("address", change.Upstream.Address),
 		zap.Duration("notice", change.Upstream.EndsAfter),
--- a/pkg/fleet/upstream.go
+++ b/pkg/fleet/upstream.go
@@ -11,6 +11,9 @@
 	// Address is IP:PORT.
 	Address string
 	Hall    string
+	// SoftwareVersion is the version of the upstream's software, not of the weights that it holds. Versions are only
+	// compared for equality. It is empty if the entry states none.
+	SoftwareVersion string
 	// Slots is the number of requests that it processes at once.
 	Slots int
 	// Leaving means that the process is about to end; nothing new is sent to it.
