A stream goes on only at the software version that began it

Cause: no part of a box read an entry's version or the header by which a caller names the attempt that began its stream. A stream went on at the best engine, within one answer (H2) and for a caller that takes it up (H1). Ruled out as the only cause: wrong knowledge of a version (H3), since nothing used any.

Change: within an answer the stream is bound to the version of its first event. A box that gets a stream which a caller takes up again asks them, and refuses at once what nobody knows or what no upstream of that version can serve. While one version is in use nothing is sent or asked.

--- a/internal/cluster/keepers.go
+++ b/internal/cluster/keepers.go
@@ -1,7 +1,9 @@
 package cluster
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -41,6 +43,54 @@
 	return keeper
 }
 
+// forgetKeepers drops the cached keepers after the list of boxes has changed. The caller holds the lock.
+func (m *Members) forgetKeepers() { m.keepers, m.originKeepers = nil, nil }
+
+// maxOriginKeepers bounds the boxes that are asked where a stream began: those that keep its record, and the ones that
+// take over from them.
+const maxOriginKeepers = 4
+
+// originKeepersOf returns up to maxOriginKeepers boxes that keep records of where streams began under a name, in the
+// same order at all boxes that have the same list from the store. The first two are in different halls if there are
+// several. The caller may change the slice.
+func (m *Members) originKeepersOf(name string) []Box {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.originKeepers == nil {
+		m.originKeepers = map[string][]Box{}
+	}
+	ranked, ok := m.originKeepers[name]
+	if !ok {
+		ranked = m.rankKeepers(name)
+		ranked = slices.Clone(ranked[:min(len(ranked), maxOriginKeepers)])
+		m.originKeepers[name] = ranked
+	}
+	return slices.Clone(ranked)
+}
+
+// rankKeepers ranks the boxes that keep records of where streams began. The caller holds the lock.
+func (m *Members) rankKeepers(name string) []Box {
+	var boxes []Box
+	if m.listed || len(m.byName) == 0 {
+		boxes = append(boxes, m.self)
+	}
+	for _, other := range m.byName {
+		if other.registered && other.KeepsOrigins {
+			boxes = append(boxes, other.Box)
+		}
+	}
+	slices.SortFunc(boxes, func(a, b Box) int {
+		return cmp.Or(cmp.Compare(rendezvousWeight(b, name), rendezvousWeight(a, name)), cmp.Compare(a.Name, b.Name))
+	})
+	for at := 1; at < len(boxes); at++ {
+		if boxes[at].Hall != boxes[0].Hall {
+			second := boxes[at]
+			return slices.Insert(slices.Delete(boxes, at, at+1), 1, second)
+		}
+	}
+	return boxes
+}
+
 // IsKeeperOf reports whether this box is the keeper of a name.
 func (m *Members) IsKeeperOf(name string) bool { return m.keeperOf(name).Name == m.self.Name }
 
--- a/internal/cluster/members.go
+++ b/internal/cluster/members.go
@@ -20,6 +20,8 @@
 	ranking map[string][]*member
 	// keepers caches the results of keeperOf; nil after the list of boxes has changed.
 	keepers map[string]Box
+	// originKeepers caches the results of keepersOf, and is dropped with keepers.
+	originKeepers map[string][]Box
 	// reporting holds the boxes that sent a load summary, by name. In a large fleet few boxes send this one theirs.
 	reporting map[string]*member
 	// cachedSum is the latest result of relaySum.
@@ -91,7 +93,7 @@
 func (m *Members) SetRegistered(boxes []Box) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.keepers = nil
+	m.forgetKeepers()
 	for _, other := range m.byName {
 		other.registered = false
 	}
@@ -127,7 +129,8 @@
 		m.byName[box.Name] = other
 	}
 	if other.Box != box {
-		m.ranking, m.keepers = nil, nil
+		m.ranking = nil
+		m.forgetKeepers()
 	}
 	if other.Incarnation != box.Incarnation {
 		other.lastUnanswered = nil
@@ -174,7 +177,8 @@
 		if !other.registered && now.Sub(other.report.received) > memberTTL {
 			delete(m.byName, name)
 			delete(m.reporting, name)
-			m.ranking, m.keepers = nil, nil
+			m.ranking = nil
+			m.forgetKeepers()
 		}
 	}
 }
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -23,6 +23,9 @@
 
 	methodPlace        = "place"
 	methodReturnPlaces = "place-return"
+
+	methodRecordOrigins = "origins-record"
+	methodAskOrigin     = "origins-ask"
 )
 
 // Box holds what a box registers about itself in the store and sends with each exchange.
@@ -38,6 +41,8 @@
 	// CarriesTunnels means that the box carries connections to upstreams for others. A box of the previous version does
 	// not.
 	CarriesTunnels bool `json:"tunnels,omitempty"`
+	// KeepsOrigins means that the box keeps records of where streams began. A box of the previous version does not.
+	KeepsOrigins bool `json:"origins,omitempty"`
 }
 
 // scope is the set of boxes that the load summary of an exchange covers.
--- /dev/null
+++ b/internal/cluster/origins.go
@@ -0,0 +1,210 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ospreymoor.example/ospreymoor/internal/peer"
+	"ospreymoor.example/ospreymoor/pkg/origins"
+)
+
+const (
+	// originTimeout bounds a call that asks where a stream began. The caller of a broken stream waits for it.
+	originTimeout = 60 * time.Millisecond
+	// recordTimeout bounds a call that records where streams began.
+	recordTimeout = 300 * time.Millisecond
+	// originKeepers is how many boxes keep the record of a stream.
+	originKeepers = 2
+	// recordRetryDelay is the pause after no keeper took records.
+	recordRetryDelay = 200 * time.Millisecond
+	// originShards is the number of parts into which a large fleet divides streams, each with keepers of its own. In a
+	// small one, two boxes keep all records, so that one of them writes to the store.
+	originShards = 16
+	// maxPendingOrigins bounds the records of one part that wait to be sent.
+	maxPendingOrigins = 4000
+)
+
+// Origins records at the boxes that keep them at which software version streams began, and asks these.
+type Origins struct {
+	Members *Members
+	Client  *peer.Client
+	// Kept are the records that this box knows.
+	Kept *origins.Register
+	// Save is called with the records that this box is to write to the store.
+	Save func(records []origins.Record)
+	Log  *zap.Logger
+
+	mu sync.Mutex
+	// pending holds the records to send, by the name of their part; a name is present while a goroutine sends them.
+	pending map[string][]origins.Record
+}
+
+// Handle registers the methods by which other boxes record and ask where streams began.
+func (o *Origins) Handle(server *peer.Server) {
+	peer.Handle(server, methodRecordOrigins, o.keep)
+	peer.Handle(server, methodAskOrigin, o.answer)
+}
+
+// originRecords are records for a box to keep.
+type originRecords struct {
+	Records []origins.Record `json:"records"`
+	// Save means that the box is to write them to the store, too.
+	Save bool `json:"save,omitempty"`
+}
+
+// originQuestion asks where a stream began, and originAnswer answers it with nothing if the box does not know.
+type originQuestion struct {
+	Stream origins.Stream `json:"stream"`
+}
+
+type originAnswer struct {
+	Origins []origins.Origin `json:"origins,omitempty"`
+	// Age is how old the record is.
+	Age time.Duration `json:"age,omitempty"`
+}
+
+// partOf returns the name of the part that a stream belongs to.
+func (o *Origins) partOf(stream origins.Stream) string {
+	if !o.Members.Large() {
+		return "origins"
+	}
+	return fmt.Sprint("origins ", uint64(stream)%originShards)
+}
+
+// Record has records kept, here and by their keepers. It does not wait for them. Records that are made while a message
+// is under way go together in the next one.
+func (o *Origins) Record(records ...origins.Record) {
+	o.Kept.Add(records...)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.pending == nil {
+		o.pending = map[string][]origins.Record{}
+	}
+	for _, record := range records {
+		part := o.partOf(record.Stream)
+		waiting, underway := o.pending[part]
+		if len(waiting) < maxPendingOrigins {
+			o.pending[part] = append(waiting, record)
+		}
+		if !underway {
+			go o.sendPending(part)
+		}
+	}
+}
+
+// sendPending sends the records of a part until there are none left.
+func (o *Origins) sendPending(part string) {
+	for {
+		o.mu.Lock()
+		records := o.pending[part]
+		if len(records) == 0 {
+			delete(o.pending, part)
+			o.mu.Unlock()
+			return
+		}
+		o.pending[part] = nil
+		o.mu.Unlock()
+		if o.send(part, records) {
+			continue
+		}
+		time.Sleep(recordRetryDelay)
+		o.mu.Lock()
+		if len(o.pending[part]) < maxPendingOrigins {
+			o.pending[part] = append(records, o.pending[part]...)
+		}
+		o.mu.Unlock()
+	}
+}
+
+// send sends records to the first originKeepers boxes that take them, and reports whether any did. The first of them
+// writes the records to the store.
+func (o *Origins) send(part string, records []origins.Record) (kept bool) {
+	keepers := o.Members.originKeepersOf(part)
+	taken := make([]bool, min(len(keepers), originKeepers))
+	var sends sync.WaitGroup
+	for n := range taken {
+		sends.Go(func() { taken[n] = o.sendTo(keepers[n], originRecords{Records: records, Save: n == 0}) })
+	}
+	sends.Wait()
+	saved := slices.Index(taken, true) == 0
+	if at := slices.Index(taken, true); at > 0 {
+		saved = o.sendTo(keepers[at], originRecords{Records: records, Save: true})
+	}
+	copies := len(slices.DeleteFunc(taken, func(ok bool) bool { return !ok }))
+	for _, keeper := range keepers[min(len(keepers), originKeepers):] {
+		if copies >= originKeepers {
+			break
+		}
+		if o.sendTo(keeper, originRecords{Records: records, Save: !saved}) {
+			copies++
+			saved = true
+		}
+	}
+	return copies > 0
+}
+
+// sendTo sends records to one box, which may be this one, and reports whether it took them. The error is not logged:
+// callKeeper logs when a keeper is lost and regained.
+func (o *Origins) sendTo(keeper Box, message originRecords) bool {
+	if keeper.Name == o.Members.self.Name {
+		_, err := o.keep(context.Background(), message)
+		return err == nil
+	}
+	call := keeperCall{Members: o.Members, Client: o.Client, Log: o.Log, Method: methodRecordOrigins, Keeper: keeper, Timeout: recordTimeout}
+	_, err := callKeeper[peer.Empty](context.Background(), call, message)
+	return err == nil
+}
+
+func (o *Origins) keep(_ context.Context, message originRecords) (peer.Empty, error) {
+	o.Kept.Add(message.Records...)
+	if message.Save {
+		o.Save(message.Records)
+	}
+	return peer.Empty{}, nil
+}
+
+func (o *Origins) answer(_ context.Context, question originQuestion) (originAnswer, error) {
+	found, age := o.Kept.Find(question.Stream)
+	return originAnswer{Origins: found, Age: age}, nil
+}
+
+// Find returns where a stream began: from this box's records, or else from the keepers' if ask is set. It returns no
+// origins if none of them answers in time with a record.
+func (o *Origins) Find(ctx context.Context, stream origins.Stream, ask bool) origins.Found {
+	if found, age := o.Kept.Find(stream); len(found) > 0 || !ask {
+		return origins.Found{Origins: found, Source: o.Members.self.Name, Age: age}
+	}
+	keepers := slices.DeleteFunc(o.Members.originKeepersOf(o.partOf(stream)), func(keeper Box) bool {
+		return keeper.Name == o.Members.self.Name
+	})
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan origins.Found, len(keepers))
+	for _, keeper := range keepers {
+		go func() { answers <- o.ask(ctx, keeper, stream) }()
+	}
+	for range keepers {
+		if found := <-answers; len(found.Origins) > 0 {
+			for _, origin := range found.Origins {
+				o.Kept.Add(origins.Record{Stream: stream, Origin: origin})
+			}
+			return found
+		}
+	}
+	return origins.Found{}
+}
+
+// ask asks one keeper. A failure counts as no record: callKeeper logs when the keeper is lost and regained.
+func (o *Origins) ask(ctx context.Context, keeper Box, stream origins.Stream) origins.Found {
+	call := keeperCall{Members: o.Members, Client: o.Client, Log: o.Log, Method: methodAskOrigin, Keeper: keeper, Timeout: originTimeout}
+	answer, err := callKeeper[originAnswer](ctx, call, originQuestion{Stream: stream})
+	if err != nil {
+		return origins.Found{}
+	}
+	return origins.Found{Origins: answer.Origins, Source: keeper.Name, Age: answer.Age}
+}
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -13,6 +13,8 @@
 const (
 	// unusable upstreams are leaving, have lapsed or were already tried by the request.
 	unusable suitability = iota
+	// otherVersion upstreams run another version of their software than the one that began the stream.
+	otherVersion
 	// outsideRegions upstreams are in a region where the request may not be served.
 	outsideRegions
 	// evacuated upstreams are in a hall that gets nothing new until its evacuation ends.
@@ -119,6 +121,8 @@
 	switch {
 	case !state.Usable(now), slices.Contains(r.attempts.upstreams, state.ID):
 		return unusable
+	case r.runsOtherVersion(state):
+		return otherVersion
 	case !r.mayServe(state.Hall):
 		return outsideRegions
 	case state.Evacuated:
@@ -153,6 +157,8 @@
 		return reasonLimited
 	case best == throttled:
 		return reasonBackoff
+	case best == otherVersion:
+		return reasonOtherVersion
 	case best == outsideRegions:
 		return reasonRegion
 	case best == evacuated:
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -18,6 +18,7 @@
 
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
 	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/origins"
 	"ospreymoor.example/ospreymoor/pkg/quarantine"
 	"ospreymoor.example/ospreymoor/pkg/residency"
 	"ospreymoor.example/ospreymoor/pkg/routes"
@@ -175,6 +176,7 @@
 		Metrics:    metrics.NewSet(),
 
 		configured: make(chan struct{}),
+		started:    origins.NewRegister(),
 	}
 	g.uses.running = map[residency.ModelUse]int{}
 	g.budget = newRetryBudget(RetryLimits{Ratio: 0.2, Slack: 50}, func() int { return boxes })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
 	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/origins"
 	"ospreymoor.example/ospreymoor/pkg/quarantine"
 	"ospreymoor.example/ospreymoor/pkg/residency"
 	"ospreymoor.example/ospreymoor/pkg/routes"
@@ -51,6 +52,8 @@
 	LateReturns func() bool
 	// Quotas charges the costs of requests to their customers' quotas.
 	Quotas Quotas
+	// Origins records and finds the software versions at which streams began. The zero value does neither.
+	Origins Origins
 	// Quarantine holds what is known about requests under which upstreams crashed.
 	Quarantine *quarantine.Register
 	// Reach holds which halls this box does not reach.
@@ -68,6 +71,8 @@
 	// configured is closed once a route table is in force.
 	configured chan struct{}
 	inFlight   atomic.Int64
+	// started holds the streams of this box that are not complete.
+	started *origins.Register
 	// crashChecks holds the recent checks of upstreams whose answers broke off.
 	crashChecks crashChecks
 	// customerNames are the customers with a metric label of their own. customerCount counts each use of a name
@@ -107,6 +112,8 @@
 	LateReturns func() bool
 	// Quotas charges the costs of requests to their customers' quotas.
 	Quotas Quotas
+	// Origins records and finds the software versions at which streams began.
+	Origins Origins
 	// Quarantine holds what is known about requests under which upstreams crashed. nil creates a register that only
 	// this box uses.
 	Quarantine *quarantine.Register
@@ -144,6 +151,7 @@
 		Places:       config.Places,
 		LateReturns:  config.LateReturns,
 		Quotas:       config.Quotas,
+		Origins:      config.Origins,
 		Quarantine:   config.Quarantine,
 		CallerMemory: NewMemoryBudget(config.MemoryBytes),
 		Log:          config.Log,
@@ -151,6 +159,7 @@
 		budget:       newRetryBudget(config.Retries, config.Boxes),
 		uses:         modelUses{running: map[residency.ModelUse]int{}},
 		configured:   make(chan struct{}),
+		started:      origins.NewRegister(),
 	}
 	g.watchReach()
 	g.watchLinks()
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -3,15 +3,13 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"ospreymoor.example/ospreymoor/pkg/customers"
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
 	"ospreymoor.example/ospreymoor/pkg/fleet"
 	"ospreymoor.example/ospreymoor/pkg/routes"
 )
 
-// inflight is a request in flight, from its route to its final answer. A single goroutine uses it. It has 24
+// inflight is a request in flight, from its route to its final answer. A single goroutine uses it. It has 25
 // fields because it holds all that the box knows about one request.
 type inflight struct {
 	gateway *Gateway
@@ -52,12 +50,14 @@
 	place placeState
 	// bufferedBytes is the number of bytes of answers that the request holds of the box's memory budget.
 	bufferedBytes int64
+	// resumption is where the stream may go on, if the request resumes one or has passed on an event.
+	resumption resumption
 	// regionBound is set if only upstreams in some regions may serve the request.
 	regionBound bool
 }
 
-func newInflight(g *Gateway, table *routes.Table, route *routes.Route, customer *customers.Customer, request *Request) *inflight {
-	service := route.PickService(xxhash.Sum64String(request.ID))
+func newInflight(g *Gateway, table *routes.Table, route *routes.Route, customer *customers.Customer, request *Request, resumed resumption) *inflight {
+	service := resumed.Service
 	need := requirements(table.Services[service], route, request, service)
 	if customer != nil && customer.Urgency != nil {
 		need.Urgency = max(0, *customer.Urgency)
@@ -68,6 +68,7 @@
 		route:       route,
 		service:     service,
 		customer:    customer,
+		resumption:  resumed,
 		regionBound: isRegionBound(route, customer),
 		need:        need,
 		model:       describedModel(table.Services[service], request.Model),
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -82,6 +82,7 @@
 		zap.Object("quota", quotaField(r.quota)),
 		r.quarantineField(),
 		r.placeField(),
+		r.originField(),
 		zap.String("model", r.need.Model),
 		zap.String("adapter", r.need.Adapter),
 		zap.String("backend", r.attempts.latestUpstream()),
--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -27,7 +27,7 @@
 		}
 		return directoryPoll, nil
 	}
-	if lacking == reasonEvacuated || lacking == reasonRegion {
+	if lacking == reasonEvacuated || lacking == reasonRegion || lacking == reasonOtherVersion {
 		return 0, r.refusalFor(lacking, 0)
 	}
 	if lacking == reasonBackoff || lacking == reasonCold || lacking == reasonLimited {
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -39,6 +39,10 @@
 	reasonLimited reason = "back ends limit requests"
 	// reasonRegion: no upstream of the service is in a region where the request may be served.
 	reasonRegion reason = "no back end in an allowed region"
+	// reasonOtherVersion: no remaining upstream of the service runs the software version that began the stream.
+	reasonOtherVersion reason = "no back end of the stream's version"
+	// reasonOriginUnknown: several software versions are in use, and it is not known which of them began the stream.
+	reasonOriginUnknown reason = "stream's version unknown"
 	// reasonEvacuated: all remaining upstreams of the service are in evacuated halls.
 	reasonEvacuated reason = "halls evacuated"
 	// reasonFull: the predicted wait at the best engine exceeds the admission limit.
@@ -131,9 +135,11 @@
 	// retryWhenLimited is for a limit that was reached: the request's attempts, the retry budget or this box's
 	// memory.
 	retryWhenLimited = 300 * time.Millisecond
-	// retryWhenEvacuated is for halls that an operator has evacuated and for regions without upstreams. Both last
-	// for seconds at least.
+	// retryWhenEvacuated is for halls that an operator has evacuated, and for regions and software versions without
+	// upstreams. All last for seconds at least.
 	retryWhenEvacuated = time.Second
+	// retryWhenOriginUnknown is for a stream whose record may still be under way, or whose keepers do not answer.
+	retryWhenOriginUnknown = 300 * time.Millisecond
 	// retryWhenConfigured is for a box that has just started and has no route table.
 	retryWhenConfigured = 500 * time.Millisecond
 )
@@ -147,8 +153,10 @@
 		least = retryWhenFull
 	case reasonAttempts, reasonBudget, reasonMemory:
 		least = retryWhenLimited
-	case reasonEvacuated, reasonRegion:
+	case reasonEvacuated, reasonRegion, reasonOtherVersion:
 		least = retryWhenEvacuated
+	case reasonOriginUnknown:
+		least = retryWhenOriginUnknown
 	case reasonNoConfig:
 		least = retryWhenConfigured
 	}
--- /dev/null
+++ b/internal/gateway/resume.go
@@ -0,0 +1,174 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"ospreymoor.example/ospreymoor/pkg/fleet"
+	"ospreymoor.example/ospreymoor/pkg/origins"
+	"ospreymoor.example/ospreymoor/pkg/pause"
+	"ospreymoor.example/ospreymoor/pkg/routes"
+)
+
+// This file keeps each stream at the software version that began it, whichever box serves it. Two versions of an
+// upstream's software may serve side by side in one service, and upstreams do not check whose events a stream goes on
+// from.
+//
+// Within one answer the box knows the version itself. A stream that a caller takes up again names the attempt that
+// brought its first event; the version is on record under that attempt, at the boxes that keep it for all. Records are
+// made only while several versions are in use.
+
+// Origins records and finds the software versions at which streams began.
+type Origins struct {
+	// Record has records kept by the boxes that keep them for all, without waiting.
+	Record func(records ...origins.Record)
+	// Find returns where a stream began by this box's records and, if ask is set, by those of other boxes.
+	Find func(ctx context.Context, stream origins.Stream, ask bool) origins.Found
+}
+
+const (
+	// startedStreamsCheck is how often a box checks whether another version of a service has come into use.
+	startedStreamsCheck = 100 * time.Millisecond
+	// unrecordedTime is how long after another version came into use streams that began before may lack a record.
+	unrecordedTime = 3 * time.Second
+	// maxAttemptIDBytes bounds the id of an attempt that a caller names.
+	maxAttemptIDBytes = 256
+)
+
+// resumption is where a stream that a caller takes up again may go on. The zero value stands for a stream that begins.
+type resumption struct {
+	origins.Decision
+	// stream is the stream that goes on; 0 if the request begins one or names none.
+	stream origins.Stream
+	found  origins.Found
+	// checked means that several versions are in use, or the stream is on record.
+	checked bool
+}
+
+// resumptionOf decides where a request goes that would go to a service.
+func (g *Gateway) resumptionOf(ctx context.Context, route *routes.Route, service string, request *Request) resumption {
+	r := resumption{Decision: origins.Decision{Origin: origins.Origin{Service: service}}}
+	if !resumes(route, request) || g.Origins.Find == nil {
+		return r
+	}
+	mixed := slices.ContainsFunc(route.Shares, func(share routes.Share) bool { return g.Directory.MixedVersions(share.Service) })
+	named := len(request.Resumes) == 1 && request.Resumes[0] != "" && len(request.Resumes[0]) <= maxAttemptIDBytes
+	if named {
+		r.stream = origins.StreamOf(request.Resumes[0])
+		r.found = g.Origins.Find(ctx, r.stream, mixed)
+	}
+	if !mixed && len(r.found.Origins) == 0 {
+		return r
+	}
+	known := origins.Resumption{Service: service, Named: named, Known: r.found.Origins, MayUse: func(other string) bool {
+		return slices.ContainsFunc(route.Shares, func(share routes.Share) bool { return share.Service == other })
+	}}
+	known.SoleBefore, known.SoleKnown = g.Directory.SoleVersionBefore(service, unrecordedTime)
+	r.Decision, r.checked = origins.Decide(known), true
+	return r
+}
+
+// resumes reports whether a request takes up a stream that may go on at another upstream.
+func resumes(route *routes.Route, request *Request) bool {
+	return route.Kind == routes.Stream && route.Resumable && request.LastEventID != ""
+}
+
+// runsOtherVersion reports whether an upstream runs another software version than the one that began the stream. A
+// version that an entry does not state is like none where several are in use.
+func (r *inflight) runsOtherVersion(state *fleet.State) bool {
+	if !r.resumption.Bound {
+		return false
+	}
+	if state.SoftwareVersion == r.resumption.Version {
+		return state.SoftwareVersion == "" && r.gateway.Directory.MixedVersions(r.service)
+	}
+	return true
+}
+
+// beginEvents is called before the first event of an attempt is passed on. It binds the stream to the upstream's version,
+// and records that of a stream that began.
+func (s *stream) beginEvents(upstream *fleet.State) {
+	if len(s.attempts.eventVersions) == 0 && s.route.Resumable {
+		s.resumption.Bound, s.resumption.Version = true, upstream.SoftwareVersion
+		s.gateway.recordOrigin(s.inflight)
+	}
+	s.attempts.recordEventVersion(upstream.SoftwareVersion)
+}
+
+// recordOrigin records the version of a stream whose first event is about to be passed on. A stream that was taken up
+// again is recorded under both attempts, since its record may be missing or old.
+func (g *Gateway) recordOrigin(r *inflight) {
+	if g.Origins.Record == nil {
+		return
+	}
+	origin := origins.Origin{Service: r.service, Version: r.resumption.Version}
+	records := []origins.Record{{Stream: origins.StreamOf(r.request.ID), Origin: origin}}
+	if r.resumption.stream != 0 {
+		records = append(records, origins.Record{Stream: r.resumption.stream, Origin: origin})
+	}
+	g.started.Add(records...)
+	if g.Directory.MixedVersions(r.service) {
+		g.Origins.Record(records...)
+	}
+}
+
+// endStream forgets a stream whose caller has all of it.
+func (g *Gateway) endStream(r *inflight) {
+	g.started.Remove(origins.StreamOf(r.request.ID))
+	if r.resumption.stream != 0 {
+		g.started.Remove(r.resumption.stream)
+	}
+}
+
+// RunOrigins records the streams that began at this box before another version of their service came into use, until
+// ctx ends.
+func (g *Gateway) RunOrigins(ctx context.Context) {
+	recorded := map[string]bool{}
+	for pause.For(ctx, startedStreamsCheck) == nil {
+		mixed := map[string]bool{}
+		for _, service := range g.Directory.MixedServices() {
+			mixed[service] = true
+			if records := g.started.OfService(service); !recorded[service] && len(records) > 0 {
+				g.Origins.Record(records...)
+			}
+		}
+		recorded = mixed
+	}
+}
+
+// countResumption counts how a stream that a caller takes up again goes on.
+func (r *inflight) countResumption() {
+	if !r.resumption.checked {
+		return
+	}
+	result := "bound"
+	switch {
+	case r.resumption.Unknown:
+		result = "unknown"
+	case r.resumption.Assumed:
+		result = "assumed"
+	case !r.resumption.Bound:
+		result = "other service"
+	}
+	r.gateway.Metrics.GetOrCreateCounter(fmt.Sprintf("ospreymoor_resumptions_total{origin=%q}", result)).Inc()
+}
+
+// originField returns the log field with the version that a resumed stream is bound to, and how it is known.
+func (r *inflight) originField() zap.Field {
+	if !r.resumption.checked {
+		return zap.Skip()
+	}
+	return zap.Object("origin", zapcore.ObjectMarshalerFunc(func(object zapcore.ObjectEncoder) error {
+		object.AddString("version", r.resumption.Version)
+		object.AddBool("bound", r.resumption.Bound)
+		object.AddBool("assumed", r.resumption.Assumed)
+		object.AddString("source", r.resumption.found.Source)
+		object.AddDuration("age", r.resumption.found.Age)
+		return nil
+	}))
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -5,14 +5,16 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"ospreymoor.example/ospreymoor/pkg/customers"
 	"ospreymoor.example/ospreymoor/pkg/routes"
 )
 
 // Serve answers a request. It returns ErrAborted if the caller's connection must be closed abnormally.
 //
-// A request is processed in these steps: its route, its customer and the customer's quota (customer.go), and its
-// deadlines. Then, for each attempt: the limits of retries (retry.go), the candidates (candidates.go) and the
+// A request is processed in these steps: its route, its customer, where a stream may go on that it takes up again
+// (resume.go), the customer's quota (customer.go), and its deadlines. Then, for each attempt: the limits of retries (retry.go), the candidates (candidates.go) and the
 // choice among them (choice.go), admission (admission.go) or provision of what is lacking (provision.go), the
 // attempt (attempt.go) and its outcome (outcome.go). stream.go and plain.go pass the answer on.
 func (g *Gateway) Serve(ctx context.Context, w http.ResponseWriter, request *Request) error {
@@ -33,7 +35,13 @@
 		g.refuseUnserved(w, request, route.Name, unauthorized(rejected))
 		return nil
 	}
-	r := newInflight(g, table, route, customer, request)
+	service := route.PickService(xxhash.Sum64String(request.ID))
+	r := newInflight(g, table, route, customer, request, g.resumptionOf(ctx, route, service, request))
+	r.countResumption()
+	if r.resumption.Unknown {
+		r.refuse(w, notRun(reasonOriginUnknown, 0))
+		return nil
+	}
 	if !r.deadlines.answer.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, r.deadlines.answer)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -72,6 +72,7 @@
 	err = s.relay(ctx, answer, ticket, choice.Upstream)
 	if err == nil {
 		s.noteAnswered()
+		s.gateway.endStream(s.inflight)
 		s.attemptSucceeded(choice)
 		s.recordPause(choice)
 		s.logEnd(http.StatusOK, "", nil)
@@ -117,7 +118,7 @@
 // errCallerGone if the caller's connection failed.
 func (s *stream) relay(ctx context.Context, answer *Answer, ticket *dispatch.Ticket, upstream *fleet.State) error {
 	events := eventstream.NewReader(answer.Body)
-	for {
+	for begun := false; ; begun = true {
 		event, err := events.Next()
 		if err == io.EOF {
 			if !s.headWritten {
@@ -131,10 +132,12 @@
 		ticket.Started()
 		s.recordContact(upstream.Hall)
 		s.finishReservation(ctx)
+		if !begun {
+			s.beginEvents(upstream)
+		}
 		if !s.headWritten {
 			s.writeHead(answer)
 		}
-		s.attempts.recordEventVersion(upstream.SoftwareVersion)
 		if err := s.write(event); err != nil {
 			return err
 		}
--- a/internal/node/new.go
+++ b/internal/node/new.go
@@ -20,6 +20,7 @@
 	"ospreymoor.example/ospreymoor/pkg/kv"
 	"ospreymoor.example/ospreymoor/pkg/logfield"
 	"ospreymoor.example/ospreymoor/pkg/mirror"
+	"ospreymoor.example/ospreymoor/pkg/origins"
 	"ospreymoor.example/ospreymoor/pkg/quarantine"
 	"ospreymoor.example/ospreymoor/pkg/residency"
 	"ospreymoor.example/ospreymoor/pkg/routes"
@@ -34,6 +35,8 @@
 	members   *cluster.Members
 	// quarantine records the requests under which upstreams crashed.
 	quarantine *quarantine.Register
+	// origins records where streams began.
+	origins *origins.Register
 }
 
 // New assembles a box; Run starts it. Each component is created after those that it uses. There are two
@@ -48,6 +51,7 @@
 		Cores:       config.Cores,
 
 		CarriesTunnels: config.DialUpstream != nil,
+		KeepsOrigins:   true,
 	}
 	n := &Node{}
 	s := shared{
@@ -58,6 +62,7 @@
 		members:   cluster.NewMembers(self, n.storeLost),
 
 		quarantine: newQuarantine(config),
+		origins:    newOrigins(config),
 	}
 	n.members = s.members
 	n.orderCtx, n.stopOrdering = context.WithCancel(context.Background())
@@ -72,8 +77,11 @@
 		Members: s.members, Client: n.client, Directory: s.directory, Loads: s.loads, Kept: dispatch.NewRateAccounts(config.ColdStarts), Log: config.Log,
 	}
 	plainPlaces := newPlaces(config, s, n.client)
+	n.originRecorder = &storeview.OriginRecorder{Platform: config.Platform, Incarnation: self.Incarnation, Large: s.members.Large, Log: config.Log}
+	streamOrigins := &cluster.Origins{Members: s.members, Client: n.client, Kept: s.origins, Save: n.originRecorder.Add, Log: config.Log}
+	config.Metrics.NewGauge("ospreymoor_origins_unsaved", func() float64 { return float64(n.originRecorder.Dropped()) })
 	n.tunnels = n.newTunnels(config, s)
-	n.Gateway = newGateway(config, s, ensurer, n.spender, reservations, rates, plainPlaces, n.gatewayTunnels())
+	n.Gateway = newGateway(config, s, ensurer, n.spender, reservations, rates, plainPlaces, streamOrigins, n.gatewayTunnels())
 	n.tunnels.Links = &n.Gateway.Links
 	n.view = n.newView(config, s)
 	n.exchange = n.newExchange(config, s)
@@ -94,6 +102,7 @@
 	reservations.Handle(n.server)
 	rates.Handle(n.server)
 	plainPlaces.Handle(n.server)
+	streamOrigins.Handle(n.server)
 	if config.DialUpstream != nil {
 		n.tunnels.Handle(n.server)
 	}
@@ -195,7 +204,7 @@
 }
 
 func newGateway(config Config, s shared, ensurer *cluster.Ensurer, spender *customers.Spender, reservations *cluster.Reservations,
-	rates *cluster.RateGrants, plainPlaces *cluster.Places, tunnels gateway.Tunnels) *gateway.Gateway {
+	rates *cluster.RateGrants, plainPlaces *cluster.Places, streamOrigins *cluster.Origins, tunnels gateway.Tunnels) *gateway.Gateway {
 	return gateway.New(gateway.Config{
 		Directory:    s.directory,
 		Loads:        s.loads,
@@ -214,6 +223,7 @@
 		LateReturns: s.members.Large,
 		Places:      gateway.Places{Counted: plainPlaces.Counted, Ask: plainPlaces.Ask, Return: plainPlaces.Return},
 		Quotas:      gateway.Quotas{Take: spender.Take, Return: spender.Return},
+		Origins:     gateway.Origins{Record: streamOrigins.Record, Find: streamOrigins.Find},
 
 		Quarantine: s.quarantine,
 
@@ -244,6 +254,17 @@
 	return register
 }
 
+// newOrigins returns an empty register of where streams began, and exports how many streams it knows.
+func newOrigins(config Config) *origins.Register {
+	register := origins.NewRegister()
+	count := func(of func(known, evicted int) int) func() float64 {
+		return func() float64 { return float64(of(register.Counts())) }
+	}
+	config.Metrics.NewGauge(`ospreymoor_origins{state="known"}`, count(func(known, _ int) int { return known }))
+	config.Metrics.NewGauge(`ospreymoor_origins{state="evicted"}`, count(func(_, evicted int) int { return evicted }))
+	return register
+}
+
 func (n *Node) newView(config Config, s shared) *storeview.View {
 	return storeview.New(storeview.Config{
 		Platform:   config.Platform,
@@ -251,6 +272,7 @@
 		Members:    s.members,
 		OrderLease: n.orderLease,
 		Quarantine: s.quarantine,
+		Origins:    s.origins,
 		SetTable:   n.Gateway.SetTable,
 		Forget: func(upstream string) {
 			config.Upstreams.Forget(upstream)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,7 +81,9 @@
 	exchange     *cluster.Exchange
 	spender      *customers.Spender
 	holdRecorder *storeview.HoldRecorder
-	tunnels      *cluster.Tunnels
+	// originRecorder writes where streams began to the store.
+	originRecorder *storeview.OriginRecorder
+	tunnels        *cluster.Tunnels
 
 	leaving atomic.Bool
 	// orderCtx ends when this box stops competing for the order lease and giving orders.
@@ -102,6 +104,8 @@
 	n.background.Go(func() { n.registration.Run(ctx) })
 	n.background.Go(func() { n.spender.Run(ctx) })
 	n.background.Go(func() { n.holdRecorder.Run(ctx) })
+	n.background.Go(func() { n.originRecorder.Run(ctx) })
+	n.background.Go(func() { n.Gateway.RunOrigins(ctx) })
 	n.background.Go(func() { n.Gateway.RunLinks(ctx) })
 	<-ctx.Done()
 	n.background.Wait()
--- a/internal/node/versions_fleet_test.go
+++ b/internal/node/versions_fleet_test.go
@@ -88,13 +88,6 @@
 	Expect(err).NotTo(HaveOccurred())
 }
 
-// unlist removes an upstream's entry.
-func (v *versionFleet) unlist(name string) {
-	existing, err := v.store.Get(context.Background(), "servers/"+name)
-	Expect(err).NotTo(HaveOccurred())
-	Expect(v.store.Delete(context.Background(), existing.Key, existing.Revision)).To(Succeed())
-}
-
 // tuneBox gives a box a life: once it is killed, nothing that it sends arrives.
 func (v *versionFleet) tuneBox(config *Config) {
 	box := 0
--- a/internal/node/versions_test.go
+++ b/internal/node/versions_test.go
@@ -43,6 +43,7 @@
 		})
 	},
 		Entry("of 7", seven),
+		Entry("of 86", smallFleetSize{boxes: 86, halls: 4, upstreams: 144}),
 	)
 
 	It("go on at the version that began them after their callers lost the connection", func() {
@@ -58,12 +59,15 @@
 		})
 	})
 
-	It("go on at the version that began them after all boxes lost power at once", func() {
-		playVersions(seven, 0, func(v *versionFleet, _ *rand.Rand) {
+	DescribeTable("go on at the version that began them after all boxes lost power at once", func(size smallFleetSize) {
+		playVersions(size, 0, func(v *versionFleet, _ *rand.Rand) {
 			time.Sleep(5 * time.Second)
-			for box := range seven.boxes {
+			for box := range v.boxes {
 				v.kill(box, time.Second)
 			}
 		})
-	})
+	},
+		Entry("of 7", seven),
+		Entry("of 86", smallFleetSize{boxes: 86, halls: 4, upstreams: 144}),
+	)
 })
--- a/internal/storeview/storeview_test.go
+++ b/internal/storeview/storeview_test.go
@@ -21,6 +21,7 @@
 	"ospreymoor.example/ospreymoor/pkg/kv"
 	"ospreymoor.example/ospreymoor/pkg/mirror"
 	"ospreymoor.example/ospreymoor/pkg/mirror/mirrortest"
+	"ospreymoor.example/ospreymoor/pkg/origins"
 	"ospreymoor.example/ospreymoor/pkg/quarantine"
 	"ospreymoor.example/ospreymoor/pkg/routes"
 	"ospreymoor.example/ospreymoor/pkg/spectest"
@@ -66,6 +67,7 @@
 		Directory:  f.directory,
 		Members:    f.members,
 		Quarantine: quarantine.NewRegister(quarantine.DefaultPolicy),
+		Origins:    origins.NewRegister(),
 		OrderLease: orderlease.New(orderlease.Config{
 			Name: "b", Store: store, OwnPrefix: "own/", TTL: 3 * time.Second,
 			Peers: orderlease.Peers{Listed: f.members.Listed, FollowsRelay: f.members.FollowsRelay}, Log: zap.NewNop(),
--- a/internal/storeview/view.go
+++ b/internal/storeview/view.go
@@ -15,6 +15,7 @@
 	"ospreymoor.example/ospreymoor/pkg/fleet"
 	"ospreymoor.example/ospreymoor/pkg/kv"
 	"ospreymoor.example/ospreymoor/pkg/mirror"
+	"ospreymoor.example/ospreymoor/pkg/origins"
 	"ospreymoor.example/ospreymoor/pkg/quarantine"
 	"ospreymoor.example/ospreymoor/pkg/routes"
 )
@@ -27,6 +28,8 @@
 	OrderLease *orderlease.Lease
 	// Quarantine receives the store's records of requests held by quarantine.
 	Quarantine *quarantine.Register
+	// Origins receives the store's records of where streams began.
+	Origins *origins.Register
 	// SetTable puts a configuration in force, and reports whether it was newer than the one before.
 	SetTable func(*routes.Table) bool
 	// Forget is called with the id of each upstream that is removed from the directory.
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -57,6 +57,8 @@
 	// deferredUntil is until when this box sends nothing to an upstream whose request rate is bounded,
 	// by its id.
 	deferredUntil map[string]time.Time
+	// versions holds the software versions in use; see replaceState.
+	versions versionUses
 	// changedLimits holds the upstreams whose rate limits are to be reported to other boxes.
 	changedLimits map[string]bool
 
@@ -85,6 +87,7 @@
 		cold:            map[string]coldRecord{},
 		deferredUntil:   map[string]time.Time{},
 
+		versions:      versionUses{},
 		changedLimits: map[string]bool{},
 
 		BackoffPolicy: DefaultBackoffPolicy,
--- a/pkg/fleet/lapse.go
+++ b/pkg/fleet/lapse.go
@@ -78,7 +78,7 @@
 // themselves. The caller holds the lock.
 func (d *Directory) drop(state *State) Change {
 	d.removals[state.ID] = removal{at: time.Now(), leaving: state.Leaving}
-	delete(d.states, state.ID)
+	d.replaceState(state.ID, nil)
 	delete(d.lapsed, state.ID)
 	delete(d.residencies, state.ID)
 	delete(d.connectFailures, state.ID)
--- a/pkg/fleet/list.go
+++ b/pkg/fleet/list.go
@@ -125,7 +125,7 @@
 		d.recordListed(old, entry) // A copy of an entry would count from now what it counted from its writing.
 	}
 	delete(d.lapsed, id)
-	d.states[id] = d.newState(entry)
+	d.replaceState(id, d.newState(entry))
 	kind := changeOf(old, entry)
 	return Change{Upstream: *entry, Kind: kind}, kind != ""
 }
--- /dev/null
+++ b/pkg/fleet/versions.go
@@ -0,0 +1,134 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+)
+
+// VersionRetention is how long a software version counts as in use after the last upstream that runs it is gone. Callers
+// come back for streams that it began.
+const VersionRetention = 2 * time.Minute
+
+// versionUse is the use of one software version of a service.
+type versionUse struct {
+	// upstreams is the number of upstreams that run it.
+	upstreams int
+	// firstSeen is when this box learned of it, and lastSeen when it last knew of an upstream that runs it.
+	firstSeen, lastSeen time.Time
+}
+
+// inUse reports whether streams of the version may still go on.
+func (u *versionUse) inUse(now time.Time) bool {
+	return u.upstreams > 0 || now.Sub(u.lastSeen) < VersionRetention
+}
+
+// serviceVersions holds the software versions of a service's upstreams.
+type serviceVersions map[string]*versionUse
+
+// maxVersions bounds the versions of one service that are remembered. Others are remembered while upstreams run them.
+const maxVersions = 32
+
+// versionUses holds the software versions in use, by service. The caller holds the directory's lock.
+type versionUses map[string]serviceVersions
+
+func (v versionUses) add(service, version string, upstreams int) {
+	now := time.Now()
+	versions := v[service]
+	if versions == nil {
+		versions = serviceVersions{}
+		v[service] = versions
+	}
+	use := versions[version]
+	if use == nil {
+		versions.expire(now)
+		if upstreams == 0 && len(versions) >= maxVersions {
+			return
+		}
+		use = &versionUse{firstSeen: now}
+		versions[version] = use
+	}
+	use.upstreams += upstreams
+	use.lastSeen = now
+}
+
+func (s serviceVersions) expire(now time.Time) {
+	for version, use := range s {
+		if !use.inUse(now) {
+			delete(s, version)
+		}
+	}
+}
+
+// inUse returns the versions that are in use, sorted.
+func (s serviceVersions) inUse(now time.Time) []string {
+	var list []string
+	for version, use := range s {
+		if use.inUse(now) {
+			list = append(list, version)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// replaceState stores the state of an upstream, or removes it if next is nil, and counts its software version. The
+// caller holds the lock.
+func (d *Directory) replaceState(id string, next *State) {
+	old := d.states[id]
+	if next != nil {
+		d.states[id] = next
+		d.versions.add(next.Service, next.SoftwareVersion, 1)
+	} else {
+		delete(d.states, id)
+	}
+	if old != nil {
+		d.versions.add(old.Service, old.SoftwareVersion, -1)
+	}
+}
+
+// MixedVersions reports whether streams of several software versions of a service may go on.
+func (d *Directory) MixedVersions(service string) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	versions := d.versions[service]
+	return len(versions) > 1 && len(versions.inUse(time.Now())) > 1
+}
+
+// MixedServices returns the services with several software versions in use, sorted.
+func (d *Directory) MixedServices() []string {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	var list []string
+	for service, versions := range d.versions {
+		if len(versions) > 1 && len(versions.inUse(time.Now())) > 1 {
+			list = append(list, service)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// RecordVersion records that another box knows of a software version of a service.
+func (d *Directory) RecordVersion(service, version string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.versions.add(service, version, 0)
+}
+
+// SoleVersionBefore returns the only software version of a service that this box knew for longer than since, if it
+// learned of each other version in use after that. known is false if there is no such version.
+func (d *Directory) SoleVersionBefore(service string, since time.Duration) (version string, known bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	now := time.Now()
+	for name, use := range d.versions[service] {
+		if !use.inUse(now) || now.Sub(use.firstSeen) < since {
+			continue
+		}
+		if known {
+			return "", false
+		}
+		version, known = name, true
+	}
+	return version, known
+}
