Models and adapters are loaded at the software version of the stream that needs them

A stream that goes on at one version found its model or adapter loaded at engines of another version only, and was refused until its caller gave up: the order holder took the model for held. A request names the version now, as it names its halls; a box of the build before ignores it. Failed before: the plan had no move, the request ended with 503.

--- a/internal/gateway/provision.go
+++ b/internal/gateway/provision.go
@@ -63,6 +63,7 @@
 	defer cancel()
 	ensured, err := r.gateway.Ensure(askCtx, residency.Want{
 		Service: r.service, Model: r.need.Model, Adapter: r.need.Adapter, Avoid: r.throttledUpstreams.ids, Halls: r.allowedHalls(),
+		SoftwareVersion: r.resumption.Version,
 	})
 	if ensured.Upstream != "" && !slices.Contains(r.throttledUpstreams.ids, ensured.Upstream) {
 		r.gateway.Directory.MergeResidency(ensured.Term, map[string]fleet.Residency{ensured.Upstream: ensured.Residency})
--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -11,6 +11,7 @@
 
 	"ospreymoor.example/ospreymoor/pkg/fleet"
 	"ospreymoor.example/ospreymoor/pkg/origins"
+	"ospreymoor.example/ospreymoor/pkg/residency"
 	"ospreymoor.example/ospreymoor/pkg/spectest"
 )
 
@@ -120,6 +121,22 @@
 		})
 	})
 
+	It("has its model loaded at that version", func() {
+		withVersions(always, []string{"v1", "v2"}, func(f *fixture, kept *origins.Register) {
+			kept.Add(origins.Record{Stream: origins.StreamOf("r1"), Origin: origins.Origin{Service: "engines", Version: "v1"}})
+			var wanted residency.Want
+			f.Ensure = func(_ context.Context, want residency.Want) (residency.EnsureResult, error) {
+				wanted = want
+				f.Directory.MergeResidency(1, map[string]fleet.Residency{"e0": {Loaded: []string{"m"}, Sequence: 2}})
+				return residency.EnsureResult{ReadyIn: 100 * time.Millisecond}, residency.ErrNoCapacity
+			}
+			f.Directory.MergeResidency(1, map[string]fleet.Residency{"e0": {Dropped: []string{"m"}, Sequence: 1}})
+			Expect(resume(f, "1", "r1").Code).To(Equal(http.StatusOK))
+			Expect(wanted.SoftwareVersion).To(Equal("v1"))
+			Expect(ran(f)).To(Equal("e0"))
+		})
+	})
+
 	It("is bound to no upstream whose entry states no version", func() {
 		withVersions(always, []string{"", "v2"}, func(f *fixture, kept *origins.Register) {
 			kept.Add(origins.Record{Stream: origins.StreamOf("r1"), Origin: origins.Origin{Service: "engines"}})
--- a/pkg/residency/adapterchoice.go
+++ b/pkg/residency/adapterchoice.go
@@ -30,7 +30,7 @@
 	var slow adapterLoad
 	bestCost := 0
 	for _, state := range c.Directory.Holders(want.Service, want.Model) {
-		if !state.TakesWork() || !want.allows(state.Hall) || slices.Contains(tried, state.ID) || c.unresponsive(state.ID) {
+		if !state.TakesWork() || !want.allows(state) || slices.Contains(tried, state.ID) || c.unresponsive(state.ID) {
 			continue
 		}
 		e := c.engine(state.ID, want.Service)
--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -74,8 +74,7 @@
 // missedRequest is a request for a model that no engine held that may serve the request.
 type missedRequest struct {
 	at time.Time
-	// halls are those whose engines may serve the request; if empty, all may.
-	halls []string
+	engineFilter
 }
 
 // New returns a controller; Run starts it.
@@ -166,7 +165,7 @@
 func (c *Controller) replicas(want *Want) int {
 	n := 0
 	for _, state := range c.Directory.Holders(want.Service, want.Model) {
-		if state.TakesWork() && want.allows(state.Hall) && !c.unresponsive(state.ID) {
+		if state.TakesWork() && want.allows(state) && !c.unresponsive(state.ID) {
 			n++
 		}
 	}
--- a/pkg/residency/ensure.go
+++ b/pkg/residency/ensure.go
@@ -32,10 +32,35 @@
 	// Halls are those whose engines may serve the request; if empty, all may. Boxes of the previous version
 	// ignore it.
 	Halls []string `json:"halls,omitempty"`
+	// SoftwareVersion is that of the engines that may serve the request; if empty, all may. Boxes of the previous
+	// version ignore it.
+	SoftwareVersion string `json:"softwareVersion,omitempty"`
 }
 
-// allows reports whether an engine in the hall may serve the request.
-func (w *Want) allows(hall string) bool { return len(w.Halls) == 0 || slices.Contains(w.Halls, hall) }
+// engineFilter restricts the engines that may serve a request.
+type engineFilter struct {
+	// Halls and SoftwareVersion are those of the engines; if empty, all may.
+	Halls           []string
+	SoftwareVersion string
+}
+
+// restricts reports whether the filter leaves out any engine.
+func (f *engineFilter) restricts() bool { return len(f.Halls) > 0 || f.SoftwareVersion != "" }
+
+// allows reports whether an engine in a hall, with a software version, may serve the request.
+func (f *engineFilter) allows(hall, softwareVersion string) bool {
+	return (len(f.Halls) == 0 || slices.Contains(f.Halls, hall)) && (f.SoftwareVersion == "" || f.SoftwareVersion == softwareVersion)
+}
+
+func (w *Want) filter() engineFilter {
+	return engineFilter{Halls: w.Halls, SoftwareVersion: w.SoftwareVersion}
+}
+
+// allows reports whether an engine may serve the request.
+func (w *Want) allows(state *fleet.State) bool {
+	filter := w.filter()
+	return filter.allows(state.Hall, state.SoftwareVersion)
+}
 
 // slotShortageWork is the work, in milliseconds of an engine's time, that is added to a model's demand each
 // time its engines have no free slot for an adapter: another replica brings more slots.
@@ -80,7 +105,7 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	key := ModelKey{want.Service, want.Model}
-	c.missed[key] = missedRequest{at: now, halls: want.Halls}
+	c.missed[key] = missedRequest{at: now, engineFilter: want.filter()}
 	if end, ok := c.loadEnds[key]; ok && end.After(now) {
 		return end.Sub(now)
 	}
--- a/pkg/residency/firstreplica.go
+++ b/pkg/residency/firstreplica.go
@@ -40,12 +40,14 @@
 
 // replicasFor counts the replicas that may serve the requests for which the model was missed.
 func (p *planner) replicasFor(model *PlanModel) int {
-	if len(model.Halls) == 0 {
+	if !model.restricts() {
 		return p.replicas[model.Name]
 	}
 	count := 0
-	for _, hall := range model.Halls {
-		count += p.hallReplicas[model.Name][hall]
+	for _, e := range p.holders[model.Name] {
+		if model.allows(e.Hall, e.SoftwareVersion) {
+			count++
+		}
 	}
 	return count
 }
@@ -62,12 +64,12 @@
 		storeLoads = 0 // An engine that keeps a copy is free sooner than a load from the weight store is done.
 	}
 	targets := p.targets()
-	if len(model.Halls) > 0 {
-		// The halls that the requests are restricted to may have few engines, and targets may leave these out.
+	if model.restricts() {
+		// The requests may be restricted to few engines, and targets may leave these out.
 		targets = p.engines
 	}
 	for _, e := range targets {
-		if !p.acceptsMove(e, model, storeLoads) || len(model.Halls) > 0 && !slices.Contains(model.Halls, e.Hall) {
+		if !p.acceptsMove(e, model, storeLoads) || !model.allows(e.Hall, e.SoftwareVersion) {
 			continue
 		}
 		evict, ok := p.makeRoom(e, model)
--- a/pkg/residency/plan.go
+++ b/pkg/residency/plan.go
@@ -40,6 +40,8 @@
 	Usable bool
 	// Leaving engines stop soon, or their hall is being evacuated.
 	Leaving bool
+	// SoftwareVersion is that of the engine's software.
+	SoftwareVersion string
 	// Unresponsive engines did not answer the last requests.
 	Unresponsive bool
 }
@@ -71,10 +73,9 @@
 	Demand float64
 	// Patient reports that all requests for the model can wait for a load from a copy.
 	Patient bool
-	// Missed reports that requests came while no engine held the model, or no engine in the Halls that they
-	// are restricted to. Empty Halls mean all halls.
+	// Missed reports that requests came while no engine held the model, or none of those that they are restricted to.
 	Missed bool
-	Halls  []string
+	engineFilter
 }
 
 // requested reports whether there are requests for the model.
--- a/pkg/residency/plan_test.go
+++ b/pkg/residency/plan_test.go
@@ -54,6 +54,24 @@
 		Expect(residency.Plan(in)).To(BeEmpty())
 	})
 
+	It("loads a model at the software version of streams that go on there, though an engine of another one holds it", func() {
+		in := planInput()
+		in.Moves = 1
+		in.Engines = []residency.PlanEngine{
+			{ID: "e1", Usable: true, SoftwareVersion: "v2", Models: []string{"m"}},
+			{ID: "e2", Usable: true, SoftwareVersion: "v2"},
+			{ID: "e3", Usable: true, SoftwareVersion: "v1"},
+		}
+		bound := planModel("m", 0)
+		bound.Missed, bound.SoftwareVersion = true, "v1"
+		in.Models = []residency.PlanModel{bound}
+		moves := residency.Plan(in)
+		Expect(moves).To(HaveLen(1))
+		Expect(moves[0].Engine).To(Equal("e3"))
+		in.Engines[2].Models = []string{"m"}
+		Expect(residency.Plan(in)).To(BeEmpty())
+	})
+
 	It("never evicts the last loaded replica, though another one is being loaded", func() {
 		in := planInput()
 		in.Engines = []residency.PlanEngine{
--- a/pkg/residency/planinput.go
+++ b/pkg/residency/planinput.go
@@ -51,20 +51,20 @@
 			LoadTime:  model.LoadTime,
 			Demand:    rates[key],
 			Missed:    isMissed,
-			Halls:     asked.hallsIf(isMissed),
 			Patient:   c.Demand.Patient(key),
+
+			engineFilter: asked.filterIf(isMissed),
 		})
 	}
 	return input
 }
 
-// hallsIf returns the halls that the request is restricted to, or nil if the model no longer counts as
-// missed.
-func (m *missedRequest) hallsIf(isMissed bool) []string {
+// filterIf returns the engines that the request is restricted to, or all if the model no longer counts as missed.
+func (m *missedRequest) filterIf(isMissed bool) engineFilter {
 	if !isMissed {
-		return nil
+		return engineFilter{}
 	}
-	return m.halls
+	return m.engineFilter
 }
 
 // forgetGone drops the state of those engines of a service that the directory no longer has. The caller
@@ -92,6 +92,8 @@
 		Usable:       e.orders.countKnown && e.move.idle() && e.takesOrders(time.Now()),
 		Leaving:      !state.TakesWork(),
 		Unresponsive: e.controller.unresponsive(state.ID),
+
+		SoftwareVersion: state.SoftwareVersion,
 	}
 	e.models.reconcile(state.Models, state.Revision)
 	for _, model := range e.models.held(state.Models) {
