A box that has just started waits for the list of upstreams before a stream goes on

Cause: the configuration is put in force before the list of upstreams is applied, so that for some milliseconds no version was known to be in use besides another, and records of the store came last.

--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -34,6 +34,8 @@
 const (
 	// startedStreamsCheck is how often a box checks whether another version of a service has come into use.
 	startedStreamsCheck = 100 * time.Millisecond
+	// upstreamsPoll is the pause before the first list of upstreams is looked for again.
+	upstreamsPoll = 5 * time.Millisecond
 	// unrecordedTime is how long after another version came into use streams that began before may lack a record.
 	unrecordedTime = 3 * time.Second
 	// maxAttemptIDBytes bounds the id of an attempt that a caller names.
@@ -56,6 +58,10 @@
 	if !resumes(route, request) || g.Origins.Find == nil {
 		return r
 	}
+	if !g.awaitUpstreams(ctx) {
+		r.Unknown, r.checked = true, true
+		return r
+	}
 	mixed := slices.ContainsFunc(route.Shares, func(share routes.Share) bool { return g.Directory.MixedVersions(share.Service) })
 	named := len(request.Resumes) == 1 && request.Resumes[0] != "" && len(request.Resumes[0]) <= maxAttemptIDBytes
 	if named {
@@ -73,6 +79,18 @@
 	return r
 }
 
+// awaitUpstreams waits up to firstTableWait for the first list of upstreams, without which it is not known whether
+// several versions are in use: a box that has just started has its table some milliseconds earlier. It returns false if
+// there is none by then.
+func (g *Gateway) awaitUpstreams(ctx context.Context) bool {
+	for until := time.Now().Add(firstTableWait); g.Directory.Revision() == 0; {
+		if pause.For(ctx, upstreamsPoll) != nil || time.Now().After(until) {
+			return false
+		}
+	}
+	return true
+}
+
 // resumes reports whether a request takes up a stream that may go on at another upstream.
 func resumes(route *routes.Route, request *Request) bool {
 	return route.Kind == routes.Stream && route.Resumable && request.LastEventID != ""
--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -102,6 +102,25 @@
 		Entry("a huge one", strings.Repeat("r", 1<<16)),
 	)
 
+	DescribeTable("waits at a box that has just started for the first list of upstreams", func(listedAfter time.Duration, status int) {
+		spectest.Bubble(func() {
+			f := newFixture(always, 1)
+			f.Directory = fleet.New()
+			f.Origins.Find = func(context.Context, origins.Stream, bool) origins.Found {
+				return origins.Found{Origins: []origins.Origin{{Service: "engines", Version: "v2"}}}
+			}
+			time.AfterFunc(listedAfter, func() { f.setVersions("v1", "v2") })
+			Expect(resume(f, "1", "r1").Code).To(Equal(status))
+			if status == http.StatusOK {
+				Expect(ran(f)).To(Equal("e1"))
+			}
+			time.Sleep(time.Second)
+		})
+	},
+		Entry("which comes soon", 50*time.Millisecond, http.StatusOK),
+		Entry("which does not come", 900*time.Millisecond, http.StatusServiceUnavailable),
+	)
+
 	It("begins anew at any version without the id of an event", func() {
 		withVersions(always, []string{"v1", "v2"}, func(f *fixture, kept *origins.Register) {
 			Expect(resume(f, "", "r9").Code).To(Equal(http.StatusOK))
--- a/internal/storeview/own.go
+++ b/internal/storeview/own.go
@@ -13,8 +13,8 @@
 	"ospreymoor.example/ospreymoor/pkg/mirror"
 )
 
-// applyOwnRecords applies changed records that boxes wrote themselves: registrations, the order lease, requests held by
-// quarantine and where streams began.
+// applyOwnRecords applies changed records that boxes wrote themselves: registrations, the order lease and requests
+// held by quarantine.
 func (v *View) applyOwnRecords(state mirror.State, changed []string) {
 	if len(changed) == 0 {
 		return
@@ -23,7 +23,6 @@
 		v.config.Members.SetRegistered(v.boxes())
 	}
 	v.applyHeldRequests(state, changed)
-	v.applyOrigins(state, changed)
 	v.config.OrderLease.Observe(state)
 }
 
--- a/internal/storeview/view.go
+++ b/internal/storeview/view.go
@@ -127,6 +127,7 @@
 	}
 	v.lastRecords, v.lastRevision, v.lastOrigin = state.Records, state.Revision, state.Origin
 	v.recordCount.Store(int64(state.Records.Len()))
+	v.applyOrigins(state, changes.own) // Before the list of upstreams, with which callers take streams up.
 	v.applyTable(state, changes.config)
 	evacuations := v.applyEvacuations(state, changes.evacuations, restored)
 	v.applyUpstreams(state, changes.upstreams, restored)
