Records of where streams began reach the store sooner, from one box, and again after a return

The soak of streams plays kills, power losses of all boxes, restarts of engines as another version and returns of the store with real processes. With 0.5 s between writes half of what broke in a power loss had no record yet, with streams of 1.2 s; what the store lost in a return stayed lost, and what waited at a box that stopped was dropped. Now one box writes for all parts of a large fleet, five times a second, so that the number of writes does not grow with it; after a return it writes again what it wrote in the last 10 s, and on its stop what waits. A record counts as kept only once another box took it.

--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -26,6 +26,7 @@
 
 	methodRecordOrigins = "origins-record"
 	methodAskOrigin     = "origins-ask"
+	methodSaveOrigins   = "origins-save"
 )
 
 // Box holds what a box registers about itself in the store and sends with each exchange.
--- a/internal/cluster/origins.go
+++ b/internal/cluster/origins.go
@@ -23,8 +23,13 @@
 	// recordRetryDelay is the pause after no keeper took records.
 	recordRetryDelay = 200 * time.Millisecond
 	// originShards is the number of parts into which a large fleet divides streams, each with keepers of its own. In a
-	// small one, two boxes keep all records, so that one of them writes to the store.
+	// small one, two boxes keep all records.
 	originShards = 16
+	// savePart names the part whose first keeper writes all records to the store, so that the number of writes does not
+	// grow with the fleet. In a small fleet it is the only part.
+	savePart = "origins"
+	// forwardDelay is how long a keeper gathers records for the box that writes them.
+	forwardDelay = 100 * time.Millisecond
 	// maxPendingOrigins bounds the records of one part that wait to be sent.
 	maxPendingOrigins = 4000
 )
@@ -42,12 +47,16 @@
 	mu sync.Mutex
 	// pending holds the records to send, by the name of their part; a name is present while a goroutine sends them.
 	pending map[string][]origins.Record
+	// unsaved holds the records to forward to the box that writes them, and forwarding is set while a goroutine does so.
+	unsaved    []origins.Record
+	forwarding bool
 }
 
 // Handle registers the methods by which other boxes record and ask where streams began.
 func (o *Origins) Handle(server *peer.Server) {
 	peer.Handle(server, methodRecordOrigins, o.keep)
 	peer.Handle(server, methodAskOrigin, o.answer)
+	peer.Handle(server, methodSaveOrigins, o.saveForwarded)
 }
 
 // originRecords are records for a box to keep.
@@ -71,9 +80,9 @@
 // partOf returns the name of the part that a stream belongs to.
 func (o *Origins) partOf(stream origins.Stream) string {
 	if !o.Members.Large() {
-		return "origins"
+		return savePart
 	}
-	return fmt.Sprint("origins ", uint64(stream)%originShards)
+	return fmt.Sprint(savePart, " ", uint64(stream)%originShards)
 }
 
 // Record has records kept, here and by their keepers. It does not wait for them. Records that are made while a message
@@ -97,9 +106,9 @@
 	}
 }
 
-// sendPending sends the records of a part until there are none left.
+// sendPending sends the records of a part until there are none left. While no other box takes them, it tries again.
 func (o *Origins) sendPending(part string) {
-	for {
+	for again := false; ; {
 		o.mu.Lock()
 		records := o.pending[part]
 		if len(records) == 0 {
@@ -109,9 +118,11 @@
 		}
 		o.pending[part] = nil
 		o.mu.Unlock()
-		if o.send(part, records) {
+		if o.send(part, records, again) {
+			again = false
 			continue
 		}
+		again = true
 		time.Sleep(recordRetryDelay)
 		o.mu.Lock()
 		if len(o.pending[part]) < maxPendingOrigins {
@@ -121,37 +132,54 @@
 	}
 }
 
-// send sends records to the first originKeepers boxes that take them, and reports whether any did. The first of them
-// writes the records to the store.
-func (o *Origins) send(part string, records []origins.Record) (kept bool) {
+// send sends records to the first originKeepers boxes that take them, and has one of them write the records to the store.
+// again means that this box may have written them. It returns false if another box should have taken them and none did.
+func (o *Origins) send(part string, records []origins.Record, again bool) bool {
 	keepers := o.Members.originKeepersOf(part)
-	taken := make([]bool, min(len(keepers), originKeepers))
+	first := min(len(keepers), originKeepers)
+	taken := make([]bool, len(keepers))
 	var sends sync.WaitGroup
-	for n := range taken {
-		sends.Go(func() { taken[n] = o.sendTo(keepers[n], originRecords{Records: records, Save: n == 0}) })
+	for n := range first {
+		sends.Go(func() { taken[n] = o.sendTo(keepers[n], originRecords{Records: records, Save: n == 0}, again) })
 	}
 	sends.Wait()
-	saved := slices.Index(taken, true) == 0
-	if at := slices.Index(taken, true); at > 0 {
-		saved = o.sendTo(keepers[at], originRecords{Records: records, Save: true})
-	}
-	copies := len(slices.DeleteFunc(taken, func(ok bool) bool { return !ok }))
-	for _, keeper := range keepers[min(len(keepers), originKeepers):] {
-		if copies >= originKeepers {
-			break
+	saved := len(keepers) > 0 && taken[0]
+	copies := 0
+	for n, keeper := range keepers {
+		if n >= first && copies < originKeepers {
+			taken[n] = o.sendTo(keeper, originRecords{Records: records, Save: !saved}, again)
+			saved = saved || taken[n]
 		}
-		if o.sendTo(keeper, originRecords{Records: records, Save: !saved}) {
+		if taken[n] {
 			copies++
-			saved = true
 		}
 	}
-	return copies > 0
+	if at := slices.Index(taken, true); !saved && at >= 0 {
+		saved = o.sendTo(keepers[at], originRecords{Records: records, Save: true}, again)
+	}
+	return !o.lacksOther(keepers, taken)
+}
+
+// lacksOther reports whether there are other boxes among the keepers and none of them took the records.
+func (o *Origins) lacksOther(keepers []Box, taken []bool) bool {
+	others := false
+	for n, keeper := range keepers {
+		if keeper.Name == o.Members.self.Name {
+			continue
+		}
+		if taken[n] {
+			return false
+		}
+		others = true
+	}
+	return others
 }
 
 // sendTo sends records to one box, which may be this one, and reports whether it took them. The error is not logged:
 // callKeeper logs when a keeper is lost and regained.
-func (o *Origins) sendTo(keeper Box, message originRecords) bool {
+func (o *Origins) sendTo(keeper Box, message originRecords, again bool) bool {
 	if keeper.Name == o.Members.self.Name {
+		message.Save = message.Save && !again
 		_, err := o.keep(context.Background(), message)
 		return err == nil
 	}
@@ -163,8 +191,62 @@
 func (o *Origins) keep(_ context.Context, message originRecords) (peer.Empty, error) {
 	o.Kept.Add(message.Records...)
 	if message.Save {
-		o.Save(message.Records)
+		o.forward(message.Records)
+	}
+	return peer.Empty{}, nil
+}
+
+// forward has records written to the store, by the box that does so for all.
+func (o *Origins) forward(records []origins.Record) {
+	if !o.Members.Large() {
+		o.Save(records)
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.unsaved) < maxPendingOrigins {
+		o.unsaved = append(o.unsaved, records...)
+	}
+	if !o.forwarding {
+		o.forwarding = true
+		go o.sendUnsaved()
+	}
+}
+
+// sendUnsaved forwards records until there are none left. Those that no box takes are not written.
+func (o *Origins) sendUnsaved() {
+	for {
+		time.Sleep(forwardDelay)
+		o.mu.Lock()
+		records := o.unsaved
+		o.unsaved, o.forwarding = nil, len(records) > 0
+		o.mu.Unlock()
+		if len(records) == 0 {
+			return
+		}
+		for _, keeper := range o.Members.originKeepersOf(savePart) {
+			if o.saveAt(keeper, records) {
+				break
+			}
+		}
 	}
+}
+
+// saveAt has a box, which may be this one, write records, and reports whether it took them. The error is not logged:
+// callKeeper logs when a keeper is lost and regained.
+func (o *Origins) saveAt(keeper Box, records []origins.Record) bool {
+	if keeper.Name == o.Members.self.Name {
+		o.Save(records)
+		return true
+	}
+	call := keeperCall{Members: o.Members, Client: o.Client, Log: o.Log, Method: methodSaveOrigins, Keeper: keeper, Timeout: recordTimeout}
+	_, err := callKeeper[peer.Empty](context.Background(), call, originRecords{Records: records})
+	return err == nil
+}
+
+// saveForwarded writes the records that another keeper forwards.
+func (o *Origins) saveForwarded(_ context.Context, message originRecords) (peer.Empty, error) {
+	o.Save(message.Records)
 	return peer.Empty{}, nil
 }
 
--- a/internal/node/new.go
+++ b/internal/node/new.go
@@ -77,7 +77,7 @@
 		Members: s.members, Client: n.client, Directory: s.directory, Loads: s.loads, Kept: dispatch.NewRateAccounts(config.ColdStarts), Log: config.Log,
 	}
 	plainPlaces := newPlaces(config, s, n.client)
-	n.originRecorder = &storeview.OriginRecorder{Platform: config.Platform, Incarnation: self.Incarnation, Large: s.members.Large, Log: config.Log}
+	n.originRecorder = &storeview.OriginRecorder{Platform: config.Platform, Incarnation: self.Incarnation, Log: config.Log}
 	streamOrigins := &cluster.Origins{Members: s.members, Client: n.client, Kept: s.origins, Save: n.originRecorder.Add, Log: config.Log}
 	config.Metrics.NewGauge("ospreymoor_origins_unsaved", func() float64 { return float64(n.originRecorder.Dropped()) })
 	n.tunnels = n.newTunnels(config, s)
--- a/internal/storeview/origins.go
+++ b/internal/storeview/origins.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -24,21 +25,23 @@
 const (
 	// originSaveInterval is the time between two writes of records. If all boxes lose power, what was recorded since the
 	// latest write is lost.
-	originSaveInterval = 500 * time.Millisecond
+	originSaveInterval = 200 * time.Millisecond
 	// originLeaseTTL is the time after which records are deleted, and originLeaseAge for how long a lease is used for new
 	// ones, which then last for origins.Retention at least.
 	originLeaseTTL = origins.Retention + originLeaseAge
 	originLeaseAge = time.Minute
+	// originRetryDelay is the pause after a failed write.
+	originRetryDelay = 100 * time.Millisecond
+	// rewriteSpan is how far back records are written again after the store came back from a copy: the copy is some
+	// seconds old, and lacks the records since.
+	rewriteSpan = 10 * time.Second
 	// originWriteTimeout bounds one write.
 	originWriteTimeout = 2 * time.Second
-	// recordsPerKey bounds the records of one key, which is written again with each addition.
-	recordsPerKey = 64
-	// maxRecordsPerWrite bounds the records of one write in a small fleet, where one box writes, and in a large one, where
-	// many do: each box gets what any of them writes.
-	maxRecordsPerWrite      = 250
-	maxRecordsPerWriteLarge = 16
-	// maxWritesBehind bounds the records that wait, in writes. The oldest are dropped: their streams end first.
-	maxWritesBehind = 4
+	// maxRecordsPerWrite bounds the records of one write, and those of one key, which is written again with each addition.
+	// All boxes get what is written: 500 records a second take 10 KB a second of each.
+	maxRecordsPerWrite = 100
+	// maxUnwritten bounds the records that wait. The oldest are dropped: their streams end first.
+	maxUnwritten = 10 * maxRecordsPerWrite
 )
 
 // OriginRecorder writes records of where streams began to the store, so that they outlast a loss of power of all boxes.
@@ -46,9 +49,7 @@
 	Platform Platform
 	// Incarnation differs with each start of the process.
 	Incarnation string
-	// Large reports whether many boxes write.
-	Large func() bool
-	Log   *zap.Logger
+	Log         *zap.Logger
 
 	mu      sync.Mutex
 	waiting []origins.Record
@@ -64,6 +65,15 @@
 	written  []origins.Record
 	keys     int
 	failing  bool
+	// recent holds what was written within rewriteSpan, and epoch is the store's at the latest check.
+	recent []originWrite
+	epoch  int64
+}
+
+// originWrite is one successful write.
+type originWrite struct {
+	at      time.Time
+	records []origins.Record
 }
 
 // Add queues records to be written.
@@ -71,7 +81,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.waiting = append(r.waiting, records...)
-	if excess := len(r.waiting) - maxWritesBehind*r.perWrite(); excess > 0 {
+	if excess := len(r.waiting) - maxUnwritten; excess > 0 {
 		r.waiting = r.waiting[excess:]
 		r.dropped += excess
 	}
@@ -84,36 +94,58 @@
 	return r.dropped
 }
 
-func (r *OriginRecorder) perWrite() int {
-	if r.Large() {
-		return maxRecordsPerWriteLarge
+// Run writes records until ctx ends, and then what still waits.
+func (r *OriginRecorder) Run(ctx context.Context) {
+	wait := originSaveInterval
+	for pause.For(ctx, wait) == nil {
+		wait = r.writeNext(ctx)
 	}
-	return maxRecordsPerWrite
+	r.writeNext(context.WithoutCancel(ctx))
 }
 
-// Run writes records until ctx ends.
-func (r *OriginRecorder) Run(ctx context.Context) {
-	for pause.For(ctx, originSaveInterval) == nil {
-		records := r.take()
-		if len(records) == 0 {
-			continue
-		}
-		err := r.write(ctx, records)
-		if err != nil {
-			r.Add(records)
-			if !r.failing && ctx.Err() == nil {
-				r.Log.Info("origins of streams not saved: retrying", zap.Int("streams", len(records)), logfield.Error(err))
-			}
-		}
-		r.failing = err != nil
+// writeNext writes the records that wait, up to maxRecordsPerWrite, and returns the pause before the next write. Only the
+// first failure in a row is logged.
+func (r *OriginRecorder) writeNext(ctx context.Context) time.Duration {
+	r.requeueLost()
+	records := r.take()
+	if len(records) == 0 {
+		return originSaveInterval
+	}
+	err := r.write(ctx, records)
+	if err != nil && !r.failing {
+		r.Log.Info("origins of streams not saved: retrying", zap.Int("streams", len(records)), logfield.Error(err))
+	}
+	r.failing = err != nil
+	if err != nil {
+		r.Add(records)
+		return originRetryDelay
+	}
+	return originSaveInterval
+}
+
+// requeueLost queues what was written of late once more if the store came back from a copy.
+func (r *OriginRecorder) requeueLost() {
+	now := time.Now()
+	r.recent = slices.DeleteFunc(r.recent, func(write originWrite) bool { return now.Sub(write.at) > rewriteSpan })
+	if r.Platform.Store.Epoch == nil {
+		return
+	}
+	epoch := r.Platform.Store.Epoch()
+	if epoch == r.epoch {
+		return
+	}
+	r.epoch = epoch
+	for _, write := range r.recent {
+		r.Add(write.records)
 	}
+	r.recent = nil
 }
 
 // take returns the records of the next write.
 func (r *OriginRecorder) take() []origins.Record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	count := min(len(r.waiting), r.perWrite())
+	count := min(len(r.waiting), maxRecordsPerWrite)
 	records := r.waiting[:count:count]
 	r.waiting = r.waiting[count:]
 	return records
@@ -131,7 +163,7 @@
 		}
 		r.lease, r.grantedAt, r.key = lease, time.Now(), ""
 	}
-	if r.key == "" || len(r.written)+len(records) > recordsPerKey {
+	if r.key == "" || len(r.written)+len(records) > maxRecordsPerWrite {
 		r.keys++
 		r.key = fmt.Sprintf("%s%s%s-%d", r.Platform.OwnPrefix, originKeySegment, r.Incarnation, r.keys)
 		r.revision, r.written = 0, nil
@@ -147,6 +179,7 @@
 		return err
 	}
 	r.revision = record.Revision
+	r.recent = append(r.recent, originWrite{at: time.Now(), records: records})
 	return nil
 }
 
