--- a/internal/cluster/origins.go
+++ b/internal/cluster/origins.go
@@ -155,7 +155,7 @@
 		}
 	}
 	if at := slices.Index(taken, true); !saved && at >= 0 {
-		saved = o.sendTo(keepers[at], originRecords{Records: records, Save: true}, again)
+		o.sendTo(keepers[at], originRecords{Records: records, Save: true}, again)
 	}
 	return !o.lacksOther(keepers, taken)
 }
