--- a/internal/node/versions_fleet_test.go
+++ b/internal/node/versions_fleet_test.go
@@ -30,9 +30,7 @@
 	versions map[string]string
 	// lives has, by box, a context that ends when the box is killed.
 	lives []boxLife
-	// before are boxes of the previous version, which neither record nor heed where streams began.
-	before map[int]bool
-	tally  streamTally
+	tally streamTally
 }
 
 // boxLife is one process of a box.
@@ -57,14 +55,20 @@
 }
 
 // withVersionFleet runs f on a fleet whose upstreams have the software versions that versionOf returns.
-func withVersionFleet(size smallFleetSize, versionOf func(upstream int) string, f func(*versionFleet)) {
-	v := &versionFleet{versions: map[string]string{}, lives: make([]boxLife, size.boxes), before: map[int]bool{}}
+func withVersionFleet(size smallFleetSize, way versionWay, versionOf func(upstream int) string, f func(*versionFleet)) {
+	v := &versionFleet{versions: map[string]string{}, lives: make([]boxLife, size.boxes)}
 	prepare := func(c *crashFleet) {
 		v.crashFleet = c
 		for n := range size.upstreams {
 			v.list(upstreamName(n), versionOf(n))
 		}
-		c.tune = v.tuneBox
+		c.tune = func(config *Config) {
+			v.tuneBox(config)
+			if way.tune != nil {
+				way.tune(config)
+			}
+		}
+		c.tuneNode = way.tuneNode
 	}
 	withCrashFleet(size, prepare, func(*crashFleet) { f(v) })
 }
