--- a/internal/cluster/origins.go
+++ b/internal/cluster/origins.go
@@ -20,8 +20,10 @@
 	recordTimeout = 300 * time.Millisecond
 	// originKeepers is how many boxes keep the record of a stream.
 	originKeepers = 2
-	// recordRetryDelay is the pause after no keeper took records.
+	// recordRetryDelay is the pause after no other box took records, and maxRecordTries how often in a row that is tried:
+	// for longer than boxes are cut off from all others, as a rule.
 	recordRetryDelay = 200 * time.Millisecond
+	maxRecordTries   = 100
 	// originShards is the number of parts into which a large fleet divides streams, each with keepers of its own. In a
 	// small one, two boxes keep all records.
 	originShards = 16
@@ -106,9 +108,10 @@
 	}
 }
 
-// sendPending sends the records of a part until there are none left. While no other box takes them, it tries again.
+// sendPending sends the records of a part until there are none left. While no other box takes them, it tries again, up
+// to maxRecordTries in a row.
 func (o *Origins) sendPending(part string) {
-	for again := false; ; {
+	for failures := 0; ; {
 		o.mu.Lock()
 		records := o.pending[part]
 		if len(records) == 0 {
@@ -118,11 +121,14 @@
 		}
 		o.pending[part] = nil
 		o.mu.Unlock()
-		if o.send(part, records, again) {
-			again = false
+		if o.send(part, records, failures > 0) {
+			failures = 0
+			continue
+		}
+		if failures++; failures == maxRecordTries {
+			failures = 0 // These records are dropped.
 			continue
 		}
-		again = true
 		time.Sleep(recordRetryDelay)
 		o.mu.Lock()
 		if len(o.pending[part]) < maxPendingOrigins {
