A box whose list of upstreams is old asks others before a stream goes on; a bound stream is admitted

A box that is cut off may not have heard of a new version: a stream that began there would have gone on at the old one, since no other was known to be in use. From 3 s on without a current list it asks the keepers, which name the versions that they know, and refuses if no other box answers. And a stream that is bound to a version of few upstreams is admitted although its prompt has to wait: its first event, which the target is for, has been passed on. The spec of versions in use gave all upstreams one address, so that one replaced the other (mended).

--- a/internal/cluster/origins.go
+++ b/internal/cluster/origins.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"ospreymoor.example/ospreymoor/internal/peer"
+	"ospreymoor.example/ospreymoor/pkg/fleet"
 	"ospreymoor.example/ospreymoor/pkg/origins"
 )
 
@@ -40,6 +41,8 @@
 type Origins struct {
 	Members *Members
 	Client  *peer.Client
+	// Directory has the versions in use.
+	Directory *fleet.Directory
 	// Kept are the records that this box knows.
 	Kept *origins.Register
 	// Save is called with the records that this box is to write to the store.
@@ -68,13 +71,11 @@
 	Save bool `json:"save,omitempty"`
 }
 
-// originQuestion asks where a stream began, and originAnswer answers it with nothing if the box does not know.
-type originQuestion struct {
-	Stream origins.Stream `json:"stream"`
-}
-
+// originAnswer answers where a stream began, with no origins if the box does not know.
 type originAnswer struct {
 	Origins []origins.Origin `json:"origins,omitempty"`
+	// Versions are the versions in use of the service that was asked for, if there are several.
+	Versions []string `json:"versions,omitempty"`
 	// Age is how old the record is.
 	Age time.Duration `json:"age,omitempty"`
 }
@@ -256,14 +257,20 @@
 	return peer.Empty{}, nil
 }
 
-func (o *Origins) answer(_ context.Context, question originQuestion) (originAnswer, error) {
+func (o *Origins) answer(_ context.Context, question origins.Question) (originAnswer, error) {
 	found, age := o.Kept.Find(question.Stream)
-	return originAnswer{Origins: found, Age: age}, nil
+	answer := originAnswer{Origins: found, Age: age}
+	if versions := o.Directory.VersionsInUse(question.Service); len(versions) > 1 {
+		answer.Versions = versions
+	}
+	return answer, nil
 }
 
 // Find returns where a stream began: from this box's records, or else from the keepers' if ask is set. It returns no
 // origins if none of them answers in time with a record.
-func (o *Origins) Find(ctx context.Context, stream origins.Stream, ask bool) origins.Found {
+// It notes the versions that the keepers know of.
+func (o *Origins) Find(ctx context.Context, question origins.Question, ask bool) origins.Found {
+	stream := question.Stream
 	if found, age := o.Kept.Find(stream); len(found) > 0 || !ask {
 		return origins.Found{Origins: found, Source: o.Members.self.Name, Age: age}
 	}
@@ -274,25 +281,31 @@
 	defer cancel()
 	answers := make(chan origins.Found, len(keepers))
 	for _, keeper := range keepers {
-		go func() { answers <- o.ask(ctx, keeper, stream) }()
+		go func() { answers <- o.ask(ctx, keeper, question) }()
 	}
+	answered := false
 	for range keepers {
-		if found := <-answers; len(found.Origins) > 0 {
+		found := <-answers
+		answered = answered || found.Answered
+		if len(found.Origins) > 0 {
 			for _, origin := range found.Origins {
 				o.Kept.Add(origins.Record{Stream: stream, Origin: origin})
 			}
 			return found
 		}
 	}
-	return origins.Found{}
+	return origins.Found{Answered: answered}
 }
 
 // ask asks one keeper. A failure counts as no record: callKeeper logs when the keeper is lost and regained.
-func (o *Origins) ask(ctx context.Context, keeper Box, stream origins.Stream) origins.Found {
+func (o *Origins) ask(ctx context.Context, keeper Box, question origins.Question) origins.Found {
 	call := keeperCall{Members: o.Members, Client: o.Client, Log: o.Log, Method: methodAskOrigin, Keeper: keeper, Timeout: originTimeout}
-	answer, err := callKeeper[originAnswer](ctx, call, originQuestion{Stream: stream})
+	answer, err := callKeeper[originAnswer](ctx, call, question)
 	if err != nil {
 		return origins.Found{}
 	}
-	return origins.Found{Origins: answer.Origins, Source: keeper.Name, Age: answer.Age}
+	for _, version := range answer.Versions {
+		o.Directory.RecordVersion(question.Service, version)
+	}
+	return origins.Found{Origins: answer.Origins, Source: keeper.Name, Age: answer.Age, Answered: true}
 }
--- a/internal/cluster/origins_test.go
+++ b/internal/cluster/origins_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"ospreymoor.example/ospreymoor/internal/peer"
+	"ospreymoor.example/ospreymoor/pkg/fleet"
 	"ospreymoor.example/ospreymoor/pkg/origins"
 	"ospreymoor.example/ospreymoor/pkg/spectest"
 )
@@ -67,7 +68,7 @@
 	members := NewMembers(box, neverLost)
 	members.SetRegistered(boxes)
 	o := &Origins{
-		Members: members, Client: peer.NewClient("secret", f.dial, metrics.NewSet()), Kept: origins.NewRegister(), Log: zap.NewNop(),
+		Members: members, Client: peer.NewClient("secret", f.dial, metrics.NewSet()), Directory: fleet.New(), Kept: origins.NewRegister(), Log: zap.NewNop(),
 		Save: func(records []origins.Record) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -132,8 +133,9 @@
 
 var _ = Describe("records of where streams began", func() {
 	stream := origins.StreamOf("r1")
+	question := origins.Question{Stream: stream, Service: "s"}
 	record := origins.Record{Stream: stream, Origin: origins.Origin{Service: "s", Version: "v1"}}
-	find := func(o *Origins) []origins.Origin { return o.Find(context.Background(), stream, true).Origins }
+	find := func(o *Origins) []origins.Origin { return o.Find(context.Background(), question, true).Origins }
 
 	DescribeTable("are found at any box milliseconds later, also when the box that made them is gone", func(count int) {
 		withOriginFleet(count, count, func(f *originFleet) {
@@ -142,10 +144,10 @@
 			time.Sleep(5 * time.Millisecond)
 			f.stopBox(maker.Members.self.Name)
 			asker := f.bystander(stream, maker.Members.self.Name)
-			found := asker.Find(context.Background(), stream, true)
+			found := asker.Find(context.Background(), question, true)
 			Expect(found.Origins).To(ConsistOf(record.Origin))
 			Expect(found.Source).NotTo(Equal(asker.Members.self.Name))
-			Expect(asker.Find(context.Background(), stream, false).Source).To(Equal(asker.Members.self.Name), "it knows the record now")
+			Expect(asker.Find(context.Background(), question, false).Source).To(Equal(asker.Members.self.Name), "it knows the record now")
 			time.Sleep(time.Second)
 			Expect(f.savedCount()).To(Equal(1), "one box writes it to the store")
 		})
@@ -154,6 +156,23 @@
 		Entry("in a large fleet", 86),
 	)
 
+	It("come with the versions that a keeper knows of, which the box that asks may not have heard of", func() {
+		withOriginFleet(8, 8, func(f *originFleet) {
+			asker := f.bystander(stream)
+			Expect(asker.Find(context.Background(), question, true)).To(Equal(origins.Found{Answered: true}))
+			for _, version := range []string{"v1", "v2"} {
+				for _, box := range f.boxes {
+					if box != asker {
+						box.Directory.RecordVersion("s", version)
+					}
+				}
+			}
+			Expect(asker.Directory.MixedVersions("s")).To(BeFalse())
+			Expect(find(asker)).To(BeEmpty())
+			Expect(asker.Directory.MixedVersions("s")).To(BeTrue())
+		})
+	})
+
 	It("are kept in two halls", func() {
 		withOriginFleet(8, 8, func(f *originFleet) {
 			keepers := f.boxes[0].Members.originKeepersOf(savePart)
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -27,10 +27,17 @@
 type Origins struct {
 	// Record has records kept by the boxes that keep them for all, without waiting.
 	Record func(records ...origins.Record)
-	// Find returns where a stream began by this box's records and, if ask is set, by those of other boxes.
-	Find func(ctx context.Context, stream origins.Stream, ask bool) origins.Found
+	// Find returns where a stream began by this box's records and, if ask is set, by those of other boxes, which also
+	// tell the directory of other versions in use.
+	Find func(ctx context.Context, question origins.Question, ask bool) origins.Found
+	// ListAge returns how long ago this box's list of upstreams was current; nil means that it is.
+	ListAge func() time.Duration
 }
 
+// maxListAge is the age of the list of upstreams from which on this box asks others whether several versions are in use.
+// A box that reaches the store or another box learns of a change sooner.
+const maxListAge = 3 * time.Second
+
 const (
 	// startedStreamsCheck is how often a box checks whether another version of a service has come into use.
 	startedStreamsCheck = 100 * time.Millisecond
@@ -62,13 +69,16 @@
 		r.Unknown, r.checked = true, true
 		return r
 	}
-	mixed := slices.ContainsFunc(route.Shares, func(share routes.Share) bool { return g.Directory.MixedVersions(share.Service) })
+	mixed, outdated := g.servesMixed(route), g.Origins.ListAge != nil && g.Origins.ListAge() > maxListAge
 	named := len(request.Resumes) == 1 && request.Resumes[0] != "" && len(request.Resumes[0]) <= maxAttemptIDBytes
 	if named {
 		r.stream = origins.StreamOf(request.Resumes[0])
-		r.found = g.Origins.Find(ctx, r.stream, mixed)
+		r.found = g.Origins.Find(ctx, origins.Question{Stream: r.stream, Service: service}, mixed || outdated)
 	}
-	if !mixed && len(r.found.Origins) == 0 {
+	if mixed = mixed || g.servesMixed(route); !mixed && len(r.found.Origins) == 0 {
+		// A box that is cut off from all others may not have heard of a version that began the stream.
+		r.Unknown = named && outdated && !r.found.Answered
+		r.checked = r.Unknown
 		return r
 	}
 	known := origins.Resumption{Service: service, Named: named, Known: r.found.Origins, MayUse: func(other string) bool {
@@ -79,6 +89,11 @@
 	return r
 }
 
+// servesMixed reports whether several versions of a service of the route are in use.
+func (g *Gateway) servesMixed(route *routes.Route) bool {
+	return slices.ContainsFunc(route.Shares, func(share routes.Share) bool { return g.Directory.MixedVersions(share.Service) })
+}
+
 // awaitUpstreams waits up to firstTableWait for the first list of upstreams, without which it is not known whether
 // several versions are in use: a box that has just started has its table some milliseconds earlier. It returns false if
 // there is none by then.
--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"ospreymoor.example/ospreymoor/pkg/dispatch"
 	"ospreymoor.example/ospreymoor/pkg/fleet"
 	"ospreymoor.example/ospreymoor/pkg/origins"
 	"ospreymoor.example/ospreymoor/pkg/residency"
@@ -23,11 +24,11 @@
 			kept := origins.NewRegister()
 			g.Origins = Origins{
 				Record: kept.Add,
-				Find: func(_ context.Context, stream origins.Stream, ask bool) origins.Found {
+				Find: func(_ context.Context, question origins.Question, ask bool) origins.Found {
 					if !ask {
 						return origins.Found{}
 					}
-					found, age := kept.Find(stream)
+					found, age := kept.Find(question.Stream)
 					return origins.Found{Origins: found, Source: "b", Age: age}
 				},
 			}
@@ -106,7 +107,7 @@
 		spectest.Bubble(func() {
 			f := newFixture(always, 1)
 			f.Directory = fleet.New()
-			f.Origins.Find = func(context.Context, origins.Stream, bool) origins.Found {
+			f.Origins.Find = func(context.Context, origins.Question, bool) origins.Found {
 				return origins.Found{Origins: []origins.Origin{{Service: "engines", Version: "v2"}}}
 			}
 			time.AfterFunc(listedAfter, func() { f.setVersions("v1", "v2") })
@@ -166,7 +167,7 @@
 	DescribeTable("is not recorded, asked for or bound while one version is in use", func(version string) {
 		withVersions(always, []string{version, version}, func(f *fixture, kept *origins.Register) {
 			f.Origins.Record = func(...origins.Record) { Fail("recorded") }
-			f.Origins.Find = func(_ context.Context, _ origins.Stream, ask bool) origins.Found {
+			f.Origins.Find = func(_ context.Context, _ origins.Question, ask bool) origins.Found {
 				Expect(ask).To(BeFalse())
 				return origins.Found{}
 			}
@@ -180,6 +181,35 @@
 		Entry("that no entry states", ""),
 	)
 
+	DescribeTable("is asked for at a box whose list of upstreams is old, since it may not have heard of another version", func(age time.Duration, answered bool, status int, asked bool) {
+		withVersions(always, []string{"v1", "v1"}, func(f *fixture, _ *origins.Register) {
+			hasAsked := false
+			f.Origins.ListAge = func() time.Duration { return age }
+			f.Origins.Find = func(_ context.Context, _ origins.Question, ask bool) origins.Found {
+				hasAsked = ask
+				return origins.Found{Answered: answered}
+			}
+			time.Sleep(10 * time.Second)
+			f.setVersions("v1", "v1")
+			Expect(resume(f, "1", "r1").Code).To(Equal(status))
+			Expect(hasAsked).To(Equal(asked))
+		})
+	},
+		Entry("not while the list is current", time.Second, false, http.StatusOK, false),
+		Entry("and goes on if others know one version too", 4*time.Second, true, http.StatusOK, true),
+		Entry("and is refused if no other box answers", 4*time.Second, false, http.StatusServiceUnavailable, true),
+	)
+
+	It("is admitted at the version that it is bound to, although its prompt has to wait there", func() {
+		withVersions(always, []string{"v1", "v2"}, func(f *fixture, kept *origins.Register) {
+			kept.Add(origins.Record{Stream: origins.StreamOf("r1"), Origin: origins.Origin{Service: "engines", Version: "v1"}})
+			busy := dispatch.Load{Running: 3, Prefill: [dispatch.UrgencyLevels]int{100_000}, Tokens: 5000}
+			f.Loads.SetRemoteLoads(map[string]dispatch.Load{"e0": busy}, time.Now())
+			Expect(resume(f, "1", "r1").Code).To(Equal(http.StatusOK))
+			Expect(ran(f)).To(Equal("e0"))
+		})
+	})
+
 	It("that began before another version came into use is recorded then, unless it is complete", func() {
 		withVersions(func(id string, _ int) behavior {
 			if id == "r1" {
@@ -219,7 +249,7 @@
 	It("is refused if its recorded version is not in use any more, although one version is", func() {
 		withVersions(always, []string{"v2"}, func(f *fixture, kept *origins.Register) {
 			kept.Add(origins.Record{Stream: origins.StreamOf("r1"), Origin: origins.Origin{Service: "engines", Version: "v1"}})
-			f.Origins.Find = func(context.Context, origins.Stream, bool) origins.Found {
+			f.Origins.Find = func(context.Context, origins.Question, bool) origins.Found {
 				return origins.Found{Origins: []origins.Origin{{Service: "engines", Version: "v1"}}}
 			}
 			Expect(resume(f, "1", "r1").Code).To(Equal(http.StatusServiceUnavailable))
--- a/internal/node/versions_test.go
+++ b/internal/node/versions_test.go
@@ -34,8 +34,8 @@
 	// ownRecords has each box know the streams that began there.
 	ownRecords = versionWay{name: "own records", tuneNode: func(n *Node) {
 		kept := origins.NewRegister()
-		n.Gateway.Origins = gateway.Origins{Record: kept.Add, Find: func(_ context.Context, stream origins.Stream, _ bool) origins.Found {
-			found, age := kept.Find(stream)
+		n.Gateway.Origins = gateway.Origins{Record: kept.Add, Find: func(_ context.Context, question origins.Question, _ bool) origins.Found {
+			found, age := kept.Find(question.Stream)
 			return origins.Found{Origins: found, Age: age}
 		}}
 	}}
--- a/pkg/fleet/versions.go
+++ b/pkg/fleet/versions.go
@@ -94,6 +94,13 @@
 	return len(versions) > 1 && len(versions.inUse(time.Now())) > 1
 }
 
+// VersionsInUse returns the software versions of a service of which streams may go on, sorted.
+func (d *Directory) VersionsInUse(service string) []string {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.versions[service].inUse(time.Now())
+}
+
 // MixedServices returns the services with several software versions in use, sorted.
 func (d *Directory) MixedServices() []string {
 	d.mu.RLock()
--- a/pkg/fleet/versions_test.go
+++ b/pkg/fleet/versions_test.go
@@ -12,7 +12,7 @@
 
 var _ = Describe("the software versions of a service", func() {
 	upstream := func(id, version string, revision int64) Upstream {
-		return Upstream{ID: id, Service: "s", SoftwareVersion: version, Revision: revision}
+		return Upstream{ID: id, Service: "s", Address: id, SoftwareVersion: version, Revision: revision}
 	}
 
 	It("are several until the retention of one without upstreams is over", func() {
--- a/pkg/origins/register.go
+++ b/pkg/origins/register.go
@@ -33,6 +33,14 @@
 	// Source is the box that knows it, and Age how old its record is.
 	Source string
 	Age    time.Duration
+	// Answered means that another box answered, with or without a record.
+	Answered bool
+}
+
+// Question asks where a stream began that would go on at a service.
+type Question struct {
+	Stream  Stream `json:"stream"`
+	Service string `json:"service,omitempty"`
 }
 
 const (
