--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -23,6 +23,8 @@
 
 	mu    sync.Mutex
 	conns map[string]*jsonrpc2.Conn
+	// closed is set by Close: calls that are under way must not leave a connection behind.
+	closed bool
 }
 
 // NewClient returns a client without connections.
@@ -72,16 +74,20 @@
 	}
 }
 
-// Close closes all connections; a later Call opens a new one.
+// Close closes all connections. Later calls fail.
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.closed = true
 	for address, conn := range c.conns {
 		_ = conn.Close()
 		delete(c.conns, address)
 	}
 }
 
+// errClosed is the error of a call after Close.
+const errClosed = errors.ConstError("client of other boxes is closed: this box stops")
+
 // conn returns the connection to an address, and opens one if there is none.
 func (c *Client) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
 	c.mu.Lock()
@@ -100,6 +106,10 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closed {
+		_ = conn.Close()
+		return nil, errClosed
+	}
 	if old, ok := c.conns[address]; ok && old != conn {
 		_ = old.Close()
 	}
--- a/internal/peer/server_test.go
+++ b/internal/peer/server_test.go
@@ -49,6 +49,8 @@
 			Expect(peer.Call[string](ctx, client, "a:1", "ask", "")).To(Equal("answer"))
 			Expect(reported).To(Equal(3))
 			client.Close()
+			_, err := peer.Call[string](ctx, client, "a:1", "ask", "")
+			Expect(err).To(MatchError(ContainSubstring("closed")), "a call after the client was closed")
 			server.Close()
 			Expect(listener.Close()).To(Succeed())
 			<-ended
