--- a/internal/cluster/origins.go
+++ b/internal/cluster/origins.go
@@ -12,6 +12,7 @@
 	"ospreymoor.example/ospreymoor/internal/peer"
 	"ospreymoor.example/ospreymoor/pkg/fleet"
 	"ospreymoor.example/ospreymoor/pkg/origins"
+	"ospreymoor.example/ospreymoor/pkg/pause"
 )
 
 const (
@@ -50,6 +51,9 @@
 	Log  *zap.Logger
 
 	mu sync.Mutex
+	// running is the context of Run; nil before it. senders are the goroutines that send records.
+	running context.Context
+	senders sync.WaitGroup
 	// pending holds the records to send, by the name of their part; a name is present while a goroutine sends them.
 	pending map[string][]origins.Record
 	// unsaved holds the records to forward to the box that writes them, and forwarding is set while a goroutine does so.
@@ -64,6 +68,27 @@
 	peer.Handle(server, methodSaveOrigins, o.saveForwarded)
 }
 
+// Run has records sent until ctx ends. Those that are made before or after it are kept by this box alone.
+func (o *Origins) Run(ctx context.Context) {
+	o.mu.Lock()
+	o.running = ctx
+	o.mu.Unlock()
+	<-ctx.Done()
+	o.mu.Lock() // No sender is started after this.
+	o.mu.Unlock()
+	o.senders.Wait()
+}
+
+// startSender runs a function that sends records, unless Run has ended or not begun. The caller holds the lock.
+func (o *Origins) startSender(send func(ctx context.Context)) (started bool) {
+	ctx := o.running
+	if ctx == nil || ctx.Err() != nil {
+		return false
+	}
+	o.senders.Go(func() { send(ctx) })
+	return true
+}
+
 // originRecords are records for a box to keep.
 type originRecords struct {
 	Records []origins.Record `json:"records"`
@@ -100,18 +125,19 @@
 	for _, record := range records {
 		part := o.partOf(record.Stream)
 		waiting, underway := o.pending[part]
-		if len(waiting) < maxPendingOrigins {
-			o.pending[part] = append(waiting, record)
+		if !underway && !o.startSender(func(ctx context.Context) { o.sendPending(ctx, part) }) {
+			return
 		}
-		if !underway {
-			go o.sendPending(part)
+		if len(waiting) < maxPendingOrigins {
+			waiting = append(waiting, record)
 		}
+		o.pending[part] = waiting
 	}
 }
 
 // sendPending sends the records of a part until there are none left. While no other box takes them, it tries again, up
 // to maxRecordTries in a row.
-func (o *Origins) sendPending(part string) {
+func (o *Origins) sendPending(ctx context.Context, part string) {
 	for failures := 0; ; {
 		o.mu.Lock()
 		records := o.pending[part]
@@ -122,7 +148,7 @@
 		}
 		o.pending[part] = nil
 		o.mu.Unlock()
-		if o.send(part, records, failures > 0) {
+		if o.send(ctx, part, records, failures > 0) {
 			failures = 0
 			continue
 		}
@@ -130,7 +156,9 @@
 			failures = 0 // These records are dropped.
 			continue
 		}
-		time.Sleep(recordRetryDelay)
+		if pause.For(ctx, recordRetryDelay) != nil {
+			return
+		}
 		o.mu.Lock()
 		if len(o.pending[part]) < maxPendingOrigins {
 			o.pending[part] = append(records, o.pending[part]...)
@@ -141,20 +169,20 @@
 
 // send sends records to the first originKeepers boxes that take them, and has one of them write the records to the store.
 // again means that this box may have written them. It returns false if another box should have taken them and none did.
-func (o *Origins) send(part string, records []origins.Record, again bool) bool {
+func (o *Origins) send(ctx context.Context, part string, records []origins.Record, again bool) bool {
 	keepers := o.Members.originKeepersOf(part)
 	first := min(len(keepers), originKeepers)
 	taken := make([]bool, len(keepers))
 	var sends sync.WaitGroup
 	for n := range first {
-		sends.Go(func() { taken[n] = o.sendTo(keepers[n], originRecords{Records: records, Save: n == 0}, again) })
+		sends.Go(func() { taken[n] = o.sendTo(ctx, keepers[n], originRecords{Records: records, Save: n == 0}, again) })
 	}
 	sends.Wait()
 	saved := len(keepers) > 0 && taken[0]
 	copies := 0
 	for n, keeper := range keepers {
 		if n >= first && copies < originKeepers {
-			taken[n] = o.sendTo(keeper, originRecords{Records: records, Save: !saved}, again)
+			taken[n] = o.sendTo(ctx, keeper, originRecords{Records: records, Save: !saved}, again)
 			saved = saved || taken[n]
 		}
 		if taken[n] {
@@ -162,7 +190,7 @@
 		}
 	}
 	if at := slices.Index(taken, true); !saved && at >= 0 {
-		o.sendTo(keepers[at], originRecords{Records: records, Save: true}, again)
+		o.sendTo(ctx, keepers[at], originRecords{Records: records, Save: true}, again)
 	}
 	return !o.lacksOther(keepers, taken)
 }
@@ -184,14 +212,14 @@
 
 // sendTo sends records to one box, which may be this one, and reports whether it took them. The error is not logged:
 // callKeeper logs when a keeper is lost and regained.
-func (o *Origins) sendTo(keeper Box, message originRecords, again bool) bool {
+func (o *Origins) sendTo(ctx context.Context, keeper Box, message originRecords, again bool) bool {
 	if keeper.Name == o.Members.self.Name {
 		message.Save = message.Save && !again
-		_, err := o.keep(context.Background(), message)
+		_, err := o.keep(ctx, message)
 		return err == nil
 	}
 	call := keeperCall{Members: o.Members, Client: o.Client, Log: o.Log, Method: methodRecordOrigins, Keeper: keeper, Timeout: recordTimeout}
-	_, err := callKeeper[peer.Empty](context.Background(), call, message)
+	_, err := callKeeper[peer.Empty](ctx, call, message)
 	return err == nil
 }
 
@@ -215,15 +243,14 @@
 		o.unsaved = append(o.unsaved, records...)
 	}
 	if !o.forwarding {
-		o.forwarding = true
-		go o.sendUnsaved()
+		o.forwarding = o.startSender(o.sendUnsaved)
 	}
 }
 
 // sendUnsaved forwards records until there are none left. Those that no box takes are not written.
-func (o *Origins) sendUnsaved() {
+func (o *Origins) sendUnsaved(ctx context.Context) {
 	for {
-		time.Sleep(forwardDelay)
+		_ = pause.For(ctx, forwardDelay) // Calls fail once ctx has ended, and the loop ends.
 		o.mu.Lock()
 		records := o.unsaved
 		o.unsaved, o.forwarding = nil, len(records) > 0
@@ -232,7 +259,7 @@
 			return
 		}
 		for _, keeper := range o.Members.originKeepersOf(savePart) {
-			if o.saveAt(keeper, records) {
+			if o.saveAt(ctx, keeper, records) {
 				break
 			}
 		}
@@ -241,13 +268,13 @@
 
 // saveAt has a box, which may be this one, write records, and reports whether it took them. The error is not logged:
 // callKeeper logs when a keeper is lost and regained.
-func (o *Origins) saveAt(keeper Box, records []origins.Record) bool {
+func (o *Origins) saveAt(ctx context.Context, keeper Box, records []origins.Record) bool {
 	if keeper.Name == o.Members.self.Name {
 		o.Save(records)
 		return true
 	}
 	call := keeperCall{Members: o.Members, Client: o.Client, Log: o.Log, Method: methodSaveOrigins, Keeper: keeper, Timeout: recordTimeout}
-	_, err := callKeeper[peer.Empty](context.Background(), call, originRecords{Records: records})
+	_, err := callKeeper[peer.Empty](ctx, call, originRecords{Records: records})
 	return err == nil
 }
 
--- a/internal/cluster/origins_test.go
+++ b/internal/cluster/origins_test.go
@@ -26,6 +26,8 @@
 	boxes   []*Origins
 	// stops end the servers of the boxes.
 	stops []func()
+	// closers end the sending of the boxes' records.
+	closers []func()
 	// cut means that no box reaches another one.
 	cut atomic.Bool
 	// saved are the records that boxes were to write, by box.
@@ -57,9 +59,11 @@
 			for n := range o.boxes {
 				o.stops[n]()
 				o.boxes[n].Client.Close()
+				o.closers[n]()
 			}
 			time.Sleep(time.Minute) // Messages under way end.
 		}()
+		time.Sleep(time.Millisecond) // All run.
 		f(o)
 	})
 }
@@ -76,6 +80,9 @@
 		},
 	}
 	f.boxes = append(f.boxes, o)
+	ctx, stop := context.WithCancel(context.Background())
+	f.closers = append(f.closers, stop)
+	go o.Run(ctx)
 	server := peer.NewServer("secret", metrics.NewSet())
 	if box.KeepsOrigins {
 		o.Handle(server)
--- a/internal/node/new.go
+++ b/internal/node/new.go
@@ -78,10 +78,10 @@
 	}
 	plainPlaces := newPlaces(config, s, n.client)
 	n.originRecorder = &storeview.OriginRecorder{Platform: config.Platform, Incarnation: self.Incarnation, Log: config.Log}
-	streamOrigins := &cluster.Origins{Members: s.members, Client: n.client, Directory: s.directory, Kept: s.origins, Save: n.originRecorder.Add, Log: config.Log}
+	n.origins = &cluster.Origins{Members: s.members, Client: n.client, Directory: s.directory, Kept: s.origins, Save: n.originRecorder.Add, Log: config.Log}
 	config.Metrics.NewGauge("ospreymoor_origins_unsaved", func() float64 { return float64(n.originRecorder.Dropped()) })
 	n.tunnels = n.newTunnels(config, s)
-	n.Gateway = newGateway(config, s, ensurer, n.spender, reservations, rates, plainPlaces, streamOrigins, n.listAge, n.gatewayTunnels())
+	n.Gateway = newGateway(config, s, ensurer, n.spender, reservations, rates, plainPlaces, n.origins, n.listAge, n.gatewayTunnels())
 	n.tunnels.Links = &n.Gateway.Links
 	n.view = n.newView(config, s)
 	n.exchange = n.newExchange(config, s)
@@ -102,7 +102,7 @@
 	reservations.Handle(n.server)
 	rates.Handle(n.server)
 	plainPlaces.Handle(n.server)
-	streamOrigins.Handle(n.server)
+	n.origins.Handle(n.server)
 	if config.DialUpstream != nil {
 		n.tunnels.Handle(n.server)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,6 +81,7 @@
 	exchange     *cluster.Exchange
 	spender      *customers.Spender
 	holdRecorder *storeview.HoldRecorder
+	origins      *cluster.Origins
 	// originRecorder writes where streams began to the store.
 	originRecorder *storeview.OriginRecorder
 	tunnels        *cluster.Tunnels
@@ -104,6 +105,7 @@
 	n.background.Go(func() { n.registration.Run(ctx) })
 	n.background.Go(func() { n.spender.Run(ctx) })
 	n.background.Go(func() { n.holdRecorder.Run(ctx) })
+	n.background.Go(func() { n.origins.Run(ctx) })
 	n.background.Go(func() { n.originRecorder.Run(ctx) })
 	n.background.Go(func() { n.Gateway.RunOrigins(ctx) })
 	n.background.Go(func() { n.Gateway.RunLinks(ctx) })
