--- a/internal/cluster/origins.go
+++ b/internal/cluster/origins.go
@@ -51,7 +51,7 @@
 	Log  *zap.Logger
 
 	mu sync.Mutex
-	// running is the context of Run; nil before it. senders are the goroutines that send records.
+	// running is the context of Run; nil before and after it. senders are the goroutines that send records.
 	running context.Context
 	senders sync.WaitGroup
 	// pending holds the records to send, by the name of their part; a name is present while a goroutine sends them.
@@ -74,7 +74,8 @@
 	o.running = ctx
 	o.mu.Unlock()
 	<-ctx.Done()
-	o.mu.Lock() // No sender is started after this.
+	o.mu.Lock()
+	o.running = nil // No sender is started after this.
 	o.mu.Unlock()
 	o.senders.Wait()
 }
@@ -82,7 +83,7 @@
 // startSender runs a function that sends records, unless Run has ended or not begun. The caller holds the lock.
 func (o *Origins) startSender(send func(ctx context.Context)) (started bool) {
 	ctx := o.running
-	if ctx == nil || ctx.Err() != nil {
+	if ctx == nil {
 		return false
 	}
 	o.senders.Go(func() { send(ctx) })
--- a/internal/storeview/origins.go
+++ b/internal/storeview/origins.go
@@ -25,7 +25,7 @@
 const (
 	// originSaveInterval is the time between two writes of records. If all boxes lose power, what was recorded since the
 	// latest write is lost.
-	originSaveInterval = 200 * time.Millisecond
+	originSaveInterval = 100 * time.Millisecond
 	// originLeaseTTL is the time after which records are deleted, and originLeaseAge for how long a lease is used for new
 	// ones, which then last for origins.Retention at least.
 	originLeaseTTL = origins.Retention + originLeaseAge
@@ -37,11 +37,12 @@
 	rewriteSpan = 10 * time.Second
 	// originWriteTimeout bounds one write.
 	originWriteTimeout = 2 * time.Second
-	// maxRecordsPerWrite bounds the records of one write, and those of one key, which is written again with each addition.
-	// All boxes get what is written: 500 records a second take 10 KB a second of each.
-	maxRecordsPerWrite = 100
+	// maxRecordsPerWrite bounds the records of one write, and maxRecordsPerKey those of one key, which is written again with
+	// each addition. All boxes get what is written: 500 records a second take 10 KB a second of each.
+	maxRecordsPerWrite = 50
+	maxRecordsPerKey   = 2 * maxRecordsPerWrite
 	// maxUnwritten bounds the records that wait. The oldest are dropped: their streams end first.
-	maxUnwritten = 10 * maxRecordsPerWrite
+	maxUnwritten = 20 * maxRecordsPerWrite
 )
 
 // OriginRecorder writes records of where streams began to the store, so that they outlast a loss of power of all boxes.
@@ -163,7 +164,7 @@
 		}
 		r.lease, r.grantedAt, r.key = lease, time.Now(), ""
 	}
-	if r.key == "" || len(r.written)+len(records) > maxRecordsPerWrite {
+	if r.key == "" || len(r.written)+len(records) > maxRecordsPerKey {
 		r.keys++
 		r.key = fmt.Sprintf("%s%s%s-%d", r.Platform.OwnPrefix, originKeySegment, r.Incarnation, r.keys)
 		r.revision, r.written = 0, nil
