--- a/internal/cluster/origins.go
+++ b/internal/cluster/origins.go
@@ -143,7 +143,7 @@
 	for _, keeper := range keepers {
 		go func() { answers <- o.ask(ctx, keeper, question) }()
 	}
-	answered := false
+	answered := len(keepers) == 0 // There is no other box that could know more.
 	for range keepers {
 		found := <-answers
 		answered = answered || found.Answered
--- a/internal/cluster/origins_test.go
+++ b/internal/cluster/origins_test.go
@@ -180,6 +180,14 @@
 		})
 	})
 
+	It("are known by the only box of a fleet", func() {
+		withOriginFleet(1, 1, func(f *originFleet) {
+			Expect(f.boxes[0].Find(context.Background(), question, true)).To(Equal(origins.Found{Answered: true}))
+			f.boxes[0].Record(record)
+			Expect(find(f.boxes[0])).To(ConsistOf(record.Origin))
+		})
+	})
+
 	It("are kept in two halls", func() {
 		withOriginFleet(8, 8, func(f *originFleet) {
 			keepers := f.boxes[0].Members.originKeepersOf(savePart)
