--- a/internal/cluster/originrecords.go
+++ b/internal/cluster/originrecords.go
@@ -17,13 +17,13 @@
 const (
 	// recordTimeout bounds a call that records where streams began.
 	recordTimeout = 300 * time.Millisecond
-	// originKeepers is how many boxes keep the record of a stream.
+	// originKeepers is the number of boxes that keep the record of a stream.
 	originKeepers = 2
 	// recordRetryDelay is the pause after no other box took records, and maxRecordTries how often in a row that is tried:
 	// for longer than boxes are cut off from all others, as a rule.
 	recordRetryDelay = 200 * time.Millisecond
 	maxRecordTries   = 100
-	// forwardDelay is how long a keeper gathers records for the box that writes them.
+	// forwardDelay is the time in which a keeper gathers records for the box that writes them.
 	forwardDelay = 100 * time.Millisecond
 )
 
--- a/internal/cluster/origins.go
+++ b/internal/cluster/origins.go
@@ -84,7 +84,7 @@
 	Origins []origins.Origin `json:"origins,omitempty"`
 	// Versions are the versions in use of the service that was asked for, if there are several.
 	Versions []string `json:"versions,omitempty"`
-	// Age is how old the record is.
+	// Age of the record.
 	Age time.Duration `json:"age,omitempty"`
 }
 
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -27,8 +27,8 @@
 type Origins struct {
 	// Record has records kept by the boxes that keep them for all, without waiting.
 	Record func(records ...origins.Record)
-	// Find returns where a stream began by this box's records and, if ask is set, by those of other boxes, which also
-	// tell the directory of other versions in use.
+	// Find returns where a stream began by this box's records and, if ask is set, by those of other boxes, from
+	// which the directory learns of other versions in use.
 	Find func(ctx context.Context, question origins.Question, ask bool) origins.Found
 	// ListAge returns how long ago this box's list of upstreams was current; nil means that it is.
 	ListAge func() time.Duration
@@ -39,11 +39,11 @@
 const maxListAge = 3 * time.Second
 
 const (
-	// startedStreamsCheck is how often a box checks whether another version of a service has come into use.
+	// startedStreamsCheck is the interval of the check whether another version of a service has come into use.
 	startedStreamsCheck = 100 * time.Millisecond
 	// upstreamsPoll is the pause before the first list of upstreams is looked for again.
 	upstreamsPoll = 5 * time.Millisecond
-	// unrecordedTime is how long after another version came into use streams that began before may lack a record.
+	// unrecordedTime is the time after another version came into use in which streams that began before may lack a record.
 	unrecordedTime = 3 * time.Second
 	// maxAttemptIDBytes bounds the id of an attempt that a caller names.
 	maxAttemptIDBytes = 256
@@ -76,7 +76,7 @@
 		r.found = g.Origins.Find(ctx, origins.Question{Stream: r.stream, Service: service}, mixed || outdated)
 	}
 	if mixed = mixed || g.servesMixed(route); !mixed && len(r.found.Origins) == 0 {
-		// A box that is cut off from all others may not have heard of a version that began the stream.
+		// A box that is cut off from all others may not know the version that began the stream.
 		r.Unknown = named && outdated && !r.found.Answered
 		r.checked = r.Unknown
 		return r
--- a/internal/node/versions_fleet_test.go
+++ b/internal/node/versions_fleet_test.go
@@ -208,7 +208,7 @@
 	header http.Header
 	status int
 	text   strings.Builder
-	// left is how many more writes the caller's connection takes.
+	// left is the number of writes that the caller's connection still takes.
 	left int
 	life context.Context
 }
@@ -227,7 +227,7 @@
 }
 
 // attempt sends the caller's request to a box. It returns the number of events that arrived, and the Retry-After of a
-// refusal. cutAfter is after how many events the caller's connection is lost.
+// refusal. The caller's connection is lost after cutAfter events.
 func (s *versionCaller) attempt(box, cutAfter int) (events int, retryAfter time.Duration) {
 	life := s.fleet.life(box)
 	if life.ctx.Err() != nil {
@@ -292,7 +292,7 @@
 	count(&v.tally.Joined, len(s.versions) > 1)
 }
 
-// takeUpTime is how long a caller tries to take a broken stream up again.
+// takeUpTime bounds the time in which a caller tries to take a broken stream up again.
 const takeUpTime = 4 * time.Second
 
 // callFor has callers ask for streams for a time. A share of them lose their connection.
--- a/internal/storeview/origins.go
+++ b/internal/storeview/origins.go
@@ -32,7 +32,7 @@
 	originLeaseAge = time.Minute
 	// originRetryDelay is the pause after a failed write.
 	originRetryDelay = 100 * time.Millisecond
-	// rewriteSpan is how far back records are written again after the store came back from a copy: the copy is some
+	// rewriteSpan is the age up to which records are written again after the store came back from a copy: the copy is some
 	// seconds old, and lacks the records since.
 	rewriteSpan = 10 * time.Second
 	// originWriteTimeout bounds one write.
--- a/pkg/fleet/versions.go
+++ b/pkg/fleet/versions.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// VersionRetention is how long a software version counts as in use after the last upstream that runs it is gone. Callers
+// VersionRetention is the time for which a software version counts as in use after its last upstream is gone. Callers
 // come back for streams that it began.
 const VersionRetention = 2 * time.Minute
 
--- a/pkg/origins/decide.go
+++ b/pkg/origins/decide.go
@@ -1,6 +1,6 @@
 package origins
 
-// Resumption is what is known when a caller takes a stream up again.
+// Resumption has the facts for a decision where a stream goes on that a caller takes up again.
 type Resumption struct {
 	// Service is the service that the request would go to.
 	Service string
--- a/pkg/origins/register.go
+++ b/pkg/origins/register.go
@@ -26,7 +26,7 @@
 	Origin
 }
 
-// Found is what is known about where a stream began.
+// Found has the known origins of a stream.
 type Found struct {
 	// Origins are none if no record is known.
 	Origins []Origin
@@ -44,7 +44,7 @@
 }
 
 const (
-	// Retention is how long a record is kept. Callers take streams up again within seconds.
+	// Retention of a record. Callers take streams up again within seconds.
 	Retention = 2 * time.Minute
 	// DefaultMaxStreams bounds the streams of a register. With 150 bytes each they take 5 MB.
 	DefaultMaxStreams = 1 << 15
