--- a/internal/storeview/origins_test.go
+++ b/internal/storeview/origins_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -106,10 +107,10 @@
 		spectest.Bubble(func() {
 			memory := kv.NewMemory()
 			store := memory.Store()
-			fails := true
+			var works atomic.Bool
 			failing := store
 			failing.Swap = func(ctx context.Context, swap kv.Swap) (kv.Record, error) {
-				if fails {
+				if !works.Load() {
 					return kv.Record{}, kv.ErrUnknown
 				}
 				return store.Swap(ctx, swap)
@@ -123,7 +124,7 @@
 			}
 			time.Sleep(10 * time.Second)
 			Expect(r.Dropped()).To(BeNumerically(">=", 2*maxUnwritten))
-			fails = false
+			works.Store(true)
 			time.Sleep(10 * time.Second)
 			streams, _ := stored(memory)
 			Expect(streams).To(BeNumerically("~", maxUnwritten, maxRecordsPerWrite))
