--- a/internal/node/crash_fleet_test.go
+++ b/internal/node/crash_fleet_test.go
@@ -142,7 +142,9 @@
 		node.Gateway.Quarantine = quarantine.NewRegister(c.policy)
 	}
 	ctx, stop := context.WithCancel(context.Background())
+	c.mu.Lock()
 	c.nodes[n], c.stops[n] = node, stop
+	c.mu.Unlock()
 	listener := c.network.Listen(address)
 	c.running.Go(func() {
 		node.Run(ctx, listener)
@@ -150,6 +152,13 @@
 	})
 }
 
+// process returns a box's process, which other goroutines may restart, and the function that stops it.
+func (c *crashFleet) process(n int) (*Node, context.CancelFunc) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nodes[n], c.stops[n]
+}
+
 // restart makes an upstream accept requests again.
 func (c *crashFleet) restart(id string) {
 	c.mu.Lock()
--- a/internal/node/versions_fleet_test.go
+++ b/internal/node/versions_fleet_test.go
@@ -142,7 +142,8 @@
 // kill ends a box's process without notice, and starts it again after a while.
 func (v *versionFleet) kill(box int, down time.Duration) {
 	v.life(box).kill()
-	v.stops[box]()
+	_, stop := v.process(box)
+	stop()
 	v.callers.Go(func() {
 		time.Sleep(down)
 		v.start(box)
@@ -245,7 +246,8 @@
 	answer := &streamAnswer{header: http.Header{}, left: cutAfter, life: life.ctx}
 	ctx, cancel := context.WithCancel(life.ctx)
 	defer cancel()
-	_ = s.fleet.nodes[box].Gateway.Serve(ctx, answer, request) // The events that arrived show how far it came.
+	node, _ := s.fleet.process(box)
+	_ = node.Gateway.Serve(ctx, answer, request) // The events that arrived show how far it came.
 	if answer.status != http.StatusOK {
 		retryAfter, _ = time.ParseDuration(answer.header.Get("Retry-After") + "s")
 		return 0, retryAfter
