--- a/internal/storeview/origins.go
+++ b/internal/storeview/origins.go
@@ -101,7 +101,9 @@
 	for pause.For(ctx, wait) == nil {
 		wait = r.writeNext(ctx)
 	}
-	r.writeNext(context.WithoutCancel(ctx))
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), deregisterTimeout)
+	defer cancel()
+	r.writeNext(last)
 }
 
 // writeNext writes the records that wait, up to maxRecordsPerWrite, and returns the pause before the next write. Only the
