--- a/internal/cmd/report_requests_test.go
+++ b/internal/cmd/report_requests_test.go
@@ -13,7 +13,7 @@
 
 const requestLines = `{"msg":"start","ts":"2026-12-02T10:00:00Z"}
 {"msg":"request ended","ts":"2026-12-02T10:00:00Z","id":"r1","route":"chat","model":"m1","status":200,"first":0.1,"target":0.4}
-{"msg":"request ended","ts":"2026-12-02T10:00:01Z","id":"r2","route":"chat","model":"m1","status":503,"reason":"back ends full"}
+{"msg":"request ended","ts":"2026-12-02T10:00:01Z","id":"r2","route":"chat","model":"m1","status":503,"reason":"upstreams full"}
 no log line
 {"msg":"request ended","ts":"2026-12-02T10:00:05Z","id":"r3","route":"tags","model":"m2","status":200,"first":0.5,"target":0.4}
 `
@@ -33,7 +33,7 @@
 		Expect(out).To(ContainSubstring("3 requests of 4 log lines; 1 lines passed over"))
 		Expect(out).To(MatchRegexp(`chat\s+2\s+1\s+0\s+0\s+1\s+0\s+0`))
 		Expect(out).To(MatchRegexp(`m2\s+1\s+0\s+1\s+0\s+0\s+0\s+0`))
-		Expect(out).To(MatchRegexp(`back ends full\s+1\s+0\s+0\s+0\s+1`))
+		Expect(out).To(MatchRegexp(`upstreams full\s+1\s+0\s+0\s+0\s+1`))
 		Expect(out).To(MatchRegexp(`chat\s+50.0%\s+95.0%\s+-900.0%\s+10.0`))
 	})
 
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -45,7 +45,7 @@
 			f.Loads.SetRemoteLoads(map[string]dispatch.Load{"e0": busy, "e1": busy, "e2": busy, "e3": busy}, time.Now())
 			got := f.ask(context.Background(), "r1", "/stream/x", "m")
 			Expect(got.Code).To(Equal(http.StatusServiceUnavailable))
-			Expect(got.Body.String()).To(Equal("back ends full\n"))
+			Expect(got.Body.String()).To(Equal("upstreams full\n"))
 			By("counting what it refused as demand")
 			Expect(demand).To(HaveKey(residency.WorkKey{ModelKey: residency.ModelKey{Service: "engines", Model: "m"}}))
 			f.Loads.SetRemoteLoads(map[string]dispatch.Load{"e0": busy, "e1": busy, "e3": busy}, time.Now())
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -35,7 +35,7 @@
 			refused := ask()
 			Expect(refused.Code).To(Equal(http.StatusServiceUnavailable))
 			Expect(refused.Header().Get("Retry-After")).To(Equal("0.050"))
-			Expect(refused.Body.String()).To(Equal("machine stops\n"))
+			Expect(refused.Body.String()).To(Equal("box stops\n"))
 			<-done
 		})
 	})
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -18,35 +18,35 @@
 	// reasonNoRoute: the route table has no route for the host and path.
 	reasonNoRoute reason = "no route"
 	// reasonNoUpstream: the service has no usable upstream that this request has not tried yet.
-	reasonNoUpstream reason = "no back end"
+	reasonNoUpstream reason = "no upstream"
 	// reasonNoModel: no usable engine holds the model.
 	reasonNoModel reason = "model not loaded"
 	// reasonNoAdapter: engines hold the model, but none of them the adapter.
 	reasonNoAdapter reason = "adapter not loaded"
 	// reasonUnreachable: the upstreams that hold all that is needed were unreachable, or reported it missing, a
 	// moment ago.
-	reasonUnreachable reason = "back ends that have it do not answer"
+	reasonUnreachable reason = "upstreams that have it do not answer"
 	// reasonNoLinks: this box has lost its links to all upstreams, and no other box carries its connections.
-	reasonNoLinks reason = "no links to back ends"
+	reasonNoLinks reason = "no links to upstreams"
 	// reasonBackoff: the upstreams that hold all that is needed asked this box for a backoff, in which they get no
 	// requests.
-	reasonBackoff reason = "back ends want rest"
+	reasonBackoff reason = "upstreams want rest"
 	// reasonCold: the engines that hold all that is needed are cold and already get as many requests as they can
 	// handle.
-	reasonCold reason = "back ends are cold"
+	reasonCold reason = "upstreams are cold"
 	// reasonLimited: the upstreams that hold all that is needed name rate limits and already get as many
 	// requests as those allow.
-	reasonLimited reason = "back ends limit requests"
+	reasonLimited reason = "upstreams limit requests"
 	// reasonRegion: no upstream of the service is in a region where the request may be served.
-	reasonRegion reason = "no back end in an allowed region"
+	reasonRegion reason = "no upstream in an allowed region"
 	// reasonOtherVersion: no remaining upstream of the service runs the software version that began the stream.
-	reasonOtherVersion reason = "no back end of the stream's version"
+	reasonOtherVersion reason = "no upstream of the stream's version"
 	// reasonOriginUnknown: several software versions are in use, and it is not known which of them began the stream.
 	reasonOriginUnknown reason = "stream's version unknown"
 	// reasonEvacuated: all remaining upstreams of the service are in evacuated halls.
 	reasonEvacuated reason = "halls evacuated"
 	// reasonFull: the predicted wait at the best engine exceeds the admission limit.
-	reasonFull reason = "back ends full"
+	reasonFull reason = "upstreams full"
 	// reasonBroken: an attempt may have run, and its answer was lost or incomplete.
 	reasonBroken reason = "answer broken"
 	// reasonNotExecuted: the upstream of the latest attempt did not execute it.
@@ -66,7 +66,7 @@
 	// reasonMemory: this box uses as much memory for callers as it may.
 	reasonMemory reason = "box holds too much"
 	// reasonStopping: this box is draining.
-	reasonStopping reason = "machine stops"
+	reasonStopping reason = "box stops"
 )
 
 // refusal is a final answer that the gateway itself gives.
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -44,7 +44,7 @@
 			notRun(reasonFull, 1234*time.Millisecond).write(answer)
 			Expect(answer.Code).To(Equal(http.StatusServiceUnavailable))
 			Expect(answer.Header().Get("Retry-After")).To(Equal("1.234"))
-			Expect(answer.Body.String()).To(Equal("back ends full\n"))
+			Expect(answer.Body.String()).To(Equal("upstreams full\n"))
 		})
 	})
 })
--- a/internal/requestlog/requestlog_test.go
+++ b/internal/requestlog/requestlog_test.go
@@ -32,7 +32,7 @@
 		Entry("without targets", `"status":200,"first":9,"gap":9`, requestlog.InTime, ""),
 		Entry("a late first event", `"status":200,"first":0.41,"target":0.4,"gap":0.3,"gapTarget":0.25`, requestlog.LateFirst, "late first"),
 		Entry("a long pause", `"status":200,"first":0.1,"target":0.4,"gap":0.26,"gapTarget":0.25`, requestlog.LatePause, "late pause"),
-		Entry("a refusal", `"status":503,"reason":"back ends full"`, requestlog.Refused, "back ends full"),
+		Entry("a refusal", `"status":503,"reason":"upstreams full"`, requestlog.Refused, "upstreams full"),
 		Entry("a customer over its quota", `"status":429,"reason":"over quota"`, requestlog.Refused, "over quota"),
 		Entry("a key that nobody has", `"status":401,"reason":"unknown key"`, requestlog.Refused, "unknown key"),
 		Entry("an upstream's own 429", `"status":429`, requestlog.Failed, "upstream's status Too Many Requests"),
--- a/pkg/customers/replay_test.go
+++ b/pkg/customers/replay_test.go
@@ -62,7 +62,7 @@
 	// keeperDown has the box that keeps the quota down from 5 s on for 4 s, after which its accounts are lost.
 	// keeperFrozen has it frozen instead, with its accounts kept.
 	keeperDown, keeperFrozen bool
-	// lossRate is the fraction of calls between boxes that get no answer in time, as on busy machines or over links
+	// lossRate is the fraction of calls between boxes that get no answer in time, as on busy boxes or over links
 	// that lose packets.
 	lossRate float64
 	// restartAll drops all accounts at 7 s.
