Where streams began: one way to pass records to a box, one check for several versions

Found by reading the change once more: two functions differed in the method that they call, the check for several versions stood twice, the retention of a version was the retention of records by coincidence of two constants, a field's comment named a function that is gone, and the gateway's parts came as two arguments.

--- a/internal/cluster/members.go
+++ b/internal/cluster/members.go
@@ -20,7 +20,7 @@
 	ranking map[string][]*member
 	// keepers caches the results of keeperOf; nil after the list of boxes has changed.
 	keepers map[string]Box
-	// originKeepers caches the results of keepersOf, and is dropped with keepers.
+	// originKeepers caches the results of originKeepersOf; nil after the list of boxes has changed.
 	originKeepers map[string][]Box
 	// reporting holds the boxes that sent a load summary, by name. In a large fleet few boxes send this one theirs.
 	reporting map[string]*member
--- a/internal/cluster/originrecords.go
+++ b/internal/cluster/originrecords.go
@@ -109,15 +109,22 @@
 	return others
 }
 
-// sendTo sends records to one box, which may be this one, and reports whether it took them. The error is not logged:
-// callKeeper logs when a keeper is lost and regained.
+// sendTo sends records to a box that keeps them, which may be this one, and reports whether it took them.
 func (o *Origins) sendTo(ctx context.Context, keeper Box, message originRecords, again bool) bool {
 	if keeper.Name == o.Members.self.Name {
 		message.Save = message.Save && !again
-		_, err := o.keep(ctx, message)
+	}
+	return o.deliver(ctx, keeper, methodRecordOrigins, o.keep, message)
+}
+
+// deliver passes records to a handler of a box, which may be this one, and reports whether it took them. The error is not
+// logged: callKeeper logs when a keeper is lost and regained.
+func (o *Origins) deliver(ctx context.Context, keeper Box, method string, handle func(context.Context, originRecords) (peer.Empty, error), message originRecords) bool {
+	if keeper.Name == o.Members.self.Name {
+		_, err := handle(ctx, message)
 		return err == nil
 	}
-	call := keeperCall{Members: o.Members, Client: o.Client, Log: o.Log, Method: methodRecordOrigins, Keeper: keeper, Timeout: recordTimeout}
+	call := keeperCall{Members: o.Members, Client: o.Client, Log: o.Log, Method: method, Keeper: keeper, Timeout: recordTimeout}
 	_, err := callKeeper[peer.Empty](ctx, call, message)
 	return err == nil
 }
@@ -158,25 +165,13 @@
 			return
 		}
 		for _, keeper := range o.Members.originKeepersOf(savePart) {
-			if o.saveAt(ctx, keeper, records) {
+			if o.deliver(ctx, keeper, methodSaveOrigins, o.saveForwarded, originRecords{Records: records}) {
 				break
 			}
 		}
 	}
 }
 
-// saveAt has a box, which may be this one, write records, and reports whether it took them. The error is not logged:
-// callKeeper logs when a keeper is lost and regained.
-func (o *Origins) saveAt(ctx context.Context, keeper Box, records []origins.Record) bool {
-	if keeper.Name == o.Members.self.Name {
-		o.Save(records)
-		return true
-	}
-	call := keeperCall{Members: o.Members, Client: o.Client, Log: o.Log, Method: methodSaveOrigins, Keeper: keeper, Timeout: recordTimeout}
-	_, err := callKeeper[peer.Empty](ctx, call, originRecords{Records: records})
-	return err == nil
-}
-
 // saveForwarded writes the records that another keeper forwards.
 func (o *Origins) saveForwarded(_ context.Context, message originRecords) (peer.Empty, error) {
 	o.Save(message.Records)
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -34,11 +34,10 @@
 	ListAge func() time.Duration
 }
 
-// maxListAge is the age of the list of upstreams from which on this box asks others whether several versions are in use.
-// A box that reaches the store or another box learns of a change sooner.
-const maxListAge = 3 * time.Second
-
 const (
+	// maxListAge is the age of the list of upstreams from which on this box asks others whether several versions are in use.
+	// A box that reaches the store or another box learns of a change sooner.
+	maxListAge = 3 * time.Second
 	// startedStreamsCheck is the interval of the check whether another version of a service has come into use.
 	startedStreamsCheck = 100 * time.Millisecond
 	// upstreamsPoll is the pause before the first list of upstreams is looked for again.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -14,9 +14,10 @@
 // Serve answers a request. It returns ErrAborted if the caller's connection must be closed abnormally.
 //
 // A request is processed in these steps: its route, its customer, where a stream may go on that it takes up again
-// (resume.go), the customer's quota (customer.go), and its deadlines. Then, for each attempt: the limits of retries (retry.go), the candidates (candidates.go) and the
-// choice among them (choice.go), admission (admission.go) or provision of what is lacking (provision.go), the
-// attempt (attempt.go) and its outcome (outcome.go). stream.go and plain.go pass the answer on.
+// (resume.go), the customer's quota (customer.go), and its deadlines. Then, for each attempt: the limits of retries
+// (retry.go), the candidates (candidates.go) and the choice among them (choice.go), admission (admission.go) or provision
+// of what is lacking (provision.go), the attempt (attempt.go) and its outcome (outcome.go). stream.go and plain.go pass
+// the answer on.
 func (g *Gateway) Serve(ctx context.Context, w http.ResponseWriter, request *Request) error {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
--- a/internal/node/new.go
+++ b/internal/node/new.go
@@ -81,7 +81,7 @@
 	n.origins = &cluster.Origins{Members: s.members, Client: n.client, Directory: s.directory, Kept: s.origins, Save: n.originRecorder.Add, Log: config.Log}
 	config.Metrics.NewGauge("ospreymoor_origins_unsaved", func() float64 { return float64(n.originRecorder.Dropped()) })
 	n.tunnels = n.newTunnels(config, s)
-	n.Gateway = newGateway(config, s, ensurer, n.spender, reservations, rates, plainPlaces, n.origins, n.listAge, n.gatewayTunnels())
+	n.Gateway = newGateway(config, s, ensurer, n.spender, reservations, rates, plainPlaces, n.gatewayOrigins(), n.gatewayTunnels())
 	n.tunnels.Links = &n.Gateway.Links
 	n.view = n.newView(config, s)
 	n.exchange = n.newExchange(config, s)
@@ -149,8 +149,11 @@
 // state returns this box's copy of the store.
 func (n *Node) state() mirror.State { return n.view.Mirror().State() }
 
-// listAge returns how long ago this box's copy of the store was current, by any source.
-func (n *Node) listAge() time.Duration { return n.view.Mirror().Staleness() }
+// gatewayOrigins returns the records of where streams began, as the gateway uses them.
+func (n *Node) gatewayOrigins() gateway.Origins {
+	listAge := func() time.Duration { return n.view.Mirror().Staleness() }
+	return gateway.Origins{Record: n.origins.Record, Find: n.origins.Find, ListAge: listAge}
+}
 
 // storeLost reports whether this box's last attempt to reach the store failed.
 func (n *Node) storeLost() bool { return n.view.Mirror().Lost() }
@@ -207,7 +210,7 @@
 }
 
 func newGateway(config Config, s shared, ensurer *cluster.Ensurer, spender *customers.Spender, reservations *cluster.Reservations,
-	rates *cluster.RateGrants, plainPlaces *cluster.Places, streamOrigins *cluster.Origins, listAge func() time.Duration, tunnels gateway.Tunnels) *gateway.Gateway {
+	rates *cluster.RateGrants, plainPlaces *cluster.Places, streamOrigins gateway.Origins, tunnels gateway.Tunnels) *gateway.Gateway {
 	return gateway.New(gateway.Config{
 		Directory:    s.directory,
 		Loads:        s.loads,
@@ -226,7 +229,7 @@
 		LateReturns: s.members.Large,
 		Places:      gateway.Places{Counted: plainPlaces.Counted, Ask: plainPlaces.Ask, Return: plainPlaces.Return},
 		Quotas:      gateway.Quotas{Take: spender.Take, Return: spender.Return},
-		Origins:     gateway.Origins{Record: streamOrigins.Record, Find: streamOrigins.Find, ListAge: listAge},
+		Origins:     streamOrigins,
 
 		Quarantine: s.quarantine,
 
--- a/pkg/fleet/versions.go
+++ b/pkg/fleet/versions.go
@@ -3,11 +3,13 @@
 import (
 	"slices"
 	"time"
+
+	"ospreymoor.example/ospreymoor/pkg/origins"
 )
 
-// VersionRetention is the time for which a software version counts as in use after its last upstream is gone. Callers
-// come back for streams that it began.
-const VersionRetention = 2 * time.Minute
+// VersionRetention is the time for which a software version counts as in use after its last upstream is gone: as long as
+// it is on record which streams it began.
+const VersionRetention = origins.Retention
 
 // versionUse is the use of one software version of a service.
 type versionUse struct {
@@ -71,6 +73,9 @@
 	return list
 }
 
+// mixed reports whether several versions are in use.
+func (s serviceVersions) mixed(now time.Time) bool { return len(s) > 1 && len(s.inUse(now)) > 1 }
+
 // replaceState stores the state of an upstream, or removes it if next is nil, and counts its software version. The
 // caller holds the lock.
 func (d *Directory) replaceState(id string, next *State) {
@@ -90,8 +95,7 @@
 func (d *Directory) MixedVersions(service string) bool {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	versions := d.versions[service]
-	return len(versions) > 1 && len(versions.inUse(time.Now())) > 1
+	return d.versions[service].mixed(time.Now())
 }
 
 // VersionsInUse returns the software versions of a service of which streams may go on, sorted.
@@ -107,7 +111,7 @@
 	defer d.mu.RUnlock()
 	var list []string
 	for service, versions := range d.versions {
-		if len(versions) > 1 && len(versions.inUse(time.Now())) > 1 {
+		if versions.mixed(time.Now()) {
 			list = append(list, service)
 		}
 	}
