--- a/internal/node/crash_fleet_test.go
+++ b/internal/node/crash_fleet_test.go
@@ -226,7 +226,7 @@
 		if strings.HasPrefix(body, crashingPrefix) && pause.For(ctx, crashDelay) == nil {
 			c.crash(to.ID, body)
 		}
-		err := writeEvents(upstream.alive, writer, attempt.LastEventID)
+		err := writeEvents(upstream.alive, writer, attempt.LastEventID, "event")
 		c.mu.Lock()
 		if upstream.running[body]--; upstream.running[body] == 0 {
 			delete(upstream.running, body)
@@ -237,15 +237,16 @@
 	return &gateway.Answer{Status: http.StatusOK, Header: http.Header{}, Body: reader}, nil
 }
 
-// writeEvents writes the events of an answer that follow the event with the id last. It fails when alive ends.
-func writeEvents(alive context.Context, w io.Writer, last string) error {
+// writeEvents writes the events of an answer that follow the event with the id last, with equal data. It fails when
+// alive ends.
+func writeEvents(alive context.Context, w io.Writer, last, data string) error {
 	n := 0
 	_, _ = fmt.Sscan(last, &n)
 	for n++; n <= eventsPerAnswer; n++ {
 		if pause.For(alive, eventGap) != nil {
 			return io.ErrUnexpectedEOF
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %d\n\n", n, n); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, data); err != nil {
 			return err
 		}
 	}
--- a/internal/node/notice_fleet_test.go
+++ b/internal/node/notice_fleet_test.go
@@ -240,7 +240,7 @@
 	n.callers.Go(func() {
 		stop := context.AfterFunc(ctx, func() { _ = writer.CloseWithError(io.ErrUnexpectedEOF) })
 		defer stop()
-		err := writeEvents(alive, writer, attempt.LastEventID)
+		err := writeEvents(alive, writer, attempt.LastEventID, "event")
 		_ = writer.CloseWithError(err)
 		n.finish(engine)
 		if alive.Err() != nil {
--- a/internal/node/versions_fleet_test.go
+++ b/internal/node/versions_fleet_test.go
@@ -17,7 +17,6 @@
 	"ospreymoor.example/ospreymoor/internal/gateway"
 	"ospreymoor.example/ospreymoor/pkg/fleet"
 	"ospreymoor.example/ospreymoor/pkg/kv"
-	"ospreymoor.example/ospreymoor/pkg/pause"
 )
 
 // versionFleet is a fleet whose upstreams run several software versions, with callers that take broken streams up
@@ -173,26 +172,11 @@
 		defer stop()
 		defer context.AfterFunc(ctx, stop)()
 		defer context.AfterFunc(life, stop)()
-		_ = writer.CloseWithError(writeVersionEvents(running, writer, attempt.LastEventID, version))
+		_ = writer.CloseWithError(writeEvents(running, writer, attempt.LastEventID, version))
 	})
 	return &gateway.Answer{Status: http.StatusOK, Header: http.Header{}, Body: reader}, nil
 }
 
-// writeVersionEvents writes the events of an answer that follow the event with the id last.
-func writeVersionEvents(alive context.Context, w io.Writer, last, version string) error {
-	n := 0
-	_, _ = fmt.Sscan(last, &n)
-	for n++; n <= eventsPerAnswer; n++ {
-		if pause.For(alive, eventGap) != nil {
-			return io.ErrUnexpectedEOF
-		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, version); err != nil {
-			return err
-		}
-	}
-	return io.EOF
-}
-
 // versionCaller is one caller of a stream.
 type versionCaller struct {
 	fleet  *versionFleet
