--- a/internal/cluster/origins_test.go
+++ b/internal/cluster/origins_test.go
@@ -1,12 +1,16 @@
 package cluster
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
 	"os"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
+	"testing"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -28,6 +32,8 @@
 	stops []func()
 	// closers end the sending of the boxes' records.
 	closers []func()
+	// metrics counts the calls and bytes of all boxes.
+	metrics *metrics.Set
 	// cut means that no box reaches another one.
 	cut atomic.Bool
 	// saved are the records that boxes were to write, by box.
@@ -50,7 +56,7 @@
 // withOriginFleet runs f in a bubble with a fleet whose boxes all serve.
 func withOriginFleet(count, before int, f func(*originFleet)) {
 	spectest.Bubble(func() {
-		o := &originFleet{saved: map[string][]origins.Record{}}
+		o := &originFleet{saved: map[string][]origins.Record{}, metrics: metrics.NewSet()}
 		boxes := originBoxes(count, before)
 		for _, box := range boxes {
 			o.start(box, boxes)
@@ -72,7 +78,7 @@
 	members := NewMembers(box, neverLost)
 	members.SetRegistered(boxes)
 	o := &Origins{
-		Members: members, Client: peer.NewClient("secret", f.dial, metrics.NewSet()), Directory: fleet.New(), Kept: origins.NewRegister(), Log: zap.NewNop(),
+		Members: members, Client: peer.NewClient("secret", f.dial, f.metrics), Directory: fleet.New(), Kept: origins.NewRegister(), Log: zap.NewNop(),
 		Save: func(records []origins.Record) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -83,7 +89,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	f.closers = append(f.closers, stop)
 	go o.Run(ctx)
-	server := peer.NewServer("secret", metrics.NewSet())
+	server := peer.NewServer("secret", f.metrics)
 	if box.KeepsOrigins {
 		o.Handle(server)
 	}
@@ -279,3 +285,48 @@
 		})
 	})
 })
+
+// BenchmarkOrigins records one stream after the other at random boxes. It reports the calls and the bytes of a stream over
+// all boxes.
+func BenchmarkOrigins(b *testing.B) {
+	for _, count := range []int{8, 86} {
+		b.Run(fmt.Sprint(count, " boxes"), func(b *testing.B) {
+			f := &originFleet{saved: map[string][]origins.Record{}, metrics: metrics.NewSet()}
+			boxes := originBoxes(count, count)
+			for _, box := range boxes {
+				f.start(box, boxes)
+			}
+			defer func() {
+				for n := range f.boxes {
+					f.stops[n]()
+					f.boxes[n].Client.Close()
+					f.closers[n]()
+				}
+			}()
+			time.Sleep(100 * time.Millisecond) // All run.
+			b.ResetTimer()
+			for n := range b.N {
+				f.boxes[n%count].Record(origins.Record{Stream: origins.StreamOf(fmt.Sprint(n)), Origin: origins.Origin{Service: "llm-pool", Version: "v1.1"}})
+				time.Sleep(time.Millisecond) // Streams that begin together go in one message.
+			}
+			for f.savedCount() < b.N {
+				time.Sleep(10 * time.Millisecond)
+			}
+			var text bytes.Buffer
+			f.metrics.WritePrometheus(&text)
+			b.ReportMetric(sumMetric(text.String(), `ospreymoor_peer_call_seconds_count`)/float64(b.N), "calls/stream")
+			b.ReportMetric(sumMetric(text.String(), `ospreymoor_peer_bytes_total{direction="out"}`)/float64(b.N), "B/stream")
+		})
+	}
+}
+
+// sumMetric adds up the values of the metrics whose names begin with a prefix.
+func sumMetric(text, prefix string) (sum float64) {
+	for line := range strings.Lines(text) {
+		if strings.HasPrefix(line, prefix) {
+			value, _ := strconv.ParseFloat(strings.TrimSpace(line[strings.LastIndex(line, " ")+1:]), 64)
+			sum += value
+		}
+	}
+	return sum
+}
--- a/pkg/origins/origins_test.go
+++ b/pkg/origins/origins_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -113,3 +114,20 @@
 			Resumption{SoleBefore: "v1", SoleKnown: true}, Decision{Origin: Origin{Service: "s"}, Unknown: true}),
 	)
 })
+
+// BenchmarkRegister adds streams to a register and reports the memory of one.
+func BenchmarkRegister(b *testing.B) {
+	r := NewRegister()
+	r.MaxStreams = b.N + 1
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for n := range b.N {
+		r.Add(Record{Stream: Stream(n), Origin: Origin{Service: "llm-pool", Version: "v1.1"}})
+	}
+	b.StopTimer()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(b.N), "B/stream")
+	runtime.KeepAlive(r)
+}
--- a/pkg/origins/register.go
+++ b/pkg/origins/register.go
@@ -46,7 +46,7 @@
 const (
 	// Retention of a record. Callers take streams up again within seconds.
 	Retention = 2 * time.Minute
-	// DefaultMaxStreams bounds the streams of a register. With 150 bytes each they take 5 MB.
+	// DefaultMaxStreams bounds the streams of a register. With 180 bytes each they take 6 MB.
 	DefaultMaxStreams = 1 << 15
 	// maxOriginsPerStream bounds the services of one stream.
 	maxOriginsPerStream = 4
