--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
@@ -54,6 +55,9 @@
 	Quotas Quotas
 	// Origins records and finds the software versions at which streams began. The zero value does neither.
 	Origins Origins
+	// ListAge returns how long ago this box's copy of the list of upstreams and of the configuration was known to be current;
+	// negative if it never was. nil means that it is current.
+	ListAge func() time.Duration
 	// Quarantine holds what is known about requests under which upstreams crashed.
 	Quarantine *quarantine.Register
 	// Reach holds which halls this box does not reach.
@@ -114,6 +118,9 @@
 	Quotas Quotas
 	// Origins records and finds the software versions at which streams began.
 	Origins Origins
+	// ListAge returns how long ago this box's copy of the list of upstreams and of the configuration was known to be current;
+	// negative if it never was. nil means that it is current.
+	ListAge func() time.Duration
 	// Quarantine holds what is known about requests under which upstreams crashed. nil creates a register that only
 	// this box uses.
 	Quarantine *quarantine.Register
@@ -152,6 +159,7 @@
 		LateReturns:  config.LateReturns,
 		Quotas:       config.Quotas,
 		Origins:      config.Origins,
+		ListAge:      config.ListAge,
 		Quarantine:   config.Quarantine,
 		CallerMemory: NewMemoryBudget(config.MemoryBytes),
 		Log:          config.Log,
@@ -186,6 +194,14 @@
 // Table returns the route table in force, or nil if there is none yet.
 func (g *Gateway) Table() *routes.Table { return g.table.Load() }
 
+// listAge returns how long ago this box's copy of the list of upstreams was known to be current.
+func (g *Gateway) listAge() time.Duration {
+	if g.ListAge == nil {
+		return 0
+	}
+	return g.ListAge()
+}
+
 // InFlight returns the number of requests in flight.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -9,7 +9,7 @@
 	"ospreymoor.example/ospreymoor/pkg/routes"
 )
 
-// inflight is a request in flight, from its route to its final answer. A single goroutine uses it. It has 25
+// inflight is a request in flight, from its route to its final answer. A single goroutine uses it. It has 26
 // fields because it holds all that the box knows about one request.
 type inflight struct {
 	gateway *Gateway
@@ -34,6 +34,8 @@
 	// reservation and sentAt belong to the latest choice, for the log.
 	reservation reservationResult
 	sentAt      time.Time
+	// sending is what this box knew when it sent the request for the last time; nil if it did not.
+	sending *sending
 	// delay is how long after the reservation the engine was to begin with the prompt, by its keeper.
 	delay time.Duration
 	// reservedEngine is the engine of the reservation whose end was not reported yet; empty if there is none.
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -83,6 +83,7 @@
 func (r *inflight) sendThrough(ctx context.Context, attempt Attempt, tunnelled bool) (*Answer, error) {
 	r.attempts.tunnelled = tunnelled
 	attempt.Tunnelled = tunnelled
+	attempt.BeforeWrite = r.beginSending()
 	if !r.deadlines.answer.IsZero() {
 		attempt.TimeLeft = time.Until(r.deadlines.answer)
 	}
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -33,7 +33,9 @@
 		zap.String("route", route),
 		zap.String("host", request.Host),
 		zap.String("path", request.Path),
-		zap.Int64("configVersion", g.tableVersion()))
+		zap.Int64("configVersion", g.tableVersion()),
+		zap.Duration("listAge", g.listAge()),
+		zap.Int64("listRevision", kv.SequenceOf(g.Directory.Revision())))
 	refused.write(w)
 }
 
@@ -83,6 +85,7 @@
 		r.quarantineField(),
 		r.placeField(),
 		r.originField(),
+		r.sendingField(),
 		zap.String("model", r.need.Model),
 		zap.String("adapter", r.need.Adapter),
 		zap.String("backend", r.attempts.latestUpstream()),
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -30,8 +30,6 @@
 	// Find returns where a stream began by this box's records and, if ask is set, by those of other boxes, from
 	// which the directory learns of other versions in use.
 	Find func(ctx context.Context, question origins.Question, ask bool) origins.Found
-	// ListAge returns how long ago this box's list of upstreams was current; nil means that it is.
-	ListAge func() time.Duration
 }
 
 const (
@@ -68,7 +66,7 @@
 		r.Unknown, r.checked = true, true
 		return r
 	}
-	mixed, outdated := g.servesMixed(route), g.Origins.ListAge != nil && g.Origins.ListAge() > maxListAge
+	mixed, outdated := g.servesMixed(route), g.listAge() > maxListAge
 	named := len(request.Resumes) == 1 && request.Resumes[0] != "" && len(request.Resumes[0]) <= maxAttemptIDBytes
 	if named {
 		r.stream = origins.StreamOf(request.Resumes[0])
--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -184,7 +184,7 @@
 	DescribeTable("is asked for at a box whose list of upstreams is old, since it may not have heard of another version", func(age time.Duration, answered bool, status int, asked bool) {
 		withVersions(always, []string{"v1", "v1"}, func(f *fixture, _ *origins.Register) {
 			hasAsked := false
-			f.Origins.ListAge = func() time.Duration { return age }
+			f.ListAge = func() time.Duration { return age }
 			f.Origins.Find = func(_ context.Context, _ origins.Question, ask bool) origins.Found {
 				hasAsked = ask
 				return origins.Found{Answered: answered}
--- /dev/null
+++ b/internal/gateway/sending.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"ospreymoor.example/ospreymoor/pkg/kv"
+)
+
+// sending is what this box knew when it began to send a request to an upstream, for the log.
+type sending struct {
+	begunAt time.Time
+	// revision is the store revision of the list of upstreams, and listAge how long ago that list was known to be current.
+	revision int64
+	listAge  time.Duration
+	// writtenAfter is the time from begunAt until the first byte was written, in nanoseconds; 0 if none was.
+	writtenAfter atomic.Int64
+}
+
+// beginSending notes what this box knows now, and returns the function to call before the first byte is written.
+func (r *inflight) beginSending() (beforeWrite func() error) {
+	sent := &sending{begunAt: time.Now(), revision: r.gateway.Directory.Revision(), listAge: r.gateway.listAge()}
+	r.sending = sent
+	return func() error {
+		sent.writtenAfter.Store(int64(time.Since(sent.begunAt)))
+		return nil
+	}
+}
+
+// sendingField is what this box knew when it sent the request for the last time.
+func (r *inflight) sendingField() zap.Field {
+	if r.sending == nil {
+		return zap.Skip()
+	}
+	return zap.Object("sent", zapcore.ObjectMarshalerFunc(func(object zapcore.ObjectEncoder) error {
+		object.AddDuration("after", r.sending.begunAt.Sub(r.request.Arrived))
+		object.AddDuration("written", time.Duration(r.sending.writtenAfter.Load()))
+		object.AddInt64("listRevision", kv.SequenceOf(r.sending.revision))
+		object.AddInt64("storeEpoch", kv.EpochOf(r.sending.revision))
+		object.AddDuration("listAge", r.sending.listAge)
+		return nil
+	}))
+}
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -35,6 +35,9 @@
 	Customer string
 	// Tunnelled sends the attempt over a connection that another box opens.
 	Tunnelled bool
+	// BeforeWrite is called right before the first byte is written. If it returns an error, nothing is written, and the
+	// attempt fails with that error as one of type ErrNotSent.
+	BeforeWrite func() error
 }
 
 // Answer is the head of an upstream's answer, with the body still to be read.
--- a/internal/node/new.go
+++ b/internal/node/new.go
@@ -82,6 +82,7 @@
 	config.Metrics.NewGauge("ospreymoor_origins_unsaved", func() float64 { return float64(n.originRecorder.Dropped()) })
 	n.tunnels = n.newTunnels(config, s)
 	n.Gateway = newGateway(config, s, ensurer, n.spender, reservations, rates, plainPlaces, n.gatewayOrigins(), n.gatewayTunnels())
+	n.Gateway.ListAge = func() time.Duration { return n.view.Mirror().Staleness() }
 	n.tunnels.Links = &n.Gateway.Links
 	n.view = n.newView(config, s)
 	n.exchange = n.newExchange(config, s)
@@ -151,8 +152,7 @@
 
 // gatewayOrigins returns the records of where streams began, as the gateway uses them.
 func (n *Node) gatewayOrigins() gateway.Origins {
-	listAge := func() time.Duration { return n.view.Mirror().Staleness() }
-	return gateway.Origins{Record: n.origins.Record, Find: n.origins.Find, ListAge: listAge}
+	return gateway.Origins{Record: n.origins.Record, Find: n.origins.Find}
 }
 
 // storeLost reports whether this box's last attempt to reach the store failed.
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -80,10 +80,26 @@
 type countingConn struct {
 	net.Conn
 	written atomic.Int64
+	// beforeWrite is called before the next write; nil if nothing is.
+	beforeWrite atomic.Pointer[func() error]
+}
+
+// setBeforeWrite sets what is called before the next write, which fails with the error that it returns.
+func (c *countingConn) setBeforeWrite(check func() error) {
+	if check == nil {
+		c.beforeWrite.Store(nil)
+		return
+	}
+	c.beforeWrite.Store(&check)
 }
 
 // Write counts the bytes before it sends them: data that may have been sent counts as sent.
 func (c *countingConn) Write(p []byte) (int, error) {
+	if check := c.beforeWrite.Swap(nil); check != nil {
+		if err := (*check)(); err != nil {
+			return 0, err
+		}
+	}
 	c.written.Add(int64(len(p)))
 	return c.Conn.Write(p)
 }
--- a/internal/transport/send.go
+++ b/internal/transport/send.go
@@ -48,15 +48,27 @@
 
 // track returns a context for the tracked request.
 func (t *writeTracker) track(ctx context.Context) context.Context {
+	check, _ := ctx.Value(beforeWriteKey{}).(func() error)
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if conn, ok := info.Conn.(*countingConn); ok {
 				t.conn, t.before = conn, conn.written.Load()
+				conn.setBeforeWrite(check)
 			}
 		},
 	})
 }
 
+// beforeWriteKey is the context key of a function that is called before a request is written.
+type beforeWriteKey struct{}
+
+// WithBeforeWrite returns a context for a request. Once the request has a connection, check is called right before its
+// first byte is written. If check returns an error, nothing is written, and Send returns that error as one of type
+// ErrNotSent.
+func WithBeforeWrite(ctx context.Context, check func() error) context.Context {
+	return context.WithValue(ctx, beforeWriteKey{}, check)
+}
+
 // classify marks the error as ErrNotSent if no byte of the request was written.
 func (t *writeTracker) classify(err error) error {
 	if t.conn == nil || t.conn.written.Load() == t.before {
