A request is not written to an upstream that began to leave after it was chosen

What upstreams saw: a request could reach one that leaves however long after its entry: a box looked at the list when it chose. A request that then waited, for a place at the upstream (up to seconds) or for a connection (up to 0.4 s), was sent by what was known before.

Cause, by reading: Directory.Begin looks again at answers and evacuations, not at the list, and between it and the first byte nothing looks. The late arrivals that were looked at had other causes as well; this one is closed by design, whatever the load.

Endpoint.Check tells from the directory as it is now whether the upstream may get a request. It runs when sending begins, and again right before the first byte, once the request has its connection. A request that is withdrawn so goes to another upstream; it counts neither as a failure of the upstream nor of the box's links, and gives its place back unused.

Failed before: all three specs of internal/gateway 'a request whose upstream begins to leave before its first byte is written'. New: internal/transport 'is not written if the check before its first byte fails'. Specs of gateway, transport, fleet, residency pass.

--- a/internal/gateway/choice.go
+++ b/internal/gateway/choice.go
@@ -60,8 +60,8 @@
 }
 
 // beginSend begins sending to the chosen upstream. It returns false if the upstream may not get the request any
-// more: choosing may have waited for another box, and meanwhile an answer may have given notice that the upstream
-// leaves or wants a backoff.
+// more: choosing may have waited for another box, and meanwhile the list or an answer may have stated that the upstream
+// leaves, or an answer that it wants a backoff.
 func (r *inflight) beginSend(choice dispatch.Choice) bool {
 	if !r.useRateGrant(choice.Upstream.ID) {
 		return false
@@ -71,6 +71,10 @@
 		// The error is not logged: the notice was logged, and the next choice leaves the upstream out.
 		return false
 	}
+	if endpoint.Check() != nil {
+		endpoint.End()
+		return false
+	}
 	r.endpoint = endpoint
 	return true
 }
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	jujuerrors "github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
@@ -59,6 +60,8 @@
 	urgencies []int
 	// notice returns what the answer of an upstream to its nth request states; nil states nothing.
 	notice func(upstream string, n int) fleet.Notice
+	// connect is called while an attempt waits for a connection; nil connects at once.
+	connect func(upstream string)
 	// crashed holds the upstreams that crashed, and crashChecks counts the checks of upstreams.
 	crashed     map[string]bool
 	crashChecks int
@@ -90,6 +93,12 @@
 		}
 	}
 	f.mu.Unlock()
+	if f.connect != nil {
+		f.connect(to.ID)
+	}
+	if err := attempt.BeforeWrite(); err != nil {
+		return nil, jujuerrors.WithType(err, ErrNotSent)
+	}
 	if f.notice != nil {
 		notice := f.notice(to.ID, nth)
 		to.HandleNotice(notice)
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -48,7 +48,7 @@
 	}
 	begun := time.Now()
 	answer, err := r.sendThrough(ctx, attempt, false)
-	if !errors.Is(err, ErrNotSent) || ctx.Err() != nil {
+	if !errors.Is(err, ErrNotSent) || withdrawn(err) || ctx.Err() != nil {
 		return answer, ticket, err
 	}
 	r.recordUnreached(choice)
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -14,6 +14,7 @@
 //
 //	outcome      reached  may have run  outlier ejection    directory
 //	abandoned    no       no            nothing             nothing
+//	withdrawn    no       no            nothing             nothing
 //	not sent     no       no            failure             unreachable, over own links by recordUnreached
 //	broken       yes      yes           failure             nothing
 //	misdirected  yes      no            nothing             lacks the model, or is gone
@@ -29,6 +30,8 @@
 const (
 	// outcomeAbandoned: the caller disconnected during the attempt. This shows nothing about the upstream.
 	outcomeAbandoned outcome = iota
+	// outcomeWithdrawn: the upstream may not get the request any more, and no part of it was written.
+	outcomeWithdrawn
 	// outcomeNotSent: no part of the request reached the upstream.
 	outcomeNotSent
 	// outcomeBroken: the request was sent and no answer arrived; also when the deadline passed.
@@ -48,6 +51,8 @@
 	switch {
 	case err != nil && errors.Is(ctx.Err(), context.Canceled):
 		return outcomeAbandoned
+	case withdrawn(err):
+		return outcomeWithdrawn
 	case errors.Is(err, ErrNotSent):
 		return outcomeNotSent
 	case err != nil:
@@ -74,6 +79,8 @@
 	result := outcomeOf(ctx, answer, err)
 	r.attempts.count(result)
 	switch result {
+	case outcomeWithdrawn:
+		r.logAttempt(choice, 0, took, err)
 	case outcomeNotSent:
 		if r.attempts.tunnelled && !errors.Is(err, ErrNoTunnel) {
 			directory.MarkUnreachable(id)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -60,7 +60,7 @@
 	result := places.Failed
 	defer func() { r.endPlace(result) }()
 	if err != nil {
-		if errors.Is(ctx.Err(), context.Canceled) {
+		if errors.Is(ctx.Err(), context.Canceled) || withdrawn(err) {
 			result = places.Unused
 		}
 		return nil, err
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -4,9 +4,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"ospreymoor.example/ospreymoor/pkg/fleet"
 	"ospreymoor.example/ospreymoor/pkg/kv"
 )
 
@@ -24,12 +26,22 @@
 func (r *inflight) beginSending() (beforeWrite func() error) {
 	sent := &sending{begunAt: time.Now(), revision: r.gateway.Directory.Revision(), listAge: r.gateway.listAge()}
 	r.sending = sent
+	endpoint := r.endpoint
 	return func() error {
+		if err := endpoint.Check(); err != nil {
+			return err
+		}
 		sent.writtenAfter.Store(int64(time.Since(sent.begunAt)))
 		return nil
 	}
 }
 
+// withdrawn reports whether an attempt was not sent because its upstream may not get it any more: while the attempt
+// waited for a connection, the upstream began to leave, or its hall was evacuated.
+func withdrawn(err error) bool {
+	return errors.Is(err, fleet.ErrLeaving) || errors.Is(err, fleet.ErrGone) || errors.Is(err, fleet.ErrEvacuated)
+}
+
 // sendingField is what this box knew when it sent the request for the last time.
 func (r *inflight) sendingField() zap.Field {
 	if r.sending == nil {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"testing"
 
+	"github.com/juju/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -43,6 +44,29 @@
 		Expect(err).NotTo(MatchError(transport.ErrNotSent))
 	})
 
+	It("is not written if the check before its first byte fails, on a new connection or on a used one", func() {
+		served := 0
+		address, stop := startServer(func(*http.Request) { served++ }, nil)
+		defer stop()
+		pooled := transport.New()
+		checks := 0
+		send := func(failed error) error {
+			ctx := transport.WithBeforeWrite(context.Background(), func() error { checks++; return failed })
+			status, _, err := transport.Sender(pooled.RoundTrip).Call(post(address).WithContext(ctx), 1)
+			Expect(status == http.StatusOK).To(Equal(err == nil))
+			return err
+		}
+		leaves := errors.ConstError("leaves")
+		for range 2 {
+			err := send(leaves)
+			Expect(err).To(MatchError(transport.ErrNotSent))
+			Expect(err).To(MatchError(leaves))
+			Expect(send(nil)).To(Succeed())
+		}
+		Expect(served).To(Equal(2))
+		Expect(checks).To(Equal(4))
+	})
+
 	It("is discarded when it is canceled, so that the network does not deliver it later", func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -58,6 +58,7 @@
 // Reasons why this box may not send anything to an upstream now.
 const (
 	ErrLeaving = errors.ConstError("upstream leaves: choose another one")
+	ErrGone    = errors.ConstError("upstream is gone: choose another one")
 	ErrBackoff = errors.ConstError("upstream asked this box for rest: choose another one, or come again at its end")
 )
 
@@ -148,6 +149,25 @@
 	return endpoint, nil
 }
 
+// Check returns why the upstream may get no request now, whatever was known at Begin: ErrLeaving, ErrGone or ErrEvacuated;
+// nil if it may. A request may wait for a connection after Begin.
+func (e *Endpoint) Check() error {
+	e.directory.mu.RLock()
+	defer e.directory.mu.RUnlock()
+	state := e.directory.states[e.ID]
+	switch {
+	case state == nil:
+		return ErrGone
+	case state.Leaving:
+		return ErrLeaving
+	case !state.Usable(time.Now()):
+		return ErrGone
+	case state.Evacuated:
+		return ErrEvacuated
+	}
+	return nil
+}
+
 // HandleNotice applies what an answer states. It is called as soon as the head of the answer has arrived,
 // whatever happens to the rest of the answer.
 func (e *Endpoint) HandleNotice(n Notice) {
