A store that came back is read by a few boxes first, and others' copies are taken meanwhile

What callers and upstreams saw: after the store came back from a copy, boxes went on with lists and configurations of seconds before: a leaving upstream got requests 3 to 6 s after its entry, a new route was unknown.

Cause: every box read the whole store at once, and refused the copies of other boxes meanwhile, until its own read failed. A busy store answered none of them within the 1.5 s that a box waits; what it did for them was lost, and they asked again, in step.

Now relays (in a fleet without them the first two boxes) and the order holder read at once; the others wait 0.4 to 0.8 s for their copies. A box that reads refuses copies for 0.4 s only. Retries are jittered.

--- a/internal/cluster/store.go
+++ b/internal/cluster/store.go
@@ -33,6 +33,25 @@
 	return rank
 }
 
+// ReadsFirst reports whether this box is one of those that read the store first when it came back from a copy, and from
+// which the others take it: the relays of a large fleet, or the first boxes of a small one by name. A box that knows no
+// other one reads by itself.
+func (m *Members) ReadsFirst() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	if m.large() {
+		return m.isRelay(now)
+	}
+	before := 0
+	for name, other := range m.byName {
+		if name < m.self.Name && !other.report.leaving && !other.call.lost() && now.Sub(other.report.received) < reportTTL {
+			before++
+		}
+	}
+	return before < Watchers
+}
+
 // mayWatch reports whether a box of a small fleet may watch the store for all boxes.
 func (o *member) mayWatch(now time.Time) bool {
 	recent := now.Sub(o.report.received) < reportTTL
--- a/internal/node/restored_test.go
+++ b/internal/node/restored_test.go
@@ -36,10 +36,11 @@
 }
 
 // playRestoredStore makes the store of a fleet lose some seconds of changes, be away for a while, and change right after
-// it came back.
-func playRestoredStore(size smallFleetSize, away time.Duration, prepare func(*Node)) restoredFleet {
+// it came back. snapshotWork is the processor time that the store takes for a snapshot.
+func playRestoredStore(size smallFleetSize, away, snapshotWork time.Duration, prepare func(*Node)) restoredFleet {
 	var played restoredFleet
 	withPreparedBoxes(size, prepare, func(s *smallBoxes) {
+		s.snapshotWork = snapshotWork
 		checkpoint := s.service.Checkpoint()
 		for n := range 40 {
 			s.put("servers/"+upstreamName(n%s.size.upstreams), upstreamName(n%s.size.upstreams))
@@ -87,7 +88,7 @@
 			}
 			for way, prepare := range ways {
 				for _, away := range []time.Duration{0, 1500 * time.Millisecond} {
-					played := playRestoredStore(size, away, prepare)
+					played := playRestoredStore(size, away, 0, prepare)
 					GinkgoWriter.Printf("%d boxes, away for %v, %s: last box %v, changes known %v; in 2 s %d snapshots, %d calls, %d KB\n",
 						size.boxes, away, way, played.lastBox, played.changed, played.snapshots, played.calls, played.bytes>>10)
 					if prepare == nil {
@@ -97,4 +98,23 @@
 			}
 		})
 	}
+
+	// All boxes read the store at once when it came back. A busy store then answered none of them before they gave up
+	// and asked again, and until then each refused the copies of other boxes.
+	It("knows what is written right after it, although the store makes few snapshots a second", func() {
+		for _, away := range []time.Duration{0, 1500 * time.Millisecond} {
+			played := playRestoredStore(raceSize, away, busySnapshotWork, nil)
+			GinkgoWriter.Printf("away for %v: last box %v, changes known %v; in 2 s %d snapshots, %d calls, %d KB\n",
+				away, played.lastBox, played.changed, played.snapshots, played.calls, played.bytes>>10)
+			Expect(played.changed).To(BeNumerically("<", busyBound))
+		}
+	})
 })
+
+const (
+	// busySnapshotWork is what a snapshot takes of a busy store's processor time, alone. Of 18 at once, each takes longer
+	// than a box waits.
+	busySnapshotWork = 150 * time.Millisecond
+	// busyBound is the platform's bound on the time until a change is in force, for a fleet that has relays.
+	busyBound = 3 * time.Second
+)
--- a/internal/node/small_boxes_test.go
+++ b/internal/node/small_boxes_test.go
@@ -65,6 +65,10 @@
 	// storeDown means that the store answers no box.
 	storeDown atomic.Bool
 	calls     storeCalls
+	// snapshotWork is the processor time that the store takes for a snapshot, which snapshots share, and snapshotting how
+	// many it makes now.
+	snapshotWork time.Duration
+	snapshotting atomic.Int64
 	// storeBytes is what the store's answers took on the boxes' links.
 	storeBytes atomic.Int64
 
@@ -230,6 +234,9 @@
 	store := s.memory
 	store.Epoch = known.Load
 	store.Snapshot = func(ctx context.Context, prefix string) (kv.Snapshot, error) {
+		if s.snapshotWork > 0 && !s.makeSnapshot(ctx) {
+			return kv.Snapshot{}, kv.ErrUnavailable
+		}
 		snapshot, err := s.memory.Snapshot(ctx, prefix)
 		if err != nil {
 			return kv.Snapshot{}, err
@@ -240,6 +247,13 @@
 		}
 		return snapshot, receive(ctx, bytes)
 	}
+	store.Get = func(ctx context.Context, key string) (kv.Record, error) {
+		record, err := s.memory.Get(ctx, key)
+		if received := receive(ctx, len(record.Value)); received != nil {
+			return kv.Record{}, received
+		}
+		return record, err
+	}
 	store.Watch = func(ctx context.Context, options kv.WatchOptions) (<-chan []kv.Event, error) {
 		return linkedWatch(ctx, s.memory, options, func(batch []kv.Event) error {
 			bytes := 0
@@ -252,6 +266,29 @@
 	return store
 }
 
+// makeSnapshot takes the store's processor time for a snapshot, also if the box that asked for it gives up. It reports
+// whether the answer begins in time.
+func (s *smallBoxes) makeSnapshot(ctx context.Context) bool {
+	const steps = 30
+	made := make(chan struct{})
+	s.running.Go(func() {
+		defer close(made)
+		s.snapshotting.Add(1)
+		defer s.snapshotting.Add(-1)
+		for range steps {
+			time.Sleep(s.snapshotWork / steps * time.Duration(s.snapshotting.Load()))
+		}
+	})
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	select {
+	case <-made:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // put writes a record.
 func (s *smallBoxes) put(key, value string) {
 	current, err := s.memory.Get(context.Background(), key)
--- a/internal/storeview/watch.go
+++ b/internal/storeview/watch.go
@@ -33,6 +33,11 @@
 	maxStaleness         = 900 * time.Millisecond
 	maxFollowerStaleness = 1300 * time.Millisecond
 	maxStalenessJitter   = 600 * time.Millisecond
+	// minRestoredWait is how long a box leaves it to the boxes that read first to read a store that came back from a copy,
+	// and takes their copies. Each box adds a random time of up to maxRestoredWaitJitter, so that the others do not read it
+	// together if no copy comes.
+	minRestoredWait       = 400 * time.Millisecond
+	maxRestoredWaitJitter = 400 * time.Millisecond
 	// minCopyWait is how long a box that starts waits for another box's copy, where the store is too large for every box
 	// to read it whole. Each box adds a random time of up to maxCopyWaitJitter: if no box has a copy, some read the
 	// store, and the others get the copy from them.
@@ -55,6 +60,11 @@
 	return v.config.Members.FollowsRelay() && v.recordCount.Load() > maxReadByAll
 }
 
+// leaveRestored reports whether this box leaves it to others for now to read a store that came back from a copy.
+func (v *View) leaveRestored(known time.Duration) bool {
+	return known < v.restoredWait && !v.config.Members.ReadsFirst() && !v.config.OrderLease.Held()
+}
+
 // applyPartialSnapshot registers the boxes that are among the first records of a large store, so that they can be
 // asked for the rest.
 func (v *View) applyPartialSnapshot(records []kv.Record) {
--- a/pkg/mirror/follow.go
+++ b/pkg/mirror/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -42,7 +43,8 @@
 		if time.Since(start) > maxRetryDelay {
 			wait = minRetryDelay
 		}
-		if pause.For(ctx, wait) != nil {
+		// Boxes whose calls failed together do not call together again.
+		if pause.For(ctx, wait/2+rand.N(wait)) != nil {
 			return
 		}
 		wait = min(2*wait, maxRetryDelay)
@@ -50,8 +52,12 @@
 }
 
 // shouldPause reports whether the store need not be polled now: this mirror has a copy, other boxes keep it up to
-// date, it is of the store's present epoch, and if the store is lost, it was tried recently.
+// date, it is of the store's present epoch, and if the store is lost, it was tried recently. It also pauses while it
+// leaves it to other boxes to read a store that came back from a copy.
 func (m *Mirror) shouldPause() bool {
+	if m.leavesRestored() {
+		return true
+	}
 	mayAwait := m.mayAwaitRestored()
 	m.mu.Lock()
 	due := m.state.Revision == 0 || (m.outlived() && !mayAwait) || (m.connection.lost && time.Since(m.connection.lastAttempt) > lostRetryInterval)
@@ -66,13 +72,36 @@
 	return answered || kv.Precedes(m.state.Revision, kv.EpochOf(m.reported))
 }
 
+// outlivedFor returns how long this box has known that the store came back from a copy since the state was current, and
+// false if it did not.
+func (m *Mirror) outlivedFor() (known time.Duration, outlived bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.state.Revision == 0 || !m.outlived() {
+		m.outlivedSince = time.Time{}
+		return 0, false
+	}
+	if m.outlivedSince.IsZero() {
+		m.outlivedSince = time.Now()
+	}
+	return time.Since(m.outlivedSince), true
+}
+
+// restoredReadTime is how long a box that reads a store again that came back from a copy takes no copies from other boxes
+// meanwhile. A busy store may answer none of the boxes that read it together.
+const restoredReadTime = 400 * time.Millisecond
+
 // ReadsRestored reports whether this box is about to read a store again that came back from a copy, so that other boxes
 // need not send it what the store has.
 func (m *Mirror) ReadsRestored() bool {
-	mayAwait := m.mayAwaitRestored()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.state.Revision != 0 && m.outlived() && !mayAwait && !m.connection.lost
+	known, outlived := m.outlivedFor()
+	return outlived && known < restoredReadTime && !m.mayAwaitRestored() && !m.leavesRestored() && !m.Lost()
+}
+
+// leavesRestored reports whether this box still leaves it to other boxes to read a store that came back from a copy.
+func (m *Mirror) leavesRestored() bool {
+	known, outlived := m.outlivedFor()
+	return outlived && m.LeaveRestored != nil && m.LeaveRestored(known)
 }
 
 func (m *Mirror) mayAwaitRestored() bool { return m.MayAwaitRestored != nil && m.MayAwaitRestored() }
@@ -89,6 +118,9 @@
 	m.copiedFromPeers = false
 	m.mu.Unlock()
 	if !complete {
+		if !m.answers(ctx) || m.leavesRestored() {
+			return false
+		}
 		snapshot, whole, err := m.readSnapshot(ctx)
 		m.noteConnectivity(err)
 		if err != nil || !whole {
@@ -119,6 +151,34 @@
 	return m.applyBatches(ctx, batches, from, nextPoll)
 }
 
+// answers reports whether the store answers a short read, which also shows its epoch, if there is a copy to read it by. All
+// boxes notice together that a store is back, and a snapshot for each at once may be more than it can make.
+func (m *Mirror) answers(ctx context.Context) bool {
+	key, ok := m.shortKey()
+	if !ok {
+		return true
+	}
+	_, err := m.Store.Get(ctx, key)
+	if errors.Is(err, kv.ErrNotFound) {
+		err = nil
+	}
+	m.noteConnectivity(err)
+	return err == nil
+}
+
+// shortKey returns the key of a record of the copy with a short value, if there is one.
+func (m *Mirror) shortKey() (key string, ok bool) {
+	const shortValueBytes = 1 << 10
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for key, record := range m.state.Records.All() {
+		if len(record.Value) <= shortValueBytes {
+			return key, true
+		}
+	}
+	return "", false
+}
+
 // readMissing reads each record that this copy lacks by its key, and reports whether the store answered. A record
 // that was changed or removed meanwhile is left to the watch.
 func (m *Mirror) readMissing(ctx context.Context) bool {
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -64,6 +64,9 @@
 	// MayAwaitRestored reports whether this box may wait for other boxes to bring what the store has after it came back
 	// from a copy, as long as Paused allows it; nil means never. It is called without the mirror locked.
 	MayAwaitRestored func() bool
+	// LeaveRestored reports whether this box leaves it to other boxes for now to read a store that came back from a copy, which
+	// it has known for that long; nil means never. It is called without the mirror locked.
+	LeaveRestored func(known time.Duration) bool
 	// MayAwaitCopy reports whether this box may wait for a first copy from other boxes instead of reading a large store
 	// whole; nil means never.
 	MayAwaitCopy func() bool
@@ -89,6 +92,9 @@
 	pendingConfirmations []confirmation
 	// reported is the highest revision of a copy that another box reported.
 	reported int64
+	// outlivedSince is since when this box has known that the store came back from a copy after the state was current; zero
+	// if it did not.
+	outlivedSince time.Time
 	// partialRead means that only the first records of a large store were read, because a copy may be awaited.
 	partialRead bool
 	// copiedFromPeers means that the whole state so far came from other boxes. The next call of follow clears it.
