A box that stops delivers answers until it is ended, not until 0.3 s before

What callers saw: a request that ran was answered by an end of the connection (EOF), at a box that was asked to stop and not killed.

Cause: the drain closed all connections 0.3 s before the end of the grace time, so that the rest of the process could stop in that time. With a grace time of 1 s, in which requests are accepted for half of it, one that was accepted last had 0.2 s for its answer; and 0.3 s in which its answer could still have been delivered were not used at all.

Front.Drain still ends then, and the box stops what it does for others; Front.Finish waits for the requests left. The platform ends the process after the grace time: what comes before that is delivered, and if it comes late the process ends by itself after another grace time at most. Weighed: to accept requests for a shorter time (more callers refused at each stop, and the same cut for those accepted), or to cut at the end of the grace time exactly (0.3 s gained; a platform that is late with its kill then loses answers for nothing).

Failed before: internal/gateway 'delivers answers until the process is ended, and cuts none off within the grace time'.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -20,8 +20,8 @@
 )
 
 // Drain accepts requests until the load balancer has noticed that this box is leaving, then closes connections
-// with their next answer. It returns when all requests are answered or the grace time is over. Requests that are
-// still in flight then are cut off.
+// with their next answer. It returns when all requests are answered, or DrainMargin before the end of the grace time.
+// Requests that are still in flight then go on until Finish ends them.
 func (f *Front) Drain(grace time.Duration) {
 	begun := time.Now()
 	time.Sleep(min(balancerDelay, grace/4))
@@ -30,6 +30,15 @@
 	f.refusing.Store(true)
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(grace-DrainMargin))
 	defer cancel()
+	_ = f.Server.Shutdown(ctx) // It fails if requests are still in flight, for which Finish waits.
+}
+
+// Finish waits until the requests that were in flight at the end of Drain are answered. The platform may end the process
+// from the end of the grace time on, and does not have to: a request that outlasts the grace time goes on until then, and
+// is cut off here only after another grace time.
+func (f *Front) Finish(grace time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), DrainMargin+grace)
+	defer cancel()
 	if f.Server.Shutdown(ctx) != nil {
 		// The error is not logged: the caller logs how many requests are cut off.
 		_ = f.Server.Close()
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -48,4 +48,37 @@
 			Expect(time.Since(begun)).To(Equal(500 * time.Millisecond))
 		})
 	})
+
+	// A drain closed the connections of all requests that were not answered 0.3 s before the end of the grace time, with
+	// the answers of upstreams that ran them.
+	It("delivers answers until the process is ended, and cuts none off within the grace time", func() {
+		const grace = time.Second
+		for took, cutOff := range map[time.Duration]bool{
+			grace - DrainMargin/2: false, grace + DrainMargin: false, 2*grace - DrainMargin: false, 3 * grace: true,
+		} {
+			spectest.Bubble(func() {
+				var network spectest.Network
+				slow := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(took) })
+				f := NewFront(slow, &Gateway{})
+				go f.Serve(network.Listen("box:1"))
+				caller := &http.Client{Transport: &http.Transport{DialContext: network.Dial}}
+				answered := make(chan error, 1)
+				go func() {
+					response, err := caller.Get("http://box:1/")
+					if err == nil {
+						err = response.Body.Close()
+					}
+					answered <- err
+				}()
+				time.Sleep(time.Millisecond)
+				begun := time.Now()
+				f.Drain(grace)
+				f.Finish(grace)
+				Expect(time.Since(begun)).To(BeNumerically("<=", 2*grace))
+				Expect(<-answered != nil).To(Equal(cutOff), "answered after %v", took)
+				caller.CloseIdleConnections()
+				time.Sleep(4 * grace) // The handler may outlast its connection.
+			})
+		}
+	})
 })
