--- a/internal/node/restored_test.go
+++ b/internal/node/restored_test.go
@@ -102,11 +102,13 @@
 	// All boxes read the store at once when it came back. A busy store then answered none of them before they gave up
 	// and asked again, and until then each refused the copies of other boxes.
 	It("knows what is written right after it, although the store makes few snapshots a second", func() {
-		for _, away := range []time.Duration{0, 1500 * time.Millisecond} {
-			played := playRestoredStore(raceSize, away, busySnapshotWork, nil)
-			GinkgoWriter.Printf("away for %v: last box %v, changes known %v; in 2 s %d snapshots, %d calls, %d KB\n",
-				away, played.lastBox, played.changed, played.snapshots, played.calls, played.bytes>>10)
-			Expect(played.changed).To(BeNumerically("<", busyBound))
+		for _, work := range []time.Duration{busySnapshotWork, 4 * busySnapshotWork} {
+			for _, away := range []time.Duration{0, 1500 * time.Millisecond} {
+				played := playRestoredStore(raceSize, away, work, nil)
+				GinkgoWriter.Printf("%v a snapshot, away for %v: last box %v, changes known %v; in 2 s %d snapshots, %d calls, %d KB\n",
+					work, away, played.lastBox, played.changed, played.snapshots, played.calls, played.bytes>>10)
+				Expect(played.changed).To(BeNumerically("<", busyBound))
+			}
 		}
 	})
 })
--- a/internal/node/small_boxes_test.go
+++ b/internal/node/small_boxes_test.go
@@ -279,7 +279,7 @@
 			time.Sleep(s.snapshotWork / steps * time.Duration(s.snapshotting.Load()))
 		}
 	})
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, kv.AnswerTimeout(ctx, storeTimeout))
 	defer cancel()
 	select {
 	case <-made:
--- a/internal/storeview/view.go
+++ b/internal/storeview/view.go
@@ -48,8 +48,8 @@
 	mirror *mirror.Mirror
 	// jitter is what this box adds to the limits of staleness; see maxStalenessJitter.
 	jitter time.Duration
-	// restoredWait is how long this box leaves it to others to read a store that came back from a copy.
-	restoredWait time.Duration
+	// restoredWaitShare is this box's share, 0 to 1, of the jitter in leaveRestored.
+	restoredWaitShare float64
 	// lastFollowReason is the reason why this box follows the store itself; empty while other boxes keep its copy up to
 	// date. Only the mirror's goroutine uses it.
 	lastFollowReason followReason
@@ -85,7 +85,7 @@
 // New returns a view without a copy of the store. Run fetches and updates the copy.
 func New(config Config) *View {
 	v := &View{
-		config: config, jitter: rand.N(maxStalenessJitter), restoredWait: minRestoredWait + rand.N(maxRestoredWaitJitter), copyWaitDeadline: time.Now().Add(minCopyWait + rand.N(maxCopyWaitJitter)),
+		config: config, jitter: rand.N(maxStalenessJitter), restoredWaitShare: rand.Float64(), copyWaitDeadline: time.Now().Add(minCopyWait + rand.N(maxCopyWaitJitter)),
 		upstreamIDs: map[string]string{}, unusableReasons: map[string]string{}, boxByKey: map[string]registeredBox{},
 		evacuations: evacuationSet{halls: map[string]bool{}, lost: map[string]time.Time{}},
 	}
--- a/internal/storeview/watch.go
+++ b/internal/storeview/watch.go
@@ -33,11 +33,14 @@
 	maxStaleness         = 900 * time.Millisecond
 	maxFollowerStaleness = 1300 * time.Millisecond
 	maxStalenessJitter   = 600 * time.Millisecond
-	// minRestoredWait is how long a box leaves it to the boxes that read first to read a store that came back from a copy,
-	// and takes their copies. Each box adds a random time of up to maxRestoredWaitJitter, so that the others do not read it
-	// together if no copy comes.
-	minRestoredWait       = 400 * time.Millisecond
-	maxRestoredWaitJitter = 400 * time.Millisecond
+	// restoredWait is how long a box leaves it to the boxes that read first to read a store that came back from a copy, and
+	// takes their copies. Each box adds a random time of up to restoredWaitJitter, so that the others do not read it together
+	// if no copy comes. A box that follows a relay waits longer: in a large fleet even a quick store is busy for a while
+	// once all boxes read it.
+	restoredWait               = 400 * time.Millisecond
+	restoredWaitJitter         = 800 * time.Millisecond
+	followerRestoredWait       = 2 * time.Second
+	followerRestoredWaitJitter = time.Second
 	// minCopyWait is how long a box that starts waits for another box's copy, where the store is too large for every box
 	// to read it whole. Each box adds a random time of up to maxCopyWaitJitter: if no box has a copy, some read the
 	// store, and the others get the copy from them.
@@ -62,7 +65,12 @@
 
 // leaveRestored reports whether this box leaves it to others for now to read a store that came back from a copy.
 func (v *View) leaveRestored(known time.Duration) bool {
-	return known < v.restoredWait && !v.config.Members.ReadsFirst() && !v.config.OrderLease.Held()
+	wait, jitter := restoredWait, restoredWaitJitter
+	if v.config.Members.FollowsRelay() {
+		wait, jitter = followerRestoredWait, followerRestoredWaitJitter
+	}
+	wait += time.Duration(v.restoredWaitShare * float64(jitter))
+	return known < wait && !v.config.Members.ReadsFirst() && !v.config.OrderLease.Held()
 }
 
 // applyPartialSnapshot registers the boxes that are among the first records of a large store, so that they can be
--- a/pkg/kv/kv.go
+++ b/pkg/kv/kv.go
@@ -155,3 +155,20 @@
 	// An empty batch means that the service answered and nothing has changed.
 	Watch func(ctx context.Context, watching WatchOptions) (<-chan []Event, error)
 }
+
+// answerTimeoutKey is the context key of the time until the answer to a read must begin.
+type answerTimeoutKey struct{}
+
+// WithAnswerTimeout returns a context under which a read waits that long for its answer to begin, instead of for as long
+// as the Store does by itself.
+func WithAnswerTimeout(ctx context.Context, timeout time.Duration) context.Context {
+	return context.WithValue(ctx, answerTimeoutKey{}, timeout)
+}
+
+// AnswerTimeout returns how long a read waits for its answer to begin: usual, unless WithAnswerTimeout set another time.
+func AnswerTimeout(ctx context.Context, usual time.Duration) time.Duration {
+	if timeout, ok := ctx.Value(answerTimeoutKey{}).(time.Duration); ok {
+		return timeout
+	}
+	return usual
+}
--- a/pkg/mirror/snapshot.go
+++ b/pkg/mirror/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"ospreymoor.example/ospreymoor/pkg/kv"
 )
@@ -10,12 +11,20 @@
 // pages. Without it, the store's single link would carry a whole snapshot for each box of a fleet that starts.
 const partialSnapshotLimit = 900
 
+// snapshotTimeout is how long a box that has a copy waits until a snapshot begins to arrive. The store has answered a short
+// read just before, and other boxes bring their copies meanwhile. If all boxes gave up sooner and asked again, a busy store
+// would make snapshots that nobody takes.
+const snapshotTimeout = 4500 * time.Millisecond
+
 // readSnapshot reads a snapshot. If this mirror has no copy and may wait for one from other boxes, it stops after
 // partialSnapshotLimit records, and whole is false if there are more.
 func (m *Mirror) readSnapshot(ctx context.Context) (snapshot kv.Snapshot, whole bool, err error) {
 	m.mu.Lock()
 	first := m.state.Revision == 0
 	m.mu.Unlock()
+	if !first {
+		ctx = kv.WithAnswerTimeout(ctx, snapshotTimeout)
+	}
 	if !first || m.Store.SnapshotWithin == nil || m.MayAwaitCopy == nil || !m.MayAwaitCopy() {
 		snapshot, err = m.Store.Snapshot(ctx, "")
 		return snapshot, true, err
