Requests that ended since an engine's report do not wait there; a model is not refused for them

Cause: the wait at an engine was estimated from its latest report and all that was sent there since, without what had ended since. Reports of another hall are up to 6 s old.

Times older than maxReportAge are dropped.

--- a/internal/box/reach_test.go
+++ b/internal/box/reach_test.go
@@ -40,6 +40,29 @@
 		})
 	})
 
+	// Between two reports of another hall's loads a box sent more requests than an engine has slots for, all of which ended
+	// soon. They counted as waiting, and models with new weights were refused: target out of reach.
+	It("stays reachable while new weights are rolled and many short requests are sent between reports of load", func() {
+		spec := fleetSpec{halls: 2, boxes: 2, engines: 2, memory: 50 * gib, weightSpeed: 5 * gib}
+		withFleet(spec, func(t *testFleet) {
+			t.roll(t.boxes["h1-b1"], bundleText(1, "w1", "15GiB", models...))
+			t.awaitModels(models...)
+			ctx, cancel := context.WithCancel(context.Background())
+			var probing sync.WaitGroup
+			refused := make([][]string, 8)
+			for n := range refused {
+				probing.Go(func() { refused[n] = probe(ctx, t, t.boxes["h2-b1"], models) })
+			}
+			for version := 2; version <= 3; version++ {
+				t.roll(t.boxes["h1-b1"], bundleText(version, fmt.Sprintf("w%d", version), "15GiB", models...))
+				time.Sleep(30 * time.Second)
+			}
+			cancel()
+			probing.Wait()
+			Expect(slices.Concat(refused...)).To(BeEmpty())
+		})
+	})
+
 	It("stays reachable when an engine crashes, and when the hall's controller crashes too", func() {
 		spec := fleetSpec{halls: 2, boxes: 2, engines: 2, memory: 64 * gib, weightSpeed: 5 * gib}
 		withFleet(spec, func(t *testFleet) {
--- a/pkg/routing/choice.go
+++ b/pkg/routing/choice.go
@@ -105,12 +105,12 @@
 }
 
 // requestsAt estimates the number of requests at a candidate: those of the report and those that all
-// boxes sent since. If the report is stale, each other box is assumed to have as many in flight there
-// as this one.
+// boxes sent since, without this box's that ended since. A report of another hall comes every few seconds, in
+// which many short requests are sent and end. If the report is stale, each other box is assumed to have as many
+// in flight there as this one.
 func (r *Router) requestsAt(candidate Candidate) int {
 	inFlight := r.record(candidate.ID).inFlight
-	sent := candidate.PeersSent + r.sentSince(candidate.ID, candidate.Reported)
-	ahead := candidate.Running + candidate.Queued + sent
+	ahead := candidate.Running + candidate.Queued + candidate.PeersSent + r.changeSince(candidate.ID, candidate.Reported)
 	if time.Since(candidate.Reported) > maxReportAge {
 		ahead = inFlight * max(1, candidate.Boxes)
 	}
--- a/pkg/routing/router.go
+++ b/pkg/routing/router.go
@@ -33,8 +33,8 @@
 type upstreamRecord struct {
 	// inFlight is the number of this box's requests there that have not ended.
 	inFlight int
-	// sentAt holds the times of this box's requests since the latest report, oldest first.
-	sentAt []time.Time
+	// sentAt and endedAt hold when this box's requests were sent and ended since the latest report, oldest first.
+	sentAt, endedAt []time.Time
 	// totalSent counts all requests that were sent.
 	totalSent int64
 	// avoidUntil is the time until which the upstream is avoided after its latest failure.
@@ -82,19 +82,30 @@
 func (r *Router) recordEnd(upstream string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.record(upstream).inFlight--
+	record := r.record(upstream)
+	record.inFlight--
+	record.endedAt = append(record.endedAt, time.Now())
 }
 
-// sentSince returns the number of this box's requests since a report, and drops the times of older
-// ones. The caller holds the lock.
-func (r *Router) sentSince(upstream string, reported time.Time) int {
+// changeSince returns by how many this box's requests at an upstream have grown since a report, which is negative if more
+// ended than were sent. It drops the times before the report, and those before maxReportAge. The caller holds the lock.
+func (r *Router) changeSince(upstream string, reported time.Time) int {
 	record := r.record(upstream)
+	if oldest := time.Now().Add(-maxReportAge); reported.Before(oldest) {
+		reported = oldest
+	}
+	record.sentAt = since(record.sentAt, reported)
+	record.endedAt = since(record.endedAt, reported)
+	return len(record.sentAt) - len(record.endedAt)
+}
+
+// since returns the times that are not before a time. The times are in ascending order.
+func since(times []time.Time, start time.Time) []time.Time {
 	first := 0
-	for first < len(record.sentAt) && record.sentAt[first].Before(reported) {
+	for first < len(times) && times[first].Before(start) {
 		first++
 	}
-	record.sentAt = record.sentAt[first:]
-	return len(record.sentAt)
+	return times[first:]
 }
 
 // RecordSlotTime records how long a request on a model was in a slot.
--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -73,6 +73,30 @@
 		})
 	})
 
+	// A box counted all that it had sent since a report of seconds ago as waiting there, although it had ended: a model
+	// was refused as out of reach at an idle engine until the next report.
+	It("does not count requests that have ended since a report", func() {
+		spectest.Bubble(func() {
+			list := candidates(0)
+			for range 250 {
+				ended := router.RecordSent("m", "", "e0")
+				time.Sleep(20 * time.Millisecond)
+				ended()
+			}
+			choice, err := router.Pick("new", "", list)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(choice.Wait).To(BeZero())
+			// What the report counted and has ended since does not wait there either.
+			ended := router.RecordSent("m", "", "e0")
+			time.Sleep(time.Millisecond)
+			list = candidates(3)
+			time.Sleep(time.Millisecond)
+			ended()
+			choice, _ = router.Pick("new", "", list)
+			Expect(choice.Wait).To(Equal(time.Second))
+		})
+	})
+
 	It("assumes that other boxes have as many requests in flight as this one where reports are stale", func() {
 		spectest.Bubble(func() {
 			list := candidates(9, 0)
