--- a/internal/cluster/members.go
+++ b/internal/cluster/members.go
@@ -151,6 +151,13 @@
 	return max(1, m.maxBoxes)
 }
 
+// HallBoxes returns the number of boxes that are known in this box's hall, itself included.
+func (m *Members) HallBoxes() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.hallByPreference(m.self.Hall)) + 1
+}
+
 // applyReport applies a box's report about itself and about the order holder.
 func (m *Members) applyReport(received message, now time.Time) {
 	m.mu.Lock()
--- a/internal/node/restored_test.go
+++ b/internal/node/restored_test.go
@@ -23,6 +23,7 @@
 var restoredBounds = map[smallFleetSize]time.Duration{
 	{7, 4, 18}:    2 * time.Second,
 	{39, 3, 64}:   3 * time.Second,
+	{86, 4, 64}:   3 * time.Second,
 	{300, 7, 240}: 4 * time.Second,
 }
 
--- a/internal/storeview/watch.go
+++ b/internal/storeview/watch.go
@@ -35,12 +35,13 @@
 	maxStalenessJitter   = 600 * time.Millisecond
 	// restoredWait is how long a box leaves it to the boxes that read first to read a store that came back from a copy, and
 	// takes their copies. Each box adds a random time of up to restoredWaitJitter, so that the others do not read it together
-	// if no copy comes. A box that follows a relay waits longer: in a large fleet even a quick store is busy for a while
-	// once all boxes read it.
+	// if no copy comes. A box that follows a relay waits longer, unless its hall has more than maxRelayedHall boxes: a copy
+	// takes the relay's link longer than that to reach them all.
 	restoredWait               = 400 * time.Millisecond
 	restoredWaitJitter         = 800 * time.Millisecond
 	followerRestoredWait       = 2 * time.Second
 	followerRestoredWaitJitter = time.Second
+	maxRelayedHall             = 24
 	// minCopyWait is how long a box that starts waits for another box's copy, where the store is too large for every box
 	// to read it whole. Each box adds a random time of up to maxCopyWaitJitter: if no box has a copy, some read the
 	// store, and the others get the copy from them.
@@ -66,7 +67,7 @@
 // leaveRestored reports whether this box leaves it to others for now to read a store that came back from a copy.
 func (v *View) leaveRestored(known time.Duration) bool {
 	wait, jitter := restoredWait, restoredWaitJitter
-	if v.config.Members.FollowsRelay() {
+	if v.config.Members.FollowsRelay() && v.config.Members.HallBoxes() <= maxRelayedHall {
 		wait, jitter = followerRestoredWait, followerRestoredWaitJitter
 	}
 	wait += time.Duration(v.restoredWaitShare * float64(jitter))
