--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -140,7 +140,7 @@
 	if at, crashed := r.gateway.hasCrashed(ctx, *choice.Upstream.Upstream); crashed {
 		r.gateway.Quarantine.NoteCrash(r.fingerprint(), choice.Upstream.ID, at)
 		r.gateway.Metrics.GetOrCreateCounter("ospreymoor_requests_crashed_under_total").Inc()
-		found = []zap.Field{zap.Bool("crashed", true), zap.Stringer("content", r.fingerprint())}
+		found = []zap.Field{zap.Bool("crashed", true), zap.Stringer("content", r.fingerprint()), r.partsField(), r.writingField()}
 	}
 	r.logAttempt(choice, status, took, err, found...)
 }
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -44,6 +44,8 @@
 	throttledUpstreams throttledUpstreams
 	// endpoint is the chosen upstream, as returned by the directory for the next send.
 	endpoint *fleet.Endpoint
+	// writingSince is when the first event of the latest attempt arrived; zero if none did.
+	writingSince time.Time
 	// crashHistory holds what this box knows about upstreams that crashed under the request.
 	crashHistory crashHistory
 	// rate holds the service's settings for cold engines and the request's rate grants.
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -83,6 +83,7 @@
 		zap.String("customer", r.customerName()),
 		zap.Object("quota", quotaField(r.quota)),
 		r.quarantineField(),
+		r.partsField(),
 		r.placeField(),
 		r.originField(),
 		r.sendingField(),
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -133,6 +133,7 @@
 		s.recordContact(upstream.Hall)
 		s.finishReservation(ctx)
 		if !begun {
+			s.writingSince = time.Now()
 			s.beginEvents(upstream)
 		}
 		if !s.headWritten {
--- a/internal/requestlog/request.go
+++ b/internal/requestlog/request.go
@@ -71,7 +71,9 @@
 	Upstream  string    `json:"backend"`
 	Content   string    `json:"content"`
 	Crashed   bool      `json:"crashed"`
-	Held      bool      `json:"held"`
+	// Parts are the shared parts of the prompt.
+	Parts []string `json:"parts"`
+	Held  bool     `json:"held"`
 }
 
 // Log holds what was parsed.
@@ -80,6 +82,8 @@
 	Crashes  []Crash
 	// RefusedContents counts the requests that were refused because upstreams crash under them, by content.
 	RefusedContents map[string]int
+	// AnsweredParts counts the requests that were answered with status 200, by the shared parts of their prompts.
+	AnsweredParts map[string]int
 	// Lines is the number of valid log lines, whatever their message. Skipped is the number of lines that are not
 	// log lines.
 	Lines, Skipped int
@@ -113,8 +117,9 @@
 	case parsed.Message == endedMessage:
 		l.Requests = append(l.Requests, parsed.request())
 		l.countRefused(&parsed)
+		l.countAnswered(&parsed)
 	case parsed.Message == attemptMessage && parsed.Crashed:
-		l.Crashes = append(l.Crashes, Crash{At: parsed.Time, Content: parsed.Content, ID: parsed.ID, Upstream: parsed.Upstream})
+		l.Crashes = append(l.Crashes, Crash{At: parsed.Time, Content: parsed.Content, Parts: parsed.Parts, ID: parsed.ID, Upstream: parsed.Upstream})
 	}
 }
 
@@ -129,6 +134,19 @@
 	l.RefusedContents[ended.Content]++
 }
 
+// countAnswered counts an answered request for each shared part of its prompt.
+func (l *Log) countAnswered(ended *line) {
+	if ended.Status != http.StatusOK || ended.Error != "" {
+		return
+	}
+	if l.AnsweredParts == nil {
+		l.AnsweredParts = map[string]int{}
+	}
+	for _, part := range ended.Parts {
+		l.AnsweredParts[part]++
+	}
+}
+
 func (l *line) request() Request {
 	return Request{
 		Ended: l.Time, ID: l.ID, Route: l.Route, Customer: l.Customer, Model: l.Model, Status: l.Status,
