--- a/internal/node/crash_callers_test.go
+++ b/internal/node/crash_callers_test.go
@@ -10,16 +10,20 @@
 	"time"
 
 	"ospreymoor.example/ospreymoor/internal/gateway"
+	"ospreymoor.example/ospreymoor/pkg/dispatch"
 )
 
 // sendRequest sends a request to a box. It returns its outcome, and the Retry-After of a refusal.
-func (c *crashFleet) sendRequest(n int, id, body string) (outcome string, retryAfter time.Duration) {
+func (c *crashFleet) sendRequest(n int, id, body string, parts ...string) (outcome string, retryAfter time.Duration) {
 	answer := httptest.NewRecorder()
 	now := time.Now()
 	request := &gateway.Request{
 		ID: id, Arrived: now, Deadline: now.Add(10 * time.Second), Method: http.MethodPost, URI: "/x", Path: "/x", Host: "h",
 		Header: http.Header{}, Body: []byte(body),
 	}
+	for _, part := range parts {
+		request.Prompt = append(request.Prompt, dispatch.PromptPart{ID: part, Tokens: 100})
+	}
 	if c.nodes[n].Gateway.Serve(context.Background(), answer, request) != nil {
 		return broken, 0
 	}
@@ -109,11 +113,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	count := 0
-	for body, crashes := range c.crashedUnder {
-		if len(crashes) < 3 || body == "" {
+	for cause, crashes := range c.crashedUnder {
+		if len(crashes) < 3 || cause == "" {
 			continue
 		}
-		for _, at := range c.received[body] {
+		for _, at := range c.received[cause] {
 			if at.After(crashes[2].Add(propagationTime)) {
 				count++
 			}
--- a/internal/node/crash_fleet_test.go
+++ b/internal/node/crash_fleet_test.go
@@ -51,8 +51,10 @@
 	partitioned map[string]bool
 	// crashes holds the times of all crashes.
 	crashes []time.Time
-	// crashedUnder holds the times of crashes under a request, and received when it reached an upstream that was up.
-	// Both are by the request's body.
+	// crashingParts holds the parts of prompts that crash each upstream that begins to write an answer on them.
+	crashingParts map[string]bool
+	// crashedUnder holds the times of crashes by cause, which is the body of a request or a part of its prompt, and
+	// received when requests with this cause reached an upstream that was up.
 	crashedUnder, received map[string][]time.Time
 	outcomes               map[string]int
 	// crashesDuring counts the crashes of upstreams that ran a request at that moment, by the request's body.
@@ -81,7 +83,7 @@
 	boxes := size.boxes
 	spectest.Bubble(func() {
 		c := &crashFleet{
-			policy: quarantine.DefaultPolicy, crashedUnder: map[string][]time.Time{}, received: map[string][]time.Time{},
+			policy: quarantine.DefaultPolicy, crashingParts: map[string]bool{}, crashedUnder: map[string][]time.Time{}, received: map[string][]time.Time{},
 			boxes: boxes, halls: size.halls, store: kv.NewMemory().Store(), upstreams: map[string]*crashUpstream{}, partitioned: map[string]bool{},
 			outcomes: map[string]int{}, crashesDuring: map[string]int{}, nodes: make([]*Node, boxes), stops: make([]context.CancelFunc, boxes),
 		}
@@ -167,16 +169,16 @@
 	*c.upstreams[id] = crashUpstream{up: true, running: map[string]int{}, alive: alive, kill: kill}
 }
 
-// crash ends an upstream and all requests that it runs, and restarts it after restartTime. The body is that of the
-// request that crashes it, or empty.
-func (c *crashFleet) crash(id, body string) {
+// crash ends an upstream and all requests that it runs, and restarts it after restartTime. The cause is the body of the
+// request that crashes it, a part of its prompt, or empty.
+func (c *crashFleet) crash(id, cause string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	upstream := c.upstreams[id]
 	if !upstream.up {
 		return
 	}
-	c.crashedUnder[body] = append(c.crashedUnder[body], time.Now())
+	c.crashedUnder[cause] = append(c.crashedUnder[cause], time.Now())
 	upstream.up = false
 	upstream.kill()
 	c.crashes = append(c.crashes, time.Now())
@@ -207,12 +209,26 @@
 // crashingPrefix begins the bodies of requests that crash upstreams.
 const crashingPrefix = "guilty"
 
+// causeOf returns what crashes the upstreams that run a request: its body, a part of its prompt, or nothing.
+func (c *crashFleet) causeOf(request *gateway.Request) string {
+	if strings.HasPrefix(string(request.Body), crashingPrefix) {
+		return string(request.Body)
+	}
+	for _, part := range request.Prompt {
+		if c.crashingParts[part.ID] {
+			return part.ID
+		}
+	}
+	return ""
+}
+
 func (c *crashFleet) sendToUpstream(ctx context.Context, to *fleet.Endpoint, attempt gateway.Attempt) (*gateway.Answer, error) {
 	body := string(attempt.Request.Body)
 	c.mu.Lock()
+	cause := c.causeOf(attempt.Request)
 	upstream := *c.upstreams[to.ID]
 	if upstream.up {
-		c.received[body] = append(c.received[body], time.Now())
+		c.received[cause] = append(c.received[cause], time.Now())
 		upstream.running[body]++
 	}
 	c.mu.Unlock()
@@ -223,8 +239,8 @@
 	c.callers.Go(func() {
 		stop := context.AfterFunc(ctx, func() { _ = writer.CloseWithError(io.ErrUnexpectedEOF) })
 		defer stop()
-		if strings.HasPrefix(body, crashingPrefix) && pause.For(ctx, crashDelay) == nil {
-			c.crash(to.ID, body)
+		if cause != "" && pause.For(ctx, crashDelay) == nil {
+			c.crash(to.ID, cause)
 		}
 		err := writeEvents(upstream.alive, writer, attempt.LastEventID, "event")
 		c.mu.Lock()
--- /dev/null
+++ b/internal/node/prompt_crash_test.go
@@ -0,0 +1,158 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// promptLoad is a load of requests with prompts, some of which have a part that crashes upstreams. No two prompts are
+// equal.
+type promptLoad struct {
+	// soundPerSecond and crashingPerSecond are rates over the whole fleet.
+	soundPerSecond, crashingPerSecond int
+	// sound and crashing return the parts of a request's prompt except the last, which is its own.
+	sound, crashing func(random *rand.Rand) []string
+	// crashingParts are the parts that crash upstreams.
+	crashingParts []string
+	// before is how long only sound requests are sent, and during how long requests of both kinds are.
+	before, during time.Duration
+}
+
+// firstPart begins each prompt of a promptLoad.
+const firstPart = "a0"
+
+// oneOf returns a random one of some parts.
+func oneOf(random *rand.Rand, prefix string, count int) string {
+	return fmt.Sprint(prefix, random.IntN(count))
+}
+
+// middlePartLoad is a load whose crashing part follows the first one, which sound requests share.
+func middlePartLoad(soundPerSecond, crashingPerSecond int) promptLoad {
+	return promptLoad{
+		soundPerSecond: soundPerSecond, crashingPerSecond: crashingPerSecond, crashingParts: []string{"e0"},
+		sound:    func(random *rand.Rand) []string { return []string{firstPart, oneOf(random, "b", 6)} },
+		crashing: func(*rand.Rand) []string { return []string{firstPart, "e0"} },
+		before:   5 * time.Second, during: 24 * time.Second,
+	}
+}
+
+// promptOutcome is the outcome of a sound request at its caller's first attempt.
+type promptOutcome struct {
+	at    time.Time
+	begun bool
+}
+
+// promptResult is the result of a promptLoad.
+type promptResult struct {
+	begunAt  time.Time
+	outcomes []promptOutcome
+	// crashes holds the crashes by part, and late the requests with the part that reached an upstream later than
+	// propagationTime after its fifth crash.
+	crashes, late map[string]int
+	// settled is 2 * propagationTime after the fifth crash of a part, or after the last one if there were fewer.
+	settled time.Time
+}
+
+// run sends the load to random boxes.
+func (l promptLoad) run(c *crashFleet) promptResult {
+	for _, part := range l.crashingParts {
+		c.crashingParts[part] = true
+	}
+	result := promptResult{begunAt: time.Now().Add(l.before), crashes: map[string]int{}, late: map[string]int{}}
+	random := rand.New(rand.NewPCG(5, 6))
+	c.callers.Go(func() {
+		time.Sleep(l.before)
+		random := rand.New(rand.NewPCG(7, 8))
+		for n := range int(l.during.Seconds()) * l.crashingPerSecond {
+			parts, box := append(l.crashing(random), fmt.Sprint("d", n)), c.randomBox(random)
+			c.callers.Go(func() { c.sendRequest(box, fmt.Sprint("crashing ", n), fmt.Sprint("prompt ", n), parts...) })
+			time.Sleep(time.Second / time.Duration(l.crashingPerSecond))
+		}
+	})
+	for n := range int((l.before + l.during).Seconds()) * l.soundPerSecond {
+		parts, box, at := append(l.sound(random), fmt.Sprint("c", n)), c.randomBox(random), time.Now()
+		c.callers.Go(func() {
+			outcome, _ := c.sendRequest(box, fmt.Sprint("sound ", n), fmt.Sprint("sound prompt ", n), parts...)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			result.outcomes = append(result.outcomes, promptOutcome{at: at, begun: outcome == served || outcome == broken})
+		})
+		time.Sleep(time.Second / time.Duration(l.soundPerSecond))
+	}
+	c.callers.Wait()
+	for _, part := range l.crashingParts {
+		result.count(c, part)
+	}
+	return result
+}
+
+// count evaluates the crashes under one part.
+func (r *promptResult) count(c *crashFleet, part string) {
+	crashes := c.crashedUnder[part]
+	r.crashes[part] = len(crashes)
+	if len(crashes) == 0 {
+		return
+	}
+	fifth := crashes[min(4, len(crashes)-1)]
+	if settled := fifth.Add(2 * propagationTime); settled.After(r.settled) {
+		r.settled = settled
+	}
+	if len(crashes) < 5 {
+		return
+	}
+	for _, at := range c.received[part] {
+		if at.After(fifth.Add(propagationTime)) {
+			r.late[part]++
+		}
+	}
+}
+
+// begun returns the share of sound requests that began at the first attempt, before the first request with a crashing
+// part and once it is settled which part that is.
+func (r *promptResult) begun() (before, after float64) {
+	var sent, begun [2]int
+	for _, outcome := range r.outcomes {
+		period := 0
+		switch {
+		case outcome.at.After(r.settled):
+			period = 1
+		case !outcome.at.Before(r.begunAt):
+			continue
+		}
+		sent[period]++
+		if outcome.begun {
+			begun[period]++
+		}
+	}
+	return float64(begun[0]) / float64(max(1, sent[0])), float64(begun[1]) / float64(max(1, sent[1]))
+}
+
+// These specs guard against a part of a prompt that crashes each engine that begins to write an answer on it. No two
+// requests with it were alike, so that each box took each of them for a new one: 68 engines crashed within 34 s.
+var _ = Describe("requests with a part of the prompt under which upstreams crash", func() {
+	run := func(size smallFleetSize, load promptLoad) {
+		if raceDetector && size.boxes > raceSize.boxes {
+			size = raceSize
+		}
+		withCrashFleet(size, func(*crashFleet) {}, func(c *crashFleet) {
+			result := load.run(c)
+			before, after := result.begun()
+			GinkgoWriter.Printf("%d boxes: crashes %v, late %v, sound requests begun %.3f, then %.3f\n", size.boxes, result.crashes, result.late, before, after)
+			for _, part := range load.crashingParts {
+				Expect(result.crashes[part]).To(BeNumerically(">=", 1))
+				Expect(result.late[part]).To(BeNumerically("<=", 3))
+			}
+			Expect(after).To(BeNumerically(">=", before/2))
+		})
+	}
+	seven := smallFleetSize{boxes: 7, halls: 4, upstreams: 18}
+
+	DescribeTable("reach no more than three upstreams once the part is known, while sound ones with the same first part are served", run,
+		Entry("at 7 boxes", seven, middlePartLoad(60, 4)),
+		Entry("at 60 boxes", smallFleetSize{boxes: 60, halls: 4, upstreams: 90}, middlePartLoad(120, 8)),
+	)
+})
