Parts of prompts under which engines crash one after the other are held, whatever else a request has

A crash now counts against each shared part of the prompts in flight there whose answers had not begun, or had for less than 0.3 s. A sound answer clears its parts of the crashes before it, at all boxes. Of the parts with three crashes left, a box holds as few as explain the crashes, those answered the longest ago first: so the parts that stand beside the cause in the same prompts are not held. A hold is 20 s, four times as long after each hold that ended in a crash, and ends at different times at different boxes, so that one request tries the part again. Holds are in the store; a part that is answered has its record deleted, and an operator can lift a hold.

A box of the build before ignores the new field of an exchange.

--- a/internal/cluster/crashes.go
+++ b/internal/cluster/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -20,32 +21,46 @@
 	urgentBurst = 3
 )
 
-// crashBroadcasts queues, for each other box, the requests under which upstreams crashed. It is safe for concurrent
-// use.
+// crashRecords are a box's records of crashes, by the request or part of a prompt that was in flight.
+type crashRecords interface {
+	TakeChanged() []quarantine.Fingerprint
+	All() []quarantine.Fingerprint
+	Update(of []quarantine.Fingerprint) quarantine.Update
+	Merge(update quarantine.Update) []quarantine.Fingerprint
+}
+
+// crashBroadcasts queues, for each other box, the requests or parts of prompts under which upstreams crashed. It is safe
+// for concurrent use.
 type crashBroadcasts struct {
-	Register *quarantine.Register
+	Register crashRecords
+	// SignalUrgent triggers an immediate report.
+	SignalUrgent func()
 
 	broadcastQueue[quarantine.Fingerprint]
-	// urgent holds an element while there are crashes to report at once.
-	urgent chan struct{}
-	limit  *rate.Limiter
 }
 
-func newCrashBroadcasts(register *quarantine.Register) *crashBroadcasts {
-	c := &crashBroadcasts{
-		Register: register, broadcastQueue: broadcastQueue[quarantine.Fingerprint]{maxPerMessage: maxCrashesPerMessage},
-		urgent: make(chan struct{}, 1), limit: rate.NewLimiter(urgentRate, urgentBurst),
+func newCrashBroadcasts(register crashRecords, signalUrgent func()) *crashBroadcasts {
+	return &crashBroadcasts{
+		Register: register, SignalUrgent: signalUrgent,
+		broadcastQueue: broadcastQueue[quarantine.Fingerprint]{maxPerMessage: maxCrashesPerMessage},
 	}
-	if register != nil {
-		register.OnChanged = c.signalUrgent
-	}
-	return c
 }
 
-// signalUrgent triggers an immediate report.
-func (c *crashBroadcasts) signalUrgent() {
+// urgentReports limits the reports outside of the regular exchanges.
+type urgentReports struct {
+	// due holds an element while there are crashes to report at once.
+	due   chan struct{}
+	limit *rate.Limiter
+}
+
+func newUrgentReports() urgentReports {
+	return urgentReports{due: make(chan struct{}, 1), limit: rate.NewLimiter(urgentRate, urgentBurst)}
+}
+
+// signal triggers an immediate report.
+func (u urgentReports) signal() {
 	select {
-	case c.urgent <- struct{}{}:
+	case u.due <- struct{}{}:
 	default:
 	}
 }
@@ -82,7 +97,7 @@
 		return
 	}
 	c.forward(from, changed)
-	c.signalUrgent()
+	c.SignalUrgent()
 }
 
 // sendUrgentCrashes reports crashes to other boxes as soon as there are any, within its rate limit. A caller that
@@ -92,14 +107,17 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-e.crashes.urgent:
+		case <-e.urgent.due:
 		}
-		if !e.crashes.limit.AllowN(time.Now(), 1) {
+		if !e.urgent.limit.AllowN(time.Now(), 1) {
 			continue
 		}
 		targets := e.Members.targets(time.Now())
 		e.crashes.collect(targets)
-		for _, c := range e.Members.beginCallsTo(e.crashes.pending(), time.Now()) {
+		e.partCrashes.collect(targets)
+		pending := e.crashes.pending()
+		maps.Copy(pending, e.partCrashes.pending())
+		for _, c := range e.Members.beginCallsTo(pending, time.Now()) {
 			go e.exchangeWith(ctx, c)
 		}
 	}
--- a/internal/cluster/crashes_test.go
+++ b/internal/cluster/crashes_test.go
@@ -17,7 +17,12 @@
 		return content.Fingerprint()
 	}
 	member, relay := target{name: "member"}, target{name: "relay", relay: true}
-	newBroadcasts := func() *crashBroadcasts { return newCrashBroadcasts(quarantine.NewRegister(quarantine.DefaultPolicy)) }
+	// newBroadcasts returns broadcasts of a new register, and the reports that they trigger at once.
+	newBroadcasts := func() (*crashBroadcasts, *quarantine.Register, urgentReports) {
+		register, urgent := quarantine.NewRegister(quarantine.DefaultPolicy), newUrgentReports()
+		register.OnChanged = urgent.signal
+		return newCrashBroadcasts(register, urgent.signal), register, urgent
+	}
 	// taken returns how many requests are taken for a message to a box.
 	taken := func(c *crashBroadcasts, name string) int {
 		if update := c.take(name); update != nil {
@@ -28,8 +33,8 @@
 
 	It("are sent to each box twice, and again after a failed call", func() {
 		spectest.Bubble(func() {
-			c := newBroadcasts()
-			c.Register.NoteCrash(fingerprintOf(1), "e1", time.Now())
+			c, register, _ := newBroadcasts()
+			register.NoteCrash(fingerprintOf(1), "e1", time.Now())
 			c.collect([]target{member})
 			Expect(taken(c, "member")).To(Equal(1))
 			failed := c.take("member")
@@ -42,8 +47,8 @@
 
 	It("are sent in full to a box that joins later", func() {
 		spectest.Bubble(func() {
-			c := newBroadcasts()
-			c.Register.NoteCrash(fingerprintOf(1), "e1", time.Now())
+			c, register, _ := newBroadcasts()
+			register.NoteCrash(fingerprintOf(1), "e1", time.Now())
 			c.collect([]target{member})
 			c.collect([]target{member, relay})
 			Expect(taken(c, "relay")).To(Equal(1))
@@ -55,9 +60,9 @@
 
 	It("are split over several messages if there are many", func() {
 		spectest.Bubble(func() {
-			c := newBroadcasts()
+			c, register, _ := newBroadcasts()
 			for n := range 2500 {
-				c.Register.NoteCrash(fingerprintOf(n), "e1", time.Now())
+				register.NoteCrash(fingerprintOf(n), "e1", time.Now())
 			}
 			c.collect([]target{member})
 			Expect([]int{taken(c, "member"), taken(c, "member")}).To(Equal([]int{maxCrashesPerMessage, maxCrashesPerMessage}))
@@ -66,7 +71,8 @@
 
 	It("are forwarded in a large fleet while they are new: from a box to all, from a relay to the boxes of the hall", func() {
 		spectest.Bubble(func() {
-			c, other := newBroadcasts(), target{name: "other"}
+			c, _, urgent := newBroadcasts()
+			other := target{name: "other"}
 			c.collect([]target{member, other, relay})
 			update := func(n int) *quarantine.Update {
 				return &quarantine.Update{Crashes: []quarantine.CrashReport{{Upstream: "e1", Requests: []quarantine.Fingerprint{fingerprintOf(n)}}}}
@@ -81,7 +87,7 @@
 			Expect(pending()).To(Equal([]bool{true, true, false}))
 			c.receive("member", true, update(3))
 			Expect(pending()).To(Equal([]bool{true, true, true}))
-			Expect(c.urgent).To(Receive())
+			Expect(urgent.due).To(Receive())
 			for range 2 * transmissions {
 				c.take("member")
 				c.take("other")
@@ -89,7 +95,7 @@
 			}
 			c.receive("other", true, update(3))
 			Expect(pending()).To(Equal([]bool{false, false, false}))
-			Expect(c.urgent).NotTo(Receive())
+			Expect(urgent.due).NotTo(Receive())
 		})
 	})
 })
--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -34,8 +34,9 @@
 	Loads      *dispatch.LoadTracker
 	Demand     *residency.Demand
 	Controller *residency.Controller
-	// Quarantine holds the requests under which upstreams crashed.
+	// Quarantine holds the requests under which upstreams crashed, and CrashParts the parts of prompts.
 	Quarantine *quarantine.Register
+	CrashParts *quarantine.PartRegister
 	// LinkBytesPerSecond is the rate of this box's link; 0 if unknown.
 	LinkBytesPerSecond float64
 	// ModelUses lists this box's requests in flight by upstream, model and adapter.
@@ -69,18 +70,31 @@
 	badClaims      sync.Map
 	sender         *pieceSender
 	pacer          activityPacer
-	crashes        *crashBroadcasts
+	// crashes and partCrashes report requests and parts of prompts under which upstreams crashed, and urgent when both
+	// are reported at once.
+	crashes, partCrashes *crashBroadcasts
+	urgent               urgentReports
 	// leaving selects which leaving upstreams each message lists.
 	leaving leavingRotation
 	limits  *limitBroadcasts
 }
 
-// NewExchange returns an exchange; Run starts it.
+// NewExchange returns an exchange; Run starts it. Registers of crashes that the configuration lacks are made anew.
 func NewExchange(config Config) *Exchange {
-	return &Exchange{
-		Config: config, sender: newPieceSender(config.LinkBytesPerSecond, config.Members.isRelayAt), pacer: activityPacer{bytesPerSecond: config.LinkBytesPerSecond}, crashes: newCrashBroadcasts(config.Quarantine),
-		limits: newLimitBroadcasts(config.Directory),
+	if config.Quarantine == nil {
+		config.Quarantine = quarantine.NewRegister(quarantine.DefaultPolicy)
 	}
+	if config.CrashParts == nil {
+		config.CrashParts = quarantine.NewPartRegister(quarantine.DefaultPartPolicy, "")
+	}
+	e := &Exchange{
+		Config: config, sender: newPieceSender(config.LinkBytesPerSecond, config.Members.isRelayAt), pacer: activityPacer{bytesPerSecond: config.LinkBytesPerSecond},
+		limits: newLimitBroadcasts(config.Directory), urgent: newUrgentReports(),
+	}
+	e.crashes = newCrashBroadcasts(config.Quarantine, e.urgent.signal)
+	e.partCrashes = newCrashBroadcasts(config.CrashParts, e.urgent.signal)
+	config.Quarantine.OnChanged, config.CrashParts.OnChanged = e.urgent.signal, e.urgent.signal
+	return e
 }
 
 // Handle registers the methods that other boxes call.
@@ -108,6 +122,7 @@
 	targets, calls := e.Members.nextCalls(now)
 	e.Demand.Note(e.Pending.collect(e.Loads, targets), now)
 	e.crashes.collect(targets)
+	e.partCrashes.collect(targets)
 	e.limits.collect(targets)
 	e.applyLoads(now)
 	e.Directory.ExpireMarks()
@@ -125,6 +140,7 @@
 	answer, err := peer.Call[message](callCtx, e.Client, c.address, methodExchange, sent)
 	if err != nil {
 		e.crashes.requeue(c.name, sent.Crashes)
+		e.partCrashes.requeue(c.name, sent.PartCrashes)
 		e.limits.requeue(c.name, sent.Limits)
 		if e.Members.recordFailure(c) && ctx.Err() == nil {
 			e.Log.Info("peer lost", zap.String("peer", c.name), logfield.Error(err))
@@ -154,6 +170,7 @@
 		OrderHolder: e.orderHolder(),
 		Version:     e.Directory.Version(),
 		Crashes:     e.crashes.take(to),
+		PartCrashes: e.partCrashes.take(to),
 		HeldConfig:  e.heldClaim(),
 		LostHalls:   e.lostHalls(),
 
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -112,6 +112,9 @@
 	ReadsBinary bool `json:"readsBinary,omitempty"`
 	// Crashes reports changes of the sender's records of requests under which upstreams crashed.
 	Crashes *quarantine.Update `json:"crashes,omitempty"`
+	// PartCrashes reports changes of the sender's records of shared parts of prompts under which upstreams crashed. A box
+	// of the previous version ignores them.
+	PartCrashes *quarantine.Update `json:"partCrashes,omitempty"`
 	// LeavingUpstreams are upstreams that announced in an answer to some box that they are leaving, and that the
 	// sender's list does not yet show as leaving. A box of the previous version ignores them.
 	LeavingUpstreams []string `json:"leavingUpstreams,omitempty"`
--- a/internal/cluster/receive.go
+++ b/internal/cluster/receive.go
@@ -45,6 +45,7 @@
 	e.applyLoads(now)
 	e.applyUpdates(received, now)
 	e.crashes.receive(received.From.Name, e.Members.Large(), received.Crashes)
+	e.partCrashes.receive(received.From.Name, e.Members.Large(), received.PartCrashes)
 	e.applyState(received, now)
 	e.applyHeldClaim(ctx, received)
 	e.Directory.RecordLeaving(received.LeavingUpstreams)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -12,7 +12,7 @@
 // shows it. The caller must end the ticket.
 func (r *inflight) send(ctx context.Context, choice dispatch.Choice, lastEventID string) (*Answer, *dispatch.Ticket, error) {
 	r.attempts.begin(choice)
-	r.writingSince = time.Time{}
+	r.writingSince, r.parts.answered = time.Time{}, false
 	r.reportDemand(choice.Uncached)
 	ticket := r.beginLoad(choice)
 	attempt := Attempt{Request: r.request, LastEventID: lastEventID, Urgency: r.need.Urgency, Customer: r.customerName()}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -139,6 +139,7 @@
 	var found []zap.Field
 	if at, crashed := r.gateway.hasCrashed(ctx, *choice.Upstream.Upstream); crashed {
 		r.gateway.Quarantine.NoteCrash(r.fingerprint(), choice.Upstream.ID, at)
+		r.recordPartCrash(choice.Upstream.ID, at)
 		r.gateway.Metrics.GetOrCreateCounter("ospreymoor_requests_crashed_under_total").Inc()
 		found = []zap.Field{zap.Bool("crashed", true), zap.Stringer("content", r.fingerprint()), r.partsField(), r.writingField()}
 	}
@@ -150,6 +151,9 @@
 // all boxes report crashes meanwhile. Nothing else is tried for such a request: it would crash one more upstream,
 // with the 10 to 20 other requests that run there. On one day, 37 upstreams were lost in this way.
 func (r *inflight) quarantined() *refusal {
+	if refused := r.partQuarantined(); refused != nil {
+		return refused
+	}
 	if r.gateway.Quarantine.Empty() {
 		return nil
 	}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -181,6 +181,7 @@
 			return residency.EnsureResult{ReadyIn: 2 * time.Second}, residency.ErrNoCapacity
 		},
 		Quarantine: quarantine.NewRegister(quarantine.DefaultPolicy),
+		CrashParts: quarantine.NewPartRegister(quarantine.DefaultPartPolicy, "box"),
 		Log:        zap.NewNop(),
 		Metrics:    metrics.NewSet(),
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,8 @@
 	ListAge func() time.Duration
 	// Quarantine holds what is known about requests under which upstreams crashed.
 	Quarantine *quarantine.Register
+	// CrashParts holds what is known about shared parts of prompts under which upstreams crashed.
+	CrashParts *quarantine.PartRegister
 	// Reach holds which halls this box does not reach.
 	Reach fleet.Reach
 	// Links tracks whether this box reaches any upstream over its own links.
@@ -124,6 +126,9 @@
 	// Quarantine holds what is known about requests under which upstreams crashed. nil creates a register that only
 	// this box uses.
 	Quarantine *quarantine.Register
+	// CrashParts holds what is known about shared parts of prompts under which upstreams crashed. nil creates a register
+	// that only this box uses.
+	CrashParts *quarantine.PartRegister
 	// MemoryBytes is this box's memory; 0 if unknown.
 	MemoryBytes int64
 	// Retries limits the retries of the whole fleet. Each box uses an equal share, by the number that Boxes
@@ -140,6 +145,9 @@
 	if config.Quarantine == nil {
 		config.Quarantine = quarantine.NewRegister(quarantine.DefaultPolicy)
 	}
+	if config.CrashParts == nil {
+		config.CrashParts = quarantine.NewPartRegister(quarantine.DefaultPartPolicy, "")
+	}
 	g := &Gateway{
 		Directory:    config.Directory,
 		Loads:        config.Loads,
@@ -161,6 +169,7 @@
 		Origins:      config.Origins,
 		ListAge:      config.ListAge,
 		Quarantine:   config.Quarantine,
+		CrashParts:   config.CrashParts,
 		CallerMemory: NewMemoryBudget(config.MemoryBytes),
 		Log:          config.Log,
 		Metrics:      config.Metrics,
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -48,6 +48,8 @@
 	writingSince time.Time
 	// crashHistory holds what this box knows about upstreams that crashed under the request.
 	crashHistory crashHistory
+	// parts holds what this box knows about upstreams that crashed under shared parts of the prompt.
+	parts partHistory
 	// rate holds the service's settings for cold engines and the request's rate grants.
 	rate rateState
 	// place is the request's place at an upstream of a plain service.
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -84,6 +84,7 @@
 		zap.Object("quota", quotaField(r.quota)),
 		r.quarantineField(),
 		r.partsField(),
+		r.partVerdictField(),
 		r.placeField(),
 		r.originField(),
 		r.sendingField(),
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -55,6 +56,7 @@
 
 // attemptPlain sends the request once and returns the whole answer, whatever its status.
 func (r *inflight) attemptPlain(ctx context.Context, choice dispatch.Choice) (*bufferedAnswer, error) {
+	begun := time.Now()
 	answer, ticket, err := r.send(ctx, choice, "")
 	defer ticket.End()
 	result := places.Failed
@@ -80,6 +82,7 @@
 	r.noteAnswered()
 	if buffered.status < http.StatusInternalServerError {
 		result = places.Served
+		r.notePartsAnswered(begun)
 		r.attemptSucceeded(choice)
 	}
 	return buffered, nil
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -63,6 +63,8 @@
 	reasonOverQuota reason = "over quota"
 	// reasonCrashes: several upstreams in a row crashed under the request, at whichever boxes it arrived.
 	reasonCrashes reason = "upstreams crash under it"
+	// reasonCrashPart: several upstreams in a row crashed under requests with one part of its prompt.
+	reasonCrashPart reason = "upstreams crash under a part of its prompt"
 	// reasonMemory: this box uses as much memory for callers as it may.
 	reasonMemory reason = "box holds too much"
 	// reasonStopping: this box is draining.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -72,6 +72,7 @@
 	err = s.relay(ctx, answer, ticket, choice.Upstream)
 	if err == nil {
 		s.noteAnswered()
+		s.notePartsAnswered(s.writingSince)
 		s.gateway.endStream(s.inflight)
 		s.attemptSucceeded(choice)
 		s.recordPause(choice)
@@ -135,6 +136,8 @@
 		if !begun {
 			s.writingSince = time.Now()
 			s.beginEvents(upstream)
+		} else if time.Since(s.writingSince) >= soundAfter {
+			s.notePartsAnswered(s.writingSince)
 		}
 		if !s.headWritten {
 			s.writeHead(answer)
--- a/internal/node/config_test.go
+++ b/internal/node/config_test.go
@@ -37,6 +37,7 @@
 		},
 		Upstreams:  gateway.Upstreams{Forget: func(string) {}, Engines: residency.Engines{}},
 		Quarantine: quarantine.DefaultPolicy,
+		CrashParts: quarantine.DefaultPartPolicy,
 
 		OrderGap: 100 * time.Millisecond, LeaseTTL: 2 * time.Second, Dial: dial, Log: zap.NewNop(), Metrics: metrics.NewSet(),
 	}
--- a/internal/node/crash_fleet_test.go
+++ b/internal/node/crash_fleet_test.go
@@ -53,6 +53,8 @@
 	crashes []time.Time
 	// crashingParts holds the parts of prompts that crash each upstream that begins to write an answer on them.
 	crashingParts map[string]bool
+	// eventFirst means that an upstream writes an event before it crashes under a request.
+	eventFirst bool
 	// crashedUnder holds the times of crashes by cause, which is the body of a request or a part of its prompt, and
 	// received when requests with this cause reached an upstream that was up.
 	crashedUnder, received map[string][]time.Time
@@ -239,8 +241,13 @@
 	c.callers.Go(func() {
 		stop := context.AfterFunc(ctx, func() { _ = writer.CloseWithError(io.ErrUnexpectedEOF) })
 		defer stop()
-		if cause != "" && pause.For(ctx, crashDelay) == nil {
-			c.crash(to.ID, cause)
+		if cause != "" {
+			if c.eventFirst {
+				_, _ = io.WriteString(writer, "id: 1\ndata: event\n\n")
+			}
+			if pause.For(ctx, crashDelay) == nil {
+				c.crash(to.ID, cause)
+			}
 		}
 		err := writeEvents(upstream.alive, writer, attempt.LastEventID, "event")
 		c.mu.Lock()
--- a/internal/node/new.go
+++ b/internal/node/new.go
@@ -35,6 +35,8 @@
 	members   *cluster.Members
 	// quarantine records the requests under which upstreams crashed.
 	quarantine *quarantine.Register
+	// crashParts records the shared parts of prompts under which upstreams crashed.
+	crashParts *quarantine.PartRegister
 	// origins records where streams began.
 	origins *origins.Register
 }
@@ -62,6 +64,7 @@
 		members:   cluster.NewMembers(self, n.storeLost),
 
 		quarantine: newQuarantine(config),
+		crashParts: newCrashParts(config),
 		origins:    newOrigins(config),
 	}
 	n.members = s.members
@@ -89,7 +92,7 @@
 	config.Metrics.NewGauge("ospreymoor_held_bytes", func() float64 { return float64(n.Gateway.CallerMemory.Used()) })
 	config.Metrics.NewGauge("ospreymoor_evacuated_requests", func() float64 { return evacuatedRequests(s) })
 	n.holdRecorder = &storeview.HoldRecorder{
-		Platform: config.Platform, Quarantine: s.quarantine, Records: n.state, IsResponsible: s.members.IsKeeperOf, Log: config.Log,
+		Platform: config.Platform, Quarantine: s.quarantine, CrashParts: s.crashParts, Records: n.state, IsResponsible: s.members.IsKeeperOf, Log: config.Log,
 	}
 	n.registration = storeview.NewRegistration(config.Platform, self, config.Log)
 	n.registration.Boxes = s.members.Boxes
@@ -232,6 +235,7 @@
 		Origins:     streamOrigins,
 
 		Quarantine: s.quarantine,
+		CrashParts: s.crashParts,
 
 		MemoryBytes: config.MemoryBytes,
 
@@ -260,6 +264,26 @@
 	return register
 }
 
+// newCrashParts returns an empty register of parts of prompts under which upstreams crashed. It logs each part that is
+// held, and exports how many are held or suspected.
+func newCrashParts(config Config) *quarantine.PartRegister {
+	register := quarantine.NewPartRegister(config.CrashParts, config.Name)
+	register.OnHeld = func(part quarantine.Fingerprint, verdict quarantine.PartVerdict) {
+		config.Log.Info("part of prompts held: upstreams crash under it",
+			zap.Stringer("part", part),
+			zap.Int("crashes", verdict.Crashes),
+			zap.Strings("crashedUpstreams", verdict.Upstreams),
+			zap.Duration("crashAge", verdict.Age),
+			zap.Duration("answeredAge", verdict.AnsweredAge),
+			zap.Int("level", verdict.Level),
+			zap.Duration("for", verdict.RetryAfter),
+			zap.String("source", string(verdict.Source)))
+	}
+	config.Metrics.NewGauge(`ospreymoor_crash_parts{state="held"}`, func() float64 { return float64(register.Counts().Held) })
+	config.Metrics.NewGauge(`ospreymoor_crash_parts{state="suspected"}`, func() float64 { return float64(register.Counts().Suspected) })
+	return register
+}
+
 // newOrigins returns an empty register of where streams began, and exports how many streams it knows.
 func newOrigins(config Config) *origins.Register {
 	register := origins.NewRegister()
@@ -278,6 +302,7 @@
 		Members:    s.members,
 		OrderLease: n.orderLease,
 		Quarantine: s.quarantine,
+		CrashParts: s.crashParts,
 		Origins:    s.origins,
 		SetTable:   n.Gateway.SetTable,
 		Forget: func(upstream string) {
@@ -303,6 +328,7 @@
 		Demand:     s.demand,
 		Controller: n.controller,
 		Quarantine: s.quarantine,
+		CrashParts: s.crashParts,
 		ModelUses:  n.Gateway.ModelUses,
 		Reach:      &n.Gateway.Reach,
 		Links:      &n.Gateway.Links,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,6 +53,8 @@
 	ColdStarts dispatch.ColdTolerance
 	// Quarantine is the policy for requests under which upstreams crash.
 	Quarantine quarantine.Policy
+	// CrashParts is the policy for shared parts of prompts under which upstreams crash.
+	CrashParts quarantine.PartPolicy
 	// OrderGap is the minimum time between orders of two boxes to one engine.
 	OrderGap time.Duration
 	// LeaseTTL is how long the order lease lasts without a renewal.
--- a/internal/node/prompt_crash_test.go
+++ b/internal/node/prompt_crash_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -18,6 +20,11 @@
 	sound, crashing func(random *rand.Rand) []string
 	// crashingParts are the parts that crash upstreams.
 	crashingParts []string
+	// soundBefore returns the parts of a sound request before the first crashing one; nil is the same as sound.
+	soundBefore func(random *rand.Rand) []string
+	// eventFirst means that an upstream writes an event before it crashes, and otherCrashes that others crash for other
+	// causes.
+	eventFirst, otherCrashes bool
 	// before is how long only sound requests are sent, and during how long requests of both kinds are.
 	before, during time.Duration
 }
@@ -30,8 +37,8 @@
 	return fmt.Sprint(prefix, random.IntN(count))
 }
 
-// middlePartLoad is a load whose crashing part follows the first one, which sound requests share.
-func middlePartLoad(soundPerSecond, crashingPerSecond int) promptLoad {
+// crashingPartLoad is a load whose crashing part follows the first one, which sound requests share.
+func crashingPartLoad(soundPerSecond, crashingPerSecond int) promptLoad {
 	return promptLoad{
 		soundPerSecond: soundPerSecond, crashingPerSecond: crashingPerSecond, crashingParts: []string{"e0"},
 		sound:    func(random *rand.Rand) []string { return []string{firstPart, oneOf(random, "b", 6)} },
@@ -40,10 +47,57 @@
 	}
 }
 
+// The loads below differ from crashingPartLoad in where the crashing part stands, how many there are, whether sound
+// requests had it before, and what else crashes.
+
+func firstOfPromptLoad(sound, crashing int) promptLoad {
+	load := crashingPartLoad(sound, crashing)
+	load.crashing = func(random *rand.Rand) []string { return []string{"e0", oneOf(random, "b", 6)} }
+	return load
+}
+
+func nextToLastLoad(sound, crashing int) promptLoad {
+	load := crashingPartLoad(sound, crashing)
+	load.crashing = func(random *rand.Rand) []string {
+		return []string{firstPart, oneOf(random, "b", 6), oneOf(random, "f", 3), "e0"}
+	}
+	return load
+}
+
+func twoPartsLoad(sound, crashing int) promptLoad {
+	load := crashingPartLoad(sound, crashing)
+	load.crashingParts = []string{"e0", "e1"}
+	load.crashing = func(random *rand.Rand) []string { return []string{firstPart, oneOf(random, "e", 2)} }
+	return load
+}
+
+// soundBeforeLoad has a crashing part that a sixth of the sound requests had until then.
+func soundBeforeLoad(sound, crashing int) promptLoad {
+	load := crashingPartLoad(sound, crashing)
+	load.crashingParts = []string{"b0"}
+	load.crashing = func(*rand.Rand) []string { return []string{firstPart, "b0"} }
+	load.sound = func(random *rand.Rand) []string { return []string{firstPart, fmt.Sprint("b", 1+random.IntN(5))} }
+	load.soundBefore = func(random *rand.Rand) []string { return []string{firstPart, oneOf(random, "b", 6)} }
+	return load
+}
+
+func eventFirstLoad(sound, crashing int) promptLoad {
+	load := crashingPartLoad(sound, crashing)
+	load.eventFirst = true
+	return load
+}
+
+// otherCrashesLoad has an upstream crash each second, and a quarter of all at once each six seconds, for other causes.
+func otherCrashesLoad(sound, crashing int) promptLoad {
+	load := crashingPartLoad(sound, crashing)
+	load.otherCrashes = true
+	return load
+}
+
 // promptOutcome is the outcome of a sound request at its caller's first attempt.
 type promptOutcome struct {
-	at    time.Time
-	begun bool
+	at          time.Time
+	begun, held bool
 }
 
 // promptResult is the result of a promptLoad.
@@ -59,13 +113,16 @@
 
 // run sends the load to random boxes.
 func (l promptLoad) run(c *crashFleet) promptResult {
-	for _, part := range l.crashingParts {
-		c.crashingParts[part] = true
-	}
+	c.eventFirst = l.eventFirst
 	result := promptResult{begunAt: time.Now().Add(l.before), crashes: map[string]int{}, late: map[string]int{}}
 	random := rand.New(rand.NewPCG(5, 6))
 	c.callers.Go(func() {
 		time.Sleep(l.before)
+		c.mu.Lock()
+		for _, part := range l.crashingParts {
+			c.crashingParts[part] = true
+		}
+		c.mu.Unlock()
 		random := rand.New(rand.NewPCG(7, 8))
 		for n := range int(l.during.Seconds()) * l.crashingPerSecond {
 			parts, box := append(l.crashing(random), fmt.Sprint("d", n)), c.randomBox(random)
@@ -73,13 +130,20 @@
 			time.Sleep(time.Second / time.Duration(l.crashingPerSecond))
 		}
 	})
+	if l.otherCrashes {
+		c.callers.Go(func() { c.crashOthers(l.before + l.during) })
+	}
 	for n := range int((l.before + l.during).Seconds()) * l.soundPerSecond {
-		parts, box, at := append(l.sound(random), fmt.Sprint("c", n)), c.randomBox(random), time.Now()
+		choose := l.sound
+		if l.soundBefore != nil && time.Now().Add(longestAnswer).Before(result.begunAt) {
+			choose = l.soundBefore
+		}
+		parts, box, at := append(choose(random), fmt.Sprint("c", n)), c.randomBox(random), time.Now()
 		c.callers.Go(func() {
 			outcome, _ := c.sendRequest(box, fmt.Sprint("sound ", n), fmt.Sprint("sound prompt ", n), parts...)
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			result.outcomes = append(result.outcomes, promptOutcome{at: at, begun: outcome == served || outcome == broken})
+			result.outcomes = append(result.outcomes, promptOutcome{at: at, begun: outcome == served || outcome == broken, held: outcome == held})
 		})
 		time.Sleep(time.Second / time.Duration(l.soundPerSecond))
 	}
@@ -90,6 +154,22 @@
 	return result
 }
 
+// longestAnswer is longer than an answer takes with its retries.
+const longestAnswer = 3 * time.Second
+
+// crashOthers has an upstream crash each second, and a quarter of all at once each six seconds.
+func (c *crashFleet) crashOthers(span time.Duration) {
+	ids := slices.Sorted(maps.Keys(c.upstreams))
+	for n := range int(span.Seconds()) {
+		if n%6 == 5 {
+			c.crashTogether(4)
+		} else {
+			c.crash(ids[n*7%len(ids)], "")
+		}
+		time.Sleep(time.Second)
+	}
+}
+
 // count evaluates the crashes under one part.
 func (r *promptResult) count(c *crashFleet, part string) {
 	crashes := c.crashedUnder[part]
@@ -152,7 +232,15 @@
 	seven := smallFleetSize{boxes: 7, halls: 4, upstreams: 18}
 
 	DescribeTable("reach no more than three upstreams once the part is known, while sound ones with the same first part are served", run,
-		Entry("at 7 boxes", seven, middlePartLoad(60, 4)),
-		Entry("at 60 boxes", smallFleetSize{boxes: 60, halls: 4, upstreams: 90}, middlePartLoad(120, 8)),
+		Entry("at 7 boxes", seven, crashingPartLoad(60, 4)),
+		Entry("at 60 boxes", smallFleetSize{boxes: 60, halls: 4, upstreams: 90}, crashingPartLoad(120, 8)),
+		Entry("if it is the first part", seven, firstOfPromptLoad(60, 4)),
+		Entry("if it is the last but one", seven, nextToLastLoad(60, 4)),
+		Entry("if there are two such parts at once", seven, twoPartsLoad(60, 8)),
+		Entry("if it was sound before", seven, soundBeforeLoad(60, 4)),
+		Entry("if upstreams write an event before they crash", seven, eventFirstLoad(60, 4)),
+		Entry("if upstreams crash for other causes as well", seven, otherCrashesLoad(60, 4)),
+		Entry("if few requests have it", seven, crashingPartLoad(60, 1)),
+		Entry("if few sound requests are sent", seven, crashingPartLoad(4, 4)),
 	)
 })
--- a/internal/storeview/quarantine.go
+++ b/internal/storeview/quarantine.go
@@ -16,8 +16,13 @@
 	"ospreymoor.example/ospreymoor/pkg/quarantine"
 )
 
-// quarantineKeySegment follows OwnPrefix in the keys of requests held by quarantine.
-const quarantineKeySegment = "quarantine/"
+// quarantineKeySegment and partKeySegment follow OwnPrefix in the keys of requests and of parts of prompts that are held
+// by quarantine. liftKeySegment does in the keys that an operator writes to end the hold of either.
+const (
+	quarantineKeySegment = "quarantine/"
+	partKeySegment       = "quarantine-parts/"
+	liftKeySegment       = "quarantine-lifted/"
+)
 
 const (
 	// holdCheckInterval is how often this box looks for held requests to record. If all boxes lose power before a held
@@ -37,11 +42,13 @@
 	holdWriteTimeout = 2 * time.Second
 )
 
-// HoldRecorder writes requests held by quarantine to the store, so that boxes that start later hold them too. Each
-// request costs two calls of the store, from one box or from a few, until it has a record.
+// HoldRecorder writes requests and parts of prompts held by quarantine to the store, so that boxes that start later hold
+// them too. Each costs two calls of the store, from one box or from a few, until it has a record. The record of a part
+// that turns out to be sound is deleted, since every request with it would be held.
 type HoldRecorder struct {
 	Platform   Platform
 	Quarantine *quarantine.Register
+	CrashParts *quarantine.PartRegister
 	// Records returns this box's copy of the store.
 	Records func() mirror.State
 	// IsResponsible reports whether this box is responsible for recording a request. Boxes that saw a crash under the
@@ -64,32 +71,69 @@
 	}
 }
 
-// recordNext records at most one held request that has no up-to-date record, so that many held requests do not flood
-// the store at once.
+// recordNext makes at most one change to the store, so that many held requests do not flood it at once.
 func (h *HoldRecorder) recordNext(ctx context.Context) error {
 	records := h.Records().Records
-	for _, held := range h.Quarantine.Held() {
-		key := h.Platform.OwnPrefix + quarantineKeySegment + held.Request.String()
+	if changed, err := h.recordFirst(ctx, records, quarantineKeySegment, h.Quarantine.Held()); changed {
+		return err
+	}
+	if h.CrashParts == nil {
+		return nil
+	}
+	if changed, err := h.recordFirst(ctx, records, partKeySegment, h.CrashParts.Held()); changed {
+		return err
+	}
+	return h.deleteCleared(ctx, records)
+}
+
+// recordFirst records the first one of a list that has no up-to-date record, and reports whether there was one.
+func (h *HoldRecorder) recordFirst(ctx context.Context, records mirror.Records, segment string, list []quarantine.HeldRequest) (changed bool, err error) {
+	for _, held := range list {
+		key := h.Platform.OwnPrefix + segment + held.Request.String()
 		existing, _ := records.Get(key)
 		if isUpToDate(existing, &held) || !h.mayRecord(&held) {
 			continue
 		}
 		err := h.record(ctx, kv.Swap{Key: key, Revision: existing.Revision}, &held)
-		if err != nil && !h.failing && ctx.Err() == nil {
-			h.Log.Info("held request not recorded: retrying", zap.Stringer("content", held.Request), logfield.Error(err))
+		h.noteResult(ctx, key, err)
+		return true, err
+	}
+	return false, nil
+}
+
+// deleteCleared deletes the first record of a part that turned out to be sound.
+func (h *HoldRecorder) deleteCleared(ctx context.Context, records mirror.Records) error {
+	for _, part := range h.CrashParts.Cleared() {
+		record, found := records.Get(h.Platform.OwnPrefix + partKeySegment + part.String())
+		if !found || !h.IsResponsible(part.String()) {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, holdWriteTimeout)
+		defer cancel()
+		err := h.Platform.Store.Delete(ctx, record.Key, record.Revision)
+		if errors.Is(err, kv.ErrConflict) {
+			err = nil
 		}
-		h.failing = err != nil
+		h.noteResult(ctx, record.Key, err)
 		return err
 	}
 	return nil
 }
 
+// noteResult logs a failed write if the one before did not fail.
+func (h *HoldRecorder) noteResult(ctx context.Context, key string, err error) {
+	if err != nil && !h.failing && ctx.Err() == nil {
+		h.Log.Info("held request not recorded: retrying", zap.String("key", key), logfield.Error(err))
+	}
+	h.failing = err != nil
+}
+
 // isUpToDate reports whether a record has at least as many crashes of a request as this box knows. The zero record,
 // of a key that does not exist, is never up to date.
 func isUpToDate(existing kv.Record, held *quarantine.HeldRequest) bool {
 	var stored quarantine.Stored
 	// An unreadable record is overwritten; applyHeldRequests has logged it.
-	return json.Unmarshal(existing.Value, &stored) == nil && stored.Crashes >= held.Stored.Crashes
+	return json.Unmarshal(existing.Value, &stored) == nil && stored.Crashes >= held.Stored.Crashes && stored.Level >= held.Stored.Level
 }
 
 // mayRecord reports whether this box is to record a request now.
@@ -121,23 +165,32 @@
 	return err
 }
 
-// applyHeldRequests applies the changed records of requests held by quarantine.
+// applyHeldRequests applies the changed records of requests and of parts of prompts that are held by quarantine, and of
+// holds that an operator lifts. Lifts in the first copy of the store are not applied: they may be older than a hold.
 func (v *View) applyHeldRequests(state mirror.State, changed []string) {
-	prefix := v.config.Platform.OwnPrefix + quarantineKeySegment
 	for _, key := range changed {
-		fingerprint, ok := strings.CutPrefix(key, prefix)
+		own, ok := strings.CutPrefix(key, v.config.Platform.OwnPrefix)
 		record, found := state.Records.Get(key)
 		if !ok || !found {
 			continue
 		}
-		if err := v.restoreHeldRequest(fingerprint, record.Value); err != nil {
+		var err error
+		if fingerprint, ok := strings.CutPrefix(own, quarantineKeySegment); ok {
+			err = restoreHeld(fingerprint, record.Value, v.config.Quarantine.Restore)
+		} else if fingerprint, ok := strings.CutPrefix(own, partKeySegment); ok {
+			err = restoreHeld(fingerprint, record.Value, v.config.CrashParts.Restore)
+		} else if fingerprint, ok := strings.CutPrefix(own, liftKeySegment); ok && v.lastRevision > 0 {
+			err = v.lift(fingerprint)
+		}
+		if err != nil {
 			v.config.Log.Warn("record of a held request unreadable", zap.String("key", key), logfield.Error(err))
 		}
 	}
 }
 
-func (v *View) restoreHeldRequest(fingerprint string, value []byte) error {
-	request, err := quarantine.ParseFingerprint(fingerprint)
+// restoreHeld passes a record of a request or part of prompts on to restore.
+func restoreHeld(text string, value []byte, restore func(quarantine.Fingerprint, quarantine.Stored)) error {
+	fingerprint, err := quarantine.ParseFingerprint(text)
 	if err != nil {
 		return err
 	}
@@ -145,6 +198,18 @@
 	if err := json.Unmarshal(value, &stored); err != nil {
 		return errors.Trace(err)
 	}
-	v.config.Quarantine.Restore(request, stored)
+	restore(fingerprint, stored)
+	return nil
+}
+
+// lift ends the hold of a request or part of prompts.
+func (v *View) lift(text string) error {
+	fingerprint, err := quarantine.ParseFingerprint(text)
+	if err != nil {
+		return err
+	}
+	v.config.Log.Info("hold lifted by an operator", zap.Stringer("content", fingerprint))
+	v.config.Quarantine.NoteAnswered(fingerprint)
+	v.config.CrashParts.Lift(fingerprint)
 	return nil
 }
--- a/internal/storeview/storeview_test.go
+++ b/internal/storeview/storeview_test.go
@@ -67,6 +67,7 @@
 		Directory:  f.directory,
 		Members:    f.members,
 		Quarantine: quarantine.NewRegister(quarantine.DefaultPolicy),
+		CrashParts: quarantine.NewPartRegister(quarantine.DefaultPartPolicy, "box"),
 		Origins:    origins.NewRegister(),
 		OrderLease: orderlease.New(orderlease.Config{
 			Name: "b", Store: store, OwnPrefix: "own/", TTL: 3 * time.Second,
--- a/internal/storeview/view.go
+++ b/internal/storeview/view.go
@@ -28,6 +28,8 @@
 	OrderLease *orderlease.Lease
 	// Quarantine receives the store's records of requests held by quarantine.
 	Quarantine *quarantine.Register
+	// CrashParts receives those of parts of prompts.
+	CrashParts *quarantine.PartRegister
 	// Origins receives the store's records of where streams began.
 	Origins *origins.Register
 	// SetTable puts a configuration in force, and reports whether it was newer than the one before.
--- a/pkg/quarantine/bench_test.go
+++ b/pkg/quarantine/bench_test.go
@@ -54,3 +54,50 @@
 		afterCrash(4096)
 	}
 }
+
+// BenchmarkPartFingerprint measures one part of a prompt.
+func BenchmarkPartFingerprint(b *testing.B) {
+	for b.Loop() {
+		quarantine.PartFingerprint("5c1e07a2")
+	}
+}
+
+// BenchmarkPartAnswered measures what a sound answer with three shared parts costs, and BenchmarkPartVerdict what a
+// request does while 64 crashes with 20 parts each are known.
+func BenchmarkPartAnswered(b *testing.B) {
+	r := quarantine.NewPartRegister(quarantine.DefaultPartPolicy, "box")
+	parts := partsOf("a", "b", "c")
+	for b.Loop() {
+		r.NoteAnswered(parts, time.Now())
+	}
+}
+
+func BenchmarkPartVerdict(b *testing.B) {
+	r := fullPartRegister(20)
+	parts := partsOf("a", "b", "c")
+	for b.Loop() {
+		r.Verdict(parts)
+	}
+}
+
+// BenchmarkPartCrash measures a crash beside 63 others, with as many parts in each as a register keeps.
+func BenchmarkPartCrash(b *testing.B) {
+	r := fullPartRegister(512)
+	n := 0
+	for b.Loop() {
+		n++
+		r.NoteCrash(fmt.Sprint("new ", n), time.Now(), partsOf("x"))
+	}
+}
+
+func fullPartRegister(partsOfCrash int) *quarantine.PartRegister {
+	r := quarantine.NewPartRegister(quarantine.DefaultPartPolicy, "box")
+	for n := range 64 {
+		var ids []string
+		for k := range partsOfCrash {
+			ids = append(ids, fmt.Sprint(n, " ", k))
+		}
+		r.NoteCrash(fmt.Sprint("e", n), time.Now().Add(time.Duration(n-64)*time.Second), partsOf(ids...))
+	}
+	return r
+}
--- a/pkg/quarantine/stored.go
+++ b/pkg/quarantine/stored.go
@@ -6,6 +6,8 @@
 type Stored struct {
 	// Crashes is how many upstreams crashed in a row under the request.
 	Crashes int `json:"crashes"`
+	// Level is how many earlier holds of a part ended in a crash; 0 for requests.
+	Level int `json:"level,omitempty"`
 }
 
 // Restore adds the store's record of a request. If the store has more crashes than this box knows, as when the box
