Holds of parts outlast restarts, cuts and a store that came back; a lift older than the hold is not applied

One fault found: a box that started applied an operator's lift that lay in the store from before the hold; lifts count now while changes are live. storeview, gateway and the fleet specs pass, the latter with the race detector.

--- a/internal/node/prompt_crash_test.go
+++ b/internal/node/prompt_crash_test.go
@@ -243,4 +243,56 @@
 		Entry("if few requests have it", seven, crashingPartLoad(60, 1)),
 		Entry("if few sound requests are sent", seven, crashingPartLoad(4, 4)),
 	)
+
+	// sendCrashing sends requests with a part that crashes upstreams, one each 250 ms.
+	sendCrashing := func(c *crashFleet, name string, count int, boxes func(*rand.Rand) int) {
+		c.crashingParts["e0"] = true
+		random := rand.New(rand.NewPCG(7, 8))
+		for n := range count {
+			box := boxes(random)
+			c.callers.Go(func() {
+				c.sendRequest(box, fmt.Sprint(name, n), fmt.Sprint(name, n), firstPart, "e0", fmt.Sprint(name, n))
+			})
+			time.Sleep(250 * time.Millisecond)
+		}
+	}
+
+	It("are still held after all boxes have restarted", func() {
+		withCrashFleet(seven, func(*crashFleet) {}, func(c *crashFleet) {
+			sendCrashing(c, "before ", 20, c.randomBox)
+			crashes := c.crashCount()
+			for n := range c.boxes {
+				c.stops[n]()
+			}
+			c.running.Wait()
+			for n := range c.boxes {
+				c.start(n)
+			}
+			time.Sleep(propagationTime)
+			sendCrashing(c, "after ", 20, c.randomBox)
+			Expect(c.crashCount()).To(Equal(crashes))
+		})
+	})
+
+	It("are held in a hall soon after a network partition that hid the crashes from it", func() {
+		withCrashFleet(seven, func(*crashFleet) {}, func(c *crashFleet) {
+			inHall := func(in bool) func(*rand.Rand) int {
+				return func(random *rand.Rand) int {
+					for {
+						if n := c.randomBox(random); (c.hallOf(n) == "z3") == in {
+							return n
+						}
+					}
+				}
+			}
+			c.setPartition("z3", true)
+			time.Sleep(propagationTime)
+			sendCrashing(c, "before ", 20, inHall(false))
+			crashes := c.crashCount()
+			c.setPartition("z3", false)
+			time.Sleep(propagationTime)
+			sendCrashing(c, "after ", 20, inHall(true))
+			Expect(c.crashCount()).To(Equal(crashes))
+		})
+	})
 })
--- a/internal/storeview/own.go
+++ b/internal/storeview/own.go
@@ -14,15 +14,16 @@
 )
 
 // applyOwnRecords applies changed records that boxes wrote themselves: registrations, the order lease and requests
-// held by quarantine.
-func (v *View) applyOwnRecords(state mirror.State, changed []string) {
+// held by quarantine. live means that the changes are new, not those of a first copy or of a store that came back from
+// one.
+func (v *View) applyOwnRecords(state mirror.State, changed []string, live bool) {
 	if len(changed) == 0 {
 		return
 	}
 	if v.applyRegistrations(state, changed) {
 		v.config.Members.SetRegistered(v.boxes())
 	}
-	v.applyHeldRequests(state, changed)
+	v.applyHeldRequests(state, changed, live)
 	v.config.OrderLease.Observe(state)
 }
 
--- a/internal/storeview/quarantine.go
+++ b/internal/storeview/quarantine.go
@@ -166,8 +166,8 @@
 }
 
 // applyHeldRequests applies the changed records of requests and of parts of prompts that are held by quarantine, and of
-// holds that an operator lifts. Lifts in the first copy of the store are not applied: they may be older than a hold.
-func (v *View) applyHeldRequests(state mirror.State, changed []string) {
+// holds that an operator lifts. A lift is applied only while the changes are live, as it may be older than a hold otherwise.
+func (v *View) applyHeldRequests(state mirror.State, changed []string, live bool) {
 	for _, key := range changed {
 		own, ok := strings.CutPrefix(key, v.config.Platform.OwnPrefix)
 		record, found := state.Records.Get(key)
@@ -179,7 +179,7 @@
 			err = restoreHeld(fingerprint, record.Value, v.config.Quarantine.Restore)
 		} else if fingerprint, ok := strings.CutPrefix(own, partKeySegment); ok {
 			err = restoreHeld(fingerprint, record.Value, v.config.CrashParts.Restore)
-		} else if fingerprint, ok := strings.CutPrefix(own, liftKeySegment); ok && v.lastRevision > 0 {
+		} else if fingerprint, ok := strings.CutPrefix(own, liftKeySegment); ok && live {
 			err = v.lift(fingerprint)
 		}
 		if err != nil {
--- a/internal/storeview/quarantine_test.go
+++ b/internal/storeview/quarantine_test.go
@@ -26,6 +26,7 @@
 		store := kv.NewMemory().Store()
 		return &HoldRecorder{
 			Platform: Platform{Store: store, OwnPrefix: "own/"}, Quarantine: quarantine.NewRegister(quarantine.DefaultPolicy),
+			CrashParts: quarantine.NewPartRegister(quarantine.DefaultPartPolicy, "box"),
 			Records: func() mirror.State {
 				snapshot, err := store.Snapshot(context.Background(), "")
 				Expect(err).NotTo(HaveOccurred())
@@ -124,4 +125,61 @@
 		Expect(f.config.Quarantine.Counts()).To(Equal(quarantine.Counts{Held: 1}))
 		Expect(f.logged.FilterMessage("record of a held request unreadable").Len()).To(Equal(2))
 	})
+
+	part := quarantine.PartFingerprint("p1")
+	partKey := "own/quarantine-parts/" + part.String()
+	partValue := func(store kv.Store) string {
+		record, err := store.Get(context.Background(), partKey)
+		if err != nil {
+			Expect(err).To(MatchError(kv.ErrNotFound))
+		}
+		return string(record.Value)
+	}
+	crashPart := func(r *quarantine.PartRegister, upstreams ...string) {
+		for _, upstream := range upstreams {
+			time.Sleep(100 * time.Millisecond)
+			r.NoteCrash(upstream, time.Now(), []quarantine.Fingerprint{part})
+		}
+	}
+
+	It("of a part of prompts are written as well, and deleted once the part turns out to be sound", func() {
+		spectest.Bubble(func() {
+			h, store := recorder(true)
+			running(h, func() {
+				crashPart(h.CrashParts, "e1", "e2", "e3")
+				time.Sleep(2 * holdCheckInterval)
+				Expect(partValue(store)).To(Equal(`{"crashes":3}`))
+				time.Sleep(30 * time.Second)
+				Expect(partValue(store)).To(Equal(`{"crashes":3}`))
+				h.CrashParts.NoteAnswered([]quarantine.Fingerprint{part}, time.Now())
+				time.Sleep(2 * holdCheckInterval)
+				Expect(partValue(store)).To(BeEmpty())
+			})
+		})
+	})
+
+	It("of a part of prompts name the holds before, and end with the longest hold of a box", func() {
+		spectest.Bubble(func() {
+			h, store := recorder(true)
+			running(h, func() {
+				crashPart(h.CrashParts, "e1", "e2", "e3")
+				time.Sleep(2 * time.Minute)
+				Expect(partValue(store)).To(BeEmpty())
+				crashPart(h.CrashParts, "e4")
+				time.Sleep(2 * holdCheckInterval)
+				Expect(partValue(store)).To(Equal(`{"crashes":4,"level":1}`))
+			})
+		})
+	})
+
+	It("hold a part of prompts on a box that starts, until an operator lifts the hold", func() {
+		f := newFixture(kv.NewMemory().Store())
+		parts := []quarantine.Fingerprint{part}
+		records := map[string]string{partKey: `{"crashes":3}`, "own/quarantine-lifted/" + part.String(): ""}
+		f.applyState(stateOf(3, records))
+		Expect(f.config.CrashParts.Verdict(parts).Held).To(BeTrue(), "a lift that is older than the hold")
+		records["own/quarantine-lifted/"+part.String()] = "again"
+		f.applyState(stateOf(4, records))
+		Expect(f.config.CrashParts.Verdict(parts)).To(BeZero())
+	})
 })
--- a/internal/storeview/restored_test.go
+++ b/internal/storeview/restored_test.go
@@ -201,4 +201,40 @@
 			time.Sleep(time.Second)
 		})
 	})
+
+	It("the record of a held part of prompts is written again, and it stays held meanwhile", func() {
+		spectest.Bubble(func() {
+			memory := kv.NewMemory()
+			store := memory.Store()
+			register := quarantine.NewPartRegister(quarantine.DefaultPartPolicy, "box")
+			parts := []quarantine.Fingerprint{quarantine.PartFingerprint("p1")}
+			h := &HoldRecorder{
+				Platform: Platform{Store: store, OwnPrefix: "own/"}, Quarantine: quarantine.NewRegister(quarantine.DefaultPolicy),
+				CrashParts: register, Log: zap.NewNop(), IsResponsible: func(string) bool { return true },
+				Records: func() mirror.State {
+					snapshot, err := store.Snapshot(context.Background(), "")
+					Expect(err).NotTo(HaveOccurred())
+					return mirror.State{Records: mirrortest.Records(snapshot.Records...)}
+				},
+			}
+			checkpoint := memory.Checkpoint()
+			ctx, cancel := context.WithCancel(context.Background())
+			go h.Run(ctx)
+			for _, upstream := range []string{"e1", "e2", "e3"} {
+				time.Sleep(100 * time.Millisecond)
+				register.NoteCrash(upstream, time.Now(), parts)
+			}
+			key := "own/quarantine-parts/" + parts[0].String()
+			time.Sleep(time.Second)
+			memory.Restore(checkpoint)
+			_, err := store.Get(ctx, key)
+			Expect(err).To(MatchError(kv.ErrNotFound))
+			time.Sleep(time.Second)
+			_, err = store.Get(ctx, key)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(register.Verdict(parts).Held).To(BeTrue())
+			cancel()
+			time.Sleep(time.Second)
+		})
+	})
 })
--- a/internal/storeview/view.go
+++ b/internal/storeview/view.go
@@ -123,7 +123,8 @@
 // changed records, not with the size of the store.
 func (v *View) applyState(state mirror.State) {
 	changes := v.groupChangedKeys(state)
-	restored := v.lastRevision != 0 && kv.Precedes(v.lastRevision, kv.EpochOf(state.Revision))
+	first := v.lastRevision == 0
+	restored := !first && kv.Precedes(v.lastRevision, kv.EpochOf(state.Revision))
 	if restored {
 		v.logRestored(state)
 	}
@@ -137,7 +138,7 @@
 	evacuations := v.applyEvacuations(state, changes.evacuations, restored)
 	v.applyUpstreams(state, changes.upstreams, restored)
 	v.logEvacuations(&evacuations, state.Revision, string(state.Origin))
-	v.applyOwnRecords(state, changes.own)
+	v.applyOwnRecords(state, changes.own, !first && !restored)
 	if v.configuredAt.Load() == nil && v.inForce.known() {
 		now := time.Now()
 		v.configuredAt.Store(&now)
