An answer that ends with its connection is complete only if its upstream is alive after it

An answer may come with neither a length nor chunks. Callers would have been given the first events of a stream, or a part of a plain answer, as whole where its engine crashed meanwhile: a crash closes the connection like an end that is meant. Nothing on the wire says how long such an answer is.

Such an end is confirmed by a connection to the upstream, begun after it (or by a crash found less than half a second before): if the upstream refuses it, the answer broke off. A stream goes on at another upstream, a request that may be repeated is sent again, another one fails with 502, and the crash counts against the request and the parts of its prompt. Other answers cost nothing more. Weighed: taking the end of a stream between events for whole (any crash between events looks complete; most are), and passing the answer on without a length (callers could tell as little). Left: a leaving upstream that ends within a round trip after such an answer fails it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -20,6 +20,9 @@
 	begun := time.Now()
 	answer, ticket, err := r.deliver(ctx, choice, attempt, ticket)
 	r.endpoint.End()
+	if err == nil {
+		r.gateway.confirmEnd(ctx, answer, *choice.Upstream.Upstream)
+	}
 	r.recordOutcome(ctx, choice, answer, err, time.Since(begun))
 	return answer, ticket, err
 }
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -65,6 +65,29 @@
 	})
 })
 
+var _ = Describe("the result of a check of an upstream", func() {
+	It("is not used for an answer that ended after the check began, unless it found a crash", func() {
+		spectest.Bubble(func() {
+			var checks crashChecks
+			begun := time.Now()
+			alive, isNew := checks.begin("e1", time.Time{}, begun)
+			Expect(isNew).To(BeTrue())
+			close(alive.done)
+			_, isNew = checks.begin("e1", begun, begun)
+			Expect(isNew).To(BeFalse())
+			time.Sleep(time.Millisecond)
+			later, isNew := checks.begin("e1", time.Now(), time.Now())
+			Expect(isNew).To(BeTrue())
+			later.crashed = true
+			close(later.done)
+			time.Sleep(time.Millisecond)
+			found, isNew := checks.begin("e1", time.Now(), time.Now())
+			Expect(isNew).To(BeFalse())
+			Expect(found.crashed).To(BeTrue())
+		})
+	})
+})
+
 // none is the state of a fleet in which no box can be asked about an upstream.
 func none(context.Context, string) (bool, error) { return false, ErrNoTunnel }
 
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -49,8 +49,10 @@
 	// Misdirected is set if another upstream now has the address, or if this one lacks the model. NotExecuted is
 	// then set as well.
 	Misdirected bool
-	// Body ends with io.EOF only if it is complete.
+	// Body ends with io.EOF only if it is complete, or if EndsWithConnection is set and its connection was closed.
 	Body io.ReadCloser
+	// EndsWithConnection means that the answer has neither a length nor chunks.
+	EndsWithConnection bool
 }
 
 // Upstreams is the interface to the upstreams.
