A box that gets most new connections sheds them unread while it falls behind, and keeps files for its own work

A load balancer may hand most new connections of a hall to one box, while callers open more of them. Nothing bounded the connections of callers: each stays open until it was idle for as long as the configuration allows, so that some ninety a second use up 4,100 files in less than a minute, and then no upstream can be dialled either. A box that falls behind served all callers late.

A box whose timers are 50 ms late on average, and that has twice the requests in flight of the others, closes a growing part of new connections before it reads a request, so that callers try another box; where all are as busy it closes none.

--- /dev/null
+++ b/internal/gateway/flood.go
@@ -0,0 +1,132 @@
+package gateway
+
+import (
+	"cmp"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ospreymoor.example/ospreymoor/pkg/shedding"
+)
+
+// This file keeps the box usable while a load balancer hands it most new connections: it bounds the connections of
+// callers, and closes new ones unread while the box falls behind and others do not (pkg/shedding). A caller whose
+// connection was closed unread may send its request to another box, whatever it is.
+
+const (
+	// lagInterval is how often the lag of the box's timers is sampled.
+	lagInterval = 250 * time.Millisecond
+	// idleCloseDivisor gives the part of the callers' connections that is closed at once, of the longest idle ones, where
+	// there are too many.
+	idleCloseDivisor = 16
+)
+
+// sampleLag samples the box's lag until stop is closed.
+func (f *Front) sampleLag(stop <-chan struct{}) {
+	shedding := false
+	for {
+		begun := time.Now()
+		select {
+		case <-stop:
+			return
+		case <-time.After(lagInterval):
+		}
+		shedding = f.observe(time.Since(begun)-lagInterval, shedding)
+	}
+}
+
+// observe passes a sample on, logs when shedding begins and ends, and returns whether it goes on.
+func (f *Front) observe(lag time.Duration, before bool) (sheds bool) {
+	sample := shedding.Sample{Lag: lag, InFlight: int(f.gateway.InFlight()), Boxes: f.gateway.boxCount()}
+	if lag >= f.shedder.Policy.MaxLag || before {
+		_, sample.Others = f.gateway.Loads.Running()
+	}
+	f.shedder.Observe(sample)
+	if sheds = f.shedder.Share() > 0; sheds != before {
+		f.gateway.Log.Info("new connections closed unread: the box falls behind and others do not",
+			zap.Bool("begins", sheds), zap.Duration("lag", sample.Lag), zap.Int("inFlight", sample.InFlight),
+			zap.Int("others", sample.Others), zap.Int("boxes", sample.Boxes))
+	}
+	return sheds
+}
+
+// floodListener closes the connections of its listener that the front does not take.
+type floodListener struct {
+	net.Listener
+	front *Front
+}
+
+// Accept returns the next connection that the front takes.
+func (l floodListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.front.takes() {
+			return conn, nil
+		}
+		_ = conn.Close() // The caller sees a closed connection in any case.
+	}
+}
+
+// takes reports whether a new connection is taken. It makes room for it if there are too many connections.
+func (f *Front) takes() bool {
+	switch {
+	case f.shedder.Sheds():
+		f.countUnread("box falls behind")
+		return false
+	case f.gateway.MaxConnections > 0 && f.connections() >= f.gateway.MaxConnections && !f.closeLongestIdle():
+		f.countUnread("too many connections")
+		return false
+	}
+	return true
+}
+
+func (f *Front) countUnread(cause string) {
+	f.gateway.Metrics.GetOrCreateCounter(`ospreymoor_connections_closed_unread_total{cause="` + cause + `"}`).Inc()
+}
+
+// connections returns the number of open connections of callers.
+func (f *Front) connections() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.open
+}
+
+// closeLongestIdle closes some of the connections that have been idle for the longest time, and reports whether there
+// were any.
+func (f *Front) closeLongestIdle() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	idle := make([]net.Conn, 0, len(f.idleSince))
+	for conn := range f.idleSince {
+		idle = append(idle, conn)
+	}
+	slices.SortFunc(idle, func(a, b net.Conn) int { return f.idleSince[a].Compare(f.idleSince[b]) })
+	for _, conn := range idle[:min(len(idle), cmp.Or(len(idle)/idleCloseDivisor, 1))] {
+		f.closeIdleConn(conn)
+	}
+	return len(idle) > 0
+}
+
+// closeIdleConn closes an idle connection. A request that was read from it meanwhile is dropped. The caller holds the
+// lock.
+func (f *Front) closeIdleConn(conn net.Conn) {
+	_ = conn.Close()
+	delete(f.idleSince, conn)
+	f.closedIdle[conn] = true
+}
+
+// countConnection counts the open connections. The caller holds the lock.
+func (f *Front) countConnection(state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		f.open++
+	case http.StateClosed, http.StateHijacked:
+		f.open--
+	}
+}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -11,9 +11,11 @@
 	"github.com/juju/errors"
 
 	"ospreymoor.example/ospreymoor/pkg/logfield"
+	"ospreymoor.example/ospreymoor/pkg/shedding"
 )
 
-// Front is the HTTP server for callers. It enforces the configuration's limits and can be drained.
+// Front is the HTTP server for callers. It enforces the configuration's limits, sheds connections of a flood (flood.go)
+// and can be drained.
 type Front struct {
 	Server *http.Server
 
@@ -27,6 +29,10 @@
 	// box has closed, until the server reports them as closed.
 	idleSince  map[net.Conn]time.Time
 	closedIdle map[net.Conn]bool
+	// open is the number of open connections.
+	open int
+	// shedder decides which new connections are closed unread.
+	shedder shedding.Controller
 }
 
 const (
@@ -41,7 +47,7 @@
 
 // NewFront returns a server that passes requests to handler.
 func NewFront(handler http.Handler, gateway *Gateway) *Front {
-	f := &Front{gateway: gateway, idleSince: map[net.Conn]time.Time{}, closedIdle: map[net.Conn]bool{}}
+	f := &Front{gateway: gateway, idleSince: map[net.Conn]time.Time{}, closedIdle: map[net.Conn]bool{}, shedder: shedding.Controller{Policy: shedding.DefaultPolicy}}
 	f.Server = &http.Server{
 		Handler:           f.dropIfClosed(f.withDrain(handler)),
 		ReadHeaderTimeout: headerTimeout,
@@ -56,7 +62,8 @@
 func (f *Front) Serve(listener net.Listener) {
 	stop := make(chan struct{})
 	go f.closeIdle(stop)
-	if err := f.Server.Serve(stallListener{listener}); !errors.Is(err, http.ErrServerClosed) {
+	go f.sampleLag(stop)
+	if err := f.Server.Serve(stallListener{floodListener{listener, f}}); !errors.Is(err, http.ErrServerClosed) {
 		f.gateway.Log.Error("front stopped accepting connections", logfield.Error(err))
 	}
 	close(stop)
@@ -66,6 +73,7 @@
 func (f *Front) trackIdle(conn net.Conn, state http.ConnState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.countConnection(state)
 	if state == http.StateIdle {
 		f.idleSince[conn] = time.Now()
 		return
@@ -122,9 +130,7 @@
 	defer f.mu.Unlock()
 	for conn, since := range f.idleSince {
 		if now.Sub(since) > table.Limits.IdleTimeout {
-			_ = conn.Close()
-			delete(f.idleSince, conn)
-			f.closedIdle[conn] = true
+			f.closeIdleConn(conn)
 		}
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,9 +68,13 @@
 	Links fleet.Links
 	// CallerMemory limits the memory that this box uses for callers' bodies and answers. nil sets no limit.
 	CallerMemory *MemoryBudget
-	Log          *zap.Logger
-	Metrics      *metrics.Set
+	// MaxConnections limits the connections of callers to this box; 0 sets no limit.
+	MaxConnections int
+	Log            *zap.Logger
+	Metrics        *metrics.Set
 
+	// boxes returns the largest number of boxes that were ever known at the same time; nil if it is not known.
+	boxes  func() int
 	budget *retryBudget
 	uses   modelUses
 	table  atomic.Pointer[routes.Table]
@@ -131,6 +135,8 @@
 	CrashParts *quarantine.PartRegister
 	// MemoryBytes is this box's memory; 0 if unknown.
 	MemoryBytes int64
+	// MaxConnections limits the connections of callers to this box; 0 sets no limit.
+	MaxConnections int
 	// Retries limits the retries of the whole fleet. Each box uses an equal share, by the number that Boxes
 	// returns.
 	Retries RetryLimits
@@ -171,12 +177,16 @@
 		Quarantine:   config.Quarantine,
 		CrashParts:   config.CrashParts,
 		CallerMemory: NewMemoryBudget(config.MemoryBytes),
-		Log:          config.Log,
-		Metrics:      config.Metrics,
-		budget:       newRetryBudget(config.Retries, config.Boxes),
-		uses:         modelUses{running: map[residency.ModelUse]int{}},
-		configured:   make(chan struct{}),
-		started:      origins.NewRegister(),
+
+		MaxConnections: config.MaxConnections,
+
+		Log:        config.Log,
+		Metrics:    config.Metrics,
+		boxes:      config.Boxes,
+		budget:     newRetryBudget(config.Retries, config.Boxes),
+		uses:       modelUses{running: map[residency.ModelUse]int{}},
+		configured: make(chan struct{}),
+		started:    origins.NewRegister(),
 	}
 	g.watchReach()
 	g.watchLinks()
@@ -211,6 +221,14 @@
 	return g.ListAge()
 }
 
+// boxCount returns the largest number of boxes that were ever known at the same time; 1 if it is not known.
+func (g *Gateway) boxCount() int {
+	if g.boxes == nil {
+		return 1
+	}
+	return g.boxes()
+}
+
 // InFlight returns the number of requests in flight.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
--- a/internal/node/new.go
+++ b/internal/node/new.go
@@ -239,6 +239,8 @@
 
 		MemoryBytes: config.MemoryBytes,
 
+		MaxConnections: config.MaxConnections,
+
 		Retries: config.Retries,
 		Boxes:   s.members.Boxes,
 		Log:     config.Log,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,7 +25,7 @@
 // Platform gives access to what the platform keeps in its store.
 type Platform = storeview.Platform
 
-// Config holds the settings and dependencies of one box. It has 22 fields because it is the only place for them.
+// Config holds the settings and dependencies of one box. It has 24 fields because it is the only place for them.
 type Config struct {
 	// Name identifies this box; it stays the same after a restart.
 	Name string
@@ -51,6 +51,8 @@
 	Quotas customers.Tolerance
 	// ColdStarts is how far all boxes together may exceed the request rate that a cold upstream can take.
 	ColdStarts dispatch.ColdTolerance
+	// MaxConnections limits the connections of callers; 0 sets no limit.
+	MaxConnections int
 	// Quarantine is the policy for requests under which upstreams crash.
 	Quarantine quarantine.Policy
 	// CrashParts is the policy for shared parts of prompts under which upstreams crash.
--- a/pkg/dispatch/tracker.go
+++ b/pkg/dispatch/tracker.go
@@ -133,3 +133,17 @@
 	load.Add(record.own)
 	return load
 }
+
+// Running returns the number of requests that run at upstreams from this box, and from all other boxes by their latest
+// reports.
+func (t *LoadTracker) Running() (own, others int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, record := range t.upstreams {
+		own += record.own.Running
+	}
+	for _, load := range t.remote {
+		others += load.Running
+	}
+	return own, others
+}
