A box whose configuration may be out of date does not say that a route does not exist

Where the copy is over 2 s old, was never confirmed, or lacks a configuration that other boxes named, an unknown route is refused with 503 and Retry-After 0.5 s. Weighed: waiting for the newer configuration (holds callers of routes that never existed), and 404 as before (loses callers of new routes for good). What it costs: in an outage of the store callers of routes that do not exist get 503 and may come back once or twice. A route that was just removed is answered as before by a box that is late.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,9 @@
 	// ListAge returns how long ago this box's copy of the list of upstreams and of the configuration was known to be current;
 	// negative if it never was. nil means that it is current.
 	ListAge func() time.Duration
+	// ConfigMissing reports whether this box knows of a newer configuration than the one in force. nil means that it does
+	// not.
+	ConfigMissing func() bool
 	// Quarantine holds what is known about requests under which upstreams crashed.
 	Quarantine *quarantine.Register
 	// CrashParts holds what is known about shared parts of prompts under which upstreams crashed.
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -17,6 +17,8 @@
 	reasonNoConfig reason = "no configuration yet"
 	// reasonNoRoute: the route table has no route for the host and path.
 	reasonNoRoute reason = "no route"
+	// reasonOldConfig: no route was found, and a newer configuration that this box lacks may have one.
+	reasonOldConfig reason = "configuration out of date"
 	// reasonNoUpstream: the service has no usable upstream that this request has not tried yet.
 	reasonNoUpstream reason = "no upstream"
 	// reasonNoModel: no usable engine holds the model.
@@ -142,7 +144,7 @@
 	retryWhenEvacuated = time.Second
 	// retryWhenOriginUnknown is for a stream whose record may still be under way, or whose keepers do not answer.
 	retryWhenOriginUnknown = 300 * time.Millisecond
-	// retryWhenConfigured is for a box that has just started and has no route table.
+	// retryWhenConfigured is for a box that has no route table yet, or an old one.
 	retryWhenConfigured = 500 * time.Millisecond
 )
 
@@ -159,7 +161,7 @@
 		least = retryWhenEvacuated
 	case reasonOriginUnknown:
 		least = retryWhenOriginUnknown
-	case reasonNoConfig:
+	case reasonNoConfig, reasonOldConfig:
 		least = retryWhenConfigured
 	}
 	return max(least, expected)
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"time"
@@ -48,3 +49,17 @@
 		})
 	})
 })
+
+var _ = DescribeTable("a request for a route that the box does not know", func(age time.Duration, missing bool, status int) {
+	f := newFixture(func(string, int) behavior { return succeeds }, 1)
+	f.ListAge = func() time.Duration { return age }
+	f.ConfigMissing = func() bool { return missing }
+	got := f.ask(context.Background(), "r", "/unknown/x", "")
+	Expect(got.Code).To(Equal(status))
+	Expect(got.Header().Get("Retry-After") != "").To(Equal(status == http.StatusServiceUnavailable))
+},
+	Entry("is answered finally by a current copy", 100*time.Millisecond, false, http.StatusNotFound),
+	Entry("is not answered finally by an old copy", 3*time.Second, false, http.StatusServiceUnavailable),
+	Entry("is not answered finally by a copy that was never confirmed", -time.Nanosecond, false, http.StatusServiceUnavailable),
+	Entry("is not answered finally while a newer configuration is on its way", 100*time.Millisecond, true, http.StatusServiceUnavailable),
+)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -28,7 +28,7 @@
 	}
 	route := table.Match(request.Host, request.Path)
 	if route == nil {
-		g.refuseUnserved(w, request, "", noRoute())
+		g.refuseUnserved(w, request, "", g.unknownRoute())
 		return nil
 	}
 	customer, rejected := customerOf(table, route, request)
@@ -61,6 +61,19 @@
 	return r.servePlain(ctx, w)
 }
 
+// maxConfigAge is how old this box's copy of the configuration may be for it to say that a route does not exist.
+const maxConfigAge = 2 * time.Second
+
+// unknownRoute returns the refusal of a request that matches no route. It is final only if no newer configuration may have
+// the route: callers do not return after a 404.
+func (g *Gateway) unknownRoute() *refusal {
+	age := g.listAge()
+	if age < 0 || age > maxConfigAge || g.ConfigMissing != nil && g.ConfigMissing() {
+		return notRun(reasonOldConfig, 0)
+	}
+	return noRoute()
+}
+
 // firstTableWait is how long a request waits for the first route table of a box that has just started. After a
 // power loss of all boxes, requests reach each box 0.1 to 0.2 s before its table does. When these were refused,
 // 390 of them came back after as long again, and most of these were late. The wait is shorter than the shortest
--- a/internal/node/crash_callers_test.go
+++ b/internal/node/crash_callers_test.go
@@ -31,7 +31,7 @@
 	switch {
 	case answer.Code == http.StatusOK:
 		return served, 0
-	case strings.Contains(answer.Body.String(), "crash under it"):
+	case strings.Contains(answer.Body.String(), "crash under"):
 		return held, retryAfter
 	}
 	return refused, retryAfter
--- a/internal/node/prompt_crash_test.go
+++ b/internal/node/prompt_crash_test.go
@@ -25,6 +25,10 @@
 	// eventFirst means that an upstream writes an event before it crashes, and otherCrashes that others crash for other
 	// causes.
 	eventFirst, otherCrashes bool
+	// otherCrashesEvery is the time between two of these crashes, and returns means that callers of sound requests come
+	// back once after a refusal.
+	otherCrashesEvery time.Duration
+	returns           bool
 	// before is how long only sound requests are sent, and during how long requests of both kinds are.
 	before, during time.Duration
 }
@@ -90,7 +94,7 @@
 // otherCrashesLoad has an upstream crash each second, and a quarter of all at once each six seconds, for other causes.
 func otherCrashesLoad(sound, crashing int) promptLoad {
 	load := crashingPartLoad(sound, crashing)
-	load.otherCrashes = true
+	load.otherCrashes, load.otherCrashesEvery = true, time.Second
 	return load
 }
 
@@ -131,7 +135,7 @@
 		}
 	})
 	if l.otherCrashes {
-		c.callers.Go(func() { c.crashOthers(l.before + l.during) })
+		c.callers.Go(func() { c.crashOthers(l.before+l.during, l.otherCrashesEvery) })
 	}
 	for n := range int((l.before + l.during).Seconds()) * l.soundPerSecond {
 		choose := l.sound
@@ -140,7 +144,11 @@
 		}
 		parts, box, at := append(choose(random), fmt.Sprint("c", n)), c.randomBox(random), time.Now()
 		c.callers.Go(func() {
-			outcome, _ := c.sendRequest(box, fmt.Sprint("sound ", n), fmt.Sprint("sound prompt ", n), parts...)
+			outcome, wait := c.sendRequest(box, fmt.Sprint("sound ", n), fmt.Sprint("sound prompt ", n), parts...)
+			if l.returns && outcome == refused {
+				time.Sleep(min(wait, time.Second))
+				outcome, _ = c.sendRequest((box+1)%c.boxes, fmt.Sprint("sound again ", n), fmt.Sprint("sound prompt ", n), parts...)
+			}
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			result.outcomes = append(result.outcomes, promptOutcome{at: at, begun: outcome == served || outcome == broken, held: outcome == held})
@@ -157,16 +165,16 @@
 // longestAnswer is longer than an answer takes with its retries.
 const longestAnswer = 3 * time.Second
 
-// crashOthers has an upstream crash each second, and a quarter of all at once each six seconds.
-func (c *crashFleet) crashOthers(span time.Duration) {
+// crashOthers has an upstream crash at an interval, and each sixth time a quarter of all at once.
+func (c *crashFleet) crashOthers(span, every time.Duration) {
 	ids := slices.Sorted(maps.Keys(c.upstreams))
-	for n := range int(span.Seconds()) {
+	for n := range int(span / every) {
 		if n%6 == 5 {
 			c.crashTogether(4)
 		} else {
 			c.crash(ids[n*7%len(ids)], "")
 		}
-		time.Sleep(time.Second)
+		time.Sleep(every)
 	}
 }
 
--- a/internal/storeview/view.go
+++ b/internal/storeview/view.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -119,6 +120,13 @@
 // Mirror returns this box's copy of the store.
 func (v *View) Mirror() *mirror.Mirror { return v.mirror }
 
+// ConfigMissing reports whether other boxes named a configuration that this box's copy lacks.
+func (v *View) ConfigMissing() bool {
+	return slices.ContainsFunc(v.mirror.Missing(), func(record mirror.LargeRecord) bool {
+		return strings.HasPrefix(record.Key, v.config.Platform.ConfigPrefix)
+	})
+}
+
 // applyState applies a new state of the copy. The mirror makes one call at a time. The cost grows with the number of
 // changed records, not with the size of the store.
 func (v *View) applyState(state mirror.State) {
