A part of prompts that was held for crashes of other causes is served again within seconds

The first hold lasts 3 s, then one box after the other may try the part, half a second apart on average however many there are; a part that crashes upstreams again is held for 2 min, then 20 min. A part needs five crashes in a row if the latest is within 3 s (1 s) of its latest answer. A hold read in the store lasts 30 s at least.

--- a/internal/node/new.go
+++ b/internal/node/new.go
@@ -64,10 +64,10 @@
 		members:   cluster.NewMembers(self, n.storeLost),
 
 		quarantine: newQuarantine(config),
-		crashParts: newCrashParts(config),
 		origins:    newOrigins(config),
 	}
 	n.members = s.members
+	s.crashParts = newCrashParts(config, s.members)
 	n.orderCtx, n.stopOrdering = context.WithCancel(context.Background())
 	n.client = peer.NewClient(config.PeerSecret, config.Dial, config.Metrics)
 	n.orderLease = n.newOrderLease(config, s)
@@ -269,8 +269,9 @@
 
 // newCrashParts returns an empty register of parts of prompts under which upstreams crashed. It logs each part that is
 // held, and exports how many are held or suspected.
-func newCrashParts(config Config) *quarantine.PartRegister {
+func newCrashParts(config Config, members *cluster.Members) *quarantine.PartRegister {
 	register := quarantine.NewPartRegister(config.CrashParts, config.Name)
+	register.Boxes = members.Boxes
 	register.OnHeld = func(part quarantine.Fingerprint, verdict quarantine.PartVerdict) {
 		config.Log.Info("part of prompts held: upstreams crash under it",
 			zap.Stringer("part", part),
--- a/pkg/quarantine/part.go
+++ b/pkg/quarantine/part.go
@@ -14,29 +14,33 @@
 
 // PartPolicy defines when a part of prompts is held, that is, when no request with it is sent to an upstream.
 type PartPolicy struct {
-	// HoldAfter is the number of crashes without a sound answer in between from which on a part is held. A part that was
-	// answered within RecentAnswer is held only after HoldAfterRecent: it is probably answered again soon.
+	// HoldAfter is the number of crashes without a sound answer in between from which on a part is held. With a crash
+	// within RecentAnswer of the latest answer it is HoldAfterRecent: the part is probably answered again soon.
 	HoldAfter       int
 	RecentAnswer    time.Duration
 	HoldAfterRecent int
-	// Hold is how long a part is held at least. It grows by HoldGrowth with each crash after the end of a hold, up to
-	// MaxHold.
+	// Hold is how long a part is held at least. It is short, because crashes for other causes may have a part held that
+	// has no share in them. It grows by HoldGrowth with each crash after the end of a hold, up to MaxHold.
 	Hold       time.Duration
 	HoldGrowth int
 	MaxHold    time.Duration
-	// Spread is by which part of a hold at most a box extends it, so that not all boxes try the part again at once.
-	Spread float64
+	// RestoredHold is how long a part is held at least after a box has read its hold in the store.
+	RestoredHold time.Duration
+	// ProbeSpacing is the average time between the ends of a hold at two boxes. It is longer than boxes take to learn that
+	// the part crashed an upstream again.
+	ProbeSpacing time.Duration
 }
 
 // DefaultPartPolicy is the policy in use.
 var DefaultPartPolicy = PartPolicy{
 	HoldAfter:       3,
-	RecentAnswer:    time.Second,
+	RecentAnswer:    3 * time.Second,
 	HoldAfterRecent: 5,
-	Hold:            20 * time.Second,
-	HoldGrowth:      4,
+	Hold:            3 * time.Second,
+	HoldGrowth:      40,
 	MaxHold:         20 * time.Minute,
-	Spread:          3,
+	RestoredHold:    30 * time.Second,
+	ProbeSpacing:    500 * time.Millisecond,
 }
 
 // holdTime returns the shortest hold at a level, which is the number of earlier holds that ended in a crash.
@@ -59,12 +63,20 @@
 	until time.Time
 }
 
-// holdOf returns the hold that follows from the times of crashes, the earliest first, and from a hold that the store
-// had. Crashes during a hold are of requests that were in flight when it began, and do not extend it.
-func (p *PartPolicy) holdOf(crashes []time.Time, restored restoredPart) (partHold, bool) {
+// suffices reports whether so many crashes in a row, the latest at a time, are enough to hold a part.
+func (p *PartPolicy) suffices(crashes int, latest, answered time.Time) bool {
+	if latest.Sub(answered) < p.RecentAnswer {
+		return crashes >= p.HoldAfterRecent
+	}
+	return crashes >= p.HoldAfter
+}
+
+// holdOf returns the hold that follows from the times of crashes, the earliest first, from the latest answer and from a
+// hold that the store had. Crashes during a hold are of requests that were in flight when it began, and do not extend it.
+func (p *PartPolicy) holdOf(crashes []time.Time, answered time.Time, restored restoredPart) (partHold, bool) {
 	hold, begun := partHold{crashes: len(crashes)}, false
 	if !restored.at.IsZero() {
-		hold = partHold{level: restored.stored.Level, crashes: max(len(crashes), restored.stored.Crashes), until: restored.at.Add(p.holdTime(restored.stored.Level))}
+		hold = partHold{level: restored.stored.Level, crashes: max(len(crashes), restored.stored.Crashes), until: restored.at.Add(max(p.RestoredHold, p.holdTime(restored.stored.Level)))}
 		begun = true
 	}
 	for n, at := range crashes {
@@ -73,7 +85,7 @@
 		case begun:
 			hold.level++
 			hold.until = at.Add(p.holdTime(hold.level))
-		case n+1 >= p.HoldAfter:
+		case p.suffices(n+1, at, answered):
 			begun, hold.until = true, at.Add(p.holdTime(0))
 		}
 	}
--- a/pkg/quarantine/partregister.go
+++ b/pkg/quarantine/partregister.go
@@ -18,8 +18,6 @@
 	// probeInterval is the shortest time between two requests that a box sends to try a part again. It covers the time
 	// until an upstream crashes or has written for long enough to count as sound.
 	probeInterval = 2 * time.Second
-	// evaluationInterval is how often a change that follows from the passing of time alone is looked for.
-	evaluationInterval = 250 * time.Millisecond
 )
 
 // partCrash is a crash of an upstream.
@@ -43,8 +41,10 @@
 // evidence against all of them but those that were answered since. It is safe for concurrent use.
 type PartRegister struct {
 	Policy PartPolicy
-	// Box is the name of this box; boxes of different names end a hold at different times.
-	Box string
+	// Box is the name of this box, and Boxes returns how many there are; nil means one. Boxes of different names end a hold
+	// at different times.
+	Box   string
+	Boxes func() int
 	// OnHeld is called when a hold of a part begins. OnChanged is called when this box has a new crash to report to
 	// others. Both are called with the register locked, so they must not call the register. nil is not called.
 	OnHeld    func(Fingerprint, PartVerdict)
--- a/pkg/quarantine/partstored.go
+++ b/pkg/quarantine/partstored.go
@@ -57,7 +57,10 @@
 	return list
 }
 
-// Held lists the parts that are held, except those that are held only by the store's record.
+// probationRecord is how long the store has the record of a part after its hold, for boxes that start then.
+const probationRecord = time.Minute
+
+// Held lists the parts that are held or were until a moment ago, except those that are held only by the store's record.
 func (r *PartRegister) Held() []HeldRequest {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -65,7 +68,7 @@
 	r.evaluate(now)
 	var list []HeldRequest
 	for part, hold := range r.held {
-		last := hold.until.Add(time.Duration(r.Policy.Spread * float64(r.Policy.holdTime(hold.level))))
+		last := hold.until.Add(r.spread() + probationRecord)
 		held := HeldRequest{Request: part, Stored: Stored{Crashes: hold.crashes, Level: hold.level}, Remaining: last.Sub(now)}
 		known := false
 		for _, crash := range r.crashes {
--- a/pkg/quarantine/partverdict.go
+++ b/pkg/quarantine/partverdict.go
@@ -35,7 +35,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	if r.dirty || now.Sub(r.evaluatedAt) >= evaluationInterval {
+	if r.dirty || now.Sub(r.evaluatedAt) >= pruneInterval {
 		r.evaluate(now)
 	}
 	var found PartVerdict
@@ -91,7 +91,16 @@
 	_, _ = hash.Write([]byte(r.Box)) // Never fails.
 	_, _ = hash.Write(part[:])
 	share := float64(hash.Sum32()) / (1 << 32)
-	return hold.until.Add(time.Duration(share * r.Policy.Spread * float64(r.Policy.holdTime(hold.level))))
+	return hold.until.Add(time.Duration(share * float64(r.spread())))
+}
+
+// spread returns the time in which the boxes end a hold, one after the other.
+func (r *PartRegister) spread() time.Duration {
+	boxes := 1
+	if r.Boxes != nil {
+		boxes = r.Boxes()
+	}
+	return time.Duration(boxes) * r.Policy.ProbeSpacing
 }
 
 // counts reports whether the crash counts against a part.
@@ -113,7 +122,7 @@
 		left = r.take(part, left)
 	}
 	for {
-		part, found := r.mostSuspected(left, now)
+		part, found := r.mostSuspected(left)
 		if !found {
 			break
 		}
@@ -131,7 +140,7 @@
 
 // take takes a part for the cause of all crashes that count against it, and returns those of left that remain.
 func (r *PartRegister) take(part Fingerprint, left []*partCrash) []*partCrash {
-	if hold, begun := r.Policy.holdOf(merged(r.timesOf(part, r.crashes)), r.restored[part]); begun {
+	if hold, begun := r.Policy.holdOf(merged(r.timesOf(part, r.crashes)), r.answers.latest(part), r.restored[part]); begun {
 		r.held[part], r.recentlyHeld[part] = hold, r.evaluatedAt
 	}
 	return slices.DeleteFunc(left, func(crash *partCrash) bool { return crash.counts(part) })
@@ -150,7 +159,7 @@
 
 // mostSuspected returns the part with the most crashes among those with enough of them; of several such parts, the one
 // whose latest answer is the longest ago.
-func (r *PartRegister) mostSuspected(left []*partCrash, now time.Time) (most Fingerprint, found bool) {
+func (r *PartRegister) mostSuspected(left []*partCrash) (most Fingerprint, found bool) {
 	if len(left) < r.Policy.HoldAfter {
 		return most, false
 	}
@@ -167,7 +176,8 @@
 		if n < r.Policy.HoldAfter {
 			continue
 		}
-		if n = len(merged(r.timesOf(part, left))); n < r.required(part, now) {
+		times := merged(r.timesOf(part, left))
+		if n = len(times); !r.Policy.suffices(n, times[n-1], r.answers.latest(part)) {
 			continue
 		}
 		if !found || n > count || n == count && r.lessRecent(part, most) {
@@ -177,14 +187,6 @@
 	return most, found
 }
 
-// required returns how many crashes a part needs to be held.
-func (r *PartRegister) required(part Fingerprint, now time.Time) int {
-	if now.Sub(r.answers.latest(part)) < r.Policy.RecentAnswer {
-		return r.Policy.HoldAfterRecent
-	}
-	return r.Policy.HoldAfter
-}
-
 // lessRecent reports whether the latest answer to one part is longer ago than that to another one. Parts without a
 // difference are ordered by their fingerprints, so that all boxes suspect the same one.
 func (r *PartRegister) lessRecent(part, other Fingerprint) bool {
