One way to log a verdict on a part of prompts

The gateway's line and the node's line listed the same fields twice. The spec of the field compares with an int, as the encoder of an object gives it, in place of the int64 of a field.

--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -88,16 +88,7 @@
 	if verdict.Crashes == 0 {
 		return zap.Skip()
 	}
-	return zap.Dict("crashPart",
-		zap.Stringer("part", verdict.Part),
-		zap.String("id", r.partID(verdict.Part)),
-		zap.Bool("held", verdict.Held),
-		zap.Int("crashes", verdict.Crashes),
-		zap.Strings("crashedUpstreams", verdict.Upstreams),
-		zap.Duration("crashAge", verdict.Age),
-		zap.Duration("answeredAge", verdict.AnsweredAge),
-		zap.Int("level", verdict.Level),
-		zap.String("source", string(verdict.Source)))
+	return zap.Dict("crashPart", zap.String("id", r.partID(verdict.Part)), zap.Bool("held", verdict.Held), zap.Inline(verdict))
 }
 
 // partID returns the id of a shared part by its fingerprint, cut to what a log line may have.
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -63,7 +63,7 @@
 			Expect(f.upstreams.sends["r1"]).To(BeZero())
 			ended := lines.FilterMessage("request ended").All()[0].ContextMap()
 			Expect(ended["reason"]).To(Equal(string(reasonCrashPart)))
-			Expect(ended["crashPart"]).To(And(HaveKeyWithValue("id", "p2"), HaveKeyWithValue("crashes", int64(3)), HaveKeyWithValue("held", true)))
+			Expect(ended["crashPart"]).To(And(HaveKeyWithValue("id", "p2"), HaveKeyWithValue("crashes", 3), HaveKeyWithValue("held", true)))
 			By("while requests are served that have it as their own last part, or do not have it")
 			f.upstreams.choose = func(string, int) behavior { return succeeds }
 			Expect(f.serve(context.Background(), promptRequest("r2", "p1", "p2")).Code).To(Equal(http.StatusOK))
--- a/internal/node/new.go
+++ b/internal/node/new.go
@@ -272,16 +272,8 @@
 func newCrashParts(config Config, members *cluster.Members) *quarantine.PartRegister {
 	register := quarantine.NewPartRegister(config.CrashParts, config.Name)
 	register.Boxes = members.Boxes
-	register.OnHeld = func(part quarantine.Fingerprint, verdict quarantine.PartVerdict) {
-		config.Log.Info("part of prompts held: upstreams crash under it",
-			zap.Stringer("part", part),
-			zap.Int("crashes", verdict.Crashes),
-			zap.Strings("crashedUpstreams", verdict.Upstreams),
-			zap.Duration("crashAge", verdict.Age),
-			zap.Duration("answeredAge", verdict.AnsweredAge),
-			zap.Int("level", verdict.Level),
-			zap.Duration("for", verdict.RetryAfter),
-			zap.String("source", string(verdict.Source)))
+	register.OnHeld = func(verdict quarantine.PartVerdict) {
+		config.Log.Info("part of prompts held: upstreams crash under it", zap.Duration("for", verdict.RetryAfter), zap.Inline(verdict))
 	}
 	config.Metrics.NewGauge(`ospreymoor_crash_parts{state="held"}`, func() float64 { return float64(register.Counts().Held) })
 	config.Metrics.NewGauge(`ospreymoor_crash_parts{state="suspected"}`, func() float64 { return float64(register.Counts().Suspected) })
--- a/pkg/quarantine/partregister.go
+++ b/pkg/quarantine/partregister.go
@@ -47,7 +47,7 @@
 	Boxes func() int
 	// OnHeld is called when a hold of a part begins. OnChanged is called when this box has a new crash to report to
 	// others. Both are called with the register locked, so they must not call the register. nil is not called.
-	OnHeld    func(Fingerprint, PartVerdict)
+	OnHeld    func(PartVerdict)
 	OnChanged func()
 
 	mu sync.Mutex
--- a/pkg/quarantine/partverdict.go
+++ b/pkg/quarantine/partverdict.go
@@ -133,7 +133,7 @@
 	}
 	for part, hold := range r.held {
 		if old, known := before[part]; !known || hold.level > old.level {
-			r.OnHeld(part, r.verdictOn(part, hold, now))
+			r.OnHeld(r.verdictOn(part, hold, now))
 		}
 	}
 }
