A box that is the only one left sheds no connections

Found by reading: shedding counted the boxes that were ever known, so that a box that falls behind after the others are gone would have closed up to 0.95 of new connections unread, though no other box could take them. It counts the boxes in touch now. The gateway's spec has the case; it was not run against the code before, which had no such input.

--- a/internal/cluster/keepers.go
+++ b/internal/cluster/keepers.go
@@ -174,14 +174,20 @@
 	if !m.Listed() {
 		return unlistedShare
 	}
-	inTouch := 1 + m.remoteSummary(now).Boxes
-	share := min(1, float64(inTouch)/float64(m.Boxes()))
+	share := min(1, float64(m.inTouch(now))/float64(m.Boxes()))
 	if now.Sub(m.started) < startupPeriod {
 		return max(minStartupShare, share)
 	}
 	return share
 }
 
+// inTouch returns the number of boxes that this one is in touch with, itself included.
+func (m *Members) inTouch(now time.Time) int { return 1 + m.remoteSummary(now).Boxes }
+
+// InTouch returns the number of boxes that this one is in touch with, itself included. Its cost grows with the number of
+// upstreams.
+func (m *Members) InTouch() int { return m.inTouch(time.Now()) }
+
 // hallShare returns the share of all boxes that are in this box's hall and in touch with it, itself included.
 func (m *Members) hallShare(now time.Time) float64 {
 	all := m.Boxes()
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -188,7 +188,6 @@
 		configured: make(chan struct{}),
 		started:    origins.NewRegister(),
 	}
-	g.boxes = func() int { return boxes }
 	g.uses.running = map[residency.ModelUse]int{}
 	g.budget = newRetryBudget(RetryLimits{Ratio: 0.2, Slack: 50}, func() int { return boxes })
 	route := func(path string, kind routes.Kind, service string, resumable bool) routes.Route {
--- a/internal/gateway/flood.go
+++ b/internal/gateway/flood.go
@@ -40,9 +40,10 @@
 
 // observe passes a sample on, logs when shedding begins and ends, and returns whether it goes on.
 func (f *Front) observe(lag time.Duration, before bool) (sheds bool) {
-	sample := shedding.Sample{Lag: lag, InFlight: int(f.gateway.InFlight()), Boxes: f.gateway.boxCount()}
-	if lag >= f.shedder.Policy.MaxLag || before {
+	sample := shedding.Sample{Lag: lag, InFlight: int(f.gateway.InFlight()), Boxes: 1}
+	if f.gateway.BoxesInTouch != nil && (before || lag >= f.shedder.Policy.MaxLag) {
 		_, sample.Others = f.gateway.Loads.Running()
+		sample.Boxes = f.gateway.BoxesInTouch()
 	}
 	f.shedder.Observe(sample)
 	if sheds = f.shedder.Share() > 0; sheds != before {
--- a/internal/gateway/flood_test.go
+++ b/internal/gateway/flood_test.go
@@ -63,7 +63,8 @@
 
 	It("closes a part of the new ones unread while it falls behind and others do not, and none afterwards", func() {
 		withSlowFixture(0, func(s *slowFixture) {
-			s.boxes = func() int { return 7 }
+			inTouch := 7
+			s.BoxesInTouch = func() int { return inTouch }
 			s.inFlight.Add(40)
 			s.Loads.SetRemoteLoads(map[string]dispatch.Load{"e0": {Running: 30}}, time.Now())
 			served := func() int {
@@ -83,6 +84,17 @@
 				sheds = s.front.observe(200*time.Millisecond, sheds)
 			}
 			Expect(served()).To(BeNumerically("<=", 2))
+			By("and none while no other box is left")
+			inTouch = 1
+			for range 40 {
+				sheds = s.front.observe(200*time.Millisecond, sheds)
+			}
+			Expect(served()).To(Equal(20))
+			inTouch = 7
+			for range 12 {
+				sheds = s.front.observe(200*time.Millisecond, sheds)
+			}
+			By("and none once it has caught up")
 			s.inFlight.Add(-40)
 			time.Sleep(10 * time.Second)
 			Expect(served()).To(Equal(20))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,11 +73,12 @@
 	CallerMemory *MemoryBudget
 	// MaxConnections limits the connections of callers to this box; 0 sets no limit.
 	MaxConnections int
-	Log            *zap.Logger
-	Metrics        *metrics.Set
+	// BoxesInTouch returns the number of boxes that this one is in touch with, itself included. nil means that there is no
+	// other box.
+	BoxesInTouch func() int
+	Log          *zap.Logger
+	Metrics      *metrics.Set
 
-	// boxes returns the largest number of boxes that were ever known at the same time; nil if it is not known.
-	boxes  func() int
 	budget *retryBudget
 	uses   modelUses
 	table  atomic.Pointer[routes.Table]
@@ -185,7 +186,6 @@
 
 		Log:        config.Log,
 		Metrics:    config.Metrics,
-		boxes:      config.Boxes,
 		budget:     newRetryBudget(config.Retries, config.Boxes),
 		uses:       modelUses{running: map[residency.ModelUse]int{}},
 		configured: make(chan struct{}),
@@ -224,14 +224,6 @@
 	return g.ListAge()
 }
 
-// boxCount returns the largest number of boxes that were ever known at the same time; 1 if it is not known.
-func (g *Gateway) boxCount() int {
-	if g.boxes == nil {
-		return 1
-	}
-	return g.boxes()
-}
-
 // InFlight returns the number of requests in flight.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
--- a/pkg/shedding/shedding.go
+++ b/pkg/shedding/shedding.go
@@ -44,7 +44,7 @@
 	Lag time.Duration
 	// InFlight is the number of requests in flight at this box, and Others that at all other boxes together.
 	InFlight, Others int
-	// Boxes is the number of all boxes.
+	// Boxes is the number of boxes that it is in touch with, itself included.
 	Boxes int
 }
 
