A box whose link is full sheds connections of a flood as well

By reading: shedding looked at the lag of timers alone. On boxes with links of 10 Mbit/s the link is full long before the processor is: 75 requests a second of 18 KB, some three times a box's part. Bytes of callers, each of which comes in and goes out once, are counted on their connections; above 0.7 of the link, and with twice the others' requests in flight, the box sheds. Where the settings name no link nothing changes.

--- a/internal/gateway/flood.go
+++ b/internal/gateway/flood.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,7 +14,8 @@
 )
 
 // This file keeps the box usable while a load balancer hands it most new connections: it bounds the connections of
-// callers, and closes new ones unread while the box falls behind and others do not (pkg/shedding). A caller whose
+// callers, and closes new ones unread while the box falls behind, or its link is full, and others have far less to do
+// (pkg/shedding). A caller whose
 // connection was closed unread may send its request to another box, whatever it is.
 
 const (
@@ -26,29 +28,39 @@
 
 // sampleLag samples the box's lag until stop is closed.
 func (f *Front) sampleLag(stop <-chan struct{}) {
-	shedding := false
+	sheds := false
 	for {
-		begun := time.Now()
+		begun, bytes := time.Now(), f.bytes.Load()
 		select {
 		case <-stop:
 			return
 		case <-time.After(lagInterval):
 		}
-		shedding = f.observe(time.Since(begun)-lagInterval, shedding)
+		took := time.Since(begun)
+		sheds = f.observe(took-lagInterval, f.linkUse(f.bytes.Load()-bytes, took), sheds)
 	}
 }
 
+// linkUse returns the part of the box's link that so many bytes of callers use: each comes in once and goes out once.
+func (f *Front) linkUse(bytes int64, took time.Duration) float64 {
+	if f.gateway.LinkBytesPerSecond <= 0 {
+		return 0
+	}
+	return float64(bytes) / took.Seconds() / f.gateway.LinkBytesPerSecond
+}
+
 // observe passes a sample on, logs when shedding begins and ends, and returns whether it goes on.
-func (f *Front) observe(lag time.Duration, before bool) (sheds bool) {
-	sample := shedding.Sample{Lag: lag, InFlight: int(f.gateway.InFlight()), Boxes: 1}
-	if f.gateway.BoxesInTouch != nil && (before || lag >= f.shedder.Policy.MaxLag) {
+func (f *Front) observe(lag time.Duration, linkUse float64, before bool) (sheds bool) {
+	sample := shedding.Sample{Lag: lag, LinkUse: linkUse, InFlight: int(f.gateway.InFlight()), Boxes: 1}
+	policy := &f.shedder.Policy
+	if f.gateway.BoxesInTouch != nil && (before || lag >= policy.MaxLag || linkUse >= policy.MaxLinkUse) {
 		_, sample.Others = f.gateway.Loads.Running()
 		sample.Boxes = f.gateway.BoxesInTouch()
 	}
 	f.shedder.Observe(sample)
 	if sheds = f.shedder.Share() > 0; sheds != before {
 		f.gateway.Log.Info("new connections closed unread: the box falls behind and others do not",
-			zap.Bool("begins", sheds), zap.Duration("lag", sample.Lag), zap.Int("inFlight", sample.InFlight),
+			zap.Bool("begins", sheds), zap.Duration("lag", sample.Lag), zap.Float64("linkUse", linkUse), zap.Int("inFlight", sample.InFlight),
 			zap.Int("others", sample.Others), zap.Int("boxes", sample.Boxes))
 	}
 	return sheds
@@ -68,12 +80,32 @@
 			return nil, err
 		}
 		if l.front.takes() {
-			return conn, nil
+			return countedConn{conn, &l.front.bytes}, nil
 		}
 		_ = conn.Close() // The caller sees a closed connection in any case.
 	}
 }
 
+// countedConn counts the bytes of a caller's connection, in both directions.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read reads from the connection.
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write writes to the connection.
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
 // takes reports whether a new connection is taken. It makes room for it if there are too many connections.
 func (f *Front) takes() bool {
 	switch {
--- a/internal/gateway/flood_test.go
+++ b/internal/gateway/flood_test.go
@@ -81,18 +81,18 @@
 			Expect(served()).To(Equal(20))
 			sheds := false
 			for range 12 {
-				sheds = s.front.observe(200*time.Millisecond, sheds)
+				sheds = s.front.observe(200*time.Millisecond, 0, sheds)
 			}
 			Expect(served()).To(BeNumerically("<=", 2))
 			By("and none while no other box is left")
 			inTouch = 1
 			for range 40 {
-				sheds = s.front.observe(200*time.Millisecond, sheds)
+				sheds = s.front.observe(200*time.Millisecond, 0, sheds)
 			}
 			Expect(served()).To(Equal(20))
 			inTouch = 7
 			for range 12 {
-				sheds = s.front.observe(200*time.Millisecond, sheds)
+				sheds = s.front.observe(200*time.Millisecond, 0, sheds)
 			}
 			By("and none once it has caught up")
 			s.inFlight.Add(-40)
@@ -101,6 +101,21 @@
 		})
 	})
 
+	It("knows which part of its link callers use", func() {
+		withSlowFixture(0, func(s *slowFixture) {
+			s.LinkBytesPerSecond = 1000
+			conn := s.dial()
+			defer func() { _ = conn.Close() }()
+			before := s.front.bytes.Load()
+			Expect(exchange(conn)).To(Equal(http.StatusOK))
+			bytes := s.front.bytes.Load() - before
+			Expect(bytes).To(BeNumerically(">=", int64(len(plainBody)+50)))
+			Expect(s.front.linkUse(bytes, 500*time.Millisecond)).To(Equal(float64(bytes) / 500))
+			s.LinkBytesPerSecond = 0
+			Expect(s.front.linkUse(bytes, 500*time.Millisecond)).To(BeZero())
+		})
+	})
+
 	It("does not fall behind on the paused clock", func() {
 		spectest.Bubble(func() {
 			f := newFixture(func(string, int) behavior { return succeeds }, 7)
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -29,8 +29,9 @@
 	// box has closed, until the server reports them as closed.
 	idleSince  map[net.Conn]time.Time
 	closedIdle map[net.Conn]bool
-	// open is the number of open connections.
-	open int
+	// open is the number of open connections, and bytes counts those that were read from and written to them.
+	open  int
+	bytes atomic.Int64
 	// shedder decides which new connections are closed unread.
 	shedder shedding.Controller
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,6 +73,8 @@
 	CallerMemory *MemoryBudget
 	// MaxConnections limits the connections of callers to this box; 0 sets no limit.
 	MaxConnections int
+	// LinkBytesPerSecond is the rate of this box's network link; 0 if unknown.
+	LinkBytesPerSecond float64
 	// BoxesInTouch returns the number of boxes that this one is in touch with, itself included. nil means that there is no
 	// other box.
 	BoxesInTouch func() int
--- a/internal/node/new.go
+++ b/internal/node/new.go
@@ -86,7 +86,7 @@
 	n.tunnels = n.newTunnels(config, s)
 	n.Gateway = newGateway(config, s, ensurer, n.spender, reservations, rates, plainPlaces, n.gatewayOrigins(), n.gatewayTunnels())
 	n.Gateway.ListAge = func() time.Duration { return n.view.Mirror().Staleness() }
-	n.Gateway.BoxesInTouch = s.members.InTouch
+	n.Gateway.BoxesInTouch, n.Gateway.LinkBytesPerSecond = s.members.InTouch, config.LinkBytesPerSecond
 	n.Gateway.ConfigMissing = func() bool { return n.view.ConfigMissing() }
 	n.tunnels.Links = &n.Gateway.Links
 	n.view = n.newView(config, s)
--- a/pkg/shedding/shedding.go
+++ b/pkg/shedding/shedding.go
@@ -1,7 +1,7 @@
 // Package shedding decides which share of new connections a box closes before it reads a request, so that their callers
 // try another box.
 //
-// A load balancer may hand most new connections to one box. A box that falls behind then serves all of its callers late,
+// A load balancer may hand most new connections to one box. A box whose processor or link does not bear it then serves all of its callers late,
 // while other boxes are idle. A Controller sheds only while the box falls behind and has far more requests in flight than
 // the others: where all boxes are as busy, a caller that is sent away finds no better one.
 //
@@ -17,8 +17,10 @@
 
 // Policy defines when a box sheds connections.
 type Policy struct {
-	// MaxLag is how late the box's timers may be on average before it sheds.
-	MaxLag time.Duration
+	// MaxLag is how late the box's timers may be on average before it sheds, and MaxLinkUse which part of its network link
+	// may be in use.
+	MaxLag     time.Duration
+	MaxLinkUse float64
 	// Unevenness is how many times the average of the other boxes its requests in flight must be, and MinInFlight how many
 	// they are at least.
 	Unevenness  float64
@@ -31,17 +33,19 @@
 
 // DefaultPolicy is the policy in use.
 var DefaultPolicy = Policy{
-	MaxLag: 50 * time.Millisecond, Unevenness: 2, MinInFlight: 16,
+	MaxLag: 50 * time.Millisecond, MaxLinkUse: 0.7, Unevenness: 2, MinInFlight: 16,
 	Raise: 0.25, Lower: 0.05, MaxShare: 0.95,
 }
 
-// lagWeight is the weight of one sample in the average lag.
-const lagWeight = 0.4
+// sampleWeight is the weight of one sample in the averages.
+const sampleWeight = 0.4
 
 // Sample is what a box measured of itself.
 type Sample struct {
-	// Lag is how late a timer of the box was.
-	Lag time.Duration
+	// Lag is how late a timer of the box was, and LinkUse the part of its network link that was in use, 0 to 1; 0 if the
+	// link's rate is unknown.
+	Lag     time.Duration
+	LinkUse float64
 	// InFlight is the number of requests in flight at this box, and Others that at all other boxes together.
 	InFlight, Others int
 	// Boxes is the number of boxes that it is in touch with, itself included.
@@ -52,8 +56,10 @@
 type Controller struct {
 	Policy Policy
 
-	mu  sync.Mutex
-	lag time.Duration
+	mu sync.Mutex
+	// lag and linkUse are moving averages.
+	lag     time.Duration
+	linkUse float64
 	// share is the share to close. owed adds it up over the connections; one is closed each time that it reaches 1.
 	share, owed float64
 }
@@ -62,8 +68,9 @@
 func (c *Controller) Observe(s Sample) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lag += time.Duration(lagWeight * float64(s.Lag-c.lag))
-	if c.lag >= c.Policy.MaxLag && c.uneven(s) {
+	c.lag += time.Duration(sampleWeight * float64(s.Lag-c.lag))
+	c.linkUse += sampleWeight * (s.LinkUse - c.linkUse)
+	if (c.lag >= c.Policy.MaxLag || c.linkUse >= c.Policy.MaxLinkUse) && c.uneven(s) {
 		c.share = min(c.Policy.MaxShare, c.share+c.Policy.Raise)
 		return
 	}
--- a/pkg/shedding/shedding_test.go
+++ b/pkg/shedding/shedding_test.go
@@ -42,6 +42,14 @@
 		Entry("if there is no other box", shedding.Sample{Lag: late, InFlight: 90, Others: 0, Boxes: 1}),
 	)
 
+	It("sheds while its link is full and it has far more requests than the others", func() {
+		c := &shedding.Controller{Policy: shedding.DefaultPolicy}
+		observe(c, 10, shedding.Sample{LinkUse: 0.95, InFlight: 90, Others: 60, Boxes: 7})
+		Expect(c.Share()).To(Equal(shedding.DefaultPolicy.MaxShare))
+		observe(c, 40, shedding.Sample{LinkUse: 0.3, InFlight: 90, Others: 60, Boxes: 7})
+		Expect(c.Share()).To(BeZero())
+	})
+
 	It("sheds nothing for a single pause of the process", func() {
 		c := &shedding.Controller{Policy: shedding.DefaultPolicy}
 		observe(c, 10, shedding.Sample{Lag: inTime, InFlight: 90, Others: 60, Boxes: 7})
