--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -82,7 +82,9 @@
 				f.serve(context.Background(), promptRequest("r1", "p1", "p2", "own"))
 			}()
 			time.Sleep(100 * time.Millisecond)
+			f.upstreams.mu.Lock()
 			Expect(f.upstreams.sends["r1"]).To(Equal(1))
+			f.upstreams.mu.Unlock()
 			Expect(f.serve(context.Background(), promptRequest("r2", "p1", "p2", "own")).Code).To(Equal(http.StatusServiceUnavailable))
 			<-trying
 			f.upstreams.choose = func(string, int) behavior { return succeeds }
