--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -45,9 +45,8 @@
 	crashed bool
 }
 
-// begin returns the latest check of an upstream that began at since or later, or found that it crashed. If isNew is set,
-// the caller must run the check.
-func (c *crashChecks) begin(upstream string, since, now time.Time) (check *crashCheck, isNew bool) {
+// begin returns the latest check of an upstream. If isNew is set, the caller must run the check.
+func (c *crashChecks) begin(upstream string, now time.Time) (check *crashCheck, isNew bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, old := range c.latest {
@@ -55,7 +54,7 @@
 			delete(c.latest, id)
 		}
 	}
-	if check := c.latest[upstream]; check != nil && (!check.begun.Before(since) || check.found()) {
+	if check := c.latest[upstream]; check != nil {
 		return check, false
 	}
 	if c.latest == nil {
@@ -66,23 +65,13 @@
 	return check, true
 }
 
-// found reports whether the check has ended and found a crash.
-func (c *crashCheck) found() bool {
-	select {
-	case <-c.done:
-		return c.crashed
-	default:
-		return false
-	}
-}
-
-// hasCrashed reports whether an upstream whose answer just broke off has crashed, and when its check began. A check that
-// began before since counts only if it found a crash. hasCrashed returns false without a check if ctx has ended.
-func (g *Gateway) hasCrashed(ctx context.Context, upstream fleet.Upstream, since time.Time) (at time.Time, crashed bool) {
+// hasCrashed reports whether an upstream whose answer just broke off has crashed, and when its check began. It
+// returns false without a check if ctx has ended.
+func (g *Gateway) hasCrashed(ctx context.Context, upstream fleet.Upstream) (at time.Time, crashed bool) {
 	if g.Upstreams.RefusesConnection == nil || ctx.Err() != nil {
 		return time.Time{}, false
 	}
-	check, isNew := g.crashChecks.begin(upstream.ID, since, time.Now())
+	check, isNew := g.crashChecks.begin(upstream.ID, time.Now())
 	if isNew {
 		g.runCrashCheck(ctx, upstream, check)
 	}
@@ -148,7 +137,7 @@
 	}
 	r.recordFailed(choice.Upstream.ID)
 	var found []zap.Field
-	if at, crashed := r.gateway.hasCrashed(ctx, *choice.Upstream.Upstream, time.Time{}); crashed {
+	if at, crashed := r.gateway.hasCrashed(ctx, *choice.Upstream.Upstream); crashed {
 		r.gateway.Quarantine.NoteCrash(r.fingerprint(), choice.Upstream.ID, at)
 		r.recordPartCrash(choice.Upstream.ID, at)
 		r.gateway.Metrics.GetOrCreateCounter("ospreymoor_requests_crashed_under_total").Inc()
