--- a/internal/gateway/flood.go
+++ b/internal/gateway/flood.go
@@ -15,8 +15,7 @@
 
 // This file keeps the box usable while a load balancer hands it most new connections: it bounds the connections of
 // callers, and closes new ones unread while the box falls behind, or its link is full, and others have far less to do
-// (pkg/shedding). A caller whose
-// connection was closed unread may send its request to another box, whatever it is.
+// (pkg/shedding). A caller whose connection was closed unread may send its request to another box, whatever it is.
 
 const (
 	// lagInterval is how often the lag of the box's timers is sampled.
--- a/internal/node/crash_callers_test.go
+++ b/internal/node/crash_callers_test.go
@@ -100,6 +100,17 @@
 // randomBox returns the number of a random box.
 func (c *crashFleet) randomBox(random *rand.Rand) int { return random.IntN(c.boxes) }
 
+// randomBoxIn returns a function that returns the number of a random box in a hall, or outside of it.
+func (c *crashFleet) randomBoxIn(hall string, in bool) func(*rand.Rand) int {
+	return func(random *rand.Rand) int {
+		for {
+			if n := c.randomBox(random); (c.hallOf(n) == hall) == in {
+				return n
+			}
+		}
+	}
+}
+
 // crashCount returns how many crashes of upstreams there were so far.
 func (c *crashFleet) crashCount() int {
 	c.mu.Lock()
--- a/internal/node/crash_fleet_test.go
+++ b/internal/node/crash_fleet_test.go
@@ -156,6 +156,17 @@
 	})
 }
 
+// restartAll stops all boxes, and starts them again once all have stopped.
+func (c *crashFleet) restartAll() {
+	for n := range c.boxes {
+		c.stops[n]()
+	}
+	c.running.Wait()
+	for n := range c.boxes {
+		c.start(n)
+	}
+}
+
 // process returns a box's process, which other goroutines may restart, and the function that stops it.
 func (c *crashFleet) process(n int) (*Node, context.CancelFunc) {
 	c.mu.Lock()
--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"flag"
-	"math/rand/v2"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -75,13 +74,7 @@
 		sizes(seven, func(c *crashFleet) {
 			c.sendRepeatedly(crashingPrefix, 5, 2*time.Second, c.randomBox)
 			crashes := c.crashCount()
-			for n := range c.boxes {
-				c.stops[n]()
-			}
-			c.running.Wait()
-			for n := range c.boxes {
-				c.start(n)
-			}
+			c.restartAll()
 			time.Sleep(propagationTime)
 			c.sendRepeatedly(crashingPrefix, 5, 2*time.Second, c.randomBox)
 			Expect(c.crashCount()).To(Equal(crashes))
@@ -90,22 +83,13 @@
 
 	It("is held in a hall soon after a network partition that hid the crashes from it", func() {
 		sizes(seven, func(c *crashFleet) {
-			inHall := func(hall string) func(*rand.Rand) int {
-				return func(random *rand.Rand) int {
-					for {
-						if n := c.randomBox(random); (c.hallOf(n) == hall) == (hall == "z3") {
-							return n
-						}
-					}
-				}
-			}
 			c.setPartition("z3", true)
 			time.Sleep(propagationTime)
-			c.sendRepeatedly(crashingPrefix, 5, 2*time.Second, inHall("others"))
+			c.sendRepeatedly(crashingPrefix, 5, 2*time.Second, c.randomBoxIn("z3", false))
 			crashes := c.crashCount()
 			c.setPartition("z3", false)
 			time.Sleep(propagationTime)
-			c.sendRepeatedly(crashingPrefix, 5, 2*time.Second, inHall("z3"))
+			c.sendRepeatedly(crashingPrefix, 5, 2*time.Second, c.randomBoxIn("z3", true))
 			Expect(c.crashCount()).To(Equal(crashes))
 		})
 	})
--- a/internal/node/prompt_crash_test.go
+++ b/internal/node/prompt_crash_test.go
@@ -269,13 +269,7 @@
 		withCrashFleet(seven, func(*crashFleet) {}, func(c *crashFleet) {
 			sendCrashing(c, "before ", 20, c.randomBox)
 			crashes := c.crashCount()
-			for n := range c.boxes {
-				c.stops[n]()
-			}
-			c.running.Wait()
-			for n := range c.boxes {
-				c.start(n)
-			}
+			c.restartAll()
 			time.Sleep(propagationTime)
 			sendCrashing(c, "after ", 20, c.randomBox)
 			Expect(c.crashCount()).To(Equal(crashes))
@@ -284,22 +278,13 @@
 
 	It("are held in a hall soon after a network partition that hid the crashes from it", func() {
 		withCrashFleet(seven, func(*crashFleet) {}, func(c *crashFleet) {
-			inHall := func(in bool) func(*rand.Rand) int {
-				return func(random *rand.Rand) int {
-					for {
-						if n := c.randomBox(random); (c.hallOf(n) == "z3") == in {
-							return n
-						}
-					}
-				}
-			}
 			c.setPartition("z3", true)
 			time.Sleep(propagationTime)
-			sendCrashing(c, "before ", 20, inHall(false))
+			sendCrashing(c, "before ", 20, c.randomBoxIn("z3", false))
 			crashes := c.crashCount()
 			c.setPartition("z3", false)
 			time.Sleep(propagationTime)
-			sendCrashing(c, "after ", 20, inHall(true))
+			sendCrashing(c, "after ", 20, c.randomBoxIn("z3", true))
 			Expect(c.crashCount()).To(Equal(crashes))
 		})
 	})
