--- a/internal/gateway/flood.go
+++ b/internal/gateway/flood.go
@@ -53,8 +53,7 @@
 	sample := shedding.Sample{Lag: lag, LinkUse: linkUse, InFlight: int(f.gateway.InFlight()), Boxes: 1}
 	policy := &f.shedder.Policy
 	if f.gateway.BoxesInTouch != nil && (before || lag >= policy.MaxLag || linkUse >= policy.MaxLinkUse) {
-		_, sample.Others = f.gateway.Loads.Running()
-		sample.Boxes = f.gateway.BoxesInTouch()
+		sample.Others, sample.Boxes = f.gateway.Loads.RunningElsewhere(), f.gateway.BoxesInTouch()
 	}
 	f.shedder.Observe(sample)
 	if sheds = f.shedder.Share() > 0; sheds != before {
--- a/pkg/dispatch/tracker.go
+++ b/pkg/dispatch/tracker.go
@@ -134,16 +134,13 @@
 	return load
 }
 
-// Running returns the number of requests that run at upstreams from this box, and from all other boxes by their latest
-// reports.
-func (t *LoadTracker) Running() (own, others int) {
+// RunningElsewhere returns the number of requests that run at upstreams from all other boxes, by their latest reports.
+func (t *LoadTracker) RunningElsewhere() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, record := range t.upstreams {
-		own += record.own.Running
-	}
+	running := 0
 	for _, load := range t.remote {
-		others += load.Running
+		running += load.Running
 	}
-	return own, others
+	return running
 }
