Review, case 2: a stream of an engine that crashed ends as complete

An answer without a length counts as whole if its engine's address accepts a connection after its end, even if that is another process by then. A box that stands still while the engine starts again passes a part of the stream on as the whole.

--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -19,8 +20,11 @@
 	// serve answers a request that is the engine's own. It returns false if the connection ends.
 	serve func(c *engineConn, r *http.Request, body []byte) bool
 
+	listener net.Listener
+
 	mu     sync.Mutex
 	orders int
+	open   map[*engineConn]bool
 }
 
 // engineConn is a connection to an engine.
@@ -45,13 +49,16 @@
 	return err == nil
 }
 
-// start listens and writes the engine's entry to the store.
+// start listens, at the engine's address if it has one, and writes the engine's entry to the store.
 func (e *engine) start(s *store) error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if e.address == "" {
+		e.address = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", e.address)
 	if err != nil {
 		return err
 	}
-	e.address = listener.Addr().String()
+	e.listener, e.address, e.open = listener, listener.Addr().String(), map[*engineConn]bool{}
 	go func() {
 		for number := 1; ; number++ {
 			conn, err := listener.Accept()
@@ -76,8 +83,28 @@
 	s.put("servers/"+e.id, entry)
 }
 
+// crash ends the engine as the end of its process does: its sockets are closed, and it writes nothing to the store. Its
+// entry goes after three heartbeats of silence.
+func (e *engine) crash(s *store) {
+	_ = e.listener.Close()
+	e.mu.Lock()
+	for c := range e.open {
+		_ = c.Close()
+	}
+	e.mu.Unlock()
+	time.AfterFunc(3*1200*time.Millisecond, func() { s.drop("servers/" + e.id) })
+}
+
 func (e *engine) carry(c *engineConn) {
-	defer c.Close()
+	e.mu.Lock()
+	e.open[c] = true
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		delete(e.open, c)
+		e.mu.Unlock()
+		_ = c.Close()
+	}()
 	for {
 		r, err := http.ReadRequest(c.reader)
 		if err != nil {
@@ -129,3 +156,39 @@
 	var timeout net.Error
 	return !(errors.As(err, &timeout) && timeout.Timeout())
 }
+
+// streamFrom answers with events after the time that the prompt takes, from the one after Last-Event-Id on. unframed
+// sends neither a length nor chunks, so that the answer ends with its connection. It returns the last event that was sent,
+// and false if the connection ended before.
+func streamFrom(c *engineConn, r *http.Request, prefill time.Duration, events int, gap time.Duration, unframed bool) (last int, whole bool) {
+	if c.gone(prefill) {
+		return 0, false
+	}
+	last, _ = strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	id, framing := r.Header.Get("X-Ospreymoor-Request-Id"), "Transfer-Encoding: chunked\r\n"
+	if unframed {
+		framing = "Connection: close\r\n"
+	}
+	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Ospreymoor-Request-Id: %s\r\nX-Ospreymoor-Response-Seal: 3e1b.07.%s\r\nContent-Type: text/event-stream\r\n%s\r\n", id, id, framing); err != nil {
+		return last, false
+	}
+	first := last + 1
+	for n := first; n <= events; n++ {
+		if n > first && c.gone(gap) {
+			return last, false
+		}
+		text := fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", n, n, id)
+		if !unframed {
+			text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+		}
+		if _, err := io.WriteString(c, text); err != nil {
+			return last, false
+		}
+		last = n
+	}
+	if unframed {
+		return last, true
+	}
+	_, err := io.WriteString(c, "0\r\n\r\n")
+	return last, err == nil
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -36,7 +36,7 @@
 	_, _ = fmt.Fprintf(p.record, "%8.3f  "+format+"\n", append([]any{time.Since(p.begun).Seconds()}, args...)...)
 }
 
-var cases = map[string]func(p *play) (int, error){"1": replayedRequest, "2": surplusAnswer}
+var cases = map[string]func(p *play) (int, error){"1": replayedRequest, "2": restartedEngine, "3": surplusAnswer}
 
 func main() { os.Exit(run()) }
 
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -79,6 +79,15 @@
 	s.notify()
 }
 
+// drop removes a key, as the platform does with the entry of an engine that is silent.
+func (s *store) drop(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.remove(key)
+	s.notify()
+}
+
 // write writes a key at the present revision. The caller holds the lock.
 func (s *store) write(key string, value []byte, lease int64) {
 	made := s.revision
