Review, case 2: two holders give an engine orders within leaseMs

A box that gains the order lease and finds its own name in the record of the last holder does not write it again, so that a write of another box, whose answer was lost, still takes effect under it. The record then names a box that is not the holder, and at the next handover that box waits for nobody. Shown by review/2/run.sh. The stream that ends as complete is case 3 now; the stream at two engines is kept as review/more.

--- a/review/standin/case2.go
+++ b/review/standin/case2.go
@@ -2,69 +2,50 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 )
 
-// restartedEngine: a box stands still for some seconds. Meanwhile an engine crashes and starts again at its address. Some
-// of its streams carried neither a length nor chunks.
-func restartedEngine(p *play) (int, error) {
+// lateRecord: boxes are stopped and started in turn, twice. During the first time, the store loses the answers of some
+// writes and does them seconds later.
+func lateRecord(p *play) (int, error) {
 	const (
-		engines    = 4
-		clients    = 220
-		garbled    = 2 // Of these engines: share 0.5.
-		rounds     = 11
-		freezeFor  = 3500 * time.Millisecond
-		crashAfter = 500 * time.Millisecond // After the box stands still.
-		downFor    = 2 * time.Second
-		cycle      = 8 * time.Second
-		unframedOf = 20 // One answer in so many of an engine that is garbled has no length: share 0.05.
-		garbleLead = 3 * time.Second
-		garbleFor  = 5 * time.Second
-		prefill    = 40 * time.Millisecond
-		events     = 58
-		eventGap   = 40 * time.Millisecond
-		model      = "daka510000"
+		service  = "huvo11a"
+		model    = "daka510000"
+		adapters = 16
+		engines  = 3
+		clients  = 16
+		leaseMs  = 3000
+		firstAt  = 12 * time.Second // The first restart in turn, after the load began.
+		gap      = time.Second      // Between the boxes.
+		secondAt = firstAt + 18*time.Second
+		length   = secondAt + 10*time.Second
+		lateBy   = 5500 * time.Millisecond
+		lossFor  = 4500 * time.Millisecond
 	)
 	route := map[string]any{
-		"name": "r-stream", "host": host, "pathPrefix": "/lohu930/", "kind": "stream", "timeoutMs": 15000, "targetLatencyMs": 1500,
-		"priority": 0, "service": "huvo11a", "maxAttempts": 2, "sticky": true, "resumable": true, "gapTargetMs": 400,
+		"name": "r-stream", "host": host, "pathPrefix": "/lohu930/", "kind": "stream", "timeoutMs": 5000, "targetLatencyMs": 800,
+		"priority": 1, "service": service, "maxAttempts": 2, "sticky": true, "resumable": true, "gapTargetMs": 400,
 	}
 	p.store.put("op/config", map[string]any{
 		"version": 7,
 		"routes":  []map[string]any{route},
 		"services": []map[string]any{{
-			"name": "huvo11a", "healthPath": "/health", "maxConnections": 370, "protocol": "h1", "tls": false,
+			"name": service, "healthPath": "/health", "maxConnections": 370, "protocol": "h1", "tls": false,
 			"engine": map[string]any{
 				"slots": 64, "kvCapacity": 254071, "kvTokenBytes": 163840, "linkMbps": 260000, "stride": 5, "maximum": 12, "weightsMb": 220000, "adapterSlots": 5,
-				"loadsPerS": 2.1, "models": []map[string]any{{"name": model, "weightsMb": 72700, "loadTimeS": 4.2, "adapters": 0, "adapterSizeMb": 66, "warmS": 0.4, "diskS": 0.84}},
+				"loadsPerS": 2.1, "models": []map[string]any{{"name": model, "weightsMb": 72700, "loadTimeS": 4.2, "adapters": adapters, "adapterSizeMb": 66, "warmS": 0.4, "diskS": 0.84}},
 			},
 		}},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
-	var answers, crashed atomic.Int64
-	var garbling atomic.Bool
-	newEngine := func(n int, id, address string) *engine {
-		e := &engine{id: id, service: "huvo11a", address: address, models: []map[string]any{{"name": model, "version": 1, "adapters": []string{}}}}
-		e.serve = func(c *engineConn, r *http.Request, body []byte) bool {
-			unframed := n < garbled && garbling.Load() && answers.Add(1)%unframedOf == 0
-			p.note("engine %s runs %s, without a length: %v", id, r.Header.Get("X-Ospreymoor-Request-Id"), unframed)
-			made, whole := streamFrom(c, r, prefill, events, eventGap, unframed)
-			if !whole {
-				crashed.Add(1)
-			}
-			p.note("engine %s ends %s after event %d, whole: %v", id, r.Header.Get("X-Ospreymoor-Request-Id"), made, whole)
-			return whole && !unframed
-		}
-		return e
-	}
-	var list []*engine
+	var list []*adapterEngine
 	for n := range engines {
-		e := newEngine(n, fmt.Sprintf("i-7f3a91c%d", n), "")
+		e := newAdapterEngine(p, fmt.Sprintf("i-7f3a91c%d", n), service, model, 5)
 		if err := e.start(p.store); err != nil {
 			return couldNot, err
 		}
@@ -75,77 +56,106 @@
 	}
 	time.Sleep(2 * time.Second)
 	begun := time.Now()
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		if !p.trouble {
-			return
-		}
-		for k := range rounds {
-			time.Sleep(time.Until(begun.Add(time.Duration(k) * cycle)))
-			p.note("engines 0 to %d begin to send one answer in %d without a length", garbled-1, unframedOf)
-			garbling.Store(true)
-			time.AfterFunc(garbleFor, func() { garbling.Store(false) })
-			time.Sleep(garbleLead)
-			b, crashing := p.boxes[k/garbled%len(p.boxes)], k%garbled
-			p.note("box %s stands still", b.name)
-			_ = b.process.Process.Signal(syscall.SIGSTOP)
-			thaw := time.AfterFunc(freezeFor, func() {
-				_ = b.process.Process.Signal(syscall.SIGCONT)
-				p.note("box %s goes on", b.name)
-			})
-			time.Sleep(crashAfter)
-			old := list[crashing]
-			p.note("engine %s crashes", old.id)
-			old.crash(p.store)
-			time.Sleep(downFor)
-			next := newEngine(crashing, fmt.Sprintf("i-7f3b%02d%02d", crashing, k), old.address)
-			if err := next.start(p.store); err != nil {
-				p.note("engine %s can't start again: %v", next.id, err)
-			}
-			p.note("engine %s starts at the address of %s", next.id, old.id)
-			list[crashing] = next
-			time.Sleep(freezeFor - crashAfter - downFor + 500*time.Millisecond)
-			thaw.Stop()
-		}
-	}()
 	var wg sync.WaitGroup
-	var sent, succeeded, short atomic.Int64
+	var sent, succeeded atomic.Int64
 	for n := range clients {
 		wg.Go(func() {
-			c := &client{front: p.boxes[n%len(p.boxes)].front}
-			defer c.close()
-			time.Sleep(time.Duration(n) * 19 * time.Millisecond)
-			for k := 0; time.Since(begun) < rounds*cycle+2*time.Second; k++ {
+			for k := 0; time.Since(begun) < length; k++ {
+				c := &client{front: p.boxes[(n+k)%len(p.boxes)].front}
 				id := fmt.Sprintf("%04x%012x", n, k)
-				p.note("client %d sends %s to %s", n, id, p.boxes[n%len(p.boxes)].name)
 				sent.Add(1)
-				header := fmt.Sprintf("X-Ospreymoor-Model: %s\r\nX-Ospreymoor-Token-Count: 826,%d\r\nX-Ospreymoor-Prompt-Prefix: 5c1e07a2:198,%x:628\r\n", model, events*5, 0x5c1e0000+n*1000+k)
-				response, text, err := c.ask(http.MethodPost, "/lohu930/2f", id, 15*time.Second, header, "{}")
-				got := strings.Count(text, "data:")
+				header := fmt.Sprintf("X-Ospreymoor-Model: %s/a%d\r\nX-Ospreymoor-Token-Count: 826,20\r\nX-Ospreymoor-Prompt-Prefix: 5c1e07a2:198,%x:628\r\n", model, 1+rand.IntN(adapters), 0x5c1e0000+n*1000+k)
+				response, _, err := c.ask(http.MethodPost, "/lohu930/2f", id, 5*time.Second, header, "{}")
 				switch {
 				case err != nil:
-					p.note("client %d gets no whole answer to %s, %d events: %v", n, id, got, err)
-				case response.StatusCode == http.StatusOK && got < events:
-					short.Add(1)
-					p.note("ORDER: client %d gets %d for %s, complete, with %d of %d events", n, response.StatusCode, id, got, events)
+					p.note("client %d gets no whole answer to %s: %v", n, id, err)
 				default:
 					if response.StatusCode == http.StatusOK {
 						succeeded.Add(1)
 					}
-					p.note("client %d gets %d for %s, %d events", n, response.StatusCode, id, got)
+					p.note("client %d gets %d for %s", n, response.StatusCode, id)
 				}
-				time.Sleep(100 * time.Millisecond)
+				c.close()
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+	restart := func(b *box) {
+		p.note("box %s gets SIGTERM", b.name)
+		_ = b.process.Process.Signal(syscall.SIGTERM)
+		exited := make(chan struct{})
+		go func() { _ = b.process.Wait(); close(exited) }()
+		select {
+		case <-exited:
+		case <-time.After(8 * time.Second):
+			_ = b.process.Process.Kill()
+			<-exited
+		}
+		time.Sleep(200 * time.Millisecond)
+		if err := b.start(); err != nil {
+			p.note("box %s can't start: %v", b.name, err)
+		}
+		p.note("box %s starts again", b.name)
+	}
+	inTurn := func(first int) {
+		var turns sync.WaitGroup
+		for k := range p.boxes {
+			b := p.boxes[(first+k)%len(p.boxes)]
+			turns.Go(func() { restart(b) })
+			time.Sleep(gap)
+		}
+		turns.Wait()
+	}
+	holder := func() int {
+		name := p.store.value("ospreymoor/leases/orders")
+		for i, b := range p.boxes {
+			if b.name == name {
+				return i
 			}
+		}
+		return 0
+	}
+	time.Sleep(time.Until(begun.Add(firstAt)))
+	p.note("holder of the lease: %s, record: %s", p.store.value("ospreymoor/leases/orders"), p.store.value("ospreymoor/leases/last-order-holder"))
+	if p.trouble {
+		p.note("the store begins to lose answers")
+		p.store.loseLate("ospreymoor/leases/last-order-holder", lateBy, p.note)
+		time.AfterFunc(lossFor, func() {
+			p.store.loseLate("", 0, p.note)
+			p.note("the store answers as before")
 		})
 	}
+	inTurn(holder())
+	time.Sleep(time.Until(begun.Add(secondAt)))
+	p.note("holder of the lease: %s, record: %s", p.store.value("ospreymoor/leases/orders"), p.store.value("ospreymoor/leases/last-order-holder"))
+	inTurn(holder())
 	wg.Wait()
-	<-ended
-	p.note("%d requests sent, %d answered whole, %d runs broken off by crashes, %d streams closed as complete before their end", sent.Load(), succeeded.Load(), crashed.Load(), short.Load())
-	if int(succeeded.Load()) < int(sent.Load())/2 || (p.trouble && crashed.Load() == 0) {
-		return couldNot, fmt.Errorf("%d of %d requests served, %d runs broken off: nothing to judge", succeeded.Load(), sent.Load(), crashed.Load())
+	broke := 0
+	orders := 0
+	for _, e := range list {
+		e.state.Lock()
+		var last *order
+		for i := range e.arrived {
+			o := &e.arrived[i]
+			orders++
+			if last != nil && last.Holder != o.Holder {
+				if between := o.at.Sub(last.at); between < leaseMs*time.Millisecond {
+					broke++
+					p.note("ONE: engine %s got an order of %s, token %d, at %.3f and one of %s, token %d, %d ms later", e.id, last.Holder, last.FencingToken,
+						last.at.Sub(p.begun).Seconds(), o.Holder, o.FencingToken, between.Milliseconds())
+				} else {
+					p.note("engine %s: orders of %s come %d ms after those of %s", e.id, o.Holder, between.Milliseconds(), last.Holder)
+				}
+			}
+			last = o
+		}
+		e.state.Unlock()
+	}
+	p.note("%d requests sent, %d answered with success, %d orders, %d turns of holders within %d ms, %d writes done late", sent.Load(), succeeded.Load(), orders, broke, leaseMs, p.store.lateWrites())
+	if orders == 0 || p.trouble && p.store.lateWrites() == 0 {
+		return couldNot, fmt.Errorf("%d orders, %d late writes: nothing to judge", orders, p.store.lateWrites())
 	}
-	if short.Load() > 0 {
+	if broke > 0 {
 		return broken, nil
 	}
 	return held, nil
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -19,6 +19,8 @@
 	models               []map[string]any
 	// serve answers a request that is the engine's own. It returns false if the connection ends.
 	serve func(c *engineConn, r *http.Request, body []byte) bool
+	// control answers orders and calls for a report; nil refuses orders.
+	control func(c *engineConn, r *http.Request, body []byte) bool
 
 	listener net.Listener
 
@@ -125,6 +127,9 @@
 	if expected := r.Header.Get("X-Ospreymoor-Expect-Instance"); expected != "" && expected != e.id {
 		return c.reply(r, http.StatusMisdirectedRequest, "X-Ospreymoor-Not-Executed: 1\r\n", "")
 	}
+	if e.control != nil && (r.URL.Path == "/report" || r.URL.Path == "/order") {
+		return e.control(c, r, body)
+	}
 	switch r.URL.Path {
 	case "/health":
 		return c.reply(r, http.StatusOK, "X-Ospreymoor-Instance-Id: "+e.id+"\r\n", "")
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -36,13 +36,13 @@
 	_, _ = fmt.Fprintf(p.record, "%8.3f  "+format+"\n", append([]any{time.Since(p.begun).Seconds()}, args...)...)
 }
 
-var cases = map[string]func(p *play) (int, error){"1": replayedRequest, "2": restartedEngine, "3": surplusAnswer}
+var cases = map[string]func(p *play) (int, error){"1": replayedRequest, "2": lateRecord, "3": restartedEngine, "more": surplusAnswer}
 
 func main() { os.Exit(run()) }
 
 func run() int {
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "give the number of a case")
+		fmt.Fprintln(os.Stderr, "give the name of a case: 1, 2, 3 or more")
 		return couldNot
 	}
 	record, err := os.Create(filepath.Join("review", os.Args[1], "record.txt"))
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -40,6 +40,11 @@
 	ttls     map[int64]time.Duration
 	next     int64
 	changed  chan struct{}
+	// lateKey is the key of which a write is not answered and done lateBy later; empty for none. late counts these writes.
+	lateKey string
+	lateBy  time.Duration
+	late    int
+	note    func(format string, args ...any)
 }
 
 func startStore() (*store, error) {
@@ -88,6 +93,26 @@
 	s.notify()
 }
 
+// loseLate has the store lose the answer of the next write of a key, and do the write later. An empty key ends it.
+func (s *store) loseLate(key string, by time.Duration, note func(format string, args ...any)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lateKey, s.lateBy, s.note = key, by, note
+}
+
+func (s *store) lateWrites() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.late
+}
+
+// value returns the value of a key.
+func (s *store) value(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return string(s.items[key].Value)
+}
+
 // write writes a key at the present revision. The caller holds the lock.
 func (s *store) write(key string, value []byte, lease int64) {
 	made := s.revision
@@ -197,19 +222,22 @@
 	}
 }
 
+// txnCall is a transaction.
+type txnCall struct {
+	IfRev []struct {
+		Key      string `json:"key"`
+		Revision int64  `json:"revision"`
+	} `json:"ifRev"`
+	Put []struct {
+		Key   string `json:"key"`
+		Value []byte `json:"value"`
+		Lease int64  `json:"lease"`
+	} `json:"put"`
+	Drop []string `json:"drop"`
+}
+
 func (s *store) txn(w http.ResponseWriter, r *http.Request) {
-	var call struct {
-		IfRev []struct {
-			Key      string `json:"key"`
-			Revision int64  `json:"revision"`
-		} `json:"ifRev"`
-		Put []struct {
-			Key   string `json:"key"`
-			Value []byte `json:"value"`
-			Lease int64  `json:"lease"`
-		} `json:"put"`
-		Drop []string `json:"drop"`
-	}
+	var call txnCall
 	text, err := io.ReadAll(r.Body)
 	if err != nil || json.Unmarshal(text, &call) != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -217,6 +245,28 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(call.Put) == 1 && call.Put[0].Key == s.lateKey && s.lateKey != "" {
+		s.lateKey = ""
+		s.note("the store does not answer the write of %s: %s", call.Put[0].Key, call.Put[0].Value)
+		note := s.note
+		time.AfterFunc(s.lateBy, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			status, _ := s.apply(&call)
+			s.late++
+			note("the store does the write of %s now: %d", call.Put[0].Key, status)
+		})
+		s.mu.Unlock()
+		<-r.Context().Done()
+		s.mu.Lock()
+		panic(http.ErrAbortHandler)
+	}
+	status, value := s.apply(&call)
+	answer(w, status, value)
+}
+
+// apply carries a transaction out. The caller holds the lock.
+func (s *store) apply(call *txnCall) (status int, value any) {
 	failed, items := false, []item{}
 	for _, c := range call.IfRev {
 		it, ok := s.items[c.Key]
@@ -226,17 +276,14 @@
 		}
 	}
 	if failed {
-		answer(w, http.StatusPreconditionFailed, map[string]any{"items": items, "at": s.revision})
-		return
+		return http.StatusPreconditionFailed, map[string]any{"items": items, "at": s.revision}
 	}
 	for _, p := range call.Put {
 		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
-			w.WriteHeader(http.StatusForbidden)
-			return
+			return http.StatusForbidden, map[string]any{}
 		}
 		if _, ok := s.leases[p.Lease]; p.Lease != 0 && !ok {
-			w.WriteHeader(http.StatusNotFound)
-			return
+			return http.StatusNotFound, map[string]any{}
 		}
 	}
 	s.revision++
@@ -247,7 +294,7 @@
 		s.remove(key)
 	}
 	s.notify()
-	answer(w, http.StatusOK, map[string]any{"revision": s.revision})
+	return http.StatusOK, map[string]any{"revision": s.revision}
 }
 
 func (s *store) grant(w http.ResponseWriter, r *http.Request) {
