--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -36,7 +36,7 @@
 	_, _ = fmt.Fprintf(p.record, "%8.3f  "+format+"\n", append([]any{time.Since(p.begun).Seconds()}, args...)...)
 }
 
-var cases = map[string]func(p *play) (int, error){"1": replayedRequest, "2": lateRecord, "3": restartedEngine, "more": surplusAnswer}
+var cases = map[string]func(p *play) (int, error){"1": replayedRequest, "2": lateRecord, "3": surplusAnswer, "more": restartedEngine}
 
 func main() { os.Exit(run()) }
 
