--- a/review/standin/case2.go
+++ b/review/standin/case2.go
@@ -137,6 +137,9 @@
 		var last *order
 		for i := range e.arrived {
 			o := &e.arrived[i]
+			if o.status != http.StatusOK && o.status != http.StatusAccepted {
+				continue // The engine did not take it.
+			}
 			orders++
 			if last != nil && last.Holder != o.Holder {
 				if between := o.at.Sub(last.at); between < leaseMs*time.Millisecond {
--- a/review/standin/orders.go
+++ b/review/standin/orders.go
@@ -134,7 +134,7 @@
 	if !holds {
 		return c.reply(r, http.StatusMisdirectedRequest, "X-Ospreymoor-Not-Executed: 1\r\n", "")
 	}
-	_, whole := streamFrom(c, r, 20*time.Millisecond, 4, 20*time.Millisecond, false)
+	whole := streamFrom(c, r, 20*time.Millisecond, 4, 20*time.Millisecond)
 	e.state.Lock()
 	e.running[adapter]--
 	e.state.Unlock()
