The order holder logs from whom it took over, by which record and why it need not wait longer

'orders may begin' now has the former holder, the term and revision of its record, the revision at which the lease was gained and the basis of the wait; the first failed write of the record under a term has a line of its own. No decision changes.

--- a/internal/orderlease/handover.go
+++ b/internal/orderlease/handover.go
@@ -61,6 +61,8 @@
 	waitEndsKnown bool
 	// unreadableRevision is the revision of the last holder's record that was last logged as unreadable.
 	unreadableRevision int64
+	// unrecordedTerm is the latest term for which a failed write of the record was logged.
+	unrecordedTerm int64
 }
 
 // heldLease is what a handover uses of the lease that it is for.
@@ -173,7 +175,7 @@
 	}
 	epoch := h.currentEpoch()
 	if former.Name == h.name && epoch == 0 {
-		h.resume(*term, former.Settled)
+		h.resume(*term, former, record.Revision)
 		return true
 	}
 	after, ok := h.waitEndsIn(ctx, epoch, term, former, gained)
@@ -184,10 +186,12 @@
 	// box's own name and needs them.
 	h.setWaitEnds(after)
 	settled := former.Settled && former.Name == h.name && former.Epoch == epoch
-	if h.writeHolder(ctx, record.Revision, holderRecord{Name: h.name, Settled: settled, Term: *term, Epoch: epoch}) != nil {
+	err = h.writeHolder(ctx, record.Revision, holderRecord{Name: h.name, Settled: settled, Term: *term, Epoch: epoch})
+	if err != nil {
+		h.logUnrecorded(*term, record.Revision, err)
 		return false
 	}
-	h.allowOrders(*term)
+	h.allowOrders(*term, former, record.Revision)
 	return true
 }
 
@@ -217,13 +221,14 @@
 
 // resume allows orders when a store without epochs has this box as the last that gave orders. settled reports that the
 // waits after the holder before it are over.
-func (h *handover) resume(term int64, settled bool) {
-	h.setWaitEnds(h.waitEndsAfterSelf(settled))
-	h.allowOrders(term)
+func (h *handover) resume(term int64, former holderRecord, revision int64) {
+	h.setWaitEnds(h.waitEndsAfterSelf(former.Settled))
+	h.allowOrders(term, former, revision)
 }
 
-// allowOrders allows orders under a term, to each engine after its wait end. It does nothing if the term was lost.
-func (h *handover) allowOrders(term int64) {
+// allowOrders allows orders under a term, to each engine after its wait end. It does nothing if the term was lost. former
+// and revision are those of the record of the holder before.
+func (h *handover) allowOrders(term int64, former holderRecord, revision int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.term != term {
@@ -234,7 +239,12 @@
 	h.log.Info("orders may begin",
 		zap.Int64("term", term),
 		zap.Duration("wait", max(0, time.Until(h.waitEnds.others))),
-		zap.Int("engines", len(h.waitEnds.byEngine)))
+		zap.Int("engines", len(h.waitEnds.byEngine)),
+		zap.String("basis", string(h.waitEnds.basis)),
+		zap.String("former", former.Name),
+		zap.Int64("formerTerm", former.Term),
+		zap.Int64("formerRevision", kv.SequenceOf(revision)),
+		zap.Int64("gainedRevision", kv.SequenceOf(h.lease.gainedAt())))
 }
 
 // mayOrder reports whether orders may be given under a term, after the wait ends.
--- a/internal/orderlease/holder_record.go
+++ b/internal/orderlease/holder_record.go
@@ -71,3 +71,15 @@
 	}
 	return last
 }
+
+// logUnrecorded logs the first failed write of the record under a term. A write without an answer may still be done.
+func (h *handover) logUnrecorded(term, revision int64, err error) {
+	h.mu.Lock()
+	first := h.unrecordedTerm != term
+	h.unrecordedTerm = term
+	h.mu.Unlock()
+	if first {
+		h.log.Info("order holder not recorded: orders wait",
+			zap.Int64("term", term), zap.Int64("revision", kv.SequenceOf(revision)), logfield.Error(err))
+	}
+}
--- a/internal/orderlease/wait_ends.go
+++ b/internal/orderlease/wait_ends.go
@@ -11,8 +11,19 @@
 	"ospreymoor.example/ospreymoor/internal/peer"
 )
 
+// basis is why orders of earlier holders can no longer arrive after the wait ends.
+type basis string
+
+const (
+	basisOwnRecord basis = "own record"
+	basisYielded   basis = "former holder yielded"
+	basisRefused   basis = "former holder refuses connections"
+	basisLeaseOver basis = "former holder's lease is over"
+)
+
 // waitEnds holds the times from which engines may be given orders.
 type waitEnds struct {
+	basis basis
 	byEngine map[string]time.Time
 	// others applies to all engines that are not in byEngine.
 	others time.Time
@@ -38,12 +49,12 @@
 		case err == nil:
 			return h.waitEndsAfterYield(answer, now), true
 		case errors.Is(err, syscall.ECONNREFUSED):
-			return waitEnds{others: now.Add(h.orderGap)}, true
+			return waitEnds{basis: basisRefused, others: now.Add(h.orderGap)}, true
 		}
 		// Any other error leads to a retry: the box may be frozen or cut off.
 	}
 	if end := gained.Add(h.maxActing + h.orderGap); time.Now().After(end) {
-		return waitEnds{others: end}, true
+		return waitEnds{basis: basisLeaseOver, others: end}, true
 	}
 	return waitEnds{}, false
 }
@@ -57,7 +68,11 @@
 
 // waitEndsAfterYield returns the wait ends after a former holder that has stopped at time now.
 func (h *handover) waitEndsAfterYield(answer yieldAnswer, now time.Time) waitEnds {
-	after := waitEnds{byEngine: make(map[string]time.Time, len(answer.Ages)), others: now.Add(h.orderGap - answer.Others)}
+	after := waitEnds{
+		basis:    basisYielded,
+		byEngine: make(map[string]time.Time, len(answer.Ages)),
+		others:   now.Add(h.orderGap - answer.Others),
+	}
 	for engine, age := range answer.Ages {
 		after.byEngine[engine] = now.Add(h.orderGap - age)
 	}
@@ -71,10 +86,12 @@
 func (h *handover) waitEndsAfterSelf(settled bool) waitEnds {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	after := waitEnds{others: h.started.Add(h.orderGap)}
 	if h.waitEndsKnown || settled {
-		return h.waitEnds
+		after = h.waitEnds
 	}
-	return waitEnds{others: h.started.Add(h.orderGap)}
+	after.basis = basisOwnRecord
+	return after
 }
 
 // setWaitEnds sets the wait ends after a former holder. They apply until those after another one replace them.
