A holder whose lease is sound gives orders although a write of an earlier holder is done late

Callers saw models and adapters that nobody loaded, for as long as a box held the order lease: it gave no order at all.

Cause: a new holder that found another box's name in the record at a revision above that of its own lease took the other box for a later holder, and waited for its own lease to be lost. A write of an earlier holder without an answer, done after the lease was gained, looks the same, and the lease is renewed for ever.

Change: the holder then reads the lease's key. If that still has the revision of its own write, it is the holder, and it takes over from the box that the record names. One call more, in that case alone.

An order fleet's box forgets its orders when its process starts, as a real one does.

--- a/internal/orderlease/handover.go
+++ b/internal/orderlease/handover.go
@@ -38,8 +38,9 @@
 // killed before that leaves the former holder's name for the next holder.
 type handover struct {
 	store kv.Store
-	key   string
-	name  string
+	// key is that of the last holder's record, and leaseKey that of the lease.
+	key, leaseKey string
+	name          string
 	// orderGap is how long orders of two boxes to one engine must be apart.
 	orderGap time.Duration
 	// maxActing is the longest time that a holder acts after a renewal.
@@ -84,6 +85,7 @@
 	return &handover{
 		store:     config.Store,
 		key:       config.OwnPrefix + lastHolderKey,
+		leaseKey:  config.OwnPrefix + leaseKey,
 		name:      config.Name,
 		orderGap:  config.OrderGap,
 		maxActing: maxActing,
@@ -170,7 +172,7 @@
 	if err == nil {
 		former = h.decodeHolder(record)
 	}
-	if former.Name != h.name && record.Revision > h.lease.gainedAt() {
+	if former.Name != h.name && record.Revision > h.lease.gainedAt() && !h.stillHeld(ctx) {
 		return false // A later holder wrote it. The next renewal shows that this box lost the lease.
 	}
 	epoch := h.currentEpoch()
@@ -226,6 +228,13 @@
 	h.allowOrders(term, former, revision)
 }
 
+// stillHeld reports whether the lease's key is still as this box wrote it. A record of another box that is newer than the
+// key was then written late by an earlier holder.
+func (h *handover) stillHeld(ctx context.Context) bool {
+	key, err := h.store.Get(ctx, h.leaseKey)
+	return err == nil && key.Revision == h.lease.gainedAt()
+}
+
 // allowOrders allows orders under a term, to each engine after its wait end. It does nothing if the term was lost. former
 // and revision are those of the record of the holder before.
 func (h *handover) allowOrders(term int64, former holderRecord, revision int64) {
--- a/internal/orderlease/restored_test.go
+++ b/internal/orderlease/restored_test.go
@@ -51,6 +51,12 @@
 	network spectest.Network
 	away    atomic.Bool
 	boxes   []*orderBox
+	// lateWrites counts the writes without an answer that took effect late.
+	lateWrites atomic.Int64
+
+	faults sync.Mutex
+	// fault returns the fault of a box's write; nil if it has none.
+	fault func(b *orderBox, swap kv.Swap) *writeFault
 
 	mu          sync.Mutex
 	orders      []givenOrder
@@ -96,6 +102,9 @@
 		if err := reach(); err != nil {
 			return kv.Record{}, err
 		}
+		if fault := f.faultOf(b, swap); fault != nil {
+			return kv.Record{}, f.loseAnswer(swap, *fault)
+		}
 		return store.Swap(ctx, swap)
 	}
 	guarded.Grant = func(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
@@ -135,9 +144,29 @@
 	return guarded
 }
 
+// setFault sets the fault of writes; nil for none.
+func (f *orderFleet) setFault(fault func(*orderBox, kv.Swap) *writeFault) {
+	f.faults.Lock()
+	defer f.faults.Unlock()
+	f.fault = fault
+}
+
+// faultOf returns the fault of a box's write; nil if it has none.
+func (f *orderFleet) faultOf(b *orderBox, swap kv.Swap) *writeFault {
+	f.faults.Lock()
+	defer f.faults.Unlock()
+	if f.fault == nil {
+		return nil
+	}
+	return f.fault(b, swap)
+}
+
 // start starts a process of the box.
 func (b *orderBox) start() {
 	f := b.fleet
+	b.mu.Lock()
+	b.lastOrder = time.Time{} // A new process knows none.
+	b.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		if b.peersCut.Load() {
@@ -240,6 +269,17 @@
 	return list
 }
 
+// changesOfHolder returns how often orders came from another box than the one before.
+func (f *orderFleet) changesOfHolder() int {
+	changes, orders := 0, f.given()
+	for n := 1; n < len(orders); n++ {
+		if orders[n].box != orders[n-1].box {
+			changes++
+		}
+	}
+	return changes
+}
+
 func lastOf(orders []givenOrder) givenOrder { return orders[len(orders)-1] }
 
 // disturb makes one random disturbance.
@@ -305,11 +345,7 @@
 			Expect(f.violations()).To(BeEmpty(), "seed %d", seed)
 			orders += len(f.orders)
 			returns += f.memory.Epoch()
-			for n := 1; n < len(f.orders); n++ {
-				if f.orders[n].box != f.orders[n-1].box {
-					holders++
-				}
-			}
+			holders += f.changesOfHolder()
 			Expect(f.orders[len(f.orders)-1].at).To(BeTemporally(">", f.ended.Add(-time.Second)), "seed %d: no orders at the end", seed)
 		}
 		GinkgoWriter.Printf("%d orders, %d changes of the holder, %d returns\n", orders, holders, returns)
--- a/internal/orderlease/wait_ends.go
+++ b/internal/orderlease/wait_ends.go
@@ -23,7 +23,7 @@
 
 // waitEnds holds the times from which engines may be given orders.
 type waitEnds struct {
-	basis basis
+	basis    basis
 	byEngine map[string]time.Time
 	// others applies to all engines that are not in byEngine.
 	others time.Time
