A new order holder writes the record of the last holder under each of its terms

Cause: a box that gained the lease and found its own name in the record did not write it. The record's revision stayed, and a write of another box, whose answer had been lost before that box lost the lease, was done under the new holder. The record then named a box that had given no order; at the next handover that box took the record for that of its own orders and neither asked nor waited.

Change: the holder writes under each term before its first order, also over its own name; what an earlier holder sent then expects an older revision. A record of the holder's own name and term that is newer than its lease is its own write, of which the answer was lost.

--- a/internal/orderlease/handover.go
+++ b/internal/orderlease/handover.go
@@ -36,6 +36,10 @@
 //
 // Only when the waits are known does the new holder write its name into the store and allow orders. A box that is
 // killed before that leaves the former holder's name for the next holder.
+//
+// The holder writes the record under each of its terms, also if its name is in it already. A write of an earlier holder
+// whose answer was lost may still be done while the record has the revision that it expects, and would name a box that
+// did not give the last orders. Once the holder has written, no earlier write can be done.
 type handover struct {
 	store kv.Store
 	// key is that of the last holder's record, and leaseKey that of the lease.
@@ -176,10 +180,6 @@
 		return false // A later holder wrote it. The next renewal shows that this box lost the lease.
 	}
 	epoch := h.currentEpoch()
-	if former.Name == h.name && epoch == 0 {
-		h.resume(*term, former, record.Revision)
-		return true
-	}
 	after, ok := h.waitEndsIn(ctx, epoch, term, former, gained)
 	if !ok || h.lease.outlived() {
 		return false
@@ -187,11 +187,14 @@
 	// The wait ends are stored before the swap: if it takes effect but its answer is lost, the next try finds this
 	// box's own name and needs them.
 	h.setWaitEnds(after)
-	settled := former.Settled && former.Name == h.name && former.Epoch == epoch
-	err = h.writeHolder(ctx, record.Revision, holderRecord{Name: h.name, Settled: settled, Term: *term, Epoch: epoch})
-	if err != nil {
-		h.logUnrecorded(*term, record.Revision, err)
-		return false
+	own := former.Name == h.name && former.Epoch == epoch
+	written := own && former.Term == *term && record.Revision > h.lease.gainedAt()
+	if !written {
+		next := holderRecord{Name: h.name, Settled: own && former.Settled, Term: *term, Epoch: epoch}
+		if err := h.writeHolder(ctx, record.Revision, next); err != nil {
+			h.logUnrecorded(*term, record.Revision, err)
+			return false
+		}
 	}
 	h.allowOrders(*term, former, record.Revision)
 	return true
@@ -221,13 +224,6 @@
 	return h.term == term
 }
 
-// resume allows orders when a store without epochs has this box as the last that gave orders. settled reports that the
-// waits after the holder before it are over.
-func (h *handover) resume(term int64, former holderRecord, revision int64) {
-	h.setWaitEnds(h.waitEndsAfterSelf(former.Settled))
-	h.allowOrders(term, former, revision)
-}
-
 // stillHeld reports whether the lease's key is still as this box wrote it. A record of another box that is newer than the
 // key was then written late by an earlier holder.
 func (h *handover) stillHeld(ctx context.Context) bool {
