A box that is asked to yield reports no age of its own earlier orders that hides a later holder's

Callers saw nothing; an engine could get orders of two boxes within leaseMs.

Cause: a holder that has just taken over from another one, and still waits for that one's last orders, answered the yield call of the next holder with the ages of its own orders. An engine to which it had given an order a minute ago, and the holder before it one half a second ago, was reported with the minute, since the wait by engine was empty and the wait for all others did not apply to engines with an age.

Change: an age is at most the one that the wait for all others allows.

'reports no age of its own earlier orders that hides those of a later holder' failed before (1m0s, 200ms expected).

--- a/internal/orderlease/handover_test.go
+++ b/internal/orderlease/handover_test.go
@@ -219,6 +219,19 @@
 		})
 	})
 
+	// A box that gave an engine orders long ago and took over again from another holder still waits for that one's orders.
+	It("reports no age of its own earlier orders that hides those of a later holder", func() {
+		spectest.Bubble(func() {
+			next := newHandover(Config{Name: "new", OrderGap: testOrderGap, Log: zap.NewNop()}, 300*time.Millisecond)
+			next.started = time.Now().Add(-time.Hour)
+			next.waitEnds = waitEnds{others: time.Now().Add(testOrderGap / 2)}
+			answer := next.lastOrders(map[string]time.Duration{"e1": time.Minute, "e2": time.Millisecond})
+			Expect(answer.Ages["e1"]).To(Equal(testOrderGap / 2))
+			Expect(answer.Ages["e2"]).To(Equal(time.Millisecond))
+			Expect(answer.Others).To(Equal(testOrderGap / 2))
+		})
+	})
+
 	It("waits as for a box that can't be asked when the record of the last order holder is unreadable, and logs that once", func() {
 		inTakeover(nil, func(next *takeover) {
 			next.recordBytes([]byte("{"))
--- a/internal/orderlease/wait_ends.go
+++ b/internal/orderlease/wait_ends.go
@@ -111,6 +111,11 @@
 	if !h.waitEnds.others.IsZero() {
 		answer.Others = min(answer.Others, h.orderGap-h.waitEnds.others.Sub(now))
 	}
+	for engine, age := range ages {
+		if _, ok := h.waitEnds.byEngine[engine]; !ok {
+			ages[engine] = min(age, answer.Others) // A later holder may have given it orders since.
+		}
+	}
 	for engine, at := range h.waitEnds.byEngine {
 		age := h.orderGap - at.Sub(now)
 		if known, ok := ages[engine]; !ok || age < known {
