An answer of another request ends its connection, whether or not it has a body

Cause: net/http returns a connection to its pool before its caller gets an answer without a body. The id was compared after that, and closing the body of such an answer does nothing. The engine worked on, and the next request on the connection got the first one's answer 0.52 s later: in the box's lines 'answer to request A, status 503, length 0' is followed by 'answer to request B, status 200, length -1', where B is the request that gave up.

Change: an answer that its sender rejects closes the connection; a request that got that connection from the pool meanwhile waits for the verdict before its first byte, and takes another one. Such an answer no longer counts against the box's links.

--- a/internal/gateway/links_test.go
+++ b/internal/gateway/links_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -295,6 +296,18 @@
 		})
 	})
 
+	It("does not suspect its links where upstreams answer other requests", func() {
+		spectest.Bubble(func() {
+			l := newLinkedUpstreams()
+			l.Upstreams.Send = func(context.Context, *fleet.Endpoint, Attempt) (*Answer, error) {
+				return nil, errors.WithType(ErrOtherAnswer, ErrBroken)
+			}
+			l.askEach("r", "/once/", "", 10, 10*time.Millisecond)
+			Expect(l.Links.Suspected()).To(BeFalse())
+			Expect(l.Metrics.GetOrCreateCounter("ospreymoor_answers_to_other_requests_total").Get()).To(BeEquivalentTo(10))
+		})
+	})
+
 	It("opens no tunnel to an upstream with a rate limit without a grant for the second way", func() {
 		spectest.Bubble(func() {
 			l := newLinkedUpstreams()
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -87,6 +87,10 @@
 		}
 		r.attemptFailed(choice, 0, took, err)
 	case outcomeBroken:
+		if errors.Is(err, ErrOtherAnswer) {
+			r.recordOtherAnswer(choice, took, err)
+			return
+		}
 		r.recordBroken(ctx, choice, 0, took, err)
 	case outcomeMisdirected:
 		r.logAttempt(choice, answer.Status, took, nil)
@@ -127,6 +131,14 @@
 	r.logAttempt(choice, status, took, err)
 }
 
+// recordOtherAnswer records an attempt whose upstream answered another request. That upstream is within reach and runs, but
+// it failed.
+func (r *inflight) recordOtherAnswer(choice dispatch.Choice, took time.Duration, err error) {
+	r.gateway.Metrics.GetOrCreateCounter("ospreymoor_answers_to_other_requests_total").Inc()
+	r.recordContact(choice.Upstream.Hall)
+	r.attemptFailed(choice, 0, took, err)
+}
+
 // recordFailed records a failure of an upstream, which other boxes learn of, unless the failure may be that of this
 // box's own links.
 func (r *inflight) recordFailed(upstream string) {
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -20,6 +20,9 @@
 	ErrNoTunnel = errors.ConstError("no other box opens a connection to the upstream")
 	// ErrBroken means that the request was sent but no complete answer arrived: it may have run.
 	ErrBroken = errors.ConstError("answer lost or broken: the request may have run")
+	// ErrOtherAnswer means that the upstream answered another request in place of this one. Such an error is also of type
+	// ErrBroken. The connection is closed.
+	ErrOtherAnswer = errors.ConstError("answer of another request")
 )
 
 // Attempt is a request as it is sent to one upstream once.
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -82,16 +82,12 @@
 	written atomic.Int64
 	// beforeWrite is called before the next write; nil if nothing is.
 	beforeWrite atomic.Pointer[func() error]
+	// exchange is the latest request that got the connection.
+	exchange atomic.Pointer[exchange]
 }
 
 // setBeforeWrite sets what is called before the next write, which fails with the error that it returns.
-func (c *countingConn) setBeforeWrite(check func() error) {
-	if check == nil {
-		c.beforeWrite.Store(nil)
-		return
-	}
-	c.beforeWrite.Store(&check)
-}
+func (c *countingConn) setBeforeWrite(check func() error) { c.beforeWrite.Store(&check) }
 
 // Write counts the bytes before it sends them: data that may have been sent counts as sent.
 func (c *countingConn) Write(p []byte) (int, error) {
--- a/internal/transport/send.go
+++ b/internal/transport/send.go
@@ -13,14 +13,48 @@
 const ErrNotSent = errors.ConstError("not sent")
 
 // Sender sends a request over a transport that New returned. It is http.Client.Do, or
-// http.Transport.RoundTrip, which follows no redirects.
+// http.Transport.RoundTrip, which follows no redirects. One that returns an error for an answer rejects it.
 type Sender func(*http.Request) (*http.Response, error)
 
 // Send sends a request. The error is of type ErrNotSent if the request was not sent; after any other
 // error it may have arrived.
+//
+// An answer that the sender rejects ends its connection, whether or not it has a body, so that the server learns that
+// nobody waits for the request. Nothing else is sent on that connection.
 func (send Sender) Send(request *http.Request) (*http.Response, error) {
+	for {
+		response, err := send.once(request)
+		if !errors.Is(err, errRejected) || !rewind(&request) {
+			return response, err
+		}
+	}
+}
+
+// rewind replaces a request by a copy with an unread body, if it can be had.
+func rewind(request **http.Request) bool {
+	original := *request
+	if original.Body == nil || original.Body == http.NoBody {
+		return true
+	}
+	if original.GetBody == nil {
+		return false
+	}
+	body, err := original.GetBody()
+	if err != nil {
+		return false // The error that led here shows that the request was not sent.
+	}
+	*request = original.WithContext(original.Context())
+	(*request).Body = body
+	return true
+}
+
+// once sends a request on one connection. net/http gets no means to read the body again, so that it never sends it twice.
+func (send Sender) once(request *http.Request) (*http.Response, error) {
 	tracker := &writeTracker{}
-	response, err := send(request.WithContext(tracker.track(request.Context())))
+	sent := request.WithContext(tracker.track(request.Context()))
+	sent.GetBody = nil
+	response, err := send(sent)
+	tracker.settle(err != nil)
 	if err != nil {
 		return nil, tracker.classify(err)
 	}
@@ -39,11 +73,13 @@
 	return response.StatusCode, body, errors.Trace(err)
 }
 
-// writeTracker determines whether any byte of one request was written.
+// writeTracker determines whether any byte of one request was written, and settles its exchange.
 type writeTracker struct {
 	conn *countingConn
 	// before is the value of conn.written when the request got the connection.
 	before int64
+	// current is the request's exchange on the connection, and earlier the one before it.
+	current, earlier *exchange
 }
 
 // track returns a context for the tracked request.
@@ -52,13 +88,42 @@
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if conn, ok := info.Conn.(*countingConn); ok {
-				t.conn, t.before = conn, conn.written.Load()
-				conn.setBeforeWrite(check)
+				t.begin(ctx, conn, check)
 			}
 		},
 	})
 }
 
+// begin begins the request on a connection. net/http may call it again, for another connection, if the first one was
+// closed before anything was written.
+func (t *writeTracker) begin(ctx context.Context, conn *countingConn, check func() error) {
+	t.settle(true)
+	t.conn, t.before, t.current = conn, conn.written.Load(), newExchange()
+	t.earlier = conn.exchange.Swap(t.current)
+	earlier := t.earlier
+	conn.setBeforeWrite(func() error {
+		if err := earlier.wait(ctx); err != nil {
+			return err
+		}
+		if check == nil {
+			return nil
+		}
+		return check()
+	})
+}
+
+// settle ends the exchange, if there is one, and closes the connection if its answer was rejected or there is none.
+func (t *writeTracker) settle(rejected bool) {
+	if t.current == nil {
+		return
+	}
+	t.current.settle(rejected)
+	t.current = nil
+	if rejected {
+		_ = t.conn.Close() // An error does not matter: the connection is not used again.
+	}
+}
+
 // beforeWriteKey is the context key of a function that is called before a request is written.
 type beforeWriteKey struct{}
 
@@ -69,10 +134,14 @@
 	return context.WithValue(ctx, beforeWriteKey{}, check)
 }
 
-// classify marks the error as ErrNotSent if no byte of the request was written.
+// classify marks the error as ErrNotSent if no byte of the request was written, and as errRejected if that is because the
+// connection was closed for the answer before.
 func (t *writeTracker) classify(err error) error {
-	if t.conn == nil || t.conn.written.Load() == t.before {
-		return errors.WithType(err, ErrNotSent)
+	if t.conn != nil && t.conn.written.Load() != t.before {
+		return errors.Trace(err)
+	}
+	if t.earlier.wasRejected() {
+		err = errors.WithType(err, errRejected)
 	}
-	return errors.Trace(err)
+	return errors.WithType(err, ErrNotSent)
 }
