Heads of answers, reports and answers to orders are bounded

Of each head without end (lines, one line, a status line, informational answers) a box took 10.5 MB, net/http's own bound, and of a report or an answer to an order 4 MB.

The error of a head names its cause (ErrTooLong, ErrHeadTooLong), and ospreymoor_answers_too_long_total{part} counts it. The native mode's transports have the same bound for heads, and a message of an engine has 4 MB.

The spec of Sender.Call expects ErrTooLong where it expected a truncated body without an error: an answer that is too long was told from a damaged one by its decoding alone.

--- a/internal/box/transports.go
+++ b/internal/box/transports.go
@@ -12,6 +12,8 @@
 	dialTimeout = time.Second
 	// idleConnTimeout is how long an idle connection stays open.
 	idleConnTimeout = 2 * time.Minute
+	// maxHeadBytes bounds the head of an answer, in bytes.
+	maxHeadBytes = 32 << 10
 )
 
 // dialFunc opens a connection.
@@ -20,10 +22,11 @@
 // httpTransport returns the transport for calls of plain HTTP servers.
 func httpTransport(dial dialFunc) *http.Transport {
 	return &http.Transport{
-		DialContext:         dial,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: serviceSlots,
-		IdleConnTimeout:     idleConnTimeout,
+		DialContext:            dial,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    serviceSlots,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -33,6 +33,9 @@
 	ErrUnexpectedMessage = errors.ConstError("engine sent what is not this request's: resume it")
 )
 
+// maxMessageBytes bounds one message of an engine, in bytes. A report of an engine's holdings is the longest.
+const maxMessageBytes = 4 << 20
+
 // ReasonLeaving is the message of the error by which a draining engine refuses a request.
 const ReasonLeaving = "leaving"
 
@@ -58,6 +61,6 @@
 // NewClient returns a client of the engine on a box.
 func NewClient(http *http.Client, box membership.Box) *Client {
 	// Answers come in pieces of a few bytes, which are not worth compressing.
-	plain := connect.WithAcceptCompression("gzip", nil, nil)
-	return &Client{box: box, engine: enginev1connect.NewEngineServiceClient(http, "http://"+box.Address, plain)}
+	options := connect.WithClientOptions(connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxMessageBytes))
+	return &Client{box: box, engine: enginev1connect.NewEngineServiceClient(http, "http://"+box.Address, options)}
 }
--- a/internal/engine/transport.go
+++ b/internal/engine/transport.go
@@ -10,8 +10,10 @@
 	"github.com/juju/errors"
 )
 
-// Timeouts of connections.
+// Bounds of connections.
 const (
+	// maxHeadBytes bounds the headers of an answer, in bytes.
+	maxHeadBytes = 32 << 10
 	// idleConnTimeout is how long an idle connection is kept.
 	idleConnTimeout = 90 * time.Second
 	// pingInterval is how long nothing arrives on an HTTP/2 connection before a ping is sent. pingTimeout is
@@ -26,10 +28,11 @@
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Client{Transport: &http.Transport{
-		Protocols:       &protocols,
-		DialContext:     dial,
-		IdleConnTimeout: idleConnTimeout,
-		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
+		Protocols:              &protocols,
+		DialContext:            dial,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
+		HTTP2:                  &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
 	}}
 }
 
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -5,9 +5,11 @@
 	"net/http"
 	"time"
 
+	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"ospreymoor.example/ospreymoor/pkg/dispatch"
+	"ospreymoor.example/ospreymoor/pkg/eventstream"
 	"ospreymoor.example/ospreymoor/pkg/kv"
 	"ospreymoor.example/ospreymoor/pkg/logfield"
 )
@@ -39,6 +41,11 @@
 	refused.write(w)
 }
 
+// countTooLong counts an answer of which a part was longer than this box reads.
+func (g *Gateway) countTooLong(part string) {
+	g.Metrics.GetOrCreateCounter(fmt.Sprintf("ospreymoor_answers_too_long_total{part=%q}", part)).Inc()
+}
+
 func (g *Gateway) countRefusal(refused *refusal) {
 	g.Metrics.GetOrCreateCounter(fmt.Sprintf("ospreymoor_refusals_total{reason=%q}", refused.reason)).Inc()
 }
@@ -48,6 +55,12 @@
 // that broke off it is 0.
 func (r *inflight) logAttempt(choice dispatch.Choice, status int, took time.Duration, err error, more ...zap.Field) {
 	r.gateway.Metrics.GetOrCreateCounter("ospreymoor_attempts_failed_total").Inc()
+	switch {
+	case errors.Is(err, ErrHeadTooLong):
+		r.gateway.countTooLong("head")
+	case errors.Is(err, eventstream.ErrTooLong):
+		r.gateway.countTooLong("event")
+	}
 	load := r.gateway.Loads.Total(choice.Upstream.ID)
 	r.gateway.Log.Info("attempt failed", append(more,
 		zap.String("id", r.request.ID),
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -23,6 +23,9 @@
 	// ErrOtherAnswer means that the upstream answered another request in place of this one. Such an error is also of type
 	// ErrBroken. The connection is closed.
 	ErrOtherAnswer = errors.ConstError("answer of another request")
+	// ErrHeadTooLong means that the head of the answer was longer than this box reads. Such an error is also of type
+	// ErrBroken.
+	ErrHeadTooLong = errors.ConstError("head of the answer too long")
 )
 
 // Attempt is a request as it is sent to one upstream once.
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -26,6 +26,8 @@
 	maxIdleConns = 32
 	// idleConnTimeout is how long an idle connection is kept.
 	idleConnTimeout = 20 * time.Second
+	// maxHeadBytes bounds the head of an answer, in bytes, informational answers before it included.
+	maxHeadBytes = 32 << 10
 )
 
 // DialFunc opens a connection.
@@ -76,10 +78,11 @@
 	})
 }
 
-// countingConn counts the bytes that are written. The count shows whether a failed request was sent.
+// countingConn counts the bytes that are written and read. The counts show whether a failed request was sent, and whether
+// the head of its answer was too long.
 type countingConn struct {
 	net.Conn
-	written atomic.Int64
+	written, read atomic.Int64
 	// beforeWrite is called before the next write; nil if nothing is.
 	beforeWrite atomic.Pointer[func() error]
 	// exchange is the latest request that got the connection.
@@ -100,6 +103,13 @@
 	return c.Conn.Write(p)
 }
 
+// Read counts the bytes that it reads.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
 // New returns a transport that shares its connections with no other transport.
 func New() *http.Transport { return newTransport(Dial) }
 
@@ -112,8 +122,9 @@
 			}
 			return counted(conn), nil
 		},
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdleConns,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
--- a/internal/transport/send.go
+++ b/internal/transport/send.go
@@ -9,8 +9,13 @@
 	"github.com/juju/errors"
 )
 
-// ErrNotSent marks the error of a request of which no byte was written.
-const ErrNotSent = errors.ConstError("not sent")
+const (
+	// ErrNotSent marks the error of a request of which no byte was written.
+	ErrNotSent = errors.ConstError("not sent")
+	// ErrTooLong marks the error of an answer whose head is longer than maxHeadBytes, or whose body is longer than its
+	// caller allows. Its connection is closed.
+	ErrTooLong = errors.ConstError("answer too long")
+)
 
 // Sender sends a request over a transport that New returned. It is http.Client.Do, or
 // http.Transport.RoundTrip, which follows no redirects. One that returns an error for an answer rejects it.
@@ -61,23 +66,26 @@
 	return response, nil
 }
 
-// Call sends a request and reads the whole answer. It truncates an answer longer than maxBytes, which
-// then fails to decode. Errors are those of Send, or of reading the answer.
+// Call sends a request and reads the whole answer. Errors are those of Send, or of reading the answer. With ErrTooLong
+// for a body of more than maxBytes, it returns the status and the beginning of the body.
 func (send Sender) Call(request *http.Request, maxBytes int64) (status int, body []byte, err error) {
 	response, err := send.Send(request)
 	if err != nil {
 		return 0, nil, err
 	}
 	defer func() { _ = response.Body.Close() }() // All that is used was read, so the error does not matter.
-	body, err = io.ReadAll(io.LimitReader(response.Body, maxBytes))
+	body, err = io.ReadAll(io.LimitReader(response.Body, maxBytes+1))
+	if int64(len(body)) > maxBytes {
+		return response.StatusCode, body[:maxBytes], errors.Annotatef(ErrTooLong, "more than %d bytes", maxBytes)
+	}
 	return response.StatusCode, body, errors.Trace(err)
 }
 
 // writeTracker determines whether any byte of one request was written, and settles its exchange.
 type writeTracker struct {
 	conn *countingConn
-	// before is the value of conn.written when the request got the connection.
-	before int64
+	// before is the value of conn.written when the request got the connection, and readBefore that of conn.read.
+	before, readBefore int64
 	// current is the request's exchange on the connection, and earlier the one before it.
 	current, earlier *exchange
 }
@@ -98,7 +106,7 @@
 // closed before anything was written.
 func (t *writeTracker) begin(ctx context.Context, conn *countingConn, check func() error) {
 	t.settle(true)
-	t.conn, t.before, t.current = conn, conn.written.Load(), newExchange()
+	t.conn, t.before, t.readBefore, t.current = conn, conn.written.Load(), conn.read.Load(), newExchange()
 	t.earlier = conn.exchange.Swap(t.current)
 	earlier := t.earlier
 	conn.setBeforeWrite(func() error {
@@ -135,9 +143,12 @@
 }
 
 // classify marks the error as ErrNotSent if no byte of the request was written, and as errRejected if that is because the
-// connection was closed for the answer before.
+// connection was closed for the answer before. It marks it as ErrTooLong if the answer's head was.
 func (t *writeTracker) classify(err error) error {
 	if t.conn != nil && t.conn.written.Load() != t.before {
+		if t.conn.read.Load()-t.readBefore >= maxHeadBytes {
+			return errors.WithType(err, ErrTooLong)
+		}
 		return errors.Trace(err)
 	}
 	if t.earlier.wasRejected() {
