Bodies of answers without end cost bounded memory and hold up no request that may go on

Cause: a refusal was read for up to 1 MB and without a bound in time, so that its connection could be reused; events were bounded one by one.

An event beyond 16 KB counts against the memory for callers, and is a broken answer if there is none left. A long plain answer counts for its upstream by how it ends, not by its beginning.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -69,7 +69,7 @@
 	}
 	if answer.NotExecuted {
 		result = places.TurnedAway
-		discard(answer)
+		r.gateway.discard(answer)
 		return nil, errNotExecuted
 	}
 	ticket.Started()
@@ -83,18 +83,36 @@
 	if buffered.status < http.StatusInternalServerError {
 		result = places.Served
 		r.notePartsAnswered(begun)
+	}
+	if buffered.remainder != nil {
+		buffered.onRemainderEnd = func(err error) { r.recordRemainder(ctx, choice, buffered.status, err) }
+	} else if buffered.status < http.StatusInternalServerError {
 		r.attemptSucceeded(choice)
 	}
 	return buffered, nil
 }
 
+// recordRemainder records how an answer that was too long to be buffered ended; err is nil if it is complete. That its
+// caller left shows nothing about the upstream.
+func (r *inflight) recordRemainder(ctx context.Context, choice dispatch.Choice, status int, err error) {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+	case err != nil:
+		r.recordBroken(ctx, choice, status, time.Since(r.request.Arrived), err)
+	case status < http.StatusInternalServerError:
+		r.attemptSucceeded(choice)
+	}
+}
+
 // bufferedAnswer is an answer that is read before any of it is passed to the caller.
 type bufferedAnswer struct {
 	status int
 	header http.Header
 	body   []byte
-	// remainder reads the rest of an answer that is too long to be buffered; nil if body is complete.
-	remainder io.ReadCloser
+	// remainder reads the rest of an answer that is too long to be buffered; nil if body is complete. onRemainderEnd is
+	// called once the upstream has sent it, or failed to; nil calls nothing.
+	remainder      io.ReadCloser
+	onRemainderEnd func(err error)
 }
 
 // bufferAnswer reads an answer until it is complete, too long to be buffered, or exceeds the box's memory budget.
@@ -127,13 +145,6 @@
 // releaseBuffered returns the memory of the request's buffered answers to the box's budget.
 func (r *inflight) releaseBuffered() { r.gateway.CallerMemory.Release(r.bufferedBytes) }
 
-// discard reads and drops an answer, so that its connection can be reused. An error is not logged: it only costs
-// the connection.
-func discard(answer *Answer) {
-	_, _ = io.CopyN(io.Discard, answer.Body, maxBufferedAnswer)
-	_ = answer.Body.Close()
-}
-
 // finish writes the final answer: the upstream's if there is one, otherwise the refusal.
 func (r *inflight) finish(w http.ResponseWriter, buffered *bufferedAnswer, refused *refusal) error {
 	if buffered == nil {
@@ -156,11 +167,37 @@
 	}
 	w.WriteHeader(b.status)
 	_, err := w.Write(b.body)
-	if b.remainder != nil {
-		if err == nil {
-			_, err = io.Copy(w, b.remainder)
-		}
-		_ = b.remainder.Close()
+	if b.remainder == nil {
+		return err
+	}
+	defer func() { _ = b.remainder.Close() }() // It is complete, or the error is known.
+	if err != nil {
+		return err
+	}
+	return b.writeRemainder(w)
+}
+
+// writeRemainder passes the rest of a long answer on.
+func (b *bufferedAnswer) writeRemainder(w http.ResponseWriter) error {
+	source := &notedReader{Reader: b.remainder}
+	_, err := io.Copy(w, source)
+	if b.onRemainderEnd != nil && (err == nil || source.err != nil) {
+		b.onRemainderEnd(source.err)
 	}
 	return err
 }
+
+// notedReader notes the error of its source, other than io.EOF.
+type notedReader struct {
+	io.Reader
+	err error
+}
+
+// Read reads from the source.
+func (r *notedReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if err != io.EOF {
+		r.err = err
+	}
+	return n, err
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -62,7 +62,7 @@
 		return false, err
 	}
 	if answer.NotExecuted {
-		discard(answer)
+		s.gateway.discard(answer)
 		return false, errNotExecuted
 	}
 	defer func() { _ = answer.Body.Close() }()
@@ -100,7 +100,7 @@
 // answer, so it is replaced only while the route allows one more run.
 func (s *stream) relayFailure(answer *Answer) (done bool, err error) {
 	if s.headWritten || (s.mayReplace(answer.Status) && s.hasRunsLeft()) {
-		discard(answer)
+		s.gateway.discard(answer)
 		return false, ErrBroken
 	}
 	buffered, err := s.bufferAnswer(answer)
@@ -119,6 +119,8 @@
 // errCallerGone if the caller's connection failed.
 func (s *stream) relay(ctx context.Context, answer *Answer, ticket *dispatch.Ticket, upstream *fleet.State) error {
 	events := eventstream.NewReader(answer.Body)
+	events.Reserve, events.Release = s.gateway.CallerMemory.Reserve, s.gateway.CallerMemory.Release
+	defer events.Close()
 	for begun := false; ; begun = true {
 		event, err := events.Next()
 		if err == io.EOF {
--- a/pkg/eventstream/eventstream.go
+++ b/pkg/eventstream/eventstream.go
@@ -21,8 +21,8 @@
 const (
 	// ErrPartial means that the stream ended inside an event.
 	ErrPartial = errors.ConstError("stream ended inside an event: resume it after the last whole one")
-	// ErrTooLong means that an event exceeds MaxEventBytes.
-	ErrTooLong = errors.ConstError("event over a megabyte: the upstream is faulty")
+	// ErrTooLong means that an event exceeds MaxEventBytes, or what Reader.Reserve allows.
+	ErrTooLong = errors.ConstError("event over a megabyte or over the memory that is left: the upstream may be faulty")
 )
 
 // Event is one whole event.
@@ -35,9 +35,18 @@
 
 // Reader reads events from a stream. It is not safe for concurrent use.
 type Reader struct {
-	source *bufio.Reader
+	// Reserve is called with the bytes that an event takes beyond unreservedBytes, before more of it is read, and returns
+	// false if there is no room for them. Release is called with what Reserve allowed. Both may be nil.
+	Reserve func(bytes int64) bool
+	Release func(bytes int64)
+
+	source   *bufio.Reader
+	reserved int64
 }
 
+// unreservedBytes is the size of an event, in bytes, up to which it is not reserved.
+const unreservedBytes = 16 << 10
+
 // NewReader returns a reader of the events in source.
 func NewReader(source io.Reader) *Reader {
 	return &Reader{source: bufio.NewReader(source)}
@@ -47,11 +56,12 @@
 // ended between events, ErrPartial if it ended inside one, ErrTooLong if an event exceeds MaxEventBytes,
 // or that of the source.
 func (r *Reader) Next() (Event, error) {
+	r.release()
 	var event Event
 	for {
 		chunk, err := r.source.ReadSlice('\n')
 		event.Bytes = append(event.Bytes, chunk...)
-		if len(event.Bytes) > MaxEventBytes {
+		if len(event.Bytes) > MaxEventBytes || !r.reserve(int64(len(event.Bytes))) {
 			return Event{}, ErrTooLong
 		}
 		switch {
@@ -72,6 +82,29 @@
 	}
 }
 
+// reserve reserves what an event of this size takes beyond unreservedBytes.
+func (r *Reader) reserve(size int64) bool {
+	more := size - unreservedBytes - r.reserved
+	if r.Reserve == nil || more <= 0 {
+		return true
+	}
+	if !r.Reserve(more) {
+		return false
+	}
+	r.reserved += more
+	return true
+}
+
+// Close releases what is reserved for the latest event.
+func (r *Reader) Close() { r.release() }
+
+func (r *Reader) release() {
+	if r.reserved > 0 {
+		r.Release(r.reserved)
+		r.reserved = 0
+	}
+}
+
 // lastLine returns the last line of text, without its line break. text must end in a line break.
 func lastLine(text []byte) []byte {
 	text = text[:len(text)-1]
