--- a/internal/standin/answer.go
+++ b/internal/standin/answer.go
@@ -35,10 +35,15 @@
 // LoseAnswer executes a call, drops its answer and closes the connection. It panics with
 // http.ErrAbortHandler and does not return.
 func LoseAnswer(handler http.HandlerFunc, r *http.Request) {
-	handler(discardWriter{header: http.Header{}}, r)
+	Unanswered(handler, r)
 	panic(http.ErrAbortHandler)
 }
 
+// Unanswered has a handler serve a call and drops the answer.
+func Unanswered(handler http.HandlerFunc, r *http.Request) {
+	handler(discardWriter{header: http.Header{}}, r)
+}
+
 // discardWriter is a ResponseWriter that drops the answer.
 type discardWriter struct{ header http.Header }
 
