No request is sent again by the HTTP library once a byte of it was written

The box's log has one attempt.

Cause: net/http sends a request without a body again by itself if its method or that header allows it by its own rules. The guard, a body that can't be read twice, stood at each caller and was left out where it would have changed what is sent.

Change: the transport notes each connection that the library takes for a request; a second one, after a byte was written on the first, ends the request. The guards go, and a request without a body is sent without one whatever its method.

--- a/internal/transport/forward.go
+++ b/internal/transport/forward.go
@@ -1,7 +1,6 @@
 package transport
 
 import (
-	"io"
 	"net/http"
 	"net/textproto"
 	"strings"
@@ -24,9 +23,3 @@
 		header.Del(name)
 	}
 }
-
-// OnceReader is a request body that cannot be read again, so that net/http never sends it twice.
-type OnceReader struct{ io.Reader }
-
-// Close does nothing.
-func (OnceReader) Close() error { return nil }
--- a/internal/transport/send.go
+++ b/internal/transport/send.go
@@ -15,6 +15,8 @@
 	// ErrTooLong marks the error of an answer whose head is longer than maxHeadBytes, or whose body is longer than its
 	// caller allows. Its connection is closed.
 	ErrTooLong = errors.ConstError("answer too long")
+	// errSentBefore is the error of a request whose connection failed after a byte of it was written.
+	errSentBefore = errors.ConstError("connection failed after the request was sent: it may have run")
 )
 
 // Sender sends a request over a transport that New returned. It is http.Client.Do, or
@@ -53,19 +55,46 @@
 	return true
 }
 
-// once sends a request on one connection. net/http gets no means to read the body again, so that it never sends it twice.
+// once sends a request on one connection. net/http sends some requests again, on another connection, if a kept one fails
+// before the answer: those without a body whose method or Idempotency-Key header it takes for a sign that they may run
+// twice. Here it may not, once a byte was written.
 func (send Sender) once(request *http.Request) (*http.Response, error) {
-	tracker := &writeTracker{}
-	sent := request.WithContext(tracker.track(request.Context()))
+	ctx, cancel := context.WithCancelCause(request.Context())
+	tracker := &writeTracker{cancel: cancel}
+	sent := request.WithContext(tracker.track(ctx))
 	sent.GetBody = nil
 	response, err := send(sent)
 	tracker.settle(err != nil)
 	if err != nil {
+		cancel(nil)
 		return nil, tracker.classify(err)
 	}
+	response.Body = &endingBody{ReadCloser: response.Body, end: cancel}
 	return response, nil
 }
 
+// endingBody ends the context of its request when it is read or closed.
+type endingBody struct {
+	io.ReadCloser
+	end context.CancelCauseFunc
+}
+
+// Read reads from the body.
+func (b *endingBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.end(nil)
+	}
+	return n, err
+}
+
+// Close closes the body.
+func (b *endingBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.end(nil)
+	return err
+}
+
 // Call sends a request and reads the whole answer. Errors are those of Send, or of reading the answer. With ErrTooLong
 // for a body of more than maxBytes, it returns the status and the beginning of the body.
 func (send Sender) Call(request *http.Request, maxBytes int64) (status int, body []byte, err error) {
@@ -83,7 +112,9 @@
 
 // writeTracker determines whether any byte of one request was written, and settles its exchange.
 type writeTracker struct {
-	conn *countingConn
+	// cancel ends the request.
+	cancel context.CancelCauseFunc
+	conn   *countingConn
 	// before is the value of conn.written when the request got the connection, and readBefore that of conn.read.
 	before, readBefore int64
 	// current is the request's exchange on the connection, and earlier the one before it.
@@ -102,10 +133,15 @@
 	})
 }
 
-// begin begins the request on a connection. net/http may call it again, for another connection, if the first one was
-// closed before anything was written.
+// begin begins the request on a connection. net/http calls it again, for another connection, if the first one failed. If
+// anything was written there, it ends the request.
 func (t *writeTracker) begin(ctx context.Context, conn *countingConn, check func() error) {
 	t.settle(true)
+	if t.wasWritten() {
+		conn.setBeforeWrite(func() error { return errSentBefore })
+		t.cancel(errSentBefore)
+		return
+	}
 	t.conn, t.before, t.readBefore, t.current = conn, conn.written.Load(), conn.read.Load(), newExchange()
 	t.earlier = conn.exchange.Swap(t.current)
 	earlier := t.earlier
@@ -142,10 +178,13 @@
 	return context.WithValue(ctx, beforeWriteKey{}, check)
 }
 
+// wasWritten reports whether any byte of the request was written.
+func (t *writeTracker) wasWritten() bool { return t.conn != nil && t.conn.written.Load() != t.before }
+
 // classify marks the error as ErrNotSent if no byte of the request was written, and as errRejected if that is because the
 // connection was closed for the answer before. It marks it as ErrTooLong if the answer's head was.
 func (t *writeTracker) classify(err error) error {
-	if t.conn != nil && t.conn.written.Load() != t.before {
+	if t.wasWritten() {
 		if t.conn.read.Load()-t.readBefore >= maxHeadBytes {
 			return errors.WithType(err, ErrTooLong)
 		}
