Request targets arrive at upstreams byte for byte, or are refused

A request for //a/b on a route with the prefix / arrived at its upstream as http://a/b (UNASKED); in the native mode a call for /a%2Fb of a plain service arrived as /a/b; OPTIONS * got an answer of the HTTP library's own with status 200.

Cause: the target was handed on as an opaque URL, of which net/http takes one that begins with two slashes for an authority; the native mode passed a decoded path on.

Change: a target that begins with two slashes is passed on as an escaped path. What the library would write otherwise is refused with 400, which names the target.

--- a/internal/box/service_proxy.go
+++ b/internal/box/service_proxy.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
+	"strings"
 
 	"connectrpc.com/connect"
 	"github.com/juju/errors"
@@ -78,6 +80,9 @@
 		fullName: who.bundle.Customer + "/" + service.Name,
 		request:  r,
 	}
+	if _, ok := upstreamURL("", c.path, r.RequestURI); !ok {
+		return c, notRun(connect.CodeInvalidArgument, reasonBadRequest, fmt.Sprintf("request target %q can't be passed on as it is", r.RequestURI), 0)
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.maxBodyBytes))
 	if err != nil {
 		return c, notRun(connect.CodeInvalidArgument, reasonBadRequest, "the body could not be read whole: "+err.Error(), 0)
@@ -91,6 +96,18 @@
 	return c, nil
 }
 
+// upstreamURL returns the URL of a call at an upstream: the path of the call, as it stands in the request target behind
+// /services/{service}, and the query. ok is false if the HTTP library would write them otherwise.
+func upstreamURL(address, path, requestTarget string) (result url.URL, ok bool) {
+	whole, query, hasQuery := strings.Cut(requestTarget, "?")
+	escaped := "/"
+	if parts := strings.SplitN(whole, "/", 4); len(parts) == 4 {
+		escaped += parts[3]
+	}
+	result = url.URL{Scheme: "http", Host: address, Path: path, RawPath: escaped, RawQuery: query, ForceQuery: hasQuery && query == ""}
+	return result, result.EscapedPath() == escaped
+}
+
 // admit admits a call, or refuses it as overload. The rule is in pkg/admission. Plain services report no load, so
 // only the bundle's limits apply. The caller must call done when the call has ended.
 func (s *serviceProxy) admit(c *serviceCall) (done func(), refused *refusal) {
@@ -119,7 +136,7 @@
 
 // send sends a call to an upstream and returns the response, whose body has yet to be read.
 func (s *serviceProxy) send(ctx context.Context, client *http.Client, c *serviceCall, upstream membership.Box) (*http.Response, error) {
-	target := url.URL{Scheme: "http", Host: upstream.Address, Path: c.path, RawQuery: c.request.URL.RawQuery}
+	target, _ := upstreamURL(upstream.Address, c.path, c.request.RequestURI) // resolve has refused those that change.
 	request, err := http.NewRequestWithContext(ctx, c.request.Method, target.String(), bytes.NewReader(c.body))
 	if err != nil {
 		return nil, errors.Trace(err)
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -55,6 +55,8 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         f.trackIdle,
 		ConnContext:       withConn,
+		// Otherwise "OPTIONS *" gets an answer that is no upstream's.
+		DisableGeneralOptionsHandler: true,
 	}
 	return f
 }
