--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -85,8 +85,8 @@
 	written, read atomic.Int64
 	// beforeWrite is called before the next write; nil if nothing is.
 	beforeWrite atomic.Pointer[func() error]
-	// exchange is the latest request that got the connection.
-	exchange atomic.Pointer[exchange]
+	// verdict is that on the answer to the latest request that got the connection.
+	verdict atomic.Pointer[verdict]
 }
 
 // setBeforeWrite sets what is called before the next write, which fails with the error that it returns.
--- a/internal/transport/send.go
+++ b/internal/transport/send.go
@@ -110,15 +110,15 @@
 	return response.StatusCode, body, errors.Trace(err)
 }
 
-// writeTracker determines whether any byte of one request was written, and settles its exchange.
+// writeTracker determines whether any byte of one request was written, and settles the verdict on its answer.
 type writeTracker struct {
 	// cancel ends the request.
 	cancel context.CancelCauseFunc
 	conn   *countingConn
 	// before is the value of conn.written when the request got the connection, and readBefore that of conn.read.
 	before, readBefore int64
-	// current is the request's exchange on the connection, and earlier the one before it.
-	current, earlier *exchange
+	// current is the verdict on the request's own answer; nil once it is settled. earlier is that on the answer before it.
+	current, earlier *verdict
 }
 
 // track returns a context for the tracked request.
@@ -142,8 +142,8 @@
 		t.cancel(errSentBefore)
 		return
 	}
-	t.conn, t.before, t.readBefore, t.current = conn, conn.written.Load(), conn.read.Load(), newExchange()
-	t.earlier = conn.exchange.Swap(t.current)
+	t.conn, t.before, t.readBefore, t.current = conn, conn.written.Load(), conn.read.Load(), newVerdict()
+	t.earlier = conn.verdict.Swap(t.current)
 	earlier := t.earlier
 	conn.setBeforeWrite(func() error {
 		if err := earlier.wait(ctx); err != nil {
@@ -156,7 +156,7 @@
 	})
 }
 
-// settle ends the exchange, if there is one, and closes the connection if its answer was rejected or there is none.
+// settle settles the verdict, if it is open, and closes the connection if the answer was rejected or there is none.
 func (t *writeTracker) settle(rejected bool) {
 	if t.current == nil {
 		return
