--- a/internal/orderlease/late_write_test.go
+++ b/internal/orderlease/late_write_test.go
@@ -88,11 +88,12 @@
 		}
 		time.Sleep(5 * time.Second)
 		var losing bool
+		faults := rand.New(rand.NewPCG(seed, 8)) // The boxes draw from it, one at a time.
 		f.setFault(func(*orderBox, kv.Swap) *writeFault {
-			if !losing || random.IntN(3) == 0 {
+			if !losing || faults.IntN(3) == 0 {
 				return nil
 			}
-			return &writeFault{dropped: random.IntN(4) == 0, late: time.Duration(random.IntN(6000)) * time.Millisecond}
+			return &writeFault{dropped: faults.IntN(4) == 0, late: time.Duration(faults.IntN(6000)) * time.Millisecond}
 		})
 		for end := time.Now().Add(time.Minute); time.Now().Before(end); {
 			f.faults.Lock()
