A connection that broke does not end like one that the other side closed

What callers saw: an upstream answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a whole answer.

Cause: Linux reports a reset once, to whichever system call is next. While a request is written, that is often the write. A read after it returns 0, as if the other side had closed the connection, and net/http takes that for the end of an answer that has neither a length nor chunks. The confirmation of such an end asks whether the upstream accepts connections, which one that resets a single connection does.

Change: at the end of a connection the transport looks at its TCP state. CLOSE_WAIT means that a FIN has arrived; after a reset or a timeout the state is CLOSE, and the read returns an error. Everything that reads from upstreams and from the store goes through it: plain answers, streams, failures that are passed on, and the exit of a tunnel, which sends the mark of a closed connection only after a FIN.

The harm left: a FIN that a reset follows before it is read counts as broken.

--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -103,10 +104,13 @@
 	return c.Conn.Write(p)
 }
 
-// Read counts the bytes that it reads.
+// Read counts the bytes that it reads. The error is io.EOF only if the other side has closed the connection.
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.read.Add(int64(n))
+	if err == io.EOF {
+		err = endOf(c.Conn)
+	}
 	return n, err
 }
 
