An answer whose status line is none in HTTP/1 is broken

What callers saw: an upstream in trouble answered with status 000. Here the caller's connection was closed without an answer or a log line, also where the request might have gone to another upstream; 101 and 600 to 999 arrived as answers.

Cause: net/http takes any three characters that parse as a number for a status (000 to 099, 600 to 999, "+20"), any version of the protocol and 101 that nobody asked for. Nothing looked at it: a status under 500 counted as an answer, and net/http's server panics when it writes one below 100.

Change: the connection checks the status line of each head as it is read, informational ones too, before net/http acts on it. An answer that fails is broken like one that is cut off: the same retries, log line and counter, and it may have run. All that goes through transport.Sender is checked: requests, tunnels, orders, reports and the store.

Two ways weighed: a check of what net/http returns is shorter, but does not see a version, a sign or two blanks, and comes after net/http has returned the connection of an answer without a body to its pool. Harm of the check in the connection: heads are split into lines twice.

--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -88,6 +88,8 @@
 	beforeWrite atomic.Pointer[func() error]
 	// verdict is that on the answer to the latest request that got the connection.
 	verdict atomic.Pointer[verdict]
+	// heads checks the heads of answers.
+	heads headCheck
 }
 
 // setBeforeWrite sets what is called before the next write, which fails with the error that it returns.
@@ -104,10 +106,14 @@
 	return c.Conn.Write(p)
 }
 
-// Read counts the bytes that it reads. The error is io.EOF only if the other side has closed the connection.
+// Read counts the bytes that it reads, and returns none of a malformed head. The error is io.EOF only if the other side has
+// closed the connection.
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.read.Add(int64(n))
+	if malformed := c.heads.check(p[:n]); malformed != nil {
+		return 0, malformed
+	}
 	if err == io.EOF {
 		err = endOf(c.Conn)
 	}
--- a/internal/transport/send.go
+++ b/internal/transport/send.go
@@ -144,6 +144,7 @@
 	}
 	t.conn, t.before, t.readBefore, t.current = conn, conn.written.Load(), conn.read.Load(), newVerdict()
 	t.earlier = conn.verdict.Swap(t.current)
+	conn.heads.begin()
 	earlier := t.earlier
 	conn.setBeforeWrite(func() error {
 		if err := earlier.wait(ctx); err != nil {
@@ -182,9 +183,12 @@
 func (t *writeTracker) wasWritten() bool { return t.conn != nil && t.conn.written.Load() != t.before }
 
 // classify marks the error as ErrNotSent if no byte of the request was written, and as errRejected if that is because the
-// connection was closed for the answer before. It marks it as ErrTooLong if the answer's head was.
+// connection was closed for the answer before. It marks it as ErrTooLong or ErrMalformed if the answer's head was.
 func (t *writeTracker) classify(err error) error {
 	if t.wasWritten() {
+		if malformed := t.conn.heads.error(); malformed != nil {
+			return malformed
+		}
 		if t.conn.read.Load()-t.readBefore >= maxHeadBytes {
 			return errors.WithType(err, ErrTooLong)
 		}
