An answer with a field that is none in HTTP/1 is broken

What callers saw: an upstream in trouble sent a blank in the name of a field, and the caller got the answer. With "Content-Length : 4" the body had the bytes behind it as well, with "Transfer-Encoding : chunked" the chunks' sizes; another line was left out, and one that begins with a blank became a part of the value before it, which may be the seal.

Cause: net/http keeps a field whose name holds a blank under that name, so that it counts neither for the length nor for chunks, and its server leaves it out when it writes. It joins folded lines. Control bytes in names and values it refuses.

Change: the check of heads in the connection takes a field only if its name is a token, in informational heads too; a folded line is none. A name in the trailer is checked when the body ends.

Evidence: of 30 heads that break (internal/transport/head_test.go), 11 were taken before: blanks in names, folded lines, chunks in HTTP/1.0, and the same in informational heads and trailers; the other 19 (control bytes, 0x80 and above, no colon, an empty name, two lengths, signs) held and keep their test. 13 odd and valid heads still pass.

The other way weighed: names as net/http returns them. It does not see folded lines, nor chunks in HTTP/1.0, nor lines of informational heads without a further hook.

--- a/internal/transport/head.go
+++ b/internal/transport/head.go
@@ -2,13 +2,15 @@
 
 import (
 	"bytes"
+	"net/http"
 	"regexp"
 	"sync"
 
 	"github.com/juju/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
-// ErrMalformed marks the error of an answer whose head is none in HTTP/1. Its connection is closed.
+// ErrMalformed marks the error of an answer whose head, or whose trailer, is none in HTTP/1. Its connection is closed.
 const ErrMalformed = errors.ConstError("malformed answer")
 
 // statusLine matches the status line of an answer. Status 101 is matched, too, though no request asks for it.
@@ -27,6 +29,8 @@
 	line []byte
 	// inFields is set after a status line. informational means that another head follows the current one.
 	inFields, informational bool
+	// unframed means that the version has no transfer encodings. net/http drops the field there and takes chunks for the body.
+	unframed bool
 	// failed is why the answer is malformed; nil if it is not.
 	failed error
 }
@@ -71,6 +75,20 @@
 		return c.beginFields(line)
 	case len(line) == 0:
 		c.inFields, c.active = false, c.informational
+		return nil
+	}
+	return c.checkField(line)
+}
+
+// checkField checks the line of a field. net/http takes a blank in a name, so that a field with it counts for nothing, not
+// even for the body's length, and it joins a line that begins with a blank to the one before. It checks values itself.
+func (c *headCheck) checkField(line []byte) error {
+	name, _, found := bytes.Cut(line, []byte{':'})
+	if !found || !httpguts.ValidHeaderFieldName(string(name)) {
+		return errors.Annotatef(ErrMalformed, "field %q", line[:min(len(line), maxNamedBytes)])
+	}
+	if c.unframed && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+		return errors.Annotatef(ErrMalformed, "field %q in a version without it", name)
 	}
 	return nil
 }
@@ -82,8 +100,19 @@
 		return errors.Annotatef(ErrMalformed, "status line %q", line[:min(len(line), maxNamedBytes)])
 	}
 	c.inFields, c.informational = true, match[1][0] == '1'
+	c.unframed = bytes.HasPrefix(line, []byte("HTTP/1.0"))
 	return nil
 }
 
 // maxNamedBytes bounds the part of a malformed line that an error names.
 const maxNamedBytes = 64
+
+// checkTrailer checks the names of the fields that follow a body. The error is of type ErrMalformed.
+func checkTrailer(trailer http.Header) error {
+	for name := range trailer {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Annotatef(ErrMalformed, "field %q of the trailer", name[:min(len(name), maxNamedBytes)])
+		}
+	}
+	return nil
+}
--- a/internal/transport/head_test.go
+++ b/internal/transport/head_test.go
@@ -129,3 +129,69 @@
 		Expect(err).To(MatchError(transport.ErrMalformed))
 	})
 })
+
+// An upstream in trouble sent a blank before the colon of a field. net/http takes such a field for another one: a length or
+// chunks did not count, and the caller got bytes that were not the body's.
+var _ = Describe("the fields of an answer", func() {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	chunks := "Transfer-Encoding: chunked\r\n\r\n4\r\ntext\r\n0\r\n"
+
+	DescribeTable("that are none break the answer", func(text string) {
+		_, _, _, err := fetch(startTextServer(text))
+		Expect(err).To(HaveOccurred())
+		Expect(err).NotTo(MatchError(transport.ErrNotSent))
+	},
+		Entry("a blank before the colon of the length", ok+"Content-Length : 4\r\n\r\ntextmore"),
+		Entry("a blank before the colon of the encoding", ok+"Transfer-Encoding : chunked\r\n\r\n4\r\ntext\r\n0\r\n\r\n"),
+		Entry("a blank before another colon", ok+"Filler : x\r\nContent-Length: 4\r\n\r\ntext"),
+		Entry("a blank in a name", ok+"Fil ler: x\r\nContent-Length: 4\r\n\r\ntext"),
+		Entry("a blank before the first name", ok+" Filler: x\r\nContent-Length: 4\r\n\r\ntext"),
+		Entry("a blank before a later name", ok+"Filler: x\r\n Content-Length: 4\r\n\r\ntext"),
+		Entry("a line that goes on with a blank", ok+"Filler: x\r\n y\r\nContent-Length: 4\r\n\r\ntext"),
+		Entry("a line that goes on with a tab", ok+"Filler: x\r\n\ty\r\nContent-Length: 4\r\n\r\ntext"),
+		Entry("a line of a blank", ok+"Filler: x\r\n \r\nContent-Length: 4\r\n\r\ntext"),
+		Entry("a tab before the colon", ok+"Content-Length\t: 4\r\n\r\ntext"),
+		Entry("a NUL in a name", ok+"Fil\x00ler: x\r\nContent-Length: 4\r\n\r\ntext"),
+		Entry("a BEL in a name", ok+"Fil\x07ler: x\r\nContent-Length: 4\r\n\r\ntext"),
+		Entry("a DEL in a name", ok+"Fil\x7fler: x\r\nContent-Length: 4\r\n\r\ntext"),
+		Entry("0x80 in a name", ok+"Fil\x80ler: x\r\nContent-Length: 4\r\n\r\ntext"),
+		Entry("0xff in a name", ok+"Fil\xffler: x\r\nContent-Length: 4\r\n\r\ntext"),
+		Entry("a bare CR in a name", ok+"Fil\rler: x\r\nContent-Length: 4\r\n\r\ntext"),
+		Entry("two CR at the end of a line", ok+"Filler: x\r\r\nContent-Length: 4\r\n\r\ntext"),
+		Entry("an empty name", ok+": x\r\nContent-Length: 4\r\n\r\ntext"),
+		Entry("no colon", ok+"Filler\r\nContent-Length: 4\r\n\r\ntext"),
+		Entry("a NUL in a value", ok+"Filler: x\x00\r\nContent-Length: 4\r\n\r\ntext"),
+		Entry("a DEL in a value", ok+"Filler: \x7f\r\nContent-Length: 4\r\n\r\ntext"),
+		Entry("a bare CR in a value", ok+"Filler: x\rContent-Length: 9\r\nContent-Length: 4\r\n\r\ntext"),
+		Entry("two lengths", ok+"Content-Length: 4\r\nContent-Length: 3\r\n\r\ntext"),
+		Entry("two lengths in one field", ok+"Content-Length: 4, 4\r\n\r\ntext"),
+		Entry("a length with a sign", ok+"Content-Length: +4\r\n\r\ntext"),
+		Entry("an unknown encoding", ok+"Transfer-Encoding: other\r\n\r\ntext"),
+		Entry("chunks in a version without them", "HTTP/1.0 200 OK\r\n"+chunks+"\r\n"),
+		Entry("a blank in a name of an informational head", "HTTP/1.1 103 Early Hints\r\nLink : x\r\n\r\n"+ok+"Content-Length: 4\r\n\r\ntext"),
+		Entry("a blank in a name of the trailer", ok+chunks+"Filler : x\r\n\r\n"),
+		Entry("a NUL in a name of the trailer", ok+chunks+"Fil\x00ler: x\r\n\r\n"),
+	)
+
+	DescribeTable("that are odd and valid do not", func(text string) {
+		status, header, body, err := fetch(startTextServer(text))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(body).To(Equal("text"))
+		Expect(header.Get("Seal")).To(Equal("x"))
+	},
+		Entry("a name in small letters", ok+"seal: x\r\ncontent-length: 4\r\n\r\ntext"),
+		Entry("a name of other characters", ok+"!#$%&'*+-.^_`|~0Az: x\r\nSeal: x\r\nContent-Length: 4\r\n\r\ntext"),
+		Entry("no blank after the colon, and several", ok+"Seal:x\r\nContent-Length:  4 \r\n\r\ntext"),
+		Entry("tabs around a value", ok+"Seal:\tx\t\r\nContent-Length: 4\r\n\r\ntext"),
+		Entry("an empty value", ok+"Filler:\r\nSeal: x\r\nContent-Length: 4\r\n\r\ntext"),
+		Entry("bytes above 0x7f in a value", ok+"Filler: \x80\xff\r\nSeal: x\r\nContent-Length: 4\r\n\r\ntext"),
+		Entry("a colon in a value", ok+"Filler: a:b : c\r\nSeal: x\r\nContent-Length: 4\r\n\r\ntext"),
+		Entry("lines that end with LF alone", "HTTP/1.1 200 OK\nSeal: x\nContent-Length: 4\n\ntext"),
+		Entry("the same length twice", ok+"Seal: x\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\ntext"),
+		Entry("a length beside chunks", ok+"Seal: x\r\nContent-Length: 9\r\n"+chunks+"\r\n"),
+		Entry("names that differ in case", ok+"SEAL: x\r\nseal: y\r\nContent-Length: 4\r\n\r\ntext"),
+		Entry("a trailer", ok+"Seal: x\r\n"+chunks+"Filler: x\r\n\r\n"),
+		Entry("no length in the version before", "HTTP/1.0 200 OK\r\nSeal: x\r\n\r\ntext"),
+	)
+})
--- a/internal/transport/send.go
+++ b/internal/transport/send.go
@@ -69,19 +69,25 @@
 		cancel(nil)
 		return nil, tracker.classify(err)
 	}
-	response.Body = &endingBody{ReadCloser: response.Body, end: cancel}
+	response.Body = &endingBody{ReadCloser: response.Body, response: response, end: cancel}
 	return response, nil
 }
 
 // endingBody ends the context of its request when it is read or closed.
 type endingBody struct {
 	io.ReadCloser
-	end context.CancelCauseFunc
+	response *http.Response
+	end      context.CancelCauseFunc
 }
 
-// Read reads from the body.
+// Read reads from the body. The error is of type ErrMalformed if the trailer is none.
 func (b *endingBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		if malformed := checkTrailer(b.response.Trailer); malformed != nil {
+			err = malformed
+		}
+	}
 	if err != nil {
 		b.end(nil)
 	}
