Native mode: broken answers of plain services are none

What callers saw: with `ospreymoor serve`, a part of an answer without a length, before a reset, was the answer of a call, and for one that may not be repeated it was kept for all its attempts. Status 000 and heads with a blank in the name of a field arrived as answers.

The native mode has transports of its own, whose connections have no check.

Change: the transports for plain HTTP servers open their connections through transport.Checked, and calls of plain services have the heads of their answers checked. When net/http sends a call again is unchanged. Engines answer in framed messages over HTTP/2, so that this does not concern them.

--- a/internal/box/service_proxy.go
+++ b/internal/box/service_proxy.go
@@ -12,6 +12,7 @@
 	"connectrpc.com/connect"
 	"github.com/juju/errors"
 
+	"ospreymoor.example/ospreymoor/internal/transport"
 	"ospreymoor.example/ospreymoor/pkg/admission"
 	"ospreymoor.example/ospreymoor/pkg/membership"
 	"ospreymoor.example/ospreymoor/pkg/routing"
@@ -144,7 +145,7 @@
 	request.Header = endToEndHeaders(c.request.Header)
 	request.Header.Del("Authorization")
 	request.Header.Set("Customer", c.caller.bundle.Customer)
-	return client.Do(request)
+	return client.Do(transport.CheckHeads(request))
 }
 
 // refuse counts a refusal and answers the caller with it.
--- a/internal/box/transports.go
+++ b/internal/box/transports.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"ospreymoor.example/ospreymoor/internal/transport"
 )
 
 const (
@@ -22,7 +24,7 @@
 // httpTransport returns the transport for calls of plain HTTP servers.
 func httpTransport(dial dialFunc) *http.Transport {
 	return &http.Transport{
-		DialContext:            dial,
+		DialContext:            transport.Checked(dial),
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    serviceSlots,
 		IdleConnTimeout:        idleConnTimeout,
@@ -33,9 +35,9 @@
 // onceTransport returns a transport that uses a new connection for each call. A transport that keeps connections may
 // send a call a second time if it finds a kept connection to be stale.
 func onceTransport(dial dialFunc) *http.Transport {
-	transport := httpTransport(dial)
-	transport.DisableKeepAlives = true
-	return transport
+	once := httpTransport(dial)
+	once.DisableKeepAlives = true
+	return once
 }
 
 // noRedirect passes redirects on to the caller instead of following them.
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -123,15 +123,21 @@
 // New returns a transport that shares its connections with no other transport.
 func New() *http.Transport { return newTransport(Dial) }
 
+// Checked returns a function that opens the same connections. They end with io.EOF only if the other side has closed them,
+// and the heads of answers are checked for requests that CheckHeads returned.
+func Checked(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return counted(conn), nil
+	}
+}
+
 func newTransport(dial DialFunc) *http.Transport {
 	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dial(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return counted(conn), nil
-		},
+		DialContext:            Checked(dial),
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdleConns,
 		IdleConnTimeout:        idleConnTimeout,
--- a/internal/transport/head.go
+++ b/internal/transport/head.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"net/http/httptrace"
 	"regexp"
 	"sync"
 
@@ -35,6 +36,18 @@
 	failed error
 }
 
+// CheckHeads returns a request to which an answer with a malformed head is an error, on connections of a function that
+// Checked returned. Sender does this for all requests.
+func CheckHeads(request *http.Request) *http.Request {
+	return request.WithContext(httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if conn, ok := info.Conn.(*countingConn); ok {
+				conn.heads.begin()
+			}
+		},
+	}))
+}
+
 // begin expects the answer to the next request.
 func (c *headCheck) begin() {
 	c.mu.Lock()
