A stream that is taken up again stays at the only version in use while it waits

What callers saw: the upstreams of a software version had left, all boxes lost power and started again, and then upstreams of another version came. Streams that had been taken up in between were answered 200, their rest from the new version.

Cause: a box that knew one version, from the note in the store, bound the stream to none. The request waited for an upstream, and took the first one that came, of whichever version.

Change: while one version is in use, a stream that is taken up again is bound to it for as long as it waits. Admission and the log line of where it began treat it as before.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -15,10 +15,10 @@
 // as zero.
 //
 // Plain services, routes without a target and requests that may have run are always admitted, so that a stream
-// that resumes is not refused. The same holds for one that its caller takes up again and that is bound to a software
-// version: there may be few upstreams of it, and its first event, which the target is for, has been passed on.
+// that resumes is not refused. The same holds for one that its caller takes up again and that is bound to one of several
+// software versions: there may be few upstreams of it, and its first event, which the target is for, has been passed on.
 func (r *inflight) admit(choice dispatch.Choice) *refusal {
-	if r.need.Model == "" || r.route.Target <= 0 || r.attempts.mayHaveRun > 0 || r.resumption.Bound {
+	if r.need.Model == "" || r.route.Target <= 0 || r.attempts.mayHaveRun > 0 || r.resumption.Bound && r.resumption.checked {
 		return nil
 	}
 	if choice.Wait <= time.Duration(admitShare*float64(r.route.Target)) {
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -77,9 +77,15 @@
 	}
 	if mixed = mixed || g.servesMixed(route); !mixed && len(r.found.Origins) == 0 {
 		// A box that is cut off from all others may not know the version that began the stream.
-		r.Unknown = named && outdated && !r.found.Answered
-		r.checked = r.Unknown
-		return r
+		if r.Unknown = named && outdated && !r.found.Answered; r.Unknown {
+			r.checked = true
+			return r
+		}
+		// Another version may come into use while the request waits for an upstream.
+		if versions := g.Directory.VersionsInUse(service); len(versions) == 1 {
+			r.Bound, r.Version = true, versions[0]
+			return r
+		}
 	}
 	known := origins.Resumption{Service: service, Named: named, Known: r.found.Origins, MayUse: func(other string) bool {
 		return slices.ContainsFunc(route.Shares, func(share routes.Share) bool { return share.Service == other })
--- a/internal/node/versions_power_test.go
+++ b/internal/node/versions_power_test.go
@@ -77,6 +77,16 @@
 				v.remove(upstreamName(n))
 			}
 		}),
+		Entry("gone before the other one comes, after the boxes have started again", func(v *versionFleet) {
+			for n := range 18 {
+				v.remove(upstreamName(n))
+			}
+			v.losePower()
+			time.Sleep(1200 * time.Millisecond)
+			for n := range 18 {
+				v.list("new-"+upstreamName(n), "v2")
+			}
+		}),
 		Entry("replaced one after the other, until just before the loss", func(v *versionFleet) {
 			v.replace(18, "v2", 100*time.Millisecond)
 			v.losePower()
