A box that stops sends no request late in its grace time that may outlast it

What callers saw: in a planned stop of one box, in calm, requests whose bodies arrived late in the grace time, or that waited until then, were sent on. At the end of the grace time they were cut off with no answer, among them requests that may not be repeated.

Cause: a box that stops looked at a request when its handler began, and no more. A body that was still arriving, a wait for an upstream, a place or a load, a connection that took its time and a retry all came after that, up to the end of the grace time.

Change: once a box refuses new requests, it sends only those whose deadline passes within the grace time: they have an answer by then in any case. Others get the refusal that says they have not run, also while their body still arrives. A stream whose events its caller has goes on.

A refused caller asks another box; one that was cut off may not.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -28,8 +28,9 @@
 func (b *Body) Release() { b.memory.Release(int64(len(b.Bytes))) }
 
 // ReadBody reads a whole body within the configured size limit and this box's memory budget. It refuses a caller
-// that stops sending for bodyStallTimeout. It writes the headers of a refusal, but not its status.
-func (g *Gateway) ReadBody(w http.ResponseWriter, r *http.Request) Body {
+// that stops sending for bodyStallTimeout, and a request with a deadline by which this box, which stops, may not send it
+// any more. It writes the headers of a refusal, but not its status.
+func (g *Gateway) ReadBody(w http.ResponseWriter, r *http.Request, deadline time.Time) Body {
 	if r.Body == nil || r.ContentLength == 0 {
 		return Body{memory: g.CallerMemory}
 	}
@@ -39,22 +40,41 @@
 	}
 	// The read deadline is set only once the body has stalled. No deadline is then left behind for what the server reads
 	// from the connection after the body.
-	stalled := time.AfterFunc(bodyStallTimeout, func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now()) })
+	interrupt := func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now()) }
+	stalled := time.AfterFunc(bodyStallTimeout, interrupt)
 	defer stalled.Stop()
+	stopWaiting := g.sendLimit.onEnd(deadline, interrupt)
 	body := Body{memory: g.CallerMemory}
+	err := g.readAll(&body, reader, stalled)
+	switch stopping := stopWaiting(); {
+	case stopping:
+		return g.refuseBody(w, &body, http.StatusServiceUnavailable, reasonStopping)
+	case err == errCallerMemory:
+		return g.refuseBody(w, &body, http.StatusServiceUnavailable, reasonMemory)
+	case err != nil:
+		return g.refuseBody(w, &body, bodyStatus(err), "")
+	}
+	return body
+}
+
+// errCallerMemory means that the box's memory budget has no room for a body.
+const errCallerMemory = errors.ConstError("memory for callers is used up")
+
+// readAll reads a body to its end, and has stalled begin anew with each part.
+func (g *Gateway) readAll(body *Body, reader io.Reader, stalled *time.Timer) error {
 	for {
 		chunk := make([]byte, min(bodyChunkSize, max(512, cap(body.Bytes))))
 		n, err := reader.Read(chunk)
 		stalled.Reset(bodyStallTimeout)
 		if n > 0 && !g.CallerMemory.Reserve(int64(n)) {
-			return g.refuseBody(w, &body, http.StatusServiceUnavailable)
+			return errCallerMemory
 		}
 		body.Bytes = append(body.Bytes, chunk[:n]...)
 		if err == io.EOF {
-			return body
+			return nil
 		}
 		if err != nil {
-			return g.refuseBody(w, &body, bodyStatus(err))
+			return err
 		}
 	}
 }
@@ -73,11 +93,12 @@
 	return http.StatusBadRequest
 }
 
-// refuseBody releases the memory of an incomplete body and prepares its refusal.
-func (g *Gateway) refuseBody(w http.ResponseWriter, body *Body, status int) Body {
+// refuseBody releases the memory of an incomplete body and prepares its refusal. cause is why this box refuses it; empty
+// if the caller is at fault.
+func (g *Gateway) refuseBody(w http.ResponseWriter, body *Body, status int, cause reason) Body {
 	body.Release()
-	if status == http.StatusServiceUnavailable {
-		refused := notRun(reasonMemory, 0)
+	if cause != "" {
+		refused := notRun(cause, 0)
 		g.countRefusal(refused)
 		refused.writeHead(w.Header())
 	}
--- a/internal/gateway/choice.go
+++ b/internal/gateway/choice.go
@@ -14,6 +14,9 @@
 // request under which upstreams crash.
 func (r *inflight) pick(ctx context.Context) (dispatch.Choice, *refusal) {
 	for {
+		if r.sendCheck()() != nil {
+			return dispatch.Choice{}, r.refusalFor(reasonStopping, 0)
+		}
 		if refused := r.quarantined(); refused != nil {
 			return dispatch.Choice{}, refused
 		}
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -20,15 +20,18 @@
 )
 
 // Drain accepts requests until the load balancer has noticed that this box is leaving, then closes connections
-// with their next answer. It returns when all requests are answered, or DrainMargin before the end of the grace time.
-// Requests that are still in flight then go on until Finish ends them.
+// with their next answer, and then refuses requests and sends only those on that end within the grace time. It returns
+// when all requests are answered, or DrainMargin before the end of the grace time. Requests that are still in flight then
+// go on until Finish ends them.
 func (f *Front) Drain(grace time.Duration) {
 	begun := time.Now()
 	time.Sleep(min(balancerDelay, grace/4))
 	f.closing.Store(true)
 	time.Sleep(min(acceptTime, grace/2) - time.Since(begun))
+	end := begun.Add(grace - DrainMargin)
 	f.refusing.Store(true)
-	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(grace-DrainMargin))
+	f.gateway.StopSending(end)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	_ = f.Server.Shutdown(ctx) // It fails if requests are still in flight, for which Finish waits.
 }
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -15,7 +15,7 @@
 	It("accepts requests until the balancer has noticed, then ends connections, then refuses", func() {
 		spectest.Bubble(func() {
 			answered := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-			f := NewFront(answered, nil)
+			f := NewFront(answered, &Gateway{})
 			ask := func() *httptest.ResponseRecorder {
 				answer := httptest.NewRecorder()
 				f.Server.Handler.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/", nil))
@@ -42,7 +42,7 @@
 
 	It("shortens its phases to a quarter and a half of a short grace time", func() {
 		spectest.Bubble(func() {
-			f := NewFront(http.NotFoundHandler(), nil)
+			f := NewFront(http.NotFoundHandler(), &Gateway{})
 			begun := time.Now()
 			f.Drain(time.Second)
 			Expect(time.Since(begun)).To(Equal(500 * time.Millisecond))
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -203,13 +203,17 @@
 		route("/stream/", routes.Stream, "engines", true),
 		route("/strict/", routes.Stream, "engines", false),
 	}, []routes.Service{{Name: "plain"}, {Name: "engines", Engines: engines}}, routes.Limits{}))
-	var list []fleet.Upstream
+	g.Directory.SetList(1, fixtureUpstreams(), time.Time{})
+	return &fixture{Gateway: g, upstreams: f}
+}
+
+// fixtureUpstreams returns the upstreams of a fixture.
+func fixtureUpstreams() (list []fleet.Upstream) {
 	for n := range 4 {
 		list = append(list, fleet.Upstream{ID: fmt.Sprint("p", n), Service: "plain", Slots: 8, Revision: 1})
 		list = append(list, fleet.Upstream{ID: fmt.Sprint("e", n), Service: "engines", Slots: 8, Revision: 1, Models: []fleet.Holding{{Model: "m"}}})
 	}
-	g.Directory.SetList(1, list, time.Time{})
-	return &fixture{Gateway: g, upstreams: f}
+	return list
 }
 
 // caller is a response writer that records whether the answer was broken off.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -91,6 +91,8 @@
 	started *origins.Register
 	// crashChecks holds the recent checks of upstreams whose answers broke off.
 	crashChecks crashChecks
+	// sendLimit limits what is sent while this box stops.
+	sendLimit sendLimit
 	// customerNames are the customers with a metric label of their own. customerCount counts each use of a name
 	// that had none yet, and so bounds the number of labels.
 	customerNames sync.Map
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -26,20 +26,23 @@
 func (r *inflight) beginSending() (beforeWrite func() error) {
 	sent := &sending{begunAt: time.Now(), revision: r.gateway.Directory.Revision(), listAge: r.gateway.listAge()}
 	r.sending = sent
-	endpoint := r.endpoint
+	endpoint, maySend := r.endpoint, r.sendCheck()
 	return func() error {
 		if err := endpoint.Check(); err != nil {
 			return err
 		}
+		if err := maySend(); err != nil {
+			return err
+		}
 		sent.writtenAfter.Store(int64(time.Since(sent.begunAt)))
 		return nil
 	}
 }
 
 // withdrawn reports whether an attempt was not sent because its upstream may not get it any more: while the attempt
-// waited for a connection, the upstream began to leave, or its hall was evacuated.
+// waited for a connection, the upstream began to leave, its hall was evacuated, or this box began to stop.
 func withdrawn(err error) bool {
-	return errors.Is(err, fleet.ErrLeaving) || errors.Is(err, fleet.ErrGone) || errors.Is(err, fleet.ErrEvacuated)
+	return errors.Is(err, fleet.ErrLeaving) || errors.Is(err, fleet.ErrGone) || errors.Is(err, fleet.ErrEvacuated) || errors.Is(err, errStopping)
 }
 
 // sendingField is what this box knew when it sent the request for the last time.
--- a/internal/gateway/slow_test.go
+++ b/internal/gateway/slow_test.go
@@ -53,7 +53,7 @@
 		}
 		s.SetTable(routes.New(2, list, []routes.Service{{Name: "plain"}, {Name: "engines", Engines: table.Services["engines"].Engines}}, table.Limits))
 		handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			body := s.ReadBody(w, r)
+			body := s.ReadBody(w, r, time.Time{})
 			if body.Status != 0 {
 				w.WriteHeader(body.Status)
 				return
