An answer to a caller of HTTP/1.0 that breaks off does not look complete

What callers would have seen (found by a spec of ours, beside the users' report): a caller of HTTP/1.0 got a part of a stream, or of a long plain answer, and then the end of its connection, like that of a whole answer.

Cause: such an answer has neither a length nor chunks, and ends with its connection. Breaking it off closed the connection as usual.

Change: the connection of an answer in HTTP/1.0 is reset unless its handler returns, so also when the server is closed at the end of a drain or the process is killed. In HTTP/1.1 nothing changes: chunks or a length show the break, and a reset would take events away that were sent. Servers of both modes.

The other way weighed: a reset in the handler's recovery, which leaves the closed server and the killed process.

--- a/internal/box/pages.go
+++ b/internal/box/pages.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 
 	"ospreymoor.example/ospreymoor/internal/gen/ospreymoor/v1/ospreymoorv1connect"
+	"ospreymoor.example/ospreymoor/internal/transport"
 )
 
 const (
@@ -53,10 +54,12 @@
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{
+	server := &http.Server{
 		Handler:           handler,
 		Protocols:         &protocols,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleConnTimeout,
 	}
+	transport.ResetAborted(server)
+	return server
 }
--- a/internal/gateway/flood.go
+++ b/internal/gateway/flood.go
@@ -90,6 +90,9 @@
 	bytes *atomic.Int64
 }
 
+// NetConn returns the connection itself.
+func (c countedConn) NetConn() net.Conn { return c.Conn }
+
 // Read reads from the connection.
 func (c countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -10,6 +10,7 @@
 
 	"github.com/juju/errors"
 
+	"ospreymoor.example/ospreymoor/internal/transport"
 	"ospreymoor.example/ospreymoor/pkg/logfield"
 	"ospreymoor.example/ospreymoor/pkg/shedding"
 )
@@ -58,6 +59,7 @@
 		// Otherwise "OPTIONS *" gets an answer that is no upstream's.
 		DisableGeneralOptionsHandler: true,
 	}
+	transport.ResetAborted(f.Server)
 	return f
 }
 
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -29,6 +29,9 @@
 // slow reader keeps its connection.
 type stallConn struct{ net.Conn }
 
+// NetConn returns the connection itself.
+func (c stallConn) NetConn() net.Conn { return c.Conn }
+
 // Write writes all of p or returns an error.
 func (c stallConn) Write(p []byte) (int, error) {
 	sent, stalls := 0, 0
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -71,6 +71,13 @@
 	}
 }
 
+// deliverOnClose undoes resetOnClose.
+func deliverOnClose(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(-1) // It fails only on a closed connection.
+	}
+}
+
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	return raw.Control(func(fd uintptr) {
 		// Without this option the connection still works, and the callers' deadlines bound each
