--- a/internal/box/service_answers_test.go
+++ b/internal/box/service_answers_test.go
@@ -13,46 +13,16 @@
 
 	"ospreymoor.example/ospreymoor/pkg/bundle"
 	"ospreymoor.example/ospreymoor/pkg/membership"
+	"ospreymoor.example/ospreymoor/pkg/spectest"
 )
 
-// answerWith answers each request with the same bytes once its first ones have arrived, and ends the connection with end. It
-// returns its address.
-func answerWith(text string, end func(*net.TCPConn)) (address string) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(listener.Close)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				_, _ = conn.Read(make([]byte, 64))
-				_, _ = io.WriteString(conn, text)
-				end(conn.(*net.TCPConn))
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // A plain service answered a long call at once, with neither a length nor chunks, and reset the connection while the call was
 // still written: the part that had arrived was kept as the answer of all attempts. Heads that are none arrived as answers.
 var _ = Describe("a broken answer of a plain service", func() {
 	const callBytes = 16 << 20
-	reset := func(conn *net.TCPConn) {
-		time.Sleep(10 * time.Millisecond)
-		_ = conn.SetLinger(0)
-	}
-	closed := func(conn *net.TCPConn) {
-		_ = conn.CloseWrite()
-		_, _ = io.Copy(io.Discard, conn)
-	}
 
 	DescribeTable("is none", func(text string, end func(*net.TCPConn)) {
-		upstream := membership.Box{Address: answerWith(text, end)}
+		upstream := membership.Box{Address: spectest.AnswerAll(text, end)}
 		dial := (&net.Dialer{}).DialContext
 		proxy := &serviceProxy{
 			repeatableClient: &http.Client{Transport: httpTransport(dial)},
@@ -76,8 +46,8 @@
 			cancel()
 		}
 	},
-		Entry("a part of it and a reset", "HTTP/1.1 200 OK\r\n\r\npart", reset),
-		Entry("status 000", "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\ntext", closed),
-		Entry("a blank in the name of a field", "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\ntext and more", closed),
+		Entry("a part of it and a reset", "HTTP/1.1 200 OK\r\n\r\npart", spectest.ResetAfter(10*time.Millisecond)),
+		Entry("status 000", "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\ntext", spectest.CloseAnswer),
+		Entry("a blank in the name of a field", "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\ntext and more", spectest.CloseAnswer),
 	)
 })
--- a/internal/transport/head_test.go
+++ b/internal/transport/head_test.go
@@ -5,38 +5,14 @@
 	"io"
 	"net"
 	"net/http"
-	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"ospreymoor.example/ospreymoor/internal/transport"
+	"ospreymoor.example/ospreymoor/pkg/spectest"
 )
 
-// startTextServer answers each request with the same bytes and closes its side of the connection. It returns its address.
-func startTextServer(text string) (address string) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(listener.Close)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				_, _ = conn.Read(make([]byte, 4096))
-				_, _ = io.WriteString(conn, text)
-				_ = conn.(*net.TCPConn).CloseWrite()
-				_ = conn.SetReadDeadline(time.Now().Add(time.Second))
-				_, _ = io.Copy(io.Discard, conn)
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // fetch sends a request and reads the whole answer.
 func fetch(address string) (status int, header http.Header, body string, err error) {
 	pooled := transport.New()
@@ -56,7 +32,7 @@
 	rest := "\r\nContent-Length: 4\r\n\r\ntext"
 
 	DescribeTable("that is none breaks the answer", func(line string) {
-		_, _, _, err := fetch(startTextServer(line + rest))
+		_, _, _, err := fetch(spectest.AnswerAll(line+rest, spectest.CloseAnswer))
 		Expect(err).To(MatchError(transport.ErrMalformed))
 		Expect(err).NotTo(MatchError(transport.ErrNotSent))
 	},
@@ -85,7 +61,7 @@
 	)
 
 	DescribeTable("that is odd and valid does not", func(line string, status int) {
-		got, _, body, err := fetch(startTextServer(line + rest))
+		got, _, body, err := fetch(spectest.AnswerAll(line+rest, spectest.CloseAnswer))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(got).To(Equal(status))
 		Expect(body).To(Equal("text"))
@@ -137,7 +113,7 @@
 	chunks := "Transfer-Encoding: chunked\r\n\r\n4\r\ntext\r\n0\r\n"
 
 	DescribeTable("that are none break the answer", func(text string) {
-		_, _, _, err := fetch(startTextServer(text))
+		_, _, _, err := fetch(spectest.AnswerAll(text, spectest.CloseAnswer))
 		Expect(err).To(HaveOccurred())
 		Expect(err).NotTo(MatchError(transport.ErrNotSent))
 	},
@@ -174,7 +150,7 @@
 	)
 
 	DescribeTable("that are odd and valid do not", func(text string) {
-		status, header, body, err := fetch(startTextServer(text))
+		status, header, body, err := fetch(spectest.AnswerAll(text, spectest.CloseAnswer))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(status).To(Equal(http.StatusOK))
 		Expect(body).To(Equal("text"))
--- a/internal/transport/reset_test.go
+++ b/internal/transport/reset_test.go
@@ -12,34 +12,12 @@
 	. "github.com/onsi/gomega"
 
 	"ospreymoor.example/ospreymoor/internal/transport"
+	"ospreymoor.example/ospreymoor/pkg/spectest"
 )
 
 // earlyHead begins an answer that ends with its connection.
 const earlyHead = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"
 
-// startEarlyServer answers each request with text once its first bytes have arrived, and ends the connection with end. It
-// returns its address.
-func startEarlyServer(text string, end func(*net.TCPConn)) (address string) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(listener.Close)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				_, _ = conn.Read(make([]byte, 64))
-				_, _ = io.WriteString(conn, text)
-				end(conn.(*net.TCPConn))
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // upload sends a request with a body of a size, and reads the whole answer.
 func upload(address string, size int) (text []byte, err error) {
 	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+address+"/", bytes.NewReader(make([]byte, size)))
@@ -63,10 +41,7 @@
 	const tries = 100
 
 	DescribeTable("is broken if the connection is reset while the request is written", func(text string, pause time.Duration) {
-		address := startEarlyServer(text, func(conn *net.TCPConn) {
-			time.Sleep(pause)
-			_ = conn.SetLinger(0)
-		})
+		address := spectest.AnswerAll(text, spectest.ResetAfter(pause))
 		whole := 0
 		for range tries {
 			if _, err := upload(address, longUpload); err == nil {
@@ -81,17 +56,14 @@
 	)
 
 	It("is whole if its server has closed the connection and then reads the rest of the request", func() {
-		address := startEarlyServer(earlyHead+"whole", func(conn *net.TCPConn) {
-			_ = conn.CloseWrite()
-			_, _ = io.Copy(io.Discard, conn)
-		})
+		address := spectest.AnswerAll(earlyHead+"whole", spectest.CloseAnswer)
 		for range tries / 10 {
 			Expect(upload(address, longUpload)).To(BeEquivalentTo("whole"))
 		}
 	})
 
 	It("is whole if its server has closed the connection after a short request", func() {
-		address := startEarlyServer(earlyHead+"whole", func(conn *net.TCPConn) {
+		address := spectest.AnswerAll(earlyHead+"whole", func(conn *net.TCPConn) {
 			_ = conn.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
 			_, _ = io.Copy(io.Discard, conn) // A connection with unread bytes would be reset.
 		})
