--- a/internal/transport/reset_test.go
+++ b/internal/transport/reset_test.go
@@ -20,11 +20,9 @@
 
 // upload sends a request with a body of a size, and reads the whole answer.
 func upload(address string, size int) (text []byte, err error) {
-	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+address+"/", bytes.NewReader(make([]byte, size)))
-	Expect(err).NotTo(HaveOccurred())
 	pooled := transport.New()
 	defer pooled.CloseIdleConnections()
-	response, err := transport.Sender(pooled.RoundTrip).Send(request)
+	response, err := transport.Sender(pooled.RoundTrip).Send(postOf(address, size))
 	if err != nil {
 		return nil, err
 	}
@@ -72,3 +70,49 @@
 		}
 	})
 })
+
+// A server may answer before it has read the whole request, keep the connection and read on later. Where the rest of the body
+// is due, it must not get another request.
+var _ = Describe("a connection whose request was answered before it was written whole", func() {
+	It("carries no other request", func() {
+		const requests = 5
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		read := make(chan []byte, requests)
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer conn.Close()
+					_, _ = conn.Read(make([]byte, 64))
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nearly")
+					time.Sleep(100 * time.Millisecond)
+					rest, _ := io.ReadAll(conn)
+					read <- rest
+				}()
+			}
+		}()
+		pooled := transport.New()
+		for range requests {
+			status, text, err := transport.Sender(pooled.RoundTrip).Call(postOf(listener.Addr().String(), longUpload), 64)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(status).To(Equal(http.StatusOK))
+			Expect(string(text)).To(Equal("early"))
+		}
+		pooled.CloseIdleConnections()
+		for range requests {
+			Expect(bytes.Count(<-read, []byte("POST "))).To(BeZero())
+		}
+	})
+})
+
+// postOf returns a request with a body of a size.
+func postOf(address string, size int) *http.Request {
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+address+"/", bytes.NewReader(make([]byte, size)))
+	Expect(err).NotTo(HaveOccurred())
+	return request
+}
