A box that starts takes none of several versions for the only one before

Cause: a version that is known for 3 s counts as the only one before if each other one is newer. Records, notes and the entries of the first list are applied one after another, so that one of several versions is the older one by milliseconds.

Change: versions that a box learned of within a second of each other are equally old.

Evidence: the spec of pkg/fleet/versions_test.go, two versions 50 ms apart, fails without the change. A version that comes later than a second after another one is treated as before.

--- a/pkg/fleet/versions.go
+++ b/pkg/fleet/versions.go
@@ -140,12 +140,18 @@
 	d.versions.add(service, version, 0)
 }
 
+// learnedTogether is the time within which a box learns of the versions in use when it starts: by records, by notes and by
+// its first list.
+const learnedTogether = time.Second
+
 // SoleVersionBefore returns the only software version of a service that this box knew for longer than since, if it
-// learned of each other version in use after that. known is false if there is no such version.
+// learned of each other version in use after that, and later by learnedTogether at least. known is false if there is no
+// such version.
 func (d *Directory) SoleVersionBefore(service string, since time.Duration) (version string, known bool) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	now := time.Now()
+	var firstSeen time.Time
 	for name, use := range d.versions[service] {
 		if !use.inUse(now) || now.Sub(use.firstSeen) < since {
 			continue
@@ -153,7 +159,12 @@
 		if known {
 			return "", false
 		}
-		version, known = name, true
+		version, known, firstSeen = name, true, use.firstSeen
+	}
+	for name, use := range d.versions[service] {
+		if name != version && use.inUse(now) && use.firstSeen.Sub(firstSeen) < learnedTogether {
+			return "", false
+		}
 	}
 	return version, known
 }
--- a/pkg/fleet/versions_test.go
+++ b/pkg/fleet/versions_test.go
@@ -68,6 +68,21 @@
 		})
 	})
 
+	// A box that started again learned of two versions a moment apart, and took the first one for the only one before.
+	It("have no sole one before if a box that has just started learned of several", func() {
+		spectest.Bubble(func() {
+			d := New()
+			d.RecordVersion("s", "v1")
+			time.Sleep(50 * time.Millisecond)
+			d.SetList(1, []Upstream{upstream("b", "v2", 1)}, time.Now())
+			for range 400 {
+				_, known := d.SoleVersionBefore("s", 3*time.Second)
+				Expect(known).To(BeFalse())
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	})
+
 	It("that others report are bounded", func() {
 		d := New()
 		for n := range 1000 {
