--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -28,8 +28,8 @@
 func (b *Body) Release() { b.memory.Release(int64(len(b.Bytes))) }
 
 // ReadBody reads a whole body within the configured size limit and this box's memory budget. It refuses a caller
-// that stops sending for bodyStallTimeout, and a request with a deadline by which this box, which stops, may not send it
-// any more. It writes the headers of a refusal, but not its status.
+// that stops sending for bodyStallTimeout and, while this box stops, a request that may not be sent any more by its
+// deadline. It writes the headers of a refusal, but not its status.
 func (g *Gateway) ReadBody(w http.ResponseWriter, r *http.Request, deadline time.Time) Body {
 	if r.Body == nil || r.ContentLength == 0 {
 		return Body{memory: g.CallerMemory}
--- a/internal/transport/aborted.go
+++ b/internal/transport/aborted.go
@@ -10,8 +10,8 @@
 type connKey struct{}
 
 // ResetAborted has a server reset the connection of an answer in HTTP/1.0 that is not whole, whether its handler breaks it
-// off, the server is closed or the process is killed. Such an answer may have no length and then ends with its connection: closed as
-// usual, the part that was sent looks complete. Call it before the server serves.
+// off, the server is closed or the process is killed. Such an answer may have no length and then ends with its connection:
+// closed as usual, the part that was sent looks complete. Call it before the server serves.
 func ResetAborted(server *http.Server) {
 	next, connContext := server.Handler, server.ConnContext
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
